--- /dev/null
+++ b/experiment/world.go
@@ -0,0 +1,294 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"petrelstep/standin/batch"
+	"petrelstep/wire"
+)
+
+const (
+	boxCount    = 7
+	engineCount = 10
+	modelName   = "assessor"
+
+	link         = 1500 * time.Microsecond // one way between halls
+	reportEvery  = 500 * time.Millisecond
+	homeLag      = 500 * time.Millisecond // a home box polls its engines itself
+	boxLag       = time.Second            // the others hear of it with heartbeats
+	progressEach = time.Second
+	admitEach    = 50 * time.Millisecond
+	settleTime   = 120 * time.Second // after the last arrival
+	breakTime    = 20 * time.Millisecond
+	takeUpTime   = 200 * time.Millisecond // a caller comes back at another box
+	suspectTime  = 1500 * time.Millisecond
+	downTime     = 30 * time.Second
+)
+
+// request is one caller's, over all its dispatches.
+type request struct {
+	arrival
+	id         string
+	tries      int
+	box        *box
+	arrived    time.Time
+	last       time.Time // token
+	tokens     int
+	run        *batch.Run
+	engine     *engine
+	granted    bool
+	asked      *box // home box that holds it in its queue or granted it
+	over       bool
+	introduced *box
+}
+
+func (q *request) attempt() string { return fmt.Sprintf("%s.%d", q.id, q.tries) }
+
+// engine is a stand-in engine in virtual time.
+type engine struct {
+	w           *world
+	name        string
+	core        *batch.Core
+	incarnation int
+	leaving     bool
+	down        bool
+	stepping    bool
+}
+
+// world is one run: the boxes' real decision code against stand-in engines.
+type world struct {
+	events
+	policy   policy
+	scenario Scenario
+	rng      *rand.Rand
+	rec      *recorder
+	engines  []*engine
+	boxes    []*box
+	requests []*request
+	frozen   bool
+	parted   int // boxes below it cannot reach the others; 0 is whole
+}
+
+func newWorld(s Scenario, p policy, seed uint64) *world {
+	w := &world{policy: p, scenario: s, rng: rand.New(rand.NewPCG(seed, 7)), rec: newRecorder(p.name)}
+	w.now = time.Unix(1_700_000_000, 0)
+	for i := range engineCount {
+		e := &engine{w: w, name: fmt.Sprintf("e%d", i), core: batch.New(batch.Usual()), incarnation: 1}
+		w.engines = append(w.engines, e)
+	}
+	for i := range boxCount {
+		w.boxes = append(w.boxes, newBox(w, i))
+	}
+	return w
+}
+
+// Run measures one policy in one scenario. The same arguments give the same
+// result.
+func Run(s Scenario, policyName string, seed uint64) Result {
+	w := newWorld(s, policies[policyName], seed)
+	for _, e := range w.engines {
+		e.report()
+	}
+	for _, b := range w.boxes {
+		b.start()
+	}
+	for _, f := range s.faults {
+		w.after(f.at, func() { w.strike(f) })
+	}
+	for i, a := range generate(s, seed) {
+		q := &request{arrival: a, id: fmt.Sprintf("q%d", i)}
+		w.requests = append(w.requests, q)
+		w.rec.wanted[a.organisation] += float64(a.length)
+		w.after(a.at, func() { w.arrive(q) })
+	}
+	w.runUntil(w.now.Add(s.duration + settleTime))
+	return w.finish()
+}
+
+func (w *world) arrive(q *request) {
+	q.arrived = w.now
+	b := w.boxes[q.arrival.box]
+	if !b.alive {
+		b = w.anotherBox(b)
+	}
+	b.take(q)
+}
+
+func (w *world) anotherBox(not *box) *box {
+	for i := 1; i < boxCount; i++ {
+		b := w.boxes[(not.id+i)%boxCount]
+		if b.alive {
+			return b
+		}
+	}
+	return not
+}
+
+// dispatch sends a request to an engine; the answer comes a link later.
+func (w *world) dispatch(b *box, q *request, name string, priority int) {
+	e := w.engineNamed(name)
+	q.engine = e
+	b.flying[q.id] = q
+	w.after(link, func() {
+		if q.over {
+			return
+		}
+		if e.down || e.leaving {
+			// Refused before it started: certain, so it may go elsewhere.
+			w.after(link, func() { b.again(q, "never_started", name) })
+			return
+		}
+		q.run = e.core.Submit(w.now, batch.Job{
+			Attempt: q.attempt(), Prompt: q.prompt, Blocks: q.chain, Priority: priority, Length: q.length, Tag: q,
+		})
+		e.wake()
+	})
+}
+
+func (w *world) engineNamed(name string) *engine {
+	for _, e := range w.engines {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+func (e *engine) wake() {
+	if e.stepping || e.down {
+		return
+	}
+	e.stepping = true
+	e.step()
+}
+
+func (e *engine) step() {
+	incarnation := e.incarnation
+	var out, ended []*batch.Run
+	took := e.core.Step(
+		func(r *batch.Run) { out = append(out, r) },
+		func(r *batch.Run) { ended = append(ended, r) },
+	)
+	if took == 0 {
+		e.stepping = false
+		return
+	}
+	e.w.after(took, func() {
+		if e.incarnation != incarnation || e.down {
+			return
+		}
+		for _, r := range out {
+			e.w.token(r)
+		}
+		for _, r := range ended {
+			e.w.ended(r)
+		}
+		e.step()
+	})
+}
+
+func (w *world) token(r *batch.Run) {
+	q := r.Tag.(*request)
+	if q.run != r || q.over {
+		return
+	}
+	if q.tokens == 0 {
+		w.rec.first(q, w.now.Sub(q.arrived))
+	} else {
+		w.rec.gap(w.now.Sub(q.last))
+	}
+	q.tokens++
+	q.last = w.now
+}
+
+func (w *world) ended(r *batch.Run) {
+	q := r.Tag.(*request)
+	if q.run != r || q.over {
+		return
+	}
+	w.rec.result.Done++
+	w.rec.result.Tokens += q.tokens
+	w.rec.served[q.organisation] += float64(q.tokens)
+	w.after(link, func() { q.box.ended(q, false) })
+	q.over = true
+}
+
+// report sends the engine's load to the boxes, late.
+func (e *engine) report() {
+	w := e.w
+	w.every(w.policy.reportEvery(), func() {
+		if e.down || w.frozen {
+			return
+		}
+		load := e.load()
+		for _, b := range w.boxes {
+			w.after(w.policy.lag(b.isHome()), func() { b.report(load) })
+		}
+	})
+}
+
+func (e *engine) load() wire.EngineLoad {
+	return wire.EngineLoad{
+		Engine: e.name, Incarnation: e.incarnation, AtMs: int(e.w.now.UnixMilli()), Model: modelName,
+		Role: "any", Capacity: batch.Usual().Capacity, Used: e.core.Used(), Running: e.core.Running(),
+		Waiting: e.core.Waiting(), Preemptions: e.core.Preemptions(), StepUs: int(e.core.StepTime().Microseconds()),
+		Leaving: e.leaving, Ready: true,
+	}
+}
+
+func (w *world) finish() Result {
+	for _, e := range w.engines {
+		w.rec.result.Preemptions += e.core.Preemptions()
+	}
+	for _, q := range w.requests {
+		if q.over {
+			continue
+		}
+		if q.tokens == 0 {
+			w.rec.first(q, w.now.Sub(q.arrived))
+			continue
+		}
+		if silent := w.now.Sub(q.last); silent > gapBound {
+			w.rec.gap(silent)
+		}
+	}
+	return w.rec.finish(len(w.requests))
+}
+
+func (w *world) fail(q *request, reason string) {
+	q.over = true
+	w.rec.result.Refused[reason]++
+}
+
+// Bytes on the wire of each message between boxes, as measured by
+// BenchmarkMessages in package peer.
+const (
+	askBytes    = 110
+	grantBytes  = 40
+	settleBytes = 30
+	digestBytes = 40
+)
+
+func (w *world) message(bytes int) {
+	w.rec.result.Messages++
+	w.rec.result.Bytes += bytes
+}
+
+func (w *world) byAttempt(attempt string) *request {
+	dot := len(attempt) - 2
+	for dot > 0 && attempt[dot] != '.' {
+		dot--
+	}
+	i, err := strconv.Atoi(attempt[1:dot])
+	if err != nil || i >= len(w.requests) {
+		return nil
+	}
+	q := w.requests[i]
+	if q.attempt() != attempt || q.over {
+		return nil
+	}
+	return q
+}
