--- /dev/null
+++ b/grants/grants.go
@@ -0,0 +1,191 @@
+// Package grants serves the home boxes' side of grants: it keeps a home.Home
+// for each cell that this box is asked for, and lets each asker wait for its
+// answer.
+package grants
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"petrelstep/health"
+	"petrelstep/home"
+	"petrelstep/refusal"
+	"petrelstep/wire"
+)
+
+type cell struct {
+	home    *home.Home
+	waiters map[string]chan wire.Grant
+}
+
+// Grants is safe for use by several goroutines.
+type Grants struct {
+	mu      sync.Mutex
+	params  home.Params
+	lengths home.Lengths
+	health  *health.Health
+	engines func(cell string) []string
+	cells   map[string]*cell
+	closed  bool
+}
+
+// New returns grants over cells whose engines are named by engines.
+func New(params home.Params, lengths home.Lengths, h *health.Health, engines func(cell string) []string) *Grants {
+	return &Grants{params: params, lengths: lengths, health: h, engines: engines, cells: map[string]*cell{}}
+}
+
+// Configure takes newly declared weights and engines.
+func (g *Grants) Configure(params home.Params) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.params = params
+	for id, c := range g.cells {
+		c.home.SetParams(params)
+		c.home.Engines(g.engines(id))
+	}
+}
+
+// Ask waits for the answer to an ask. When ctx ends first the request is
+// taken out of the queue, and a grant that crossed with it is given back.
+func (g *Grants) Ask(ctx context.Context, now time.Time, ask wire.Ask) wire.Grant {
+	waiter, refused := g.enter(now, ask)
+	if refused != nil {
+		return *refused
+	}
+	select {
+	case grant := <-waiter:
+		return grant
+	case <-ctx.Done():
+		g.Withdraw(now, ask.Cell, ask.Attempt)
+		return wire.Grant{Reason: string(refusal.Deadline)}
+	}
+}
+
+func (g *Grants) enter(now time.Time, ask wire.Ask) (chan wire.Grant, *wire.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return nil, &wire.Grant{Reason: string(refusal.Draining)}
+	}
+	c := g.cell(ask.Cell)
+	if err := c.home.Offer(now, ask); err != nil {
+		return nil, refused(err)
+	}
+	waiter := make(chan wire.Grant, 1)
+	c.waiters[ask.Attempt] = waiter
+	c.round(now)
+	return waiter, nil
+}
+
+func refused(err error) *wire.Grant {
+	r, ok := err.(refusal.Refusal)
+	if !ok {
+		r = refusal.New(refusal.InternalUnexpected, err.Error())
+	}
+	return &wire.Grant{Reason: string(r.Reason()), RetryAfterMs: int(r.RetryAfter().Milliseconds())}
+}
+
+// Withdraw takes a request out; a grant already given is given back.
+func (g *Grants) Withdraw(now time.Time, cellID, attempt string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.cells[cellID]
+	if !ok {
+		return
+	}
+	delete(c.waiters, attempt)
+	if !c.home.Withdraw(attempt) {
+		c.home.Settle(now, wire.SettleItem{Attempt: attempt, Ended: true, Cut: true})
+	}
+}
+
+// Settle takes how granted generations go on.
+func (g *Grants) Settle(now time.Time, s wire.Settle) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.cell(s.Cell)
+	for _, it := range s.Items {
+		c.home.Settle(now, it)
+	}
+	c.round(now)
+}
+
+// Report takes a load report of an engine of a cell.
+func (g *Grants) Report(now time.Time, cellID string, load wire.EngineLoad) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c, ok := g.cells[cellID]; ok {
+		c.home.Report(now, load)
+	}
+}
+
+// Round grants what fits now, in all cells.
+func (g *Grants) Round(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.cells {
+		c.home.Sweep(now)
+		c.round(now)
+	}
+}
+
+// Close tells all who wait to ask elsewhere, and takes no more.
+func (g *Grants) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for _, c := range g.cells {
+		for attempt := range c.waiters {
+			c.home.Withdraw(attempt)
+			c.answer(attempt, wire.Grant{Reason: string(refusal.Draining)})
+		}
+	}
+}
+
+// Waiting returns how many requests wait in all cells.
+func (g *Grants) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, c := range g.cells {
+		n += c.home.Waiting()
+	}
+	return n
+}
+
+func (g *Grants) cell(id string) *cell {
+	c, ok := g.cells[id]
+	if !ok {
+		c = &cell{home: home.New(g.params, g.lengths, g.health), waiters: map[string]chan wire.Grant{}}
+		c.home.Engines(g.engines(id))
+		g.cells[id] = c
+	}
+	return c
+}
+
+func (c *cell) round(now time.Time) {
+	late, after := c.home.Expired(now)
+	for _, ask := range late {
+		c.answer(ask.Attempt, wire.Grant{Reason: string(refusal.Deadline), RetryAfterMs: int(after.Milliseconds())})
+	}
+	for _, granted := range c.home.Admit(now) {
+		c.answer(granted.Ask.Attempt, wire.Grant{Engine: granted.Engine, Room: granted.Room})
+	}
+}
+
+func (c *cell) answer(attempt string, grant wire.Grant) {
+	if w, ok := c.waiters[attempt]; ok {
+		w <- grant // has room for the one answer it gets
+		delete(c.waiters, attempt)
+	}
+}
+
+// Cached takes a cache event of an engine of a cell.
+func (g *Grants) Cached(cellID, engine string, seq int, stored bool, block uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c, ok := g.cells[cellID]; ok {
+		c.home.Cached(engine, seq, stored, block)
+	}
+}
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,213 @@
+// Package members knows which boxes there are and which are alive. The
+// platform's list is a hint that lags; heartbeats decide.
+package members
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"petrelstep/wire"
+)
+
+// State is how a box is seen.
+type State string
+
+// The states of a box.
+const (
+	Live    State = "live"
+	Suspect State = "suspect"
+	Leaving State = "leaving"
+	Gone    State = "gone"
+)
+
+const (
+	// suspectAfter is the silence that makes a box suspect.
+	suspectAfter = 2500 * time.Millisecond
+	// goneAfter is the silence after which a box that is off the list is dropped.
+	goneAfter = 30 * time.Second
+	// failedFor is how long a box that refused a connection is passed by.
+	failedFor = 3 * time.Second
+)
+
+// Box is what is known of one box. Values are immutable.
+type Box struct {
+	Name        string
+	Hall        string
+	Address     string
+	Incarnation int
+	Revision    int
+	State       State
+}
+
+type record struct {
+	box    Box
+	listed bool
+	heard  time.Time
+	failed time.Time
+	first  time.Time
+}
+
+// Members is safe for use by several goroutines.
+type Members struct {
+	mu    sync.Mutex
+	self  Box
+	boxes map[string]*record
+}
+
+// New returns a membership that knows only this box.
+func New(self Box) *Members { return &Members{self: self, boxes: map[string]*record{}} }
+
+// Self returns this box.
+func (m *Members) Self() Box {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// SetRevision notes the configuration in force here.
+func (m *Members) SetRevision(revision int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Revision = revision
+}
+
+// Leave notes that this box leaves.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.State = Leaving
+}
+
+// Listed takes the platform's list. A box missing from it is dropped only
+// when it is silent too.
+func (m *Members) Listed(now time.Time, list []wire.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.boxes {
+		r.listed = false
+	}
+	for _, l := range list {
+		if l.Box == m.self.Name {
+			continue
+		}
+		r := m.record(now, l.Box)
+		r.listed = true
+		r.box.Hall = l.Hall
+		if r.box.Address != l.Address {
+			r.box.Address, r.failed = l.Address, time.Time{}
+		}
+		if l.State == wire.MemberStateLeaving {
+			r.box.State = Leaving
+		}
+	}
+	for name, r := range m.boxes {
+		if !r.listed && now.Sub(r.heard) > goneAfter && now.Sub(r.first) > goneAfter {
+			delete(m.boxes, name)
+		}
+	}
+}
+
+// Heard takes a sign of life. An older incarnation's is dropped, and so is
+// what it says of not leaving.
+func (m *Members) Heard(now time.Time, b Box) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b.Name == m.self.Name {
+		return
+	}
+	r := m.record(now, b.Name)
+	if b.Incarnation < r.box.Incarnation {
+		return
+	}
+	if b.Incarnation == r.box.Incarnation && r.box.State == Leaving {
+		b.State = Leaving
+	}
+	if b.Hall == "" {
+		b.Hall, b.Address = r.box.Hall, r.box.Address
+	}
+	r.box = b
+	r.heard, r.failed = now, time.Time{}
+}
+
+// Failed notes that a box refused a connection, so that it is passed by at once.
+func (m *Members) Failed(now time.Time, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.boxes[name]; ok {
+		r.failed = now
+	}
+}
+
+// All returns this box and all others, by name, each with its state.
+func (m *Members) All(now time.Time) []Box {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := []Box{m.self}
+	for _, r := range m.boxes {
+		all = append(all, r.seen(now))
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Peers returns the other boxes that have an address.
+func (m *Members) Peers(now time.Time) []Box {
+	var peers []Box
+	for _, b := range m.All(now) {
+		if b.Name != m.Self().Name && b.Address != "" {
+			peers = append(peers, b)
+		}
+	}
+	return peers
+}
+
+// Order returns the boxes in the rendezvous order of a key, those that are
+// live; this box stands in it too unless it leaves. Boxes of the key's hall
+// come first.
+func (m *Members) Order(now time.Time, key, hall string) []Box {
+	var order []Box
+	for _, b := range m.All(now) {
+		if b.State == Live {
+			order = append(order, b)
+		}
+	}
+	sort.SliceStable(order, func(i, j int) bool {
+		a, b := order[i], order[j]
+		if (a.Hall == hall) != (b.Hall == hall) {
+			return a.Hall == hall
+		}
+		return weight(key, a.Name) > weight(key, b.Name)
+	})
+	return order
+}
+
+func weight(key, box string) uint64 { return xxhash.Sum64String(key + "/" + box) }
+
+func (m *Members) record(now time.Time, name string) *record {
+	r, ok := m.boxes[name]
+	if !ok {
+		r = &record{box: Box{Name: name, State: Live}, first: now}
+		m.boxes[name] = r
+	}
+	return r
+}
+
+func (r *record) seen(now time.Time) Box {
+	b := r.box
+	since := r.heard
+	if since.IsZero() {
+		since = r.first
+	}
+	silent := now.Sub(since) > suspectAfter || !r.failed.IsZero() && now.Sub(r.failed) < failedFor
+	switch {
+	case b.State == Leaving:
+	case silent:
+		b.State = Suspect
+	default:
+		b.State = Live
+	}
+	return b
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,146 @@
+// Package metrics counts what a box does, by OpenTelemetry, and serves the
+// counts in the Prometheus format.
+package metrics
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"petrelstep/refusal"
+)
+
+// Retry reasons, each with its own counter series.
+const (
+	RetryNeverStarted = "never_started"
+	RetryEngineLost   = "engine_lost"
+	RetryResume       = "resume"
+	RetryHomeGone     = "home_gone"
+	RetryIdempotent   = "idempotent_call"
+)
+
+// RetryReasons lists every reason for a retry.
+func RetryReasons() []string {
+	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent}
+}
+
+// Metrics holds the instruments of one box.
+type Metrics struct {
+	registry *prometheus.Registry
+	refusals metric.Int64Counter
+	retries  metric.Int64Counter
+	endings  metric.Int64Counter
+	tokens   metric.Int64Counter
+	stall    metric.Float64Counter
+	first    metric.Float64Histogram
+	gap      metric.Float64Histogram
+}
+
+// New returns instruments whose every series exists from the start at zero,
+// so that an alert on a rate never misses the first count.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, &SetupError{Err: err}
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("petrelstep")
+	m := &Metrics{registry: registry}
+	b := builder{meter: meter}
+	m.refusals = b.counter("petrelstep_refusals", "Requests refused, by reason.")
+	m.retries = b.counter("petrelstep_retries", "Retries, by reason.")
+	m.endings = b.counter("petrelstep_endings", "Requests ended, by ending.")
+	m.tokens = b.counter("petrelstep_tokens", "Tokens passed on to callers.")
+	m.stall = b.seconds("petrelstep_stall", "Time beyond the bounds for first token and gap.")
+	m.first = b.histogram("petrelstep_first_token", "Time to the first token.")
+	m.gap = b.histogram("petrelstep_gap", "Longest time between tokens of one stream.")
+	if b.err != nil {
+		return nil, &SetupError{Err: b.err}
+	}
+	m.zero()
+	return m, nil
+}
+
+func (m *Metrics) zero() {
+	ctx := context.Background()
+	for _, r := range refusal.Reasons() {
+		m.refusals.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", string(r))))
+	}
+	for _, r := range RetryReasons() {
+		m.retries.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
+	}
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(r refusal.Reason) {
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(r))))
+}
+
+// Retried counts a retry.
+func (m *Metrics) Retried(reason string) {
+	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// Ended counts a request's ending.
+func (m *Metrics) Ended(e refusal.Ending) {
+	m.endings.Add(context.Background(), 1, metric.WithAttributes(attribute.String("ending", string(e))))
+}
+
+// Streamed records one finished stream; times in seconds.
+func (m *Metrics) Streamed(tokens int, first, longestGap, stall float64) {
+	ctx := context.Background()
+	m.tokens.Add(ctx, int64(tokens))
+	m.stall.Add(ctx, stall)
+	m.first.Record(ctx, first)
+	m.gap.Record(ctx, longestGap)
+}
+
+// Handler serves the counts.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// SetupError says that the instruments could not be made.
+type SetupError struct{ Err error }
+
+// Error implements error.
+func (e *SetupError) Error() string { return "metrics: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SetupError) Unwrap() error { return e.Err }
+
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) keep(err error) {
+	if b.err == nil {
+		b.err = err
+	}
+}
+
+func (b *builder) counter(name, help string) metric.Int64Counter {
+	c, err := b.meter.Int64Counter(name, metric.WithDescription(help))
+	b.keep(err)
+	return c
+}
+
+func (b *builder) seconds(name, help string) metric.Float64Counter {
+	c, err := b.meter.Float64Counter(name, metric.WithDescription(help), metric.WithUnit("s"))
+	b.keep(err)
+	return c
+}
+
+func (b *builder) histogram(name, help string) metric.Float64Histogram {
+	bounds := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.053, 0.1, 0.2, 0.44, 1, 2, 5, 10, 30, 60, 300)
+	h, err := b.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"), bounds)
+	b.keep(err)
+	return h
+}
--- /dev/null
+++ b/reconcile/reconcile.go
@@ -0,0 +1,119 @@
+// Package reconcile brings the engines of one hall to what is declared. Only
+// the holder of the hall's lease gives orders, each with the lease's fence.
+package reconcile
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/order"
+	"petrelstep/resource"
+	"petrelstep/wire"
+)
+
+// roundsPerLease is how often within a lease it is tended and a round is made.
+const roundsPerLease = 4
+
+// freshFor is the age up to which a load report is acted on.
+const freshFor = 5 * time.Second
+
+// Lease is the hall's lease.
+type Lease interface {
+	Tend(ctx context.Context) error
+	Held(now time.Time) (fence int, left time.Duration)
+	Release(ctx context.Context) error
+}
+
+// Loads tells what engines last reported.
+type Loads interface {
+	Fresh(now time.Time, engine string, within time.Duration) (wire.EngineLoad, bool)
+}
+
+// Engines sends orders.
+type Engines interface {
+	Order(ctx context.Context, address string, o wire.EngineOrder) (wire.OrderAnswer, error)
+}
+
+// Timer calls a function each period.
+type Timer interface {
+	Every(ctx context.Context, name string, period time.Duration, f func(now time.Time))
+}
+
+// Reconciler works for one hall.
+type Reconciler struct {
+	hall      string
+	lease     Lease
+	resources *resource.Resources
+	loads     Loads
+	engines   Engines
+	timeout   time.Duration // of an order
+	duration  time.Duration // of the lease
+	log       *logrus.Entry
+}
+
+// New returns a reconciler for a hall.
+func New(hall string, l Lease, r *resource.Resources, loads Loads, engines Engines, timeout, duration time.Duration, log *logrus.Entry) *Reconciler {
+	return &Reconciler{
+		hall: hall, lease: l, resources: r, loads: loads, engines: engines, timeout: timeout, duration: duration,
+		log: log.WithField("hall", hall),
+	}
+}
+
+// Run makes rounds until ctx ends, then gives the lease up.
+func (r *Reconciler) Run(ctx context.Context, timer Timer) {
+	timer.Every(ctx, r.hall, r.duration/roundsPerLease, func(now time.Time) { r.Round(ctx) })
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.timeout)
+	defer cancel()
+	if err := r.lease.Release(release); err != nil {
+		r.log.WithError(err).Warn("lease_not_released")
+	}
+}
+
+// Round tends the lease and, while it is held, sends what is planned.
+func (r *Reconciler) Round(ctx context.Context) {
+	if err := r.lease.Tend(ctx); err != nil {
+		r.log.WithError(err).Debug("lease_not_tended")
+	}
+	view := r.resources.View()
+	plan := order.New(view, r.hall, r.fresh(view))
+	for _, step := range plan.Steps {
+		if !r.send(ctx, view.Upstreams[step.Engine], step) {
+			return
+		}
+	}
+}
+
+// send sends one order while the lease surely outlasts it: an upstream that
+// does not check fences must never get an order after a successor's.
+func (r *Reconciler) send(ctx context.Context, u wire.Upstream, step order.Step) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	fence, left := r.lease.Held(time.Now())
+	if left <= r.timeout+r.duration/10 {
+		return false
+	}
+	step.Order.Fence = fence
+	answer, err := r.engines.Order(ctx, u.Address, step.Order)
+	log := r.log.WithFields(logrus.Fields{"engine": step.Engine, "model": step.Order.Model, "leave": step.Order.Leave, "fence": fence, "why": step.Why})
+	switch {
+	case err != nil:
+		log.WithError(err).Warn("order_failed")
+	case !answer.Accepted:
+		log.WithField("detail", answer.Detail).Warn("order_refused")
+	default:
+		log.Info("order_accepted")
+	}
+	return true
+}
+
+func (r *Reconciler) fresh(view *resource.View) map[string]wire.EngineLoad {
+	loads := map[string]wire.EngineLoad{}
+	for _, name := range view.Engines(r.hall) {
+		if l, ok := r.loads.Fresh(time.Now(), name, freshFor); ok {
+			loads[name] = l
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/refusal/reason.go
@@ -0,0 +1,104 @@
+package refusal
+
+import "net/http"
+
+// Reason says why a request has no answer. Each reason has its own counter.
+type Reason string
+
+// The reasons, with what the caller may conclude from each in the table below.
+const (
+	BadRequest         Reason = "bad_request"
+	TooLarge           Reason = "too_large"
+	NoKey              Reason = "no_key"
+	WrongKey           Reason = "wrong_key"
+	NotAllowed         Reason = "not_allowed"
+	UnknownModel       Reason = "unknown_model"
+	UnknownService     Reason = "unknown_service"
+	UnknownRequest     Reason = "unknown_request"
+	UnknownResource    Reason = "unknown_resource"
+	Conflict           Reason = "conflict"
+	KeyReused          Reason = "key_reused"
+	Draining           Reason = "draining"
+	NotReady           Reason = "not_ready"
+	BoxFull            Reason = "box_full"
+	QuotaRequests      Reason = "quota_requests"
+	QuotaTokens        Reason = "quota_tokens"
+	QueueFull          Reason = "queue_full"
+	WaitTooLong        Reason = "wait_too_long"
+	Deadline           Reason = "deadline"
+	NoUpstream         Reason = "no_upstream"
+	UpstreamRefused    Reason = "upstream_refused"
+	UpstreamLost       Reason = "upstream_lost"
+	GenerationLost     Reason = "generation_lost"
+	GenerationCancel   Reason = "generation_cancelled"
+	RetryBudget        Reason = "retry_budget"
+	StoreDown          Reason = "store_down"
+	StoreUnsettled     Reason = "store_unsettled"
+	InProgress         Reason = "in_progress"
+	DispatcherGone     Reason = "dispatcher_gone"
+	AnswerNotKept      Reason = "answer_not_kept"
+	UnknownOutcome     Reason = "unknown_outcome"
+	HomeUnreachable    Reason = "home_unreachable"
+	InternalUnexpected Reason = "internal"
+)
+
+// Ending is what finally became of a request.
+type Ending string
+
+// The endings. NotRun is certain; Unknown may have run.
+const (
+	Done    Ending = "done"
+	NotRun  Ending = "not_run"
+	Failed  Ending = "failed"
+	Unknown Ending = "unknown"
+)
+
+type meaning struct {
+	ending Ending
+	status int
+}
+
+var meanings = map[Reason]meaning{
+	BadRequest:         {NotRun, http.StatusBadRequest},
+	TooLarge:           {NotRun, http.StatusRequestEntityTooLarge},
+	NoKey:              {NotRun, http.StatusUnauthorized},
+	WrongKey:           {NotRun, http.StatusUnauthorized},
+	NotAllowed:         {NotRun, http.StatusForbidden},
+	UnknownModel:       {NotRun, http.StatusNotFound},
+	UnknownService:     {NotRun, http.StatusNotFound},
+	UnknownRequest:     {NotRun, http.StatusNotFound},
+	UnknownResource:    {NotRun, http.StatusNotFound},
+	Conflict:           {NotRun, http.StatusConflict},
+	KeyReused:          {NotRun, http.StatusUnprocessableEntity},
+	Draining:           {NotRun, http.StatusServiceUnavailable},
+	NotReady:           {NotRun, http.StatusServiceUnavailable},
+	BoxFull:            {NotRun, http.StatusServiceUnavailable},
+	QuotaRequests:      {NotRun, http.StatusTooManyRequests},
+	QuotaTokens:        {NotRun, http.StatusTooManyRequests},
+	QueueFull:          {NotRun, http.StatusServiceUnavailable},
+	WaitTooLong:        {NotRun, http.StatusServiceUnavailable},
+	Deadline:           {NotRun, http.StatusServiceUnavailable},
+	NoUpstream:         {NotRun, http.StatusServiceUnavailable},
+	UpstreamRefused:    {NotRun, http.StatusBadGateway},
+	UpstreamLost:       {Failed, http.StatusBadGateway},
+	GenerationLost:     {Failed, http.StatusGone},
+	GenerationCancel:   {Failed, http.StatusGone},
+	RetryBudget:        {NotRun, http.StatusServiceUnavailable},
+	StoreDown:          {NotRun, http.StatusServiceUnavailable},
+	StoreUnsettled:     {NotRun, http.StatusServiceUnavailable},
+	InProgress:         {Unknown, http.StatusConflict},
+	DispatcherGone:     {Unknown, http.StatusBadGateway},
+	AnswerNotKept:      {Unknown, http.StatusBadGateway},
+	UnknownOutcome:     {Unknown, http.StatusBadGateway},
+	HomeUnreachable:    {NotRun, http.StatusServiceUnavailable},
+	InternalUnexpected: {Failed, http.StatusInternalServerError},
+}
+
+// Reasons lists every reason, for counters and pages.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(meanings))
+	for r := range meanings {
+		all = append(all, r)
+	}
+	return all
+}
--- /dev/null
+++ b/resource/resource.go
@@ -0,0 +1,128 @@
+// Package resource holds the configuration in force at one box. It only ever
+// goes forward: changes apply in the order of their revisions, each to the
+// state right before it, and an older state is never taken for a newer.
+package resource
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"petrelstep/wire"
+)
+
+// kept is how many changes are kept to bring peers up to date with.
+const kept = 4096
+
+// Resources is safe for use by several goroutines.
+type Resources struct {
+	mu      sync.Mutex
+	view    atomic.Pointer[View]
+	changes []wire.Resource // by revision, without gaps, the last in force last
+	next    chan struct{}
+}
+
+// New returns an empty configuration, revision 0.
+func New() *Resources {
+	r := &Resources{next: make(chan struct{})}
+	r.view.Store(NewView(0, map[string]wire.Resource{}))
+	return r
+}
+
+// View returns the configuration in force.
+func (r *Resources) View() *View { return r.view.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (r *Resources) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next
+}
+
+// Apply takes changes in the order of their revisions. What is already in
+// force is passed over; at a gap it stops. It reports whether all that the
+// set names is now in force.
+func (r *Resources) Apply(set wire.ChangeSet) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.View()
+	if set.Since == 0 && set.Revision > now.Revision {
+		r.replace(set)
+		return true
+	}
+	revision := now.Revision
+	var fresh []wire.Resource
+	for _, item := range set.Items {
+		if item.Revision == revision+1 {
+			fresh = append(fresh, item)
+			revision++
+		}
+	}
+	if len(fresh) > 0 {
+		r.forward(now, revision, fresh)
+	}
+	return revision >= set.Revision
+}
+
+// replace takes a whole state that is newer than the one in force.
+func (r *Resources) replace(set wire.ChangeSet) {
+	all := map[string]wire.Resource{}
+	for _, item := range set.Items {
+		if item.Removed {
+			delete(all, Key(item.Kind, item.Name))
+			continue
+		}
+		all[Key(item.Kind, item.Name)] = item
+	}
+	r.changes = nil
+	r.store(NewView(set.Revision, all))
+}
+
+func (r *Resources) forward(now *View, revision int, fresh []wire.Resource) {
+	all := make(map[string]wire.Resource, len(now.Resources)+1)
+	for k, v := range now.Resources {
+		all[k] = v
+	}
+	for _, item := range fresh {
+		if item.Removed {
+			delete(all, Key(item.Kind, item.Name))
+			continue
+		}
+		all[Key(item.Kind, item.Name)] = item
+	}
+	r.changes = append(r.changes, fresh...)
+	if len(r.changes) > kept {
+		r.changes = append([]wire.Resource{}, r.changes[len(r.changes)-kept/2:]...)
+	}
+	r.store(NewView(revision, all))
+}
+
+func (r *Resources) store(v *View) {
+	r.view.Store(v)
+	close(r.next)
+	r.next = make(chan struct{})
+}
+
+// Since returns what changed after a revision, or the whole state where the
+// changes are no longer kept.
+func (r *Resources) Since(revision int) wire.ChangeSet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.View()
+	set := wire.ChangeSet{Revision: v.Revision, Since: revision, Items: []wire.Resource{}}
+	if revision >= v.Revision {
+		return set
+	}
+	if len(r.changes) > 0 && r.changes[0].Revision <= revision+1 {
+		for _, c := range r.changes {
+			if c.Revision > revision {
+				set.Items = append(set.Items, c)
+			}
+		}
+		return set
+	}
+	set.Since = 0
+	for _, key := range sortedKeys(v.Resources) {
+		set.Items = append(set.Items, v.Resources[key])
+	}
+	return set
+}
--- /dev/null
+++ b/resource/view.go
@@ -0,0 +1,109 @@
+package resource
+
+import (
+	"encoding/json"
+	"sort"
+
+	"petrelstep/wire"
+)
+
+// View is the configuration in force, decoded. Values are immutable.
+type View struct {
+	Revision      int
+	Resources     map[string]wire.Resource // by kind/name
+	Organisations map[string]wire.Organisation
+	Keys          map[string]string // organisation by key hash
+	Models        map[string]wire.Model
+	Adapters      map[string]wire.Adapter
+	Halls         map[string]wire.Hall
+	Upstreams     map[string]wire.Upstream
+	Placements    map[string]wire.Placement
+	Policy        wire.Policy
+}
+
+// Key returns the key of a resource within a view.
+func Key(kind wire.ResourceKind, name string) string { return string(kind) + "/" + name }
+
+// NewView decodes resources. What does not decode is left out: it was checked
+// when it was accepted.
+func NewView(revision int, resources map[string]wire.Resource) *View {
+	v := &View{
+		Revision:      revision,
+		Resources:     resources,
+		Organisations: map[string]wire.Organisation{},
+		Keys:          map[string]string{},
+		Models:        map[string]wire.Model{},
+		Adapters:      map[string]wire.Adapter{},
+		Halls:         map[string]wire.Hall{},
+		Upstreams:     map[string]wire.Upstream{},
+		Placements:    map[string]wire.Placement{},
+	}
+	_ = json.Unmarshal([]byte("{}"), &v.Policy) // the defaults
+	for _, key := range sortedKeys(resources) {
+		v.add(resources[key])
+	}
+	return v
+}
+
+func (v *View) add(r wire.Resource) {
+	switch r.Kind {
+	case wire.ResourceKindOrganisation:
+		into(v.Organisations, r)
+		for _, hash := range v.Organisations[r.Name].KeyHashes {
+			v.Keys[hash] = r.Name
+		}
+	case wire.ResourceKindModel:
+		into(v.Models, r)
+	case wire.ResourceKindAdapter:
+		into(v.Adapters, r)
+	case wire.ResourceKindHall:
+		into(v.Halls, r)
+	case wire.ResourceKindUpstream:
+		into(v.Upstreams, r)
+	case wire.ResourceKindPlacement:
+		into(v.Placements, r)
+	case wire.ResourceKindPolicy:
+		_ = json.Unmarshal(r.Spec, &v.Policy)
+	}
+}
+
+func into[T any](m map[string]T, r wire.Resource) {
+	var t T
+	if json.Unmarshal(r.Spec, &t) == nil {
+		m[r.Name] = t
+	}
+}
+
+// Engines returns the names of the declared engines of a hall, sorted; of all
+// halls when hall is empty.
+func (v *View) Engines(hall string) []string {
+	var names []string
+	for name, u := range v.Upstreams {
+		if u.Role == wire.UpstreamRoleEngine && (hall == "" || u.Hall == hall) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Services returns the names of the upstreams of a plain service, sorted.
+func (v *View) Services(service string) []string {
+	var names []string
+	for name, u := range v.Upstreams {
+		if u.Role == wire.UpstreamRoleService && u.Service == service {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
