--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+.POSIX:
+.PHONY: all build demo run test lint bench slopes experiment soak generate install
+
+all: build
+
+build:
+	go build -o build/ ./cmd/...
+
+demo: build
+	timeout 60 scripts/demo
+
+run: build
+	scripts/run
+
+test: lint
+	go test ./...
+
+lint:
+	test -z "$$(gofmt -l $$(git ls-files '*.go'))"
+	go vet ./...
+	go tool staticcheck ./...
+	go tool revive -config revive.toml -set_exit_status -exclude ./wire/... ./...
+
+generate:
+	cd wire && go generate
+
+install:
+	go install ./cmd/...
--- /dev/null
+++ b/commands/apply.go
@@ -0,0 +1,161 @@
+package commands
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sort"
+
+	"github.com/google/subcommands"
+
+	"petrelstep/client"
+	"petrelstep/verify"
+	"petrelstep/wire"
+)
+
+func init() { subcommands.Register(&apply{}, "operators") }
+
+// apply writes declared resources.
+type apply struct {
+	target
+	file string
+}
+
+func (*apply) Name() string     { return "apply" }
+func (*apply) Synopsis() string { return "declare resources from a file of JSON" }
+func (*apply) Usage() string {
+	return `apply -f FILE: declare the resources of a JSON array, or of JSON objects one after
+another; - reads standard input. A resource without a version is written over
+the version now in force; one with a version only over that one.
+
+  petrelstep apply -f examples/declaration.json
+  petrelstep get Model -o json | petrelstep apply -f -
+`
+}
+
+func (c *apply) SetFlags(f *flag.FlagSet) {
+	c.operators(f)
+	f.StringVar(&c.file, "f", "", "file, or - for standard input")
+}
+
+func (c *apply) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	boxes, ok := c.client()
+	if !ok || c.file == "" {
+		return exitUsage
+	}
+	raw, err := read(c.file)
+	if err != nil {
+		return fail(err)
+	}
+	items, err := parse(raw)
+	if err != nil {
+		return fail(err)
+	}
+	for _, item := range items {
+		done, changed, err := put(ctx, boxes, item)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s/%s: ", item.Kind, item.Name)
+			return fail(err)
+		}
+		word := "unchanged"
+		if changed {
+			word = "accepted"
+		}
+		fmt.Printf("%s/%s %s version=%d revision=%d\n", done.Kind, done.Name, word, done.Version, done.Revision)
+	}
+	return exitDone
+}
+
+func read(file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(file)
+}
+
+// parse reads resources and puts those first that others refer to.
+func parse(raw []byte) ([]wire.Resource, error) {
+	var items []wire.Resource
+	d := json.NewDecoder(bytes.NewReader(raw))
+	for {
+		var next json.RawMessage
+		if err := d.Decode(&next); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			return nil, err
+		}
+		some, err := one(next)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, some...)
+	}
+	rank := map[wire.ResourceKind]int{}
+	for i, k := range verify.Kinds() {
+		rank[k] = i
+	}
+	sort.SliceStable(items, func(i, j int) bool { return rank[items[i].Kind] < rank[items[j].Kind] })
+	return items, nil
+}
+
+// one reads a resource, an array of them, or the list that get prints.
+func one(raw json.RawMessage) ([]wire.Resource, error) {
+	if bytes.HasPrefix(bytes.TrimSpace(raw), []byte("[")) {
+		var items []wire.Resource
+		err := json.Unmarshal(raw, &items)
+		return items, err
+	}
+	var list wire.ResourceList
+	if json.Unmarshal(raw, &list) == nil {
+		return list.Items, nil
+	}
+	var item wire.Resource
+	err := json.Unmarshal(raw, &item)
+	return []wire.Resource{item}, err
+}
+
+// put writes one resource. Without a version it takes the one in force, and
+// once more when another operator was faster.
+func put(ctx context.Context, boxes *client.Client, item wire.Resource) (done wire.Resource, changed bool, err error) {
+	given := item.Version != 0
+	path := fmt.Sprintf("/v1/resources/%s/%s", item.Kind, item.Name)
+	const tries = 3
+	for range tries {
+		var now wire.Resource
+		err = boxes.Call(ctx, http.MethodGet, path, nil, &now)
+		if err == nil && same(now.Spec, item.Spec) && (!given || now.Version == item.Version) {
+			return now, false, nil
+		}
+		if !given {
+			item.Version = now.Version
+		}
+		err = boxes.Call(ctx, http.MethodPut, path, item, &done)
+		var refused *client.Error
+		if err == nil || given || !errors.As(err, &refused) || refused.Body.Reason != "conflict" {
+			return done, true, err
+		}
+		// A resource that was removed has a version too: the refusal names it.
+		item.Version = refused.Body.Version
+		if err = boxes.Call(ctx, http.MethodPut, path, item, &done); err == nil {
+			return done, true, nil
+		}
+	}
+	return done, false, err
+}
+
+// same compares JSON by what it says.
+func same(a, b json.RawMessage) bool {
+	var x, y any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	one, _ := json.Marshal(x)
+	two, _ := json.Marshal(y)
+	return bytes.Equal(one, two)
+}
--- /dev/null
+++ b/commands/commands.go
@@ -0,0 +1,118 @@
+// Package commands holds the verbs of the command line, one file each. Each
+// registers itself.
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"petrelstep/client"
+)
+
+// Exit codes, as docs/petrelstep.1.md states them.
+const (
+	exitDone    = subcommands.ExitSuccess
+	exitFailed  = subcommands.ExitFailure
+	exitUsage   = subcommands.ExitUsageError
+	exitNotRun  = subcommands.ExitStatus(3)
+	exitUnknown = subcommands.ExitStatus(4)
+)
+
+// Run carries out the command line and returns the exit code.
+func Run() int {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(subcommands.CommandsCommand(), "")
+	flag.Parse()
+	return int(subcommands.Execute(context.Background()))
+}
+
+// target is the part of a command that says whom to call.
+type target struct {
+	boxes string
+	key   string
+	env   string
+}
+
+func (t *target) setFlags(f *flag.FlagSet, env, what string) {
+	t.env = env
+	f.StringVar(&t.boxes, "boxes", os.Getenv(env), what+", comma-separated (default $"+env+")")
+	f.StringVar(&t.key, "key", os.Getenv("PETRELSTEP_KEY"), "API key (default $PETRELSTEP_KEY)")
+}
+
+func (t *target) operators(f *flag.FlagSet) {
+	t.setFlags(f, "PETRELSTEP_ADMIN", "operators' addresses of boxes, IP:port or URL")
+}
+
+func (t *target) callers(f *flag.FlagSet) {
+	t.setFlags(f, "PETRELSTEP_BOXES", "callers' addresses of boxes, IP:port or URL")
+}
+
+// client returns a client of the boxes named; false after it has said what
+// is missing.
+func (t *target) client() (*client.Client, bool) {
+	if t.boxes == "" || t.key == "" {
+		fmt.Fprintf(os.Stderr, "name the boxes by -boxes or $%s, and the key by -key or $PETRELSTEP_KEY\n", t.env)
+		return nil, false
+	}
+	boxes := strings.Split(t.boxes, ",")
+	for i, b := range boxes {
+		if !strings.Contains(b, "://") {
+			boxes[i] = "http://" + b
+		}
+	}
+	return client.New(boxes, t.key), true
+}
+
+// output is the part of a command that says in what form to answer.
+type output struct{ form string }
+
+func (o *output) setFlags(f *flag.FlagSet) { f.StringVar(&o.form, "o", "table", "form: table or json") }
+
+// print writes v as JSON, or calls table.
+func (o *output) print(v any, table func(w io.Writer)) subcommands.ExitStatus {
+	switch o.form {
+	case "json":
+		e := json.NewEncoder(os.Stdout)
+		e.SetIndent("", "  ")
+		if err := e.Encode(v); err != nil {
+			return fail(err)
+		}
+	case "table":
+		table(os.Stdout)
+	default:
+		fmt.Fprintln(os.Stderr, "-o: table or json")
+		return exitUsage
+	}
+	return exitDone
+}
+
+// fail says what went wrong and returns the exit code for it.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	var refused *client.Error
+	if errors.As(err, &refused) {
+		return exitOf(string(refused.Body.Ending))
+	}
+	return exitFailed
+}
+
+func exitOf(ending string) subcommands.ExitStatus {
+	switch ending {
+	case "done":
+		return exitDone
+	case "not_run":
+		return exitNotRun
+	case "unknown":
+		return exitUnknown
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/commands/status.go
@@ -0,0 +1,107 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"petrelstep/wire"
+)
+
+func init() { subcommands.Register(&status{}, "operators") }
+
+// status prints desired against actual state.
+type status struct {
+	target
+	output
+	wait   time.Duration
+	expect int
+}
+
+func (*status) Name() string     { return "status" }
+func (*status) Synopsis() string { return "print desired and actual state, hall by hall" }
+func (*status) Usage() string {
+	return `status [-wait 30s] [-expect BOXES] [-o table|json]: print for each hall what is declared, what
+is so, since when, and why not. With -wait it waits until all is as declared,
+and exits 1 if it is not by then.
+
+  petrelstep status
+  petrelstep status -wait 1m -o json
+`
+}
+
+func (c *status) SetFlags(f *flag.FlagSet) {
+	c.operators(f)
+	c.output.setFlags(f)
+	f.IntVar(&c.expect, "expect", 0, "with -wait: so many boxes must be seen")
+	f.DurationVar(&c.wait, "wait", 0, "wait so long for all to be as declared")
+}
+
+func (c *status) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	boxes, ok := c.client()
+	if !ok {
+		return exitUsage
+	}
+	const lookEvery = 200 * time.Millisecond
+	until := time.Now().Add(c.wait)
+	for {
+		var s wire.Status
+		err := boxes.Call(ctx, http.MethodGet, "/v1/status", nil, &s)
+		converged := err == nil && len(s.Boxes) >= c.expect && converged(s)
+		if !converged && time.Now().Before(until) {
+			time.Sleep(lookEvery)
+			continue
+		}
+		if err != nil {
+			return fail(err)
+		}
+		if code := c.print(s, func(w io.Writer) { statusTable(w, s) }); code != exitDone {
+			return code
+		}
+		if c.wait > 0 && !converged {
+			return exitFailed
+		}
+		return exitDone
+	}
+}
+
+func converged(s wire.Status) bool {
+	for _, h := range s.Halls {
+		if h.BoxesCurrent < h.Boxes {
+			return false
+		}
+		for _, p := range h.Placements {
+			if p.Actual < p.Desired {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func statusTable(w io.Writer, s wire.Status) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "revision %d\n", s.Revision)
+	fmt.Fprintln(t, "HALL\tBOXES\tPLACEMENT\tMODEL\tDESIRED\tACTUAL\tFOR\tWHY")
+	for _, h := range s.Halls {
+		boxes := fmt.Sprintf("%d/%d", h.BoxesCurrent, h.Boxes)
+		if len(h.Placements) == 0 {
+			fmt.Fprintf(t, "%s\t%s\t-\t-\t-\t-\t-\t-\n", h.Hall, boxes)
+		}
+		for _, p := range h.Placements {
+			since := (time.Duration(p.SinceMs) * time.Millisecond).Round(time.Second)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", h.Hall, boxes, p.Placement, p.Model, p.Desired, p.Actual, since, p.Why)
+		}
+	}
+	fmt.Fprintln(t, "BOX\tHALL\tREVISION\tSTATE")
+	for _, b := range s.Boxes {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\n", b.Box, b.Hall, b.Revision, b.State)
+	}
+	_ = t.Flush()
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,258 @@
+// Package daemon puts the parts of one box together and runs them from start
+// to planned stop.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/admin"
+	"petrelstep/catchup"
+	"petrelstep/cells"
+	"petrelstep/config"
+	"petrelstep/declare"
+	"petrelstep/dispatch"
+	"petrelstep/flight"
+	"petrelstep/front"
+	"petrelstep/grants"
+	"petrelstep/health"
+	"petrelstep/home"
+	"petrelstep/homes"
+	"petrelstep/keys"
+	"petrelstep/ledger"
+	"petrelstep/length"
+	"petrelstep/loads"
+	"petrelstep/members"
+	"petrelstep/metrics"
+	"petrelstep/peer"
+	"petrelstep/placement"
+	platformmembers "petrelstep/platform/members"
+	"petrelstep/platform/rest"
+	"petrelstep/platform/table"
+	"petrelstep/quota"
+	"petrelstep/resource"
+	"petrelstep/retry"
+	"petrelstep/spread"
+	"petrelstep/ticket"
+	"petrelstep/timer"
+	"petrelstep/upstream/engine"
+	"petrelstep/upstream/service"
+	"petrelstep/verify"
+	"petrelstep/wire"
+)
+
+// serviceTime bounds a call to a plain service.
+const serviceTime = time.Minute
+
+// Daemon is one box.
+type Daemon struct {
+	config      config.Config
+	incarnation int
+	log         *logrus.Entry
+	timer       *timer.Service
+	metrics     *metrics.Metrics
+	keys        *keys.Keys
+
+	resources *resource.Resources
+	catchUp   *catchup.CatchUp
+	members   *members.Members
+	list      *platformmembers.Members
+	table     *table.Table
+	peers     *peer.Peers
+	spread    *spread.Spread
+
+	lengths *length.Lengths
+	loads   *loads.Loads
+	health  *health.Health
+	quota   *quota.Quota
+	grants  *grants.Grants
+	homes   *homes.Homes
+	flights *flight.Flights
+	engines *engine.Engine
+	ledger  *ledger.Ledger
+	front   *front.Front
+	admin   *admin.Admin
+
+	caughtUp  atomic.Bool
+	heard     atomic.Int64 // highest revision that a peer has told of
+	draining  atomic.Bool
+	drain     chan struct{}
+	cancel    context.CancelFunc // ends what outlives single requests
+	drainOnce sync.Once
+
+	mu      sync.Mutex
+	cells   *cells.Cells
+	cellsAt int // revision that cells were made from
+	placers map[placement.Method]*placement.Placer
+	since   map[string]time.Time
+}
+
+// New puts a box together; nothing runs and no port is open before Run. ctx
+// bounds what outlives single requests.
+func New(ctx context.Context, c config.Config, log *logrus.Entry) (*Daemon, error) {
+	counts, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
+	k, err := keys.New(keys.Files{Certificate: c.TLS.Certificate, Key: c.TLS.Key, Authority: c.TLS.PeerAuthority})
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		config:      c,
+		incarnation: int(time.Now().UnixMilli()),
+		log:         log,
+		timer:       timer.New(),
+		metrics:     counts,
+		keys:        k,
+		resources:   resource.New(),
+		lengths:     length.New(),
+		loads:       loads.New(),
+		health:      health.New(),
+		quota:       quota.New(1),
+		engines:     engine.New(),
+		drain:       make(chan struct{}),
+		cells:       cells.New(resource.NewView(0, nil), c.CellSize),
+		placers:     map[placement.Method]*placement.Placer{},
+		since:       map[string]time.Time{},
+	}
+	ctx, d.cancel = context.WithCancel(ctx)
+	d.connect()
+	d.control(ctx)
+	d.serve()
+	return d, nil
+}
+
+// connect makes the clients of the platform and of the peers.
+func (d *Daemon) connect() {
+	c := d.config
+	platform := rest.New(c.Platform.Address, config.Millis(c.Platform.TimeoutMs))
+	d.table = table.New(platform)
+	d.list = platformmembers.New(platform)
+	d.members = members.New(members.Box{
+		Name: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: d.incarnation, State: members.Live,
+	})
+	d.peers = peer.New(d.keys.PeerClient())
+	d.spread = spread.New(d.members, d.peers)
+	d.catchUp = catchup.New(d.table, d.resources)
+}
+
+// control makes the parts that act together with the other boxes.
+func (d *Daemon) control(ctx context.Context) {
+	c := d.config
+	d.grants = grants.New(d.params(), d.lengths, d.health, d.enginesOf)
+	d.homes = homes.New(d.members, d.peers, d.grants, d.metrics)
+	d.flights = flight.New(d.homes, d.lengths, d.engines, config.Millis(c.Limits.ComebackMs))
+	d.ledger = ledger.New(ctx, d.table, d, c.Box, d.incarnation, config.Millis(c.AnswersKeptMs))
+}
+
+// serve makes the parts that callers and operators meet.
+func (d *Daemon) serve() {
+	c := d.config
+	budget := retry.New()
+	dispatcher := dispatch.New(dispatch.Parts{
+		Box: c.Box, Resources: d.resources, Cells: d.cellsNow, Homes: d.homes, Engines: d.engines, Loads: d.loads,
+		Health: d.health, Lengths: d.lengths, Quota: d.quota, Budget: budget, Flights: d.flights, Placer: d.pick,
+		Metrics: d.metrics,
+	})
+	d.front = front.New(front.Parts{
+		Box: c.Box, Resources: d.resources, Dispatcher: dispatcher, Engines: d.engines, Services: service.New(serviceTime),
+		Ledger: d.ledger, Flights: d.flights, Tickets: ticket.New(c.RequestKey), Health: d.health, Budget: budget,
+		Metrics: d.metrics, Log: d.log, TellTaken: d.tellTaken, Ready: d.configured,
+		BodyMost: c.Limits.BodyBytes, Streams: c.Limits.Streams,
+	})
+	declarer := declare.New(d.table, verify.New(), d.resources, d.catchUp.Run)
+	d.admin = admin.New(admin.Parts{
+		Resources: d.resources, Write: d.write(declarer), Status: d.status, Drain: d.Drain, Ready: d.ready,
+		Metrics: d.metrics, OperatorKey: c.OperatorKeyHash, Log: d.log,
+	})
+}
+
+// write commits a resource and tells the other boxes before it is answered.
+func (d *Daemon) write(declarer *declare.Declarer) func(context.Context, wire.Resource) (wire.Resource, error) {
+	return func(ctx context.Context, r wire.Resource) (wire.Resource, error) {
+		done, err := declarer.Write(ctx, r)
+		if err != nil {
+			return r, err
+		}
+		set := wire.ChangeSet{Revision: done.Revision, Since: done.Revision - 1, Items: []wire.Resource{done}}
+		d.resources.Apply(set)
+		d.spread.Accepted(ctx, set)
+		return done, nil
+	}
+}
+
+func (d *Daemon) cellsNow() *cells.Cells {
+	view := d.resources.View()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cellsAt != view.Revision {
+		d.cells, d.cellsAt = cells.New(view, d.config.CellSize), view.Revision
+	}
+	return d.cells
+}
+
+func (d *Daemon) enginesOf(cell string) []string {
+	for _, c := range d.cellsNow().All() {
+		if c.ID == cell {
+			return c.Engines
+		}
+	}
+	return nil
+}
+
+// gapPart is the part of a model's bound for gaps that the mean step may
+// take: prompts that come in between need the rest.
+const gapPart = 0.85
+
+func (d *Daemon) params() home.Params {
+	view := d.resources.View()
+	params := home.Params{
+		Deviations: view.Policy.Deviations, Adaptive: view.Policy.Adaptive, Share: 1, Queue: d.config.Limits.Queue,
+		Gaps: map[string]time.Duration{},
+	}
+	for name, m := range view.Models {
+		params.Gaps[name] = time.Duration(gapPart * float64(config.Millis(m.GapMs)))
+	}
+	return params
+}
+
+func (d *Daemon) pick(method placement.Method, views []placement.View) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.placers[method]
+	if !ok {
+		p = placement.New(method, rand.New(rand.NewPCG(uint64(d.incarnation), uint64(len(d.placers)))))
+		d.placers[method] = p
+	}
+	return p.Pick(views)
+}
+
+// configured tells whether this box has a configuration to serve by. One that
+// started in an outage of the table serves by the highest that its peers have.
+func (d *Daemon) configured() bool {
+	if d.caughtUp.Load() {
+		return true
+	}
+	revision := int64(d.resources.View().Revision)
+	return revision > 0 && revision >= d.heard.Load()
+}
+
+func (d *Daemon) ready() bool { return d.configured() && !d.draining.Load() }
+
+// Drain begins the planned stop.
+func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drain) }) }
+
+// Reload reads the key files again.
+func (d *Daemon) Reload() {
+	if err := d.keys.Reload(); err != nil {
+		d.log.WithError(err).Error("keys_not_reloaded")
+		return
+	}
+	d.log.Info("keys_reloaded")
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"petrelstep/members"
+	"petrelstep/peer"
+	"petrelstep/poll"
+	"petrelstep/quota"
+	"petrelstep/wire"
+)
+
+const (
+	// freshFor is the age up to which a load report is passed on to peers.
+	freshFor = 1500 * time.Millisecond
+	callTime = 2 * time.Second
+)
+
+// Beat makes the heartbeat for a peer.
+func (d *Daemon) Beat() wire.Heartbeat {
+	now := time.Now()
+	self := d.members.Self()
+	beat := wire.Heartbeat{
+		Box: self.Name, Hall: self.Hall, Address: self.Address, Incarnation: self.Incarnation,
+		Revision: d.resources.View().Revision, Leaving: d.draining.Load(),
+	}
+	for name := range d.health.Gone() {
+		beat.GoneUpstreams = append(beat.GoneUpstreams, name)
+	}
+	for _, e := range d.ownEngines() {
+		if l, ok := d.loads.Fresh(now, e.Name, freshFor); ok {
+			beat.Loads = append(beat.Loads, l)
+		}
+	}
+	for name, use := range d.quota.Uses(now) {
+		beat.Demand = append(beat.Demand, wire.Demand{Organisation: name, Rate: use.Rate, Tokens: use.Tokens})
+	}
+	sort.Slice(beat.Demand, func(i, j int) bool { return beat.Demand[i].Organisation < beat.Demand[j].Organisation })
+	return beat
+}
+
+// Heartbeat takes a peer's.
+func (d *Daemon) Heartbeat(from wire.Heartbeat) wire.HeartbeatAnswer {
+	now := time.Now()
+	d.members.Heard(now, boxOf(from))
+	uses := map[string]quota.Use{}
+	for _, u := range from.Demand {
+		uses[u.Organisation] = quota.Use{Rate: u.Rate, Tokens: u.Tokens}
+	}
+	d.quota.Heard(now, from.Box, uses)
+	for _, l := range from.Loads {
+		d.Loaded(l)
+	}
+	d.newer(from.Revision, from.Address)
+	self := d.members.Self()
+	return wire.HeartbeatAnswer{Incarnation: self.Incarnation, Revision: d.resources.View().Revision, Leaving: d.draining.Load()}
+}
+
+func boxOf(h wire.Heartbeat) members.Box {
+	b := members.Box{Name: h.Box, Hall: h.Hall, Address: h.Address, Incarnation: h.Incarnation, Revision: h.Revision, State: members.Live}
+	if h.Leaving {
+		b.State = members.Leaving
+	}
+	return b
+}
+
+// Answered takes the answer to a heartbeat.
+func (d *Daemon) Answered(_ context.Context, b members.Box, a wire.HeartbeatAnswer) {
+	b.Incarnation, b.Revision, b.State = a.Incarnation, a.Revision, members.Live
+	if a.Leaving {
+		b.State = members.Leaving
+	}
+	d.members.Heard(time.Now(), b)
+	d.newer(a.Revision, b.Address)
+}
+
+// newer fetches what changed from a peer that has a newer configuration.
+func (d *Daemon) newer(revision int, address string) {
+	for {
+		heard := d.heard.Load()
+		if int64(revision) <= heard || d.heard.CompareAndSwap(heard, int64(revision)) {
+			break
+		}
+	}
+	if revision <= d.resources.View().Revision {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTime)
+		defer cancel()
+		var set wire.ChangeSet
+		err := d.peers.Call(ctx, address, peer.Changes, wire.ChangesAsk{Since: d.resources.View().Revision}, &set)
+		if err == nil {
+			d.resources.Apply(set)
+		}
+	}()
+}
+
+// Changes answers what changed since a revision.
+func (d *Daemon) Changes(since int) wire.ChangeSet { return d.resources.Since(since) }
+
+// Tell takes changes from the box that accepted them.
+func (d *Daemon) Tell(set wire.ChangeSet) {
+	if !d.resources.Apply(set) {
+		// A change before it is missing: the table has it.
+		go d.readTable(context.Background())
+	}
+	if set.Relay {
+		go d.spread.Relay(context.Background(), set)
+	}
+}
+
+// TakenUp learns that another box goes on with a generation.
+func (d *Daemon) TakenUp(attempt string) { d.flights.Handed(attempt) }
+
+// tellTaken tells the box that dispatched a generation that this one goes on
+// with it, so that it is not cancelled there. Until it is told, the caller's
+// stream waits: after that no cancel can cross with it.
+func (d *Daemon) tellTaken(box, attempt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	for _, b := range d.members.Peers(time.Now()) {
+		if b.Name == box && b.State != members.Suspect {
+			var done wire.Nothing
+			// A box that cannot be told is dead, or cut off and may still cancel:
+			// docs/PROOFS.md lists that as not proved.
+			_ = d.peers.Call(ctx, b.Address, peer.TakenUp, wire.TakenUp{Attempt: attempt}, &done)
+		}
+	}
+}
+
+// ownEngines returns the engines that this box is home of.
+func (d *Daemon) ownEngines() []poll.Engine {
+	view := d.resources.View()
+	var own []poll.Engine
+	for _, c := range d.cellsNow().All() {
+		if !d.homes.IsHome(c.ID) {
+			continue
+		}
+		for _, name := range c.Engines {
+			own = append(own, poll.Engine{Name: name, Address: view.Upstreams[name].Address})
+		}
+	}
+	return own
+}
+
+// Loaded takes a load report, polled or passed on.
+func (d *Daemon) Loaded(load wire.EngineLoad) {
+	now := time.Now()
+	if !d.loads.Report(now, load) {
+		return
+	}
+	d.health.Heard(now, load.Engine, load.Incarnation, time.Duration(load.StepUs)*time.Microsecond)
+	switch {
+	case load.Leaving:
+		d.health.Leaving(load.Engine, load.Incarnation)
+	case !d.resources.View().Upstreams[load.Engine].Leaving:
+		d.health.Stays(load.Engine)
+	}
+	d.grants.Report(now, d.cellsNow().Of(load.Engine), load)
+}
+
+// Cached takes a cache event.
+func (d *Daemon) Cached(engine string, seq int, stored bool, block uint64) {
+	d.grants.Cached(d.cellsNow().Of(engine), engine, seq, stored, block)
+}
+
+// Runs tells whether a box still runs as the incarnation that owns a row of
+// the ledger. One that is only silent may still run.
+func (d *Daemon) Runs(box string, incarnation int) bool {
+	for _, b := range d.members.All(time.Now()) {
+		if b.Name == box {
+			return b.Incarnation == incarnation || b.Incarnation == 0
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"sort"
+	"time"
+
+	"petrelstep/members"
+	"petrelstep/order"
+	"petrelstep/wire"
+)
+
+// status is the state of the whole as this box sees it: what is declared,
+// held against what engines report and boxes have in force.
+func (d *Daemon) status() wire.Status {
+	now := time.Now()
+	view := d.resources.View()
+	s := wire.Status{Revision: view.Revision, Halls: []wire.HallStatus{}, Boxes: []wire.BoxStatus{}}
+	boxes := d.members.All(now)
+	for _, b := range boxes {
+		revision := b.Revision
+		if b.Name == d.config.Box {
+			revision = view.Revision
+		}
+		s.Boxes = append(s.Boxes, wire.BoxStatus{Box: b.Name, Hall: b.Hall, Revision: revision, State: wire.BoxStatusState(b.State)})
+	}
+	for hall := range view.Halls {
+		s.Halls = append(s.Halls, d.hallStatus(now, hall, s.Boxes))
+	}
+	sort.Slice(s.Halls, func(i, j int) bool { return s.Halls[i].Hall < s.Halls[j].Hall })
+	return s
+}
+
+func (d *Daemon) hallStatus(now time.Time, hall string, boxes []wire.BoxStatus) wire.HallStatus {
+	view := d.resources.View()
+	h := wire.HallStatus{Hall: hall, Placements: []wire.PlacementStatus{}}
+	for _, b := range boxes {
+		if b.Hall != hall || b.State == wire.BoxStatusState(members.Gone) {
+			continue
+		}
+		h.Boxes++
+		if b.Revision >= view.Revision {
+			h.BoxesCurrent++
+		}
+	}
+	fresh := map[string]wire.EngineLoad{}
+	for _, name := range view.Engines(hall) {
+		if l, ok := d.loads.Fresh(now, name, statusFresh); ok {
+			fresh[name] = l
+		}
+	}
+	h.Placements = append(h.Placements, order.New(view, hall, fresh).Status...)
+	for i := range h.Placements {
+		h.Placements[i].SinceMs = d.sinceWhen(now, hall, h.Placements[i])
+	}
+	return h
+}
+
+// statusFresh is the age up to which an engine's report counts as its state.
+const statusFresh = 5 * time.Second
+
+// sinceWhen returns for how long a placement has stood as it stands now.
+func (d *Daemon) sinceWhen(now time.Time, hall string, p wire.PlacementStatus) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := hall + "/" + p.Placement
+	state := "met"
+	if p.Actual < p.Desired {
+		state = "short"
+	}
+	other := map[string]string{"met": "short", "short": "met"}[state]
+	delete(d.since, key+"/"+other)
+	began, ok := d.since[key+"/"+state]
+	if !ok {
+		began = now
+		d.since[key+"/"+state] = now
+	}
+	return int(now.Sub(began).Milliseconds())
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,416 @@
+// Package dispatch brings a request to an engine and to its first token: it
+// holds it against the limits, places it or asks for a grant, and tries
+// elsewhere what is certain not to have run. It is the one layer that
+// retries generations.
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"petrelstep/cells"
+	"petrelstep/flight"
+	"petrelstep/generation"
+	"petrelstep/health"
+	"petrelstep/length"
+	"petrelstep/loads"
+	"petrelstep/metrics"
+	"petrelstep/placement"
+	"petrelstep/prefix"
+	"petrelstep/quota"
+	"petrelstep/refusal"
+	"petrelstep/resource"
+	"petrelstep/retry"
+	"petrelstep/ticket"
+	"petrelstep/upstream/engine"
+	"petrelstep/wire"
+)
+
+const (
+	// topPriority is the engines' priority of calls that pass without a grant.
+	topPriority = 9
+	// prefixMost bounds the block hashes sent with an ask.
+	prefixMost = 16
+	// cancelTime bounds the cancel of an attempt whose outcome is open.
+	cancelTime = 2 * time.Second
+	// comeAgain is when to come back where nothing better is known.
+	comeAgain = time.Second
+)
+
+// Homes asks home boxes for room.
+type Homes interface {
+	Ask(ctx context.Context, ask wire.Ask) (wire.Grant, string, error)
+}
+
+// Engines is what dispatch needs of the engines' client.
+type Engines interface {
+	generation.Client
+	Cancel(ctx context.Context, address, attempt string) (wire.CancelAnswer, error)
+}
+
+// Request is a checked request of an organisation.
+type Request struct {
+	Organisation string
+	Terms        wire.Organisation
+	Body         wire.GenerationRequest
+}
+
+// Parts are what a dispatcher works with.
+type Parts struct {
+	Box       string
+	Resources *resource.Resources
+	Cells     func() *cells.Cells
+	Homes     Homes
+	Engines   Engines
+	Loads     *loads.Loads
+	Health    *health.Health
+	Lengths   *length.Lengths
+	Quota     *quota.Quota
+	Budget    *retry.Budget
+	Flights   *flight.Flights
+	Placer    func(method placement.Method, views []placement.View) int
+	Metrics   *metrics.Metrics
+}
+
+// Dispatcher is safe for use by several goroutines.
+type Dispatcher struct{ Parts }
+
+// New returns a dispatcher.
+func New(parts Parts) *Dispatcher { return &Dispatcher{parts} }
+
+// Running is a generation whose first token, or whole end, has come.
+type Running struct {
+	*generation.Generation
+	Attempt string
+	Engine  string
+	Address string
+	First   generation.Token
+	Empty   bool // it ended without a token
+	promise func()
+	flight  *flight.Flight
+	flights *flight.Flights
+}
+
+// Progress notes how many tokens were passed on.
+func (r *Running) Progress() { r.flight.Progress(r.Count()) }
+
+// End settles the generation: cut says that it would have gone on.
+func (r *Running) End(cut bool) {
+	r.Close()
+	r.promise()
+	r.flights.End(r.Attempt, r.Count(), cut)
+}
+
+// Abandon leaves the generation at its engine for the caller to come back to.
+func (r *Running) Abandon() {
+	r.Close()
+	r.promise()
+	r.flight.Progress(r.Count())
+	r.flights.Abandon(r.Attempt)
+}
+
+// try is one attempt of a request.
+type try struct {
+	attempt string
+	engine  string
+	address string
+	cell    string
+	home    string // that granted it; empty for a call that passed
+}
+
+// Start brings a request to its first token. The error is a refusal.Refusal.
+func (d *Dispatcher) Start(ctx context.Context, req Request) (*Running, error) {
+	view := d.Resources.View()
+	if _, ok := view.Models[req.Body.Model]; !ok {
+		return nil, refusal.New(refusal.UnknownModel, req.Body.Model)
+	}
+	if ok, wait := d.Quota.Request(time.Now(), req.Organisation, req.Terms.RequestsPerSecond); !ok {
+		return nil, refusal.New(refusal.QuotaRequests, "requests a second").WithRetryAfter(wait)
+	}
+	key := length.Key{Organisation: req.Organisation, Model: req.Body.Model, Class: string(req.Body.Class)}
+	prompt := promptTokens(req.Body.Prompt)
+	promised := prompt + int(min(d.Lengths.Curve(key).Mean(), float64(req.Body.MaxTokens)))
+	if !d.Quota.Promise(time.Now(), req.Organisation, promised, req.Terms.TokensInFlight) {
+		return nil, refusal.New(refusal.QuotaTokens, "tokens in flight").WithRetryAfter(comeAgain)
+	}
+	release := func() { d.Quota.Return(req.Organisation, promised) }
+	deadline := time.Now().Add(time.Duration(req.Body.DeadlineMs) * time.Millisecond)
+	running, err := d.tries(ctx, req, key, prompt, deadline)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	running.promise = release
+	return running, nil
+}
+
+// tries dispatches until a first token comes or nothing is left to try.
+func (d *Dispatcher) tries(ctx context.Context, req Request, key length.Key, prompt int, deadline time.Time) (*Running, error) {
+	var avoid []string
+	var last refusal.Refusal
+	waits := retry.Waits()
+	for n := range retry.Tries {
+		if n > 0 {
+			if !d.Budget.Spend() {
+				return nil, last
+			}
+			time.Sleep(waits.NextBackOff())
+		}
+		t, err := d.place(ctx, req, key, prompt, deadline, avoid)
+		if err != nil {
+			return nil, worse(last, err)
+		}
+		running, failure, reason := d.attempt(ctx, req, key, prompt, deadline, t)
+		if failure == nil {
+			d.Budget.Succeeded()
+			return running, nil
+		}
+		last = worseOf(last, *failure)
+		if reason == "" || ctx.Err() != nil {
+			return nil, last
+		}
+		d.Metrics.Retried(reason)
+		avoid = append(avoid, t.engine)
+	}
+	return nil, last
+}
+
+// worse keeps what an earlier try left open: a later refusal that ran nothing
+// does not make the whole not_run.
+func worse(last refusal.Refusal, err error) error {
+	var r refusal.Refusal
+	if !errors.As(err, &r) {
+		r = refusal.New(refusal.InternalUnexpected, err.Error())
+	}
+	return worseOf(last, r)
+}
+
+func worseOf(last, now refusal.Refusal) refusal.Refusal {
+	switch last.Ending() {
+	case refusal.Unknown:
+		return now.WithEnding(refusal.Unknown)
+	case refusal.Failed:
+		if now.Ending() == refusal.NotRun {
+			return now.WithEnding(refusal.Failed)
+		}
+	}
+	return now
+}
+
+// place finds an engine: at once for what is expected to be short, by a grant
+// of the home box for the rest.
+func (d *Dispatcher) place(ctx context.Context, req Request, key length.Key, prompt int, deadline time.Time, avoid []string) (try, error) {
+	view := d.Resources.View()
+	t := try{attempt: newAttempt()}
+	policy := view.Policy
+	expected := min(d.Lengths.Curve(key).Mean(), float64(req.Body.MaxTokens)) + float64(prompt)
+	if policy.Method != wire.PolicyMethodForecast || expected <= float64(policy.ShortTokens) {
+		return d.pass(view, req, t, prompt, avoid, placement.Method(policy.Method))
+	}
+	cell, ok := d.chooseCell(view, req, avoid)
+	if !ok {
+		return t, refusal.New(refusal.NoUpstream, "no engine serves "+req.Body.Model).WithRetryAfter(comeAgain)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	grant, home, err := d.Homes.Ask(ctx, wire.Ask{
+		Cell: cell, Attempt: t.attempt, Box: d.Box, Organisation: req.Organisation, Model: req.Body.Model,
+		Adapter: req.Body.Adapter, Class: string(req.Body.Class), Prompt: prompt, MaxTokens: req.Body.MaxTokens,
+		Priority: req.Terms.Priority, Weight: req.Terms.Weight, Prefix: chain(req.Body.Prompt),
+		WaitMs: int(time.Until(deadline).Milliseconds()), Avoid: avoid,
+	})
+	if err != nil {
+		return t, err
+	}
+	t.engine, t.home, t.cell = grant.Engine, home, cell
+	t.address = view.Upstreams[grant.Engine].Address
+	d.Loads.Dispatched(time.Now(), t.engine, prompt)
+	return t, nil
+}
+
+// pass places a call by what this box knows, without a grant.
+func (d *Dispatcher) pass(view *resource.View, req Request, t try, prompt int, avoid []string, method placement.Method) (try, error) {
+	now := time.Now()
+	views := d.views(now, view, req, avoid)
+	i := d.Placer(method, views)
+	if i < 0 {
+		return t, refusal.New(refusal.NoUpstream, "no engine serves "+req.Body.Model).WithRetryAfter(comeAgain)
+	}
+	t.engine = views[i].Engine
+	t.address = view.Upstreams[t.engine].Address
+	t.cell = d.Cells().Of(t.engine)
+	d.Health.Chosen(now, t.engine)
+	d.Loads.Dispatched(now, t.engine, prompt)
+	return t, nil
+}
+
+// views returns what is known of the engines that may serve a request.
+func (d *Dispatcher) views(now time.Time, view *resource.View, req Request, avoid []string) []placement.View {
+	var views []placement.View
+	for _, name := range view.Engines("") {
+		l, ok := d.Loads.Load(name)
+		if !ok || !serves(l, req.Body) || view.Upstreams[name].Leaving || contains(avoid, name) || !d.Health.May(now, name) {
+			continue
+		}
+		if v, ok := d.Loads.View(now, name); ok {
+			views = append(views, v)
+		}
+	}
+	return views
+}
+
+func serves(l wire.EngineLoad, body wire.GenerationRequest) bool {
+	if !l.Ready || l.Leaving || l.Model != body.Model || l.Role == string(wire.PlacementRolePrefill) {
+		return false
+	}
+	return body.Adapter == "" || contains(l.Adapters, body.Adapter)
+}
+
+// chooseCell picks the cell of the least crowded engine.
+func (d *Dispatcher) chooseCell(view *resource.View, req Request, avoid []string) (string, bool) {
+	views := d.views(time.Now(), view, req, avoid)
+	i := d.Placer(placement.LeastMemory, views)
+	if i < 0 {
+		return "", false
+	}
+	return d.Cells().Of(views[i].Engine), true
+}
+
+// attempt dispatches once. A failure comes with the reason to retry by, or
+// with none where it may not be retried.
+func (d *Dispatcher) attempt(ctx context.Context, req Request, key length.Key, prompt int, deadline time.Time, t try) (*Running, *refusal.Refusal, string) {
+	f := &flight.Flight{
+		Attempt: t.attempt, Cell: t.cell, Engine: t.engine, Address: t.address, Key: key, Prompt: prompt,
+		MaxTokens: req.Body.MaxTokens, Granted: t.home != "", Home: t.home,
+	}
+	d.Flights.Start(f)
+	first, cancel := context.WithCancel(ctx)
+	late := time.AfterFunc(time.Until(deadline), cancel)
+	running, err := d.open(first, req, t)
+	if late.Stop() && err == nil {
+		running.flight, running.flights = f, d.Flights
+		d.Health.Worked(time.Now(), t.engine)
+		// The stream lives as long as the caller's own context.
+		context.AfterFunc(ctx, cancel)
+		return running, nil, ""
+	}
+	cancel()
+	if err == nil {
+		running.Close()
+		err = context.DeadlineExceeded
+	}
+	failure, reason := d.failed(ctx, t, err)
+	d.Flights.End(t.attempt, 0, true)
+	return nil, &failure, reason
+}
+
+// open starts a generation and reads up to its first token.
+func (d *Dispatcher) open(ctx context.Context, req Request, t try) (*Running, error) {
+	priority := req.Terms.Priority
+	if t.home == "" && d.Resources.View().Policy.Method == wire.PolicyMethodForecast {
+		priority = topPriority
+	}
+	job := wire.EngineJob{
+		Attempt: t.attempt, Model: req.Body.Model, Adapter: req.Body.Adapter, Prompt: req.Body.Prompt,
+		Class: string(req.Body.Class), MaxTokens: req.Body.MaxTokens, Priority: priority,
+	}
+	g, err := generation.New(ctx, d.Engines, t.address, job, func() { d.Metrics.Retried(metrics.RetryResume) })
+	if err != nil {
+		return nil, err
+	}
+	token, err := g.Next(ctx)
+	if err != nil && err != io.EOF {
+		g.Close()
+		return nil, err
+	}
+	return &Running{Generation: g, Attempt: t.attempt, Engine: t.engine, Address: t.address, First: token, Empty: err == io.EOF}, nil
+}
+
+// failed tells what is certain after an attempt without a first token.
+func (d *Dispatcher) failed(ctx context.Context, t try, err error) (refusal.Refusal, string) {
+	var lost *generation.LostError
+	switch {
+	case engine.KindOf(err) == engine.NotSent, engine.KindOf(err) == engine.NotTaken:
+		d.Health.Failed(t.engine)
+		return refusal.New(refusal.NoUpstream, "engine took nothing").WithRetryAfter(comeAgain), metrics.RetryNeverStarted
+	case errors.As(err, &lost) && engine.KindOf(lost.Err) == engine.Gone:
+		d.Health.Failed(t.engine)
+		return refusal.New(refusal.UpstreamLost, "engine lost it before its first token").WithRetryAfter(comeAgain), metrics.RetryEngineLost
+	}
+	late := ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	if !late {
+		d.Health.Failed(t.engine)
+	}
+	return d.settleOpen(t, late)
+}
+
+// settleOpen cancels an attempt whose outcome is open, and tells by the
+// engine's answer what became of it.
+func (d *Dispatcher) settleOpen(t try, late bool) (refusal.Refusal, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
+	defer cancel()
+	reason, again := refusal.UpstreamLost, metrics.RetryEngineLost
+	if late {
+		reason, again = refusal.Deadline, ""
+	}
+	r := refusal.New(reason, "no first token").WithRetryAfter(comeAgain)
+	answer, err := d.Engines.Cancel(ctx, t.address, t.attempt)
+	switch {
+	case err != nil || answer.State == wire.CancelAnswerStateUnknown:
+		return r.WithEnding(refusal.Unknown), again
+	case answer.State == wire.CancelAnswerStateNeverStarted:
+		return r.WithEnding(refusal.NotRun), again
+	}
+	return r.WithEnding(refusal.Failed), again
+}
+
+// promptTokens estimates a prompt's tokens; engines tell the true count later.
+func promptTokens(prompt string) int { return max(len(strings.Fields(prompt)), 1) }
+
+func chain(prompt string) []int {
+	hashes := prefix.Chain(prompt)
+	hashes = hashes[:min(len(hashes), prefixMost)]
+	out := make([]int, len(hashes))
+	for i, h := range hashes {
+		out[i] = int(h)
+	}
+	return out
+}
+
+func newAttempt() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+func contains(all []string, one string) bool {
+	for _, s := range all {
+		if s == one {
+			return true
+		}
+	}
+	return false
+}
+
+// TakenUp wraps a generation that a caller takes up at this box. What another
+// box dispatched is settled by nobody here; its home box lets it lapse.
+func (d *Dispatcher) TakenUp(c ticket.Claims, g *generation.Generation) *Running {
+	f := &flight.Flight{
+		Attempt: c.Attempt, Engine: c.Engine, Address: c.Address, Cell: d.Cells().Of(c.Engine),
+		Key: length.Key{Organisation: c.Organisation, Model: c.Model},
+	}
+	if known := d.Flights.Get(c.Attempt); known != nil {
+		f = known
+	} else {
+		d.Flights.Start(f)
+	}
+	return &Running{
+		Generation: g, Attempt: c.Attempt, Engine: c.Engine, Address: c.Address, Empty: true,
+		promise: func() {}, flight: f, flights: d.Flights,
+	}
+}
--- /dev/null
+++ b/flight/flight.go
@@ -0,0 +1,210 @@
+// Package flight keeps the generations that this box has in flight: it
+// settles them with their home boxes and cancels those whose callers do not
+// come back.
+package flight
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"petrelstep/length"
+	"petrelstep/wire"
+)
+
+// settleEvery is how often home boxes are told how far generations are.
+const settleEvery = 2 * time.Second
+
+// Homes tells home boxes how generations go on.
+type Homes interface {
+	Settle(ctx context.Context, cell string, items func(home string) []wire.SettleItem) bool
+	IsHome(cell string) bool
+}
+
+// Timer calls a function each period.
+type Timer interface {
+	Every(ctx context.Context, name string, period time.Duration, f func(now time.Time))
+}
+
+// Canceller ends a generation at its engine.
+type Canceller interface {
+	Cancel(ctx context.Context, address, attempt string) (wire.CancelAnswer, error)
+}
+
+// Flight is one generation in flight.
+type Flight struct {
+	Attempt   string
+	Cell      string
+	Engine    string
+	Address   string
+	Key       length.Key
+	Prompt    int
+	MaxTokens int
+	Granted   bool   // by a home box, which is settled with
+	Home      string // box that knows of it
+	tokens    atomic.Int64
+	comeback  *time.Timer
+}
+
+// Progress notes how many tokens there are.
+func (f *Flight) Progress(tokens int) { f.tokens.Store(int64(tokens)) }
+
+// Flights is safe for use by several goroutines.
+type Flights struct {
+	mu       sync.Mutex
+	homes    Homes
+	lengths  *length.Lengths
+	engines  Canceller
+	comeback time.Duration
+	all      map[string]*Flight
+}
+
+// New returns an empty registry; callers have comeback to take their streams up.
+func New(homes Homes, lengths *length.Lengths, engines Canceller, comeback time.Duration) *Flights {
+	return &Flights{homes: homes, lengths: lengths, engines: engines, comeback: comeback, all: map[string]*Flight{}}
+}
+
+// Start adds a generation.
+func (s *Flights) Start(f *Flight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all[f.Attempt] = f
+}
+
+// Len returns how many are in flight.
+func (s *Flights) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.all)
+}
+
+// End takes a generation out: it has so many tokens, and is cut if it would
+// have had more.
+func (s *Flights) End(attempt string, tokens int, cut bool) {
+	s.mu.Lock()
+	f, ok := s.all[attempt]
+	delete(s.all, attempt)
+	if ok && f.comeback != nil {
+		f.comeback.Stop()
+	}
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	f.Progress(tokens)
+	if !f.Granted || !s.homes.IsHome(f.Cell) {
+		// A home box learns from what is settled with it; others from their own.
+		s.lengths.Progress(f.Key, 0, tokens)
+		s.lengths.End(f.Key, tokens, cut)
+	}
+	if f.Granted {
+		go s.settle(context.Background(), f.Cell, []*Flight{f}, true, cut)
+	}
+}
+
+// Abandon cancels a generation once its caller has not come back for a while.
+func (s *Flights) Abandon(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.all[attempt]
+	if !ok || f.comeback != nil {
+		return
+	}
+	f.comeback = time.AfterFunc(s.comeback, func() { s.giveUp(f) })
+}
+
+// TakenUp learns that a caller came back, here or at another box: then the
+// generation is not cancelled. It reports whether it was in flight here.
+func (s *Flights) TakenUp(attempt string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.all[attempt]
+	if ok && f.comeback != nil {
+		f.comeback.Stop()
+		f.comeback = nil
+	}
+	return ok
+}
+
+// Handed takes a generation out that another box goes on with.
+func (s *Flights) Handed(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f, ok := s.all[attempt]; ok && f.comeback != nil {
+		f.comeback.Stop()
+		delete(s.all, attempt)
+	}
+}
+
+func (s *Flights) giveUp(f *Flight) {
+	const cancelTime = 5 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
+	defer cancel()
+	answer, err := s.engines.Cancel(ctx, f.Address, f.Attempt)
+	tokens := int(f.tokens.Load())
+	if err == nil {
+		tokens = max(tokens, answer.Count)
+	}
+	s.End(f.Attempt, tokens, answer.State != wire.CancelAnswerStateFinished)
+}
+
+// Run settles with home boxes until ctx ends.
+func (s *Flights) Run(ctx context.Context, timer Timer) {
+	timer.Every(ctx, "settle", settleEvery, func(time.Time) { s.settleAll(ctx) })
+}
+
+func (s *Flights) settleAll(ctx context.Context) {
+	s.mu.Lock()
+	byCell := map[string][]*Flight{}
+	for _, f := range s.all {
+		if f.Granted {
+			byCell[f.Cell] = append(byCell[f.Cell], f)
+		}
+	}
+	s.mu.Unlock()
+	for cell, flights := range byCell {
+		sort.Slice(flights, func(i, j int) bool { return flights[i].Attempt < flights[j].Attempt })
+		s.settle(ctx, cell, flights, false, false)
+	}
+}
+
+func (s *Flights) settle(ctx context.Context, cell string, flights []*Flight, ended, cut bool) {
+	told := ""
+	ok := s.homes.Settle(ctx, cell, func(home string) []wire.SettleItem {
+		told = home
+		items := make([]wire.SettleItem, len(flights))
+		for i, f := range flights {
+			items[i] = s.item(f, home, ended, cut)
+		}
+		return items
+	})
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range flights {
+		f.Home = told
+	}
+}
+
+// item is short for a home box that knows the generation, and whole for another.
+func (s *Flights) item(f *Flight, home string, ended, cut bool) wire.SettleItem {
+	it := wire.SettleItem{Attempt: f.Attempt, Tokens: int(f.tokens.Load()), Ended: ended, Cut: cut}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Home != home {
+		it.Engine, it.Prompt, it.MaxTokens = f.Engine, f.Prompt, f.MaxTokens
+		it.Organisation, it.Model, it.Class = f.Key.Organisation, f.Key.Model, f.Key.Class
+	}
+	return it
+}
+
+// Get returns a generation in flight here, or nil.
+func (s *Flights) Get(attempt string) *Flight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all[attempt]
+}
--- /dev/null
+++ b/front/generation.go
@@ -0,0 +1,367 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/dispatch"
+	"petrelstep/generation"
+	"petrelstep/metrics"
+	"petrelstep/refusal"
+	"petrelstep/sse"
+	"petrelstep/ticket"
+	"petrelstep/upstream/engine"
+	"petrelstep/wire"
+)
+
+// Bounds beyond which waiting counts as stall; see docs/MEASURES.md.
+const (
+	firstBound = 440 * time.Millisecond
+	gapBound   = 200 * time.Millisecond
+)
+
+// wholeTries is how often an answer that is delivered whole is generated anew
+// after its engine was lost.
+const wholeTries = 3
+
+func (f *Front) serveGeneration(w http.ResponseWriter, r *http.Request, c caller) (string, error) {
+	raw, err := f.body(w, r)
+	if err != nil {
+		return "", err
+	}
+	var body wire.GenerationRequest
+	if err := f.generation.Decode(raw, &body); err != nil {
+		return "", mistakes(err)
+	}
+	view := f.Resources.View()
+	if len(c.terms.Models) > 0 && !has(c.terms.Models, body.Model) {
+		return "", refusal.New(refusal.NotAllowed, "the organisation may not use "+body.Model)
+	}
+	if model, ok := view.Models[body.Model]; ok {
+		body.MaxTokens = min(body.MaxTokens, model.MaxTokens)
+	}
+	req := dispatch.Request{Organisation: c.name, Terms: c.terms, Body: body}
+	if body.Deliver == wire.GenerationRequestDeliverWhole {
+		return f.whole(w, r, req)
+	}
+	return f.stream(w, r, req)
+}
+
+func (f *Front) seal(c string, running *dispatch.Running, model string) string {
+	return f.Tickets.Seal(ticket.Claims{
+		Attempt: running.Attempt, Engine: running.Engine, Address: running.Address, Organisation: c, Model: model, Box: f.Box,
+	})
+}
+
+// stream passes tokens on as they come.
+func (f *Front) stream(w http.ResponseWriter, r *http.Request, req dispatch.Request) (string, error) {
+	began := time.Now()
+	running, err := f.Dispatcher.Start(r.Context(), req)
+	if err != nil {
+		return "", err
+	}
+	id := f.seal(req.Organisation, running, req.Body.Model)
+	out := newWriter(w, began)
+	out.start(id)
+	err = f.relay(r.Context(), out, running, 0)
+	f.ended(r.Context(), running, out, id, err)
+	return id, nil
+}
+
+// relay passes on the tokens from an offset on until the generation ends.
+func (f *Front) relay(ctx context.Context, out *writer, running *dispatch.Running, from int) error {
+	if !running.Empty {
+		if err := out.token(running.First, from); err != nil {
+			return err
+		}
+	}
+	for {
+		if !running.Buffered() {
+			running.Progress()
+			if err := out.flush(); err != nil {
+				return err
+			}
+		}
+		token, err := running.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if err := out.token(token, from); err != nil {
+			return err
+		}
+	}
+}
+
+// ended writes the last event and settles the generation.
+func (f *Front) ended(ctx context.Context, running *dispatch.Running, out *writer, id string, err error) {
+	log := f.Log.WithFields(logrus.Fields{"request": short(id), "engine": running.Engine, "attempt": running.Attempt, "tokens": running.Count()})
+	if ctx.Err() != nil || errors.As(err, new(*writeError)) {
+		// The caller hung up; it has a while to come back.
+		running.Abandon()
+		f.Metrics.Streamed(out.sent, out.first.Seconds(), out.longest.Seconds(), out.stall.Seconds())
+		log.Info("caller_gone")
+		return
+	}
+	end := f.endOf(running, err)
+	out.end(end)
+	running.End(err != io.EOF)
+	f.Metrics.Streamed(out.sent, out.first.Seconds(), out.longest.Seconds(), out.stall.Seconds())
+	f.Metrics.Ended(refusal.Ending(end.Ending))
+	if end.Reason != "" {
+		f.Metrics.Refused(refusal.Reason(end.Reason))
+	}
+	log.WithFields(logrus.Fields{"ending": end.Ending, "reason": end.Reason, "first_ms": out.first.Milliseconds()}).Info("generation_ended")
+}
+
+func (f *Front) endOf(running *dispatch.Running, err error) wire.EndEvent {
+	end := wire.EndEvent{Count: running.Count(), Generation: running.Attempt}
+	switch {
+	case err == io.EOF:
+		end.Ending, end.Hash = wire.EndEventEndingDone, running.Hash()
+	case errors.As(err, new(*generation.CancelledError)):
+		end.Ending, end.Reason = wire.EndEventEndingFailed, string(refusal.GenerationCancel)
+	default:
+		end.Ending, end.Reason = wire.EndEventEndingFailed, string(refusal.GenerationLost)
+		end.RetryAfterMs = int(comeAgain.Milliseconds())
+	}
+	return end
+}
+
+// whole passes nothing on until all is there, so that a lost engine's work is
+// done again unseen.
+func (f *Front) whole(w http.ResponseWriter, r *http.Request, req dispatch.Request) (string, error) {
+	began := time.Now()
+	var last error
+	for n := range wholeTries {
+		if n > 0 {
+			if !f.Budget.Spend() {
+				break
+			}
+			f.Metrics.Retried(metrics.RetryEngineLost)
+		}
+		running, err := f.Dispatcher.Start(r.Context(), req)
+		if err != nil {
+			if last != nil {
+				return "", last
+			}
+			return "", err
+		}
+		id := f.seal(req.Organisation, running, req.Body.Model)
+		held := &buffer{}
+		err = f.collect(r.Context(), running, held)
+		if err == io.EOF {
+			out := newWriter(w, began)
+			out.start(id)
+			out.all(held)
+			f.ended(r.Context(), running, out, id, err)
+			return id, nil
+		}
+		running.End(true)
+		if r.Context().Err() != nil || errors.As(err, new(*generation.CancelledError)) {
+			f.cancelQuietly(running)
+			return id, refusal.New(refusal.GenerationCancel, "cancelled")
+		}
+		last = refusal.New(refusal.GenerationLost, "the engine was lost").WithRetryAfter(comeAgain)
+	}
+	return "", last
+}
+
+// cancelQuietly frees an engine from work that nobody waits for.
+func (f *Front) cancelQuietly(running *dispatch.Running) {
+	ctx, cancel := context.WithTimeout(context.Background(), comeAgain)
+	defer cancel()
+	// The engine may be gone; then there is nothing to free.
+	_, _ = f.Engines.Cancel(ctx, running.Address, running.Attempt)
+}
+
+func (f *Front) collect(ctx context.Context, running *dispatch.Running, held *buffer) error {
+	if !running.Empty {
+		held.add(running.First)
+	}
+	for {
+		token, err := running.Next(ctx)
+		if err != nil {
+			return err
+		}
+		held.add(token)
+		running.Progress()
+	}
+}
+
+// serveTakeUp goes on with a stream after the token that the caller has, at
+// this box or any other.
+func (f *Front) serveTakeUp(w http.ResponseWriter, r *http.Request, c caller) (string, error) {
+	id := mux.Vars(r)["id"]
+	claims, err := f.claims(id, c)
+	if err != nil {
+		return id, err
+	}
+	from := 0
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		n, err := strconv.Atoi(last)
+		if err != nil || n < 0 {
+			return id, refusal.New(refusal.BadRequest, "the header is no offset").WithPlaces([]string{"Last-Event-ID"})
+		}
+		from = n + 1
+	}
+	if !f.Flights.TakenUp(claims.Attempt) && claims.Box != f.Box {
+		f.TellTaken(claims.Box, claims.Attempt)
+	}
+	return id, f.takeUp(w, r, id, claims, from)
+}
+
+func (f *Front) takeUp(w http.ResponseWriter, r *http.Request, id string, claims ticket.Claims, from int) error {
+	g, err := generation.Again(r.Context(), f.Engines, claims.Address, claims.Attempt, func() { f.Metrics.Retried(metrics.RetryResume) })
+	if err != nil {
+		if engine.KindOf(err) == engine.Gone {
+			return refusal.New(refusal.GenerationLost, "the engine no longer has it").WithRetryAfter(comeAgain)
+		}
+		return refusal.New(refusal.UpstreamLost, "the engine does not answer").WithEnding(refusal.Unknown).WithRetryAfter(comeAgain)
+	}
+	f.Metrics.Retried(metrics.RetryResume)
+	running := f.Dispatcher.TakenUp(claims, g)
+	out := newWriter(w, time.Now())
+	out.start(id)
+	err = f.relay(r.Context(), out, running, from)
+	f.ended(r.Context(), running, out, id, err)
+	return nil
+}
+
+func (f *Front) claims(id string, c caller) (ticket.Claims, error) {
+	claims, err := f.Tickets.Open(id)
+	if err != nil || claims.Organisation != c.name {
+		// A stranger's id is answered like a wrong one: it tells nothing.
+		return claims, refusal.New(refusal.UnknownRequest, "no such request of this organisation")
+	}
+	return claims, nil
+}
+
+func (f *Front) serveCancel(w http.ResponseWriter, r *http.Request, c caller) (string, error) {
+	id := mux.Vars(r)["id"]
+	claims, err := f.claims(id, c)
+	if err != nil {
+		return id, err
+	}
+	answer, err := f.Engines.Cancel(r.Context(), claims.Address, claims.Attempt)
+	if err != nil {
+		return id, refusal.New(refusal.UpstreamLost, "the engine does not answer").WithEnding(refusal.Unknown).WithRetryAfter(comeAgain)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return id, json.NewEncoder(w).Encode(answer)
+}
+
+// buffer holds the tokens of an answer that is delivered whole.
+type buffer struct {
+	data []byte
+	ends []int
+}
+
+func (b *buffer) add(t generation.Token) {
+	b.data = append(b.data, t.Data...)
+	b.ends = append(b.ends, len(b.data))
+}
+
+// writeError says that the caller could not be written to.
+type writeError struct{ err error }
+
+func (e *writeError) Error() string { return "caller: " + e.err.Error() }
+
+func (e *writeError) Unwrap() error { return e.err }
+
+// writer writes a caller's event stream and measures it.
+type writer struct {
+	out     http.ResponseWriter
+	control *http.ResponseController
+	buf     []byte
+	began   time.Time
+	last    time.Time
+	first   time.Duration
+	longest time.Duration
+	stall   time.Duration
+	sent    int
+}
+
+func newWriter(w http.ResponseWriter, began time.Time) *writer {
+	return &writer{out: w, control: http.NewResponseController(w), began: began}
+}
+
+func (w *writer) start(id string) {
+	h := w.out.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("Petrelstep-Request", id)
+	w.buf = sse.AppendEvent(w.buf, sse.Start, mustJSON(wire.StartEvent{Request: id}))
+}
+
+// token adds a token unless the caller has it already.
+func (w *writer) token(t generation.Token, from int) error {
+	if t.Offset < from {
+		return nil
+	}
+	w.buf = sse.AppendToken(w.buf, t.Offset, t.Data)
+	w.sent++
+	const flushAt = 32 << 10
+	if len(w.buf) >= flushAt {
+		return w.flush()
+	}
+	return nil
+}
+
+func (w *writer) all(b *buffer) {
+	at := 0
+	for i, end := range b.ends {
+		// A failed write shows again at the last event.
+		_ = w.token(generation.Token{Offset: i, Data: b.data[at:end]}, 0)
+		at = end
+	}
+}
+
+// flush sends what is there; one write for all tokens that came together.
+func (w *writer) flush() error {
+	if len(w.buf) == 0 {
+		return nil
+	}
+	w.measure(time.Now())
+	_, err := w.out.Write(w.buf)
+	w.buf = w.buf[:0]
+	if err == nil {
+		err = w.control.Flush()
+	}
+	if err != nil {
+		return &writeError{err}
+	}
+	return nil
+}
+
+func (w *writer) measure(now time.Time) {
+	if w.last.IsZero() {
+		w.first = now.Sub(w.began)
+		w.stall += max(w.first-firstBound, 0)
+	} else {
+		gap := now.Sub(w.last)
+		w.longest = max(w.longest, gap)
+		w.stall += max(gap-gapBound, 0)
+	}
+	w.last = now
+}
+
+func (w *writer) end(e wire.EndEvent) {
+	w.buf = sse.AppendEvent(w.buf, sse.End, mustJSON(e))
+	_ = w.flush() // the caller may be gone by now
+}
+
+func mustJSON(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only wire types come here
+	}
+	return b
+}
--- /dev/null
+++ b/front/service.go
@@ -0,0 +1,172 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/ledger"
+	"petrelstep/metrics"
+	"petrelstep/refusal"
+	"petrelstep/retry"
+	"petrelstep/upstream/service"
+	"petrelstep/wire"
+)
+
+// target is one upstream of a service.
+type target struct {
+	name     string
+	upstream wire.Upstream
+}
+
+func (f *Front) serveService(w http.ResponseWriter, r *http.Request, c caller) (string, error) {
+	name := mux.Vars(r)["service"]
+	if len(f.Resources.View().Services(name)) == 0 {
+		return "", refusal.New(refusal.UnknownService, name)
+	}
+	body, err := f.body(w, r)
+	if err != nil {
+		return "", err
+	}
+	call := service.Call{Method: r.Method, Path: "/" + mux.Vars(r)["path"], Type: r.Header.Get("Content-Type"), Body: body}
+	if r.URL.RawQuery != "" {
+		call.Path += "?" + r.URL.RawQuery
+	}
+	targets := f.targets(name)
+	if len(targets) == 0 {
+		return "", refusal.New(refusal.NoUpstream, "no upstream of "+name+" is open").WithRetryAfter(comeAgain)
+	}
+	key := r.Header.Get("Idempotency-Key")
+	if has(targets[0].upstream.Repeatable, r.Method) {
+		return "", f.repeatable(w, r, call, targets)
+	}
+	if key == "" {
+		return "", f.once(w, r, call, targets)
+	}
+	return key, f.keyed(w, r, c, call, targets, key)
+}
+
+// targets returns the open upstreams of a service, each time another first.
+func (f *Front) targets(name string) []target {
+	view := f.Resources.View()
+	names := view.Services(name)
+	var open []target
+	turn := int(f.turn.Add(1) % uint64(max(len(names), 1)))
+	for i := range names {
+		n := names[(i+turn)%len(names)]
+		if u := view.Upstreams[n]; !u.Leaving {
+			open = append(open, target{n, u})
+		}
+	}
+	return open
+}
+
+// repeatable tries a call elsewhere until it is answered, within the budget.
+func (f *Front) repeatable(w http.ResponseWriter, r *http.Request, call service.Call, targets []target) error {
+	var last error
+	for n := range retry.Tries {
+		if n > 0 {
+			if !f.Budget.Spend() {
+				break
+			}
+			f.Metrics.Retried(metrics.RetryIdempotent)
+		}
+		call.Address = targets[n%len(targets)].upstream.Address
+		answer, err := f.Services.Do(r.Context(), call)
+		if err == nil {
+			f.Budget.Succeeded()
+			f.answer(w, answer)
+			return nil
+		}
+		last = err
+		if r.Context().Err() != nil {
+			break
+		}
+	}
+	if service.NotSent(last) {
+		return refusal.New(refusal.NoUpstream, "the service cannot be reached").WithRetryAfter(comeAgain)
+	}
+	return refusal.New(refusal.UpstreamLost, "the service gave no answer").WithEnding(refusal.Unknown).WithRetryAfter(comeAgain)
+}
+
+// once carries out a call without a key: elsewhere only while no byte of it
+// has left this box.
+func (f *Front) once(w http.ResponseWriter, r *http.Request, call service.Call, targets []target) error {
+	answer, err := f.firstReached(r, call, targets)
+	if err == nil {
+		f.answer(w, answer)
+		return nil
+	}
+	if service.NotSent(err) {
+		return refusal.New(refusal.NoUpstream, "the service cannot be reached").WithRetryAfter(comeAgain)
+	}
+	return refusal.New(refusal.UnknownOutcome, "the service gave no answer")
+}
+
+func (f *Front) firstReached(r *http.Request, call service.Call, targets []target) (service.Answer, error) {
+	var last error
+	for _, t := range targets {
+		call.Address = t.upstream.Address
+		answer, err := f.Services.Do(r.Context(), call)
+		if err == nil || !service.NotSent(err) {
+			return answer, err
+		}
+		f.Metrics.Retried(metrics.RetryNeverStarted)
+		last = err
+	}
+	return service.Answer{}, last
+}
+
+// keyed carries out a call that must not be repeated, at most once whatever
+// fails and however often it is sent.
+func (f *Front) keyed(w http.ResponseWriter, r *http.Request, c caller, call service.Call, targets []target, key string) error {
+	entry, kept, err := f.Ledger.Begin(r.Context(), ledger.Call{
+		Organisation: c.name, Key: key, BodyHash: ledger.HashOf(call.Method, r.URL.Path, call.Body),
+	})
+	if err != nil {
+		return err
+	}
+	if kept != nil {
+		w.Header().Set("Petrelstep-Replayed", "true")
+		f.answer(w, service.Answer{Status: kept.Status, Type: kept.ContentType, Body: []byte(kept.Body)})
+		return nil
+	}
+	if r.Context().Err() != nil {
+		f.Ledger.NotRun(entry)
+		return refusal.New(refusal.Deadline, "the caller hung up")
+	}
+	call.Attempt = entry.Token
+	// Once it is sent, the call is not broken off by a caller that hangs up:
+	// its outcome would be lost.
+	answer, err := f.firstReached(r.WithContext(detached(r)), call, targets)
+	log := f.Log.WithFields(logrus.Fields{"attempt": entry.Token, "organisation": c.name})
+	switch {
+	case err == nil:
+		f.Ledger.Done(entry, answer.Status, answer.Type, answer.Body)
+		log.WithField("status", answer.Status).Info("call_done")
+		f.answer(w, answer)
+		return nil
+	case service.NotSent(err):
+		f.Ledger.NotRun(entry)
+		return refusal.New(refusal.NoUpstream, "the service cannot be reached").WithRetryAfter(comeAgain)
+	}
+	f.Ledger.Unknown(entry)
+	log.WithError(errors.Unwrap(err)).Warn("call_unknown")
+	return refusal.New(refusal.UnknownOutcome, "the service gave no answer")
+}
+
+func (f *Front) answer(w http.ResponseWriter, a service.Answer) {
+	f.Metrics.Ended(refusal.Done)
+	if a.Type != "" {
+		w.Header().Set("Content-Type", a.Type)
+	}
+	w.Header().Set("Petrelstep-Ending", string(refusal.Done))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // the caller may be gone by now
+}
+
+// detached returns a request's context without its end.
+func detached(r *http.Request) context.Context { return context.WithoutCancel(r.Context()) }
