home: spare memory by one variance, and longer passing by

Cause: with 200 requests waiting, the first that did not fit had waited longer than 45 s, so nothing behind it was ever looked at, and what calls without a grant take was added as a deviation of its own on top of the forecast's. The two variances are now summed under one root; passing by ends after 300 s; grants may fill 0.995 of an engine; the declared spare is 1.6 deviations, and feedback lowers it by at most 0.25. make experiment prints the tables.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,7 @@
 
 install:
 	go install ./cmd/...
+
+experiment:
+	go build -o build/ ./cmd/petrelstep-experiment
+	build/petrelstep-experiment
--- a/forecast/forecast.go
+++ b/forecast/forecast.go
@@ -57,11 +57,12 @@
 }
 
 // Peak returns the highest demand at any point, in tokens, with so many
-// standard deviations on top of the mean.
-func (d Demand) Peak(deviations float64) float64 {
+// standard deviations on top of the mean. extra is the variance of what else
+// takes memory, which does not depend on the generations.
+func (d Demand) Peak(deviations, extra float64) float64 {
 	peak := 0.0
 	for i := range d.mean {
-		peak = math.Max(peak, d.mean[i]+deviations*math.Sqrt(d.variance[i]))
+		peak = math.Max(peak, d.mean[i]+deviations*math.Sqrt(d.variance[i]+extra))
 	}
 	return peak
 }
--- a/home/engine.go
+++ b/home/engine.go
@@ -19,7 +19,7 @@
 	// prefillAhead is how much prefill may be outstanding on an engine.
 	prefillAhead = 40 * time.Millisecond
 	// fillLimit is the part of an engine's memory that grants may fill.
-	fillLimit = 0.98
+	fillLimit = 0.995
 	// prefixBlocks bounds the prefix estimate of one engine, in blocks.
 	prefixBlocks = 256
 	// cachedWorth is what a saved prompt token is worth against a token of
@@ -169,7 +169,7 @@
 
 // limit returns the memory that granted generations may come to need, in tokens.
 func (h *Home) limit(e *engine) float64 {
-	free := fillLimit*float64(e.load.Capacity) - e.foreign.mean - h.spare.now*math.Sqrt(e.foreign.variance) - float64(e.announcedTokens())
+	free := fillLimit*float64(e.load.Capacity) - e.foreign.mean - float64(e.announcedTokens())
 	if h.params.Share >= 1 {
 		return free
 	}
@@ -188,7 +188,7 @@
 		if !h.open(now, e, ask) {
 			continue
 		}
-		left := h.limit(e) - e.demand.With(need).Peak(h.spare.now)
+		left := h.limit(e) - e.demand.With(need).Peak(h.spare.now, e.foreign.variance)
 		if left < 0 && len(e.runs) > 0 || !h.paced(e, ask) {
 			continue
 		}
--- a/home/feedback.go
+++ b/home/feedback.go
@@ -17,8 +17,8 @@
 	spareUp       = 0.06 // deviations for each preemption
 	spareDown     = 0.02 // deviations a second
 	spareSettle   = 0.005
-	spareMostOver = 1.0 // above the declared
-	spareMostLow  = 0.5 // below the declared
+	spareMostOver = 1.0  // above the declared
+	spareMostLow  = 0.25 // below the declared
 )
 
 func newSpare(base float64, adaptive bool) spare {
--- a/home/home.go
+++ b/home/home.go
@@ -201,7 +201,7 @@
 	// mostLooks bounds the work of one round of grants.
 	mostLooks = 16
 	// passBy is how long a request that does not fit may be passed by.
-	passBy = 45 * time.Second
+	passBy = 300 * time.Second
 )
 
 func (h *Home) grant(now time.Time, it queue.Item, ask wire.Ask, e *engine) Granted {
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -14,7 +14,7 @@
 // Handler serves the platform's protocol.
 func (p *Platform) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.Handle("/table/transact", p.struckBy(Table, p.serveTransact)).Methods(http.MethodPost)
+	r.Handle("/table/transact", p.struckBy(TableWrites, p.struckBy(Table, p.serveTransact).ServeHTTP)).Methods(http.MethodPost)
 	r.Handle("/table/row", p.struckBy(Table, p.serveRow)).Methods(http.MethodGet)
 	r.Handle("/table/scan", p.struckBy(Table, p.serveScan)).Methods(http.MethodGet)
 	r.Handle("/objects/{name:.*}", p.struckBy(Objects, p.serveObject)).Methods(http.MethodGet, http.MethodPut)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -17,10 +17,11 @@
 
 // Parts that faults can strike.
 const (
-	Table   = "table"
-	Objects = "objects"
-	Members = "members"
-	Weights = "weights"
+	Table       = "table"
+	TableWrites = "table_writes" // transactions only
+	Objects     = "objects"
+	Members     = "members"
+	Weights     = "weights"
 )
 
 // Options set up the stand-in.
@@ -92,6 +93,15 @@
 	}
 }
 
+// HandOut makes the table hand out these rows instead of its own to readers,
+// as a replica far behind does.
+func (p *Platform) HandOut(rows map[string]wire.Row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults[Table] = &fault{mode: wire.FaultModeOld}
+	p.old = rows
+}
+
 // struck returns the fault that strikes a call, and counts it.
 func (p *Platform) struck(part string) (wire.FaultMode, time.Duration) {
 	p.mu.Lock()
--- a/upstream/engine/engine.go
+++ b/upstream/engine/engine.go
@@ -87,6 +87,11 @@
 	body io.Closer
 }
 
+// NewStream returns the stream of a body that an engine sends.
+func NewStream(body io.ReadCloser) *Stream {
+	return &Stream{Reader: sse.New(body), body: body}
+}
+
 // Close ends the reading; the engine keeps the generation.
 func (s *Stream) Close() { _ = s.body.Close() }
 
@@ -117,7 +122,7 @@
 		resp.Body.Close()
 		return nil, &Error{Kind: kindOfStatus(resp.StatusCode), Err: &StatusError{Status: resp.StatusCode}}
 	}
-	return &Stream{Reader: sse.New(resp.Body), body: resp.Body}, nil
+	return NewStream(resp.Body), nil
 }
 
 // Cancel ends a generation and tells whether it ever started.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2225,7 +2225,7 @@
 		plain.Adaptive = true
 	}
 	if v, ok := raw["deviations"]; !ok || v == nil {
-		plain.Deviations = 1.5
+		plain.Deviations = 1.6
 	}
 	if 6 < plain.Deviations {
 		return fmt.Errorf("field %s: must be <= %v", "deviations", 6)
