--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -74,81 +74,85 @@
 	return ""
 }
 
-// TestBegin holds each fault at each step of a call's life against what the
-// next caller with the same key is told: never a second right to dispatch.
-func TestBegin(t *testing.T) {
-	tests := map[string]struct {
-		before func(f *fixture)              // before the first Begin
-		first  refusal.Reason                // of the first Begin, empty for the right to dispatch
-		after  func(*fixture, *ledger.Entry) // between the two
-		second refusal.Reason
-		again  bool // the second may dispatch
-		kept   bool // the second gets the kept answer
-		body   string
-	}{
-		"sound x answered": {
-			after: func(f *fixture, e *ledger.Entry) { f.boxes["a"].Done(e, 200, "text/plain", []byte("ok")) },
-			kept:  true,
-		},
-		"sound x in progress": {second: refusal.InProgress},
-		"box killed x dispatched": {
-			after:  func(f *fixture, _ *ledger.Entry) { delete(f.owners, "a") },
-			second: refusal.DispatcherGone,
-		},
-		"box restarted x dispatched": {
-			after:  func(f *fixture, _ *ledger.Entry) { f.owners["a"] = 2 },
-			second: refusal.DispatcherGone,
-		},
-		"box frozen x called unknown, then answers": {
-			after: func(f *fixture, e *ledger.Entry) {
-				delete(f.owners, "a")
-				_, _, _ = f.boxes["b"].Begin(context.Background(), call)
-				f.boxes["a"].Done(e, 200, "text/plain", []byte("ok"))
-			},
-			kept: true,
-		},
-		"service lost x unknown": {
-			after:  func(f *fixture, e *ledger.Entry) { f.boxes["a"].Unknown(e) },
-			second: refusal.UnknownOutcome,
-		},
-		"service not reached x not run": {
-			after: func(f *fixture, e *ledger.Entry) { f.boxes["a"].NotRun(e) },
-			again: true,
-		},
-		"store down x insert": {
-			before: func(f *fixture) { f.fault(wire.FaultModeDown, 0) },
-			first:  refusal.StoreDown,
-			after:  func(f *fixture, _ *ledger.Entry) { f.fault(wire.FaultModeNone, 0) },
-			again:  true,
-		},
-		"reply lost x insert, once": {
-			before: func(f *fixture) { f.fault(wire.FaultModeLoseReply, 1) },
-			second: refusal.InProgress,
-		},
-		"reply lost x insert, for long": {
-			before: func(f *fixture) { f.fault(wire.FaultModeLoseReply, 3) },
-			first:  refusal.StoreUnsettled,
-			after:  func(f *fixture, _ *ledger.Entry) { f.settled() },
-			again:  true,
+// beginTest is one row: a fault at a step of a call's life.
+type beginTest struct {
+	before func(f *fixture)              // before the first Begin
+	first  refusal.Reason                // of the first Begin, empty for the right to dispatch
+	after  func(*fixture, *ledger.Entry) // between the two
+	second refusal.Reason
+	again  bool // the second may dispatch
+	kept   bool // the second gets the kept answer
+	body   string
+}
+
+var beginTests = map[string]beginTest{
+	"sound x answered": {
+		after: func(f *fixture, e *ledger.Entry) { f.boxes["a"].Done(e, 200, "text/plain", []byte("ok")) },
+		kept:  true,
+	},
+	"sound x in progress": {second: refusal.InProgress},
+	"box killed x dispatched": {
+		after:  func(f *fixture, _ *ledger.Entry) { delete(f.owners, "a") },
+		second: refusal.DispatcherGone,
+	},
+	"box restarted x dispatched": {
+		after:  func(f *fixture, _ *ledger.Entry) { f.owners["a"] = 2 },
+		second: refusal.DispatcherGone,
+	},
+	"box frozen x called unknown, then answers": {
+		after: func(f *fixture, e *ledger.Entry) {
+			delete(f.owners, "a")
+			_, _, _ = f.boxes["b"].Begin(context.Background(), call)
+			f.boxes["a"].Done(e, 200, "text/plain", []byte("ok"))
 		},
-		"store down x answer": {
-			after: func(f *fixture, e *ledger.Entry) {
-				f.fault(wire.FaultModeDown, 2)
-				f.boxes["a"].Done(e, 200, "text/plain", []byte("ok"))
-				f.settled()
-			},
-			kept: true,
+		kept: true,
+	},
+	"service lost x unknown": {
+		after:  func(f *fixture, e *ledger.Entry) { f.boxes["a"].Unknown(e) },
+		second: refusal.UnknownOutcome,
+	},
+	"service not reached x not run": {
+		after: func(f *fixture, e *ledger.Entry) { f.boxes["a"].NotRun(e) },
+		again: true,
+	},
+	"store down x insert": {
+		before: func(f *fixture) { f.fault(wire.FaultModeDown, 0) },
+		first:  refusal.StoreDown,
+		after:  func(f *fixture, _ *ledger.Entry) { f.fault(wire.FaultModeNone, 0) },
+		again:  true,
+	},
+	"reply lost x insert, once": {
+		before: func(f *fixture) { f.fault(wire.FaultModeLoseReply, 1) },
+		second: refusal.InProgress,
+	},
+	"reply lost x insert, for long": {
+		before: func(f *fixture) { f.fault(wire.FaultModeLoseReply, 3) },
+		first:  refusal.StoreUnsettled,
+		after:  func(f *fixture, _ *ledger.Entry) { f.settled() },
+		again:  true,
+	},
+	"store down x answer": {
+		after: func(f *fixture, e *ledger.Entry) {
+			f.fault(wire.FaultModeDown, 2)
+			f.boxes["a"].Done(e, 200, "text/plain", []byte("ok"))
+			f.settled()
 		},
-		"reply lost x answer": {
-			after: func(f *fixture, e *ledger.Entry) {
-				f.fault(wire.FaultModeLoseReply, 1)
-				f.boxes["a"].Done(e, 200, "text/plain", []byte("ok"))
-			},
-			kept: true,
+		kept: true,
+	},
+	"reply lost x answer": {
+		after: func(f *fixture, e *ledger.Entry) {
+			f.fault(wire.FaultModeLoseReply, 1)
+			f.boxes["a"].Done(e, 200, "text/plain", []byte("ok"))
 		},
-		"operators' race x another body": {body: "other", second: refusal.KeyReused},
-	}
-	for name, tt := range tests {
+		kept: true,
+	},
+	"operators' race x another body": {body: "other", second: refusal.KeyReused},
+}
+
+// TestBegin holds each fault at each step of a call's life against what the
+// next caller with the same key is told: never a second right to dispatch.
+func TestBegin(t *testing.T) {
+	for name, tt := range beginTests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(t)
