order: change one serving engine at a time

Cause: the proof of a version roll failed as soon as it was written: with three engines and two replicas both ready ones were emptied at once, because the planner asked whether anything was under way before its first pick only. Ruled out: limiting loads alone (the emptying is what takes replicas away). Without the guard TestRoll/roll_with_a_spare fails; with it passes. emptied-before-change and random declarations with lost orders pass too.

--- a/order/order.go
+++ b/order/order.go
@@ -124,13 +124,15 @@
 			p.convert(engine, l, pl)
 		}
 	}
+	steady := status.Actual == len(current)
 	for lack := pl.Replicas - len(current); lack > 0; lack-- {
-		engine, why := p.candidate(pl, status.Actual == len(current))
+		engine, why := p.candidate(pl, steady)
 		if engine == "" {
 			status.Why = why
 			break
 		}
 		status.Why = "changing " + engine
+		steady = false // one at a time, or too few would be left ready
 		p.take(engine)
 		p.convert(engine, p.loads[engine], pl)
 	}
