home: give an idle engine only to what fits nowhere; prove grants

Cause: an engine full of what others sent was granted to as long as this home box had granted nothing there: TestAdmit/filled_by_others. Only an engine that runs nothing at all takes a request that does not fit.

--- a/home/engine.go
+++ b/home/engine.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		left := h.limit(e) - e.demand.With(need).Peak(h.spare.now, e.foreign.variance)
-		if left < 0 && len(e.runs) > 0 || !h.paced(e, ask) {
+		if left < 0 && !e.idle() || !h.paced(e, ask) {
 			continue
 		}
 		worth := left + cachedWorth*float64(e.prefixes.Match(chain))
@@ -200,6 +200,12 @@
 	return best
 }
 
+// idle tells whether an engine runs nothing: then it takes even a request
+// that would not fit, which would fit nowhere.
+func (e *engine) idle() bool {
+	return len(e.runs) == 0 && e.load.Running+e.load.Waiting == 0
+}
+
 // candidates returns the engines to look at: all, or a turn of a few.
 func (h *Home) candidates() []string {
 	n := h.params.Choices
