daemon: prove the whole path under faults, in one process

Cause: each part is proved alone; callers meet them together. Found on the way: the stand-in engine read its prefix-cache count without its lock (race detector); a box that was ended at once still cancelled what its callers had left, so that they could not take it up elsewhere.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,7 @@
 	platformmembers "petrelstep/platform/members"
 	"petrelstep/platform/rest"
 	"petrelstep/platform/table"
+	"petrelstep/poll"
 	"petrelstep/quota"
 	"petrelstep/resource"
 	"petrelstep/retry"
@@ -86,6 +87,7 @@
 	drainOnce sync.Once
 
 	mu      sync.Mutex
+	own     []poll.Engine // that this box is home of
 	cells   *cells.Cells
 	cellsAt int // revision that cells were made from
 	placers map[placement.Method]*placement.Placer
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,420 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"petrelstep/client"
+	"petrelstep/standin/engine"
+	"petrelstep/standin/set"
+	"petrelstep/standin/text"
+	"petrelstep/wire"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"), goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+// engines returns options of quick engines that serve model m.
+func engines(n int, speed float64) []engine.Options {
+	names := []string{"e0", "e1", "e2", "e3"}
+	var all []engine.Options
+	for _, name := range names[:n] {
+		all = append(all, engine.Options{Name: name, Model: "m", Speed: speed, DraftWords: 150, Seed: 3})
+	}
+	return all
+}
+
+func newSet(t testing.TB, boxes int, all []engine.Options) *set.Set {
+	t.Helper()
+	s, err := set.New(set.Options{Boxes: boxes, Engines: all})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func draft(deliver wire.GenerationRequestDeliver) wire.GenerationRequest {
+	return wire.GenerationRequest{
+		Model: "m", Prompt: "survey notes of a shop", Class: wire.GenerationRequestClassDraft, MaxTokens: 4000,
+		Deliver: deliver, DeadlineMs: 20000,
+	}
+}
+
+// reading is what a caller received.
+type reading struct {
+	out  client.Outcome
+	text []string
+}
+
+// generate reads a generation to its end; at the token of a number it calls at.
+func generate(s *set.Set, box int, req wire.GenerationRequest, token int, at func()) reading {
+	c := s.Callers(set.CallerKey)
+	defer c.Close()
+	var r reading
+	r.out = c.Generate(context.Background(), box, req, func(t string) {
+		r.text = append(r.text, t)
+		if len(r.text) == token && at != nil {
+			at()
+		}
+	})
+	return r
+}
+
+// oneGeneration holds what was received against the attempt's own text.
+func (r reading) oneGeneration(is *is.I) {
+	is.Helper()
+	for i, t := range r.text {
+		is.Equal(t, text.Token(r.out.Generation, i))
+	}
+}
+
+// generationTests is the fault matrix of a generation's life over the whole
+// path, fault x step. What a caller received is held against what the engine's
+// attempt would say, token by token.
+var generationTests = map[string]struct {
+	deliver wire.GenerationRequestDeliver
+	strike  func(s *set.Set) // at the tenth token
+	before  func(s *set.Set)
+	ending  string
+	reason  string
+}{
+	"sound x stream": {deliver: "stream", ending: "done"},
+	"sound x whole":  {deliver: "whole", ending: "done"},
+	"box killed x middle": {
+		deliver: "stream", strike: func(s *set.Set) { s.Kill(0) }, ending: "done",
+	},
+	"planned stop x middle": {
+		deliver: "stream", strike: func(s *set.Set) { s.Boxes[0].Daemon.Drain() }, ending: "done",
+	},
+	"engine killed x middle": {
+		deliver: "stream", strike: func(s *set.Set) { killAll(s, 100) }, ending: "failed", reason: "generation_lost",
+	},
+	"engine frozen x middle": {
+		deliver: "stream", strike: func(s *set.Set) { faultAll(s, wire.FaultModeFreeze, 500) }, ending: "done",
+	},
+	"engine reclaimed x middle": {
+		deliver: "stream", strike: func(s *set.Set) { faultAll(s, wire.FaultModeReclaim, 60_000) }, ending: "done",
+	},
+	"one engine killed x before first token": {
+		deliver: "stream", before: func(s *set.Set) { s.Engines[0].Fault(wire.Fault{Mode: wire.FaultModeKill, DelayMs: 60_000}) }, ending: "done",
+	},
+	"all engines leaving x dispatch": {
+		deliver: "stream", before: func(s *set.Set) { faultAll(s, wire.FaultModeReclaim, 60_000) }, ending: "not_run", reason: "no_upstream",
+	},
+	"table down x all": {
+		deliver: "stream", before: func(s *set.Set) { s.Platform.Fault(wire.Fault{Part: "table", Mode: wire.FaultModeDown}) }, ending: "done",
+	},
+	"box killed and engine frozen x middle": {
+		deliver: "stream", strike: func(s *set.Set) { faultAll(s, wire.FaultModeFreeze, 400); s.Kill(0) }, ending: "done",
+	},
+}
+
+func killAll(s *set.Set, down int) { faultAll(s, wire.FaultModeKill, down) }
+
+func faultAll(s *set.Set, mode wire.FaultMode, delay int) {
+	for _, e := range s.Engines {
+		e.Fault(wire.Fault{Mode: mode, DelayMs: delay})
+	}
+}
+
+func TestGeneration(t *testing.T) {
+	for name, tt := range generationTests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // each has a set of its own
+			is := is.New(t)
+			s := newSet(t, 2, engines(2, 8))
+			if tt.before != nil {
+				tt.before(s)
+			}
+			r := generate(s, 0, draft(tt.deliver), 10, func() {
+				if tt.strike != nil {
+					tt.strike(s)
+				}
+			})
+			is.Equal(r.out.Ending, tt.ending)
+			is.Equal(r.out.Reason, tt.reason)
+			is.Equal(r.out.Wrong, "")
+			is.Equal(r.out.Whole, tt.ending == "done")
+			r.oneGeneration(is)
+		})
+	}
+}
+
+// TestWholeOverLoss loses the engine in the middle of an answer that is
+// delivered whole: the caller sees another generation, all of it, and nothing
+// of the first.
+func TestWholeOverLoss(t *testing.T) {
+	is := is.New(t)
+	s := newSet(t, 1, engines(2, 4))
+	done := make(chan reading)
+	go func() { done <- generate(s, 0, draft("whole"), 0, nil) }()
+	is.True(s.Await(func() bool { return len(s.Engines[0].History())+len(s.Engines[1].History()) > 0 }))
+	for _, e := range s.Engines {
+		if len(e.History()) > 0 {
+			e.Fault(wire.Fault{Mode: wire.FaultModeKill, DelayMs: 60_000})
+		}
+	}
+	r := <-done
+	is.Equal(r.out.Ending, "done")
+	is.True(r.out.Whole)
+	r.oneGeneration(is)
+	is.True(len(s.Engines[0].History())+len(s.Engines[1].History()) >= 2)
+}
+
+// TestHangUp lets a caller hang up: the generation is cancelled at its engine
+// after the time for coming back, and not before.
+func TestHangUp(t *testing.T) {
+	is := is.New(t)
+	s := newSet(t, 1, engines(1, 0.5))
+	ctx, cancel := context.WithCancel(context.Background())
+	c := s.Callers(set.CallerKey)
+	defer c.Close()
+	out := c.Generate(ctx, 0, draft("stream"), func(string) { cancel() })
+	is.Equal(out.Ending, "unknown") // the client's own word: it gave up
+	id := out.Request
+	answer := takeUp(s, id, out.Tokens-1)
+	is.Equal(answer.StatusCode, http.StatusOK) // within the time for coming back
+	answer.Body.Close()
+	is.True(s.Await(func() bool { return s.Engines[0].Running() == 0 }))
+	is.Equal(s.Boxes[0].Daemon.InFlight(), 0)
+}
+
+func takeUp(s *set.Set, id string, last int) *http.Response {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+s.Boxes[0].Settings.Listen.Callers+"/v1/generations/"+id, nil)
+	req.Header.Set("Authorization", "Bearer "+set.CallerKey)
+	req.Header.Set("Last-Event-ID", strings.Repeat("0", 1)+itoa(last))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		panic(err)
+	}
+	return resp
+}
+
+func itoa(n int) string {
+	b, _ := json.Marshal(n)
+	return string(b)
+}
+
+// callTests is the fault matrix of a call that must not be repeated, over the
+// whole path. The call is sent again with its key until it is settled; the
+// service's own history says how often it ran.
+var callTests = map[string]struct {
+	strike func(s *set.Set)
+	first  string // ending of the first sending
+	last   string // ending of the last
+	ran    int
+}{
+	"sound x call":         {first: "done", last: "done", ran: 1},
+	"reply lost x service": {strike: func(s *set.Set) { s.Service.Fault(wire.Fault{Mode: wire.FaultModeLoseReply, Count: 1}) }, first: "unknown", last: "unknown", ran: 1},
+	"cut x service":        {strike: func(s *set.Set) { s.Service.Fault(wire.Fault{Mode: wire.FaultModeDown, Count: 1}) }, first: "unknown", last: "unknown", ran: 0},
+	"store down x intent":  {strike: func(s *set.Set) { s.Platform.Fault(wire.Fault{Part: "table_writes", Mode: wire.FaultModeDown}) }, first: "not_run", last: "done", ran: 1},
+	"reply lost x intent": {strike: func(s *set.Set) {
+		s.Platform.Fault(wire.Fault{Part: "table_writes", Mode: wire.FaultModeLoseReply, Count: 1})
+	}, first: "done", last: "done", ran: 1},
+	"replies lost x intent": {strike: func(s *set.Set) {
+		s.Platform.Fault(wire.Fault{Part: "table_writes", Mode: wire.FaultModeLoseReply, Count: 3})
+	}, first: "not_run", last: "done", ran: 1},
+	"slow x intent": {strike: func(s *set.Set) {
+		s.Platform.Fault(wire.Fault{Part: "table_writes", Mode: wire.FaultModeSlow, DelayMs: 200, Count: 1})
+	}, first: "done", last: "done", ran: 1},
+	"service slow x call": {strike: func(s *set.Set) { s.Service.Fault(wire.Fault{Mode: wire.FaultModeSlow, DelayMs: 300, Count: 1}) }, first: "done", last: "done", ran: 1},
+	"reply lost x both sides": {strike: func(s *set.Set) {
+		s.Service.Fault(wire.Fault{Mode: wire.FaultModeLoseReply, Count: 1})
+		s.Platform.Fault(wire.Fault{Part: "table_writes", Mode: wire.FaultModeLoseReply, Count: 1})
+	}, first: "unknown", last: "unknown", ran: 1},
+}
+
+func TestCall(t *testing.T) {
+	s := newSet(t, 2, engines(1, 8))
+	for name, tt := range callTests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			if tt.strike != nil {
+				tt.strike(s)
+			}
+			is.Equal(callOnce(s, 0, name), tt.first)
+			s.Platform.Fault(wire.Fault{Part: "table_writes", Mode: wire.FaultModeNone})
+			is.Equal(again(s, name, tt.last), tt.last)
+			is.Equal(ranTimes(s, name), tt.ran)
+		})
+	}
+}
+
+// again sends a call again, to either box, until it ends as wanted.
+func again(s *set.Set, key, want string) string {
+	last := ""
+	for i := range 20 {
+		last = callOnce(s, i%2, key)
+		if last == want {
+			return last
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return last
+}
+
+// ranTimes returns how often the service ran a call.
+func ranTimes(s *set.Set, body string) int {
+	ran := 0
+	for _, r := range s.Service.History() {
+		if r.Body == body {
+			ran++
+		}
+	}
+	return ran
+}
+
+func callOnce(s *set.Set, box int, key string) string {
+	c := s.Callers(set.CallerKey)
+	defer c.Close()
+	_, _, err := c.Service(context.Background(), box, http.MethodPost, "portal/notices", key, []byte(key))
+	var refused *client.Error
+	switch {
+	case err == nil:
+		return "done"
+	case asRefused(err, &refused):
+		return string(refused.Body.Ending)
+	}
+	return err.Error()
+}
+
+func asRefused(err error, into **client.Error) bool {
+	r, ok := err.(*client.Error)
+	*into = r
+	return ok
+}
+
+// badTests are requests that no box may start anything for.
+var badTests = map[string]struct {
+	method, path, key, body string
+	status                  int
+	reason                  string
+	place                   string
+}{
+	"no key":               {key: "-", status: 401, reason: "no_key"},
+	"wrong key":            {key: "x", status: 401, reason: "wrong_key"},
+	"not JSON":             {body: `{"model":`, status: 400, reason: "bad_request", place: "/: not JSON"},
+	"empty":                {body: " ", status: 400, reason: "bad_request", place: "/"},
+	"unknown field":        {body: `{"model":"m","prompt":"p","temperature":1}`, status: 400, reason: "bad_request", place: "temperature"},
+	"wrong type":           {body: `{"model":"m","prompt":7}`, status: 400, reason: "bad_request", place: "/prompt"},
+	"two mistakes":         {body: `{"model":"m","prompt":7,"max_tokens":0}`, status: 400, reason: "bad_request", place: "/max_tokens"},
+	"missing field":        {body: `{"model":"m"}`, status: 400, reason: "bad_request", place: "prompt"},
+	"too large":            {body: `{"model":"m","prompt":"` + strings.Repeat("x", 5000) + `"}`, status: 413, reason: "too_large"},
+	"unknown model":        {body: `{"model":"nobody","prompt":"p"}`, status: 404, reason: "unknown_model"},
+	"model not allowed":    {key: set.OtherKey, status: 403, reason: "not_allowed"},
+	"model without engine": {body: `{"model":"unserved","prompt":"p"}`, status: 503, reason: "no_upstream"},
+	"unknown service":      {method: "POST", path: "/v1/services/nobody/x", status: 404, reason: "unknown_service"},
+	"unknown path":         {method: "GET", path: "/v2/x", status: 404, reason: "unknown_resource"},
+	"unknown request":      {method: "GET", path: "/v1/generations/abc.def", status: 404, reason: "unknown_request"},
+}
+
+func TestBadRequest(t *testing.T) {
+	s := newSet(t, 1, engines(1, 8))
+	for name, tt := range badTests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			before := counter(s, tt.reason)
+			method, path, body, key := "POST", "/v1/generations", `{"model":"m","prompt":"p"}`, set.CallerKey
+			if tt.method != "" {
+				method, path = tt.method, tt.path
+			}
+			if tt.body != "" {
+				body = tt.body
+			}
+			if tt.key != "" {
+				key = tt.key
+			}
+			req, err := http.NewRequest(method, "http://"+s.Boxes[0].Settings.Listen.Callers+path, strings.NewReader(body))
+			is.NoErr(err)
+			if key != "-" {
+				req.Header.Set("Authorization", "Bearer "+key)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			raw, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			resp.Body.Close()
+			var refused wire.RefusalBody
+			is.NoErr(json.Unmarshal(raw, &refused))
+			is.Equal(resp.StatusCode, tt.status)
+			is.Equal(refused.Reason, tt.reason)
+			is.Equal(refused.Ending, wire.RefusalBodyEndingNotRun)
+			is.True(strings.Contains(strings.Join(refused.Places, "\n"), tt.place))
+			is.Equal(counter(s, tt.reason), before+1)
+		})
+	}
+	is := is.New(t)
+	is.Equal(len(s.Engines[0].History()), 0) // nothing was started
+	is.Equal(len(s.Service.History()), 0)
+}
+
+// counter reads a refusal's counter from the box's metrics.
+func counter(s *set.Set, reason string) int {
+	resp, err := http.Get("http://" + s.Boxes[0].Settings.Listen.Admin + "/metrics")
+	if err != nil {
+		return -1
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	for _, line := range strings.Split(string(raw), "\n") {
+		if strings.HasPrefix(line, "petrelstep_refusals_total") && strings.Contains(line, `reason="`+reason+`"`) {
+			n := 0
+			_ = json.Unmarshal([]byte(line[strings.LastIndex(line, " ")+1:]), &n)
+			return n
+		}
+	}
+	return -1
+}
+
+// TestInForce declares at one box: all boxes have it, also one that starts in
+// an outage of the table.
+func TestInForce(t *testing.T) {
+	is := is.New(t)
+	s := newSet(t, 3, engines(1, 8))
+	done, err := s.Put(1, set.Resource(wire.ResourceKindHall, "leith", map[string]string{"region": "edinburgh"}))
+	is.NoErr(err)
+	for _, b := range s.Boxes {
+		is.Equal(b.Daemon.Revision(), done.Revision) // told before the operator was answered
+	}
+	_, err = s.Put(2, set.Resource(wire.ResourceKindHall, "leith", map[string]string{"region": "x"}))
+	var refused *client.Error
+	is.True(asRefused(err, &refused))
+	is.Equal(refused.Body.Reason, "conflict")
+	is.Equal(refused.Body.Version, done.Version)
+	s.Platform.Fault(wire.Fault{Part: "table", Mode: wire.FaultModeDown})
+	s.Kill(2)
+	is.NoErr(s.StartBox(2))
+	is.True(s.Await(func() bool { return s.Boxes[2].Daemon.Revision() == done.Revision }))
+}
+
+// TestDrainRefuses sends to a box that is being stopped: it refuses at once
+// and says when to come back, while what is in flight goes on.
+func TestDrainRefuses(t *testing.T) {
+	is := is.New(t)
+	s := newSet(t, 2, engines(1, 1))
+	var refused atomic.Value
+	r := generate(s, 0, draft("stream"), 5, func() {
+		s.Boxes[0].Daemon.Drain()
+		s.Await(func() bool { return s.Boxes[0].Daemon.Draining() })
+		resp, err := http.Post("http://"+s.Boxes[0].Settings.Listen.Callers+"/v1/generations", "application/json", bytes.NewReader([]byte("{}")))
+		if err == nil {
+			refused.Store(resp.Status + " " + resp.Header.Get("Retry-After"))
+			resp.Body.Close()
+		}
+	})
+	is.Equal(r.out.Ending, "done")
+	is.Equal(r.out.TakenUp, 0) // it was not cut off
+	is.Equal(refused.Load(), "503 Service Unavailable 1")
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -131,8 +131,23 @@
 	}
 }
 
-// ownEngines returns the engines that this box is home of.
+// ownEngines returns the engines that this box is home of, as it last looked.
 func (d *Daemon) ownEngines() []poll.Engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.own
+}
+
+// lookForEngines works out anew which engines this box is home of.
+func (d *Daemon) lookForEngines() []poll.Engine {
+	own := d.homeEngines()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.own = own
+	return own
+}
+
+func (d *Daemon) homeEngines() []poll.Engine {
 	view := d.resources.View()
 	var own []poll.Engine
 	for _, c := range d.cellsNow().All() {
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -101,7 +101,8 @@
 	case <-d.drain:
 		d.drainAll(ctx)
 	}
-	d.stop(servers)
+	d.flights.Close()
+	d.stop(ctx, servers)
 	cancel()
 	d.cancel()
 	all.Wait()
@@ -120,7 +121,7 @@
 	all.Go(func() { d.follow(ctx) })
 	all.Go(func() { d.flights.Run(ctx, d.timer) })
 	all.Go(func() { heartbeat.New(d.members, d.peers, d, d.timer, d.log).Run(ctx) })
-	all.Go(func() { poll.New(d.engines, d, d.timer, d.ownEngines).Run(ctx) })
+	all.Go(func() { poll.New(d.engines, d, d.timer, d.lookForEngines).Run(ctx) })
 	all.Go(func() { d.reconcileEach(ctx) })
 	all.Go(func() { d.cleanEach(ctx) })
 	all.Go(func() {
@@ -170,8 +171,9 @@
 	}
 }
 
-func (d *Daemon) stop(servers []*http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+// stop closes the ports; at once where the stop was not planned.
+func (d *Daemon) stop(ctx context.Context, servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	for _, s := range servers {
 		if s.Shutdown(ctx) != nil {
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -76,3 +76,23 @@
 	}
 	return int(now.Sub(began).Milliseconds())
 }
+
+// KnownEngines returns how many declared engines have a fresh load report here.
+func (d *Daemon) KnownEngines() int {
+	n := 0
+	for _, name := range d.resources.View().Engines("") {
+		if _, ok := d.loads.Fresh(time.Now(), name, statusFresh); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Revision returns the configuration in force at this box.
+func (d *Daemon) Revision() int { return d.resources.View().Revision }
+
+// InFlight returns how many generations this box has in flight.
+func (d *Daemon) InFlight() int { return d.flights.Len() }
+
+// Draining tells whether the planned stop has begun.
+func (d *Daemon) Draining() bool { return d.draining.Load() }
--- a/declare/declare_test.go
+++ b/declare/declare_test.go
@@ -58,82 +58,81 @@
 	p.Fault(wire.Fault{Part: platform.Table, Mode: mode, Count: count})
 }
 
+// writeTest is one row: a fault at a step of a write.
+type writeTest struct {
+	before  func(p *platform.Platform, a, b *box)
+	version int
+	reason  refusal.Reason
+	after   func(p *platform.Platform, a, b *box)
+	region  string // in force in the end
+}
+
+var writeTests = map[string]writeTest{
+	"sound x write": {region: "new"},
+	"reply lost x commit": {
+		before: func(p *platform.Platform, _, _ *box) { loseWrites(p) },
+		region: "new",
+	},
+	"store down x read": {
+		before: func(p *platform.Platform, _, _ *box) { fault(p, wire.FaultModeDown, 0) },
+		reason: refusal.StoreDown,
+		region: "old",
+	},
+	"operators' race x commit": {
+		before: func(_ *platform.Platform, _, b *box) { b.write(1, "faster") },
+		reason: refusal.Conflict,
+		region: "faster",
+	},
+	"operators' race x another resource": {
+		before: func(_ *platform.Platform, _, b *box) {
+			_, _ = b.declarer.Write(context.Background(), hall("gorgie", 0, "x"))
+		},
+		region: "new",
+	},
+	"old version x write": {version: 7, reason: refusal.Conflict, region: "old"},
+	"older state x after": {
+		after: func(p *platform.Platform, _, b *box) {
+			p.HandOut(map[string]wire.Row{})
+			_ = b.catchUp.Run(context.Background())
+			fault(p, wire.FaultModeNone, 0)
+		},
+		region: "new",
+	},
+}
+
 // TestWrite is the fault matrix of a configuration write, fault x step. Box a
 // writes; then box b and a box c that starts anew catch up: what was accepted
 // is in force at both, what was refused at neither.
 func TestWrite(t *testing.T) {
-	tests := map[string]struct {
-		before  func(p *platform.Platform, a, b *box)
-		version int
-		reason  refusal.Reason
-		after   func(p *platform.Platform, a, b *box)
-		region  string // in force in the end
-	}{
-		"sound x write": {region: "new"},
-		"reply lost x commit": {
-			before: func(p *platform.Platform, _, _ *box) { loseWrites(p) },
-			region: "new",
-		},
-		"store down x read": {
-			before: func(p *platform.Platform, _, _ *box) { fault(p, wire.FaultModeDown, 0) },
-			reason: refusal.StoreDown,
-			region: "old",
-		},
-		"operators' race x commit": {
-			before: func(_ *platform.Platform, _, b *box) { b.write(1, "faster") },
-			reason: refusal.Conflict,
-			region: "faster",
-		},
-		"operators' race x another resource": {
-			before: func(_ *platform.Platform, _, b *box) {
-				_, _ = b.declarer.Write(context.Background(), hall("gorgie", 0, "x"))
-			},
-			region: "new",
-		},
-		"old version x write": {version: 7, reason: refusal.Conflict, region: "old"},
-		"older state x after": {
-			after: func(p *platform.Platform, _, b *box) {
-				p.HandOut(map[string]wire.Row{})
-				_ = b.catchUp.Run(context.Background())
-				fault(p, wire.FaultModeNone, 0)
-			},
-			region: "new",
-		},
-	}
-	for name, tt := range tests {
+	for name, tt := range writeTests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				p := platform.New(platform.Options{})
-				a, b := newBox(p), newBox(p)
-				_, r := a.write(0, "old")
-				is.Equal(r.Reason(), refusal.Reason(""))
-				if tt.before != nil {
-					tt.before(p, a, b)
-				}
-				version := tt.version
-				if version == 0 {
-					version = 1
-				}
-				_, r = a.write(version, "new")
-				is.Equal(r.Reason(), tt.reason)
-				if tt.reason == refusal.Conflict {
-					is.True(r.Body().Version > 0) // the version in force is named
-				}
-				fault(p, wire.FaultModeNone, 0)
-				if tt.after != nil {
-					tt.after(p, a, b)
-				}
-				c := newBox(p)
-				for _, one := range []*box{a, b, c} {
-					is.NoErr(one.catchUp.Run(context.Background()))
-					is.Equal(one.region(), tt.region)
-				}
-			})
+			synctest.Test(t, func(t *testing.T) { tt.run(t) })
 		})
 	}
 }
 
+func (tt writeTest) run(t *testing.T) {
+	is := is.New(t)
+	p := platform.New(platform.Options{})
+	a, b := newBox(p), newBox(p)
+	_, r := a.write(0, "old")
+	is.Equal(r.Reason(), refusal.Reason(""))
+	if tt.before != nil {
+		tt.before(p, a, b)
+	}
+	_, r = a.write(max(tt.version, 1), "new")
+	is.Equal(r.Reason(), tt.reason)
+	is.Equal(r.Body().Version > 0, tt.reason == refusal.Conflict) // the version in force is named
+	fault(p, wire.FaultModeNone, 0)
+	if tt.after != nil {
+		tt.after(p, a, b)
+	}
+	for _, one := range []*box{a, b, newBox(p)} {
+		is.NoErr(one.catchUp.Run(context.Background()))
+		is.Equal(one.region(), tt.region)
+	}
+}
+
 // loseWrites makes the table lose replies of writes only.
 func loseWrites(p *platform.Platform) {
 	p.Fault(wire.Fault{Part: platform.TableWrites, Mode: wire.FaultModeLoseReply, Count: 2})
--- a/flight/flight.go
+++ b/flight/flight.go
@@ -59,6 +59,7 @@
 	engines  Canceller
 	comeback time.Duration
 	all      map[string]*Flight
+	closed   bool
 }
 
 // New returns an empty registry; callers have comeback to take their streams up.
@@ -109,7 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f, ok := s.all[attempt]
-	if !ok || f.comeback != nil {
+	if !ok || f.comeback != nil || s.closed {
 		return
 	}
 	f.comeback = time.AfterFunc(s.comeback, func() { s.giveUp(f) })
@@ -208,3 +209,16 @@
 	defer s.mu.Unlock()
 	return s.all[attempt]
 }
+
+// Close ends all waits for callers to come back: what they left runs on at its
+// engine, and other boxes may take it up.
+func (s *Flights) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.all {
+		if f.comeback != nil {
+			f.comeback.Stop()
+		}
+	}
+	s.closed = true
+}
--- /dev/null
+++ b/members/members_test.go
@@ -0,0 +1,125 @@
+package members_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/members"
+	"petrelstep/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func member(box string, state wire.MemberState) wire.Member {
+	return wire.Member{Box: box, Hall: "leith", Address: box + ":1", State: state}
+}
+
+func alive(box string, incarnation int, state members.State) members.Box {
+	return members.Box{Name: box, Hall: "leith", Address: box + ":1", Incarnation: incarnation, State: state}
+}
+
+// TestState tells how a box is seen after what was heard of it, at a time.
+func TestState(t *testing.T) {
+	live, leaving := wire.MemberStateLive, wire.MemberStateLeaving
+	tests := map[string]struct {
+		does func(m *members.Members)
+		at   time.Duration
+		want members.State
+	}{
+		"listed":              {does: func(m *members.Members) { m.Listed(start, []wire.Member{member("b", live)}) }, at: time.Second, want: members.Live},
+		"listed and silent":   {does: func(m *members.Members) { m.Listed(start, []wire.Member{member("b", live)}) }, at: 3 * time.Second, want: members.Suspect},
+		"heard":               {does: func(m *members.Members) { m.Heard(start.Add(2*time.Second), alive("b", 1, members.Live)) }, at: 4 * time.Second, want: members.Live},
+		"heard, off the list": {does: func(m *members.Members) { m.Heard(start, alive("b", 1, members.Live)); m.Listed(start, nil) }, at: time.Second, want: members.Live},
+		"long silent, off the list": {does: func(m *members.Members) {
+			m.Heard(start, alive("b", 1, members.Live))
+			m.Listed(start.Add(time.Minute), nil)
+		}, at: time.Minute, want: ""},
+		"list says leaving": {does: func(m *members.Members) { m.Listed(start, []wire.Member{member("b", leaving)}) }, at: time.Second, want: members.Leaving},
+		"leaving, then an old live": {does: func(m *members.Members) {
+			m.Heard(start, alive("b", 2, members.Leaving))
+			m.Heard(start, alive("b", 1, members.Live))
+		}, at: time.Second, want: members.Leaving},
+		"leaving, then the list lags": {does: func(m *members.Members) {
+			m.Heard(start, alive("b", 2, members.Leaving))
+			m.Listed(start, []wire.Member{member("b", live)})
+		}, at: time.Second, want: members.Leaving},
+		"leaving, then a late live": {does: func(m *members.Members) {
+			m.Heard(start, alive("b", 2, members.Leaving))
+			m.Heard(start, alive("b", 2, members.Live))
+		}, at: time.Second, want: members.Leaving},
+		"leaving, then started anew": {does: func(m *members.Members) {
+			m.Heard(start, alive("b", 2, members.Leaving))
+			m.Heard(start, alive("b", 3, members.Live))
+		}, at: time.Second, want: members.Live},
+		"refused a connection": {does: func(m *members.Members) { m.Heard(start, alive("b", 1, members.Live)); m.Failed(start, "b") }, at: time.Second, want: members.Suspect},
+		"refused, then heard": {does: func(m *members.Members) {
+			m.Heard(start, alive("b", 1, members.Live))
+			m.Failed(start, "b")
+			m.Heard(start, alive("b", 1, members.Live))
+		}, at: time.Second, want: members.Live},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := members.New(alive("a", 1, members.Live))
+			tt.does(m)
+			got := members.State("")
+			for _, b := range m.All(start.Add(tt.at)) {
+				if b.Name == "b" {
+					got = b.State
+				}
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+// TestOrder holds that boxes agree on the order, that a box that is gone moves
+// only its own keys, and that the hall's boxes come first.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b", "c", "d", "e"}
+	view := func(self string, gone string) *members.Members {
+		m := members.New(alive(self, 1, members.Live))
+		for _, n := range names {
+			if n != gone {
+				m.Heard(start, alive(n, 1, members.Live))
+			}
+		}
+		return m
+	}
+	moved := 0
+	const keys = 200
+	for i := range keys {
+		key := fmt.Sprint("leith/", i)
+		one := view("a", "").Order(start, key, "leith")[0].Name
+		is.Equal(view("c", "").Order(start, key, "leith")[0].Name, one)
+		if after := view("a", "e").Order(start, key, "leith")[0].Name; after != one {
+			is.Equal(one, "e") // only what the lost box had moves
+			moved++
+		}
+	}
+	is.True(moved > 0 && moved < keys/2)
+	m := view("a", "")
+	m.Heard(start, members.Box{Name: "z", Hall: "gorgie", Address: "z:1", Incarnation: 1, State: members.Live})
+	is.Equal(m.Order(start, "gorgie/0", "gorgie")[0].Name, "z")
+}
+
+func BenchmarkOrder(b *testing.B) {
+	for _, n := range []int{7, 50, 350} {
+		b.Run(fmt.Sprint(n, " boxes"), func(b *testing.B) {
+			m := members.New(alive("self", 1, members.Live))
+			now := time.Now()
+			for i := range n - 1 {
+				m.Heard(now, members.Box{Name: fmt.Sprint("box", i), Hall: fmt.Sprint("hall", i%13), Address: fmt.Sprint(i), State: members.Live})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Order(now, "hall1/3", "hall1")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,180 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/gob"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"petrelstep/grants"
+	"petrelstep/health"
+	"petrelstep/home"
+	"petrelstep/length"
+	"petrelstep/peer"
+	"petrelstep/peer/endpoint"
+	"petrelstep/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// box answers what peers call.
+type box struct{ told []int }
+
+func (b *box) Heartbeat(from wire.Heartbeat) wire.HeartbeatAnswer {
+	return wire.HeartbeatAnswer{Incarnation: 1, Revision: from.Revision}
+}
+func (b *box) Changes(since int) wire.ChangeSet { return wire.ChangeSet{Revision: since + 1} }
+func (b *box) Tell(set wire.ChangeSet)          { b.told = append(b.told, set.Revision) }
+func (b *box) TakenUp(string)                   {}
+
+// serve starts an endpoint and returns its address.
+func serve(tb testing.TB) (*box, string) {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	g := grants.New(home.Params{Share: 1, Queue: 10}, length.New(), health.New(), func(string) []string { return nil })
+	b := &box{}
+	done := make(chan struct{})
+	go func() {
+		_ = endpoint.New(ctx, b, g).Serve(listener)
+		close(done)
+	}()
+	tb.Cleanup(func() { cancel(); <-done })
+	return b, listener.Addr().String()
+}
+
+func TestCall(t *testing.T) {
+	is := is.New(t)
+	b, address := serve(t)
+	p := peer.New(nil)
+	defer p.Close()
+	ctx := context.Background()
+	var answer wire.HeartbeatAnswer
+	is.NoErr(p.Call(ctx, address, peer.Heartbeat, wire.Heartbeat{Revision: 7}, &answer))
+	is.Equal(answer.Revision, 7)
+	var done wire.Nothing
+	is.NoErr(p.Call(ctx, address, peer.Tell, wire.ChangeSet{Revision: 3}, &done))
+	is.Equal(b.told, []int{3})
+	var grant wire.Grant
+	is.NoErr(p.Call(ctx, address, peer.Ask, wire.Ask{Attempt: "a", WaitMs: 20, Model: "m", MaxTokens: 1}, &grant))
+	is.Equal(grant.Reason, "deadline") // nothing fits, and the wait is over
+}
+
+func TestRefused(t *testing.T) {
+	is := is.New(t)
+	p := peer.New(nil)
+	defer p.Close()
+	err := p.Call(context.Background(), "127.0.0.1:1", peer.Tell, wire.ChangeSet{}, &wire.Nothing{})
+	is.True(peer.Refused(err))
+	_, address := serve(t)
+	short, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	err = p.Call(short, address, peer.Ask, wire.Ask{Attempt: "a", WaitMs: 2000}, &wire.Grant{})
+	is.True(err != nil)
+	is.True(!peer.Refused(err)) // late, but the connection stands
+}
+
+// count counts bytes.
+type count struct{ n int }
+
+func (c *count) Write(p []byte) (int, error) { c.n += len(p); return len(p), nil }
+
+// bytesOf returns what one more message of a kind adds to a connection.
+func bytesOf(v any) int {
+	c := &count{}
+	e := gob.NewEncoder(c)
+	_ = e.Encode(v)
+	first := c.n
+	_ = e.Encode(v)
+	return c.n - first
+}
+
+// header is what net/rpc puts before each message; both ways together.
+const header = 30
+
+func ask() wire.Ask {
+	return wire.Ask{
+		Cell: "leith/0", Attempt: "0123456789abcdef01234567", Box: "box1", Organisation: "lothian-assessors", Model: "assessor",
+		Class: "draft", Prompt: 1200, MaxTokens: 32768, Weight: 4, WaitMs: 600000, Prefix: []int{1 << 60, 2 << 60, 3 << 60, 5 << 60},
+	}
+}
+
+func load(i int) wire.EngineLoad {
+	return wire.EngineLoad{
+		Engine: fmt.Sprint("leith-", i), Incarnation: 1_790_000_000_000, AtMs: 1_790_000_000_000, Model: "assessor", Role: "any",
+		Capacity: 60000, Used: 51234, Running: 14, Preemptions: 12, StepUs: 18500, Ready: true, Version: "1",
+	}
+}
+
+func heartbeat(loads, demands int) wire.Heartbeat {
+	h := wire.Heartbeat{Box: "box1", Hall: "leith", Address: "10.0.0.1:9000", Incarnation: 1_790_000_000_000, Revision: 4321}
+	for i := range loads {
+		h.Loads = append(h.Loads, load(i))
+	}
+	for i := range demands {
+		h.Demand = append(h.Demand, wire.Demand{Organisation: fmt.Sprint("organisation-", i), Rate: 1.25, Tokens: 12000})
+	}
+	return h
+}
+
+// BenchmarkMessages reports the bytes of each message between boxes.
+func BenchmarkMessages(b *testing.B) {
+	messages := map[string]any{
+		"ask":                  ask(),
+		"grant":                wire.Grant{Engine: "leith-1", Room: 4000},
+		"settle 1":             wire.Settle{Box: "box1", Cell: "leith/0", Items: settle(1)},
+		"settle 10":            wire.Settle{Box: "box1", Cell: "leith/0", Items: settle(10)},
+		"settle 100":           wire.Settle{Box: "box1", Cell: "leith/0", Items: settle(100)},
+		"heartbeat 0 loads":    heartbeat(0, 0),
+		"heartbeat 4 loads":    heartbeat(4, 0),
+		"heartbeat 16 loads":   heartbeat(16, 0),
+		"heartbeat 8 demands":  heartbeat(0, 8),
+		"heartbeat 64 demands": heartbeat(0, 64),
+		"heartbeat answer":     wire.HeartbeatAnswer{Incarnation: 1_790_000_000_000, Revision: 4321},
+		"change":               wire.ChangeSet{Revision: 10, Since: 9, Items: []wire.Resource{{Kind: "Organisation", Name: "lothian-assessors", Version: 3, Revision: 10, Spec: []byte(`{"weight":4,"requests_per_second":50}`)}}},
+	}
+	for name, m := range messages {
+		b.Run(name, func(b *testing.B) {
+			n := 0
+			for b.Loop() {
+				n = bytesOf(m)
+			}
+			b.ReportMetric(float64(n+header), "wire-bytes")
+		})
+	}
+}
+
+func settle(n int) []wire.SettleItem {
+	items := make([]wire.SettleItem, n)
+	for i := range items {
+		items[i] = wire.SettleItem{Attempt: fmt.Sprintf("0123456789abcdef%08d", i), Tokens: 800 + i}
+	}
+	return items
+}
+
+// BenchmarkCall is a call over loopback, processor time of both sides.
+func BenchmarkCall(b *testing.B) {
+	for _, loads := range []int{0, 4, 16} {
+		b.Run(fmt.Sprint("heartbeat ", loads, " loads"), func(b *testing.B) {
+			_, address := serve(b)
+			p := peer.New(nil)
+			defer p.Close()
+			beat := heartbeat(loads, 0)
+			var answer wire.HeartbeatAnswer
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := p.Call(context.Background(), address, peer.Heartbeat, beat, &answer); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -103,3 +103,22 @@
 		}
 	})
 }
+
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{50, 500, 3000} {
+		b.Run(fmt.Sprint(n, " resources"), func(b *testing.B) {
+			r := resource.New()
+			var all []wire.Resource
+			for i := range n {
+				all = append(all, hall(i+1, fmt.Sprint("hall-", i), "r"))
+			}
+			r.Apply(set(0, n, all...))
+			revision := n
+			b.ReportAllocs()
+			for b.Loop() {
+				revision++
+				r.Apply(set(revision-1, revision, hall(revision, "hall-0", "s")))
+			}
+		})
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -285,3 +285,10 @@
 		return true
 	}
 }
+
+// Running returns how many generations run or wait.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Running() + e.core.Waiting()
+}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -86,11 +86,7 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, attempt string, g *generation, from int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
-	start := wire.EngineStart{Attempt: attempt, PromptTokens: g.prompt}
-	if g.run != nil {
-		start.CachedTokens = g.run.Cached
-	}
-	buf := sse.AppendEvent(nil, sse.Start, mustJSON(start))
+	buf := sse.AppendEvent(nil, sse.Start, mustJSON(e.startOf(attempt, g)))
 	for {
 		e.mu.Lock()
 		count, why, published, dead := g.count, g.why, g.published, e.dead
@@ -119,6 +115,16 @@
 	}
 }
 
+func (e *Engine) startOf(attempt string, g *generation) wire.EngineStart {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	start := wire.EngineStart{Attempt: attempt, PromptTokens: g.prompt}
+	if g.run != nil {
+		start.CachedTokens = g.run.Cached
+	}
+	return start
+}
+
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	answer(w, e.cancel(mux.Vars(r)["attempt"]))
 }
--- /dev/null
+++ b/standin/set/set.go
@@ -0,0 +1,300 @@
+// Package set runs a whole small set in one process, for tests: the stand-in
+// platform, engines and service, and boxes with all their parts, each on
+// loopback addresses of its own.
+package set
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"petrelstep/client"
+	"petrelstep/config"
+	"petrelstep/daemon"
+	"petrelstep/front"
+	"petrelstep/logs"
+	"petrelstep/standin/engine"
+	"petrelstep/standin/platform"
+	"petrelstep/standin/service"
+	"petrelstep/wire"
+)
+
+// Keys of the set's organisations.
+const (
+	CallerKey   = "caller-key"
+	OtherKey    = "other-caller-key"
+	OperatorKey = "operator-key"
+)
+
+// Options say what to run.
+type Options struct {
+	Boxes   int
+	Engines []engine.Options // the hall of engine i is that of box i
+	Change  func(*wire.Settings)
+	Log     io.Writer // of the boxes; nil for none
+}
+
+// Box is one running box.
+type Box struct {
+	Settings wire.Settings
+	Daemon   *daemon.Daemon
+	cancel   context.CancelFunc
+	done     chan error
+	over     bool
+}
+
+// Set is what runs.
+type Set struct {
+	Platform *platform.Platform
+	Engines  []*engine.Engine
+	Service  *service.Service
+	Boxes    []*Box
+	options  Options
+	servers  []*httptest.Server
+	stop     context.CancelFunc
+	engines  sync.WaitGroup
+}
+
+// NotReadyError says that the set did not come up.
+type NotReadyError struct{ What string }
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return "set: " + e.What }
+
+// readyTime bounds the wait for the set to come up.
+const readyTime = 20 * time.Second
+
+// New starts a set, declares its resources and waits until all boxes have
+// them and know their engines.
+func New(options Options) (*Set, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Set{Platform: platform.New(platform.Options{}), Service: service.New(), options: options, stop: stop}
+	s.servers = append(s.servers, httptest.NewServer(s.Platform.Handler()))
+	serviceServer := httptest.NewServer(s.Service)
+	s.servers = append(s.servers, serviceServer)
+	var upstreams []wire.Resource
+	for i, o := range options.Engines {
+		e := engine.New(o)
+		s.Engines = append(s.Engines, e)
+		s.engines.Go(func() { e.Run(ctx) })
+		server := httptest.NewServer(e.Handler())
+		s.servers = append(s.servers, server)
+		upstreams = append(upstreams, Upstream(o.Name, "engine", hallOf(i, options.Boxes), addressOf(server)))
+	}
+	upstreams = append(upstreams, Upstream("portal", "service", hallOf(0, options.Boxes), addressOf(serviceServer)))
+	for i := range options.Boxes {
+		if err := s.StartBox(i); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	if err := s.declare(upstreams); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func hallOf(i, boxes int) string { return fmt.Sprint("hall", i%max(boxes, 1)) }
+
+func addressOf(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// Resource returns a resource to declare.
+func Resource(kind wire.ResourceKind, name string, spec any) wire.Resource {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // only wire types and maps come here
+	}
+	return wire.Resource{Kind: kind, Name: name, Spec: raw}
+}
+
+// Upstream returns an upstream to declare.
+func Upstream(name, role, hall, address string) wire.Resource {
+	spec := map[string]any{"role": role, "hall": hall, "address": address}
+	if role == "service" {
+		spec["service"] = name
+	}
+	return Resource(wire.ResourceKindUpstream, name, spec)
+}
+
+func (s *Set) declare(upstreams []wire.Resource) error {
+	all := []wire.Resource{
+		Resource(wire.ResourceKindModel, "m", map[string]any{"max_tokens": 16384}),
+		Resource(wire.ResourceKindModel, "unserved", map[string]any{}),
+		Resource(wire.ResourceKindOrganisation, "callers", map[string]any{"key_hashes": []string{front.HashKey(CallerKey)}}),
+		Resource(wire.ResourceKindOrganisation, "others", map[string]any{"key_hashes": []string{front.HashKey(OtherKey)}, "models": []string{"unserved"}}),
+	}
+	for i := range max(s.options.Boxes, len(s.options.Engines)) {
+		all = append([]wire.Resource{Resource(wire.ResourceKindHall, hallOf(i, s.options.Boxes), map[string]any{"region": "r"})}, all...)
+	}
+	seen := map[string]bool{}
+	for _, r := range append(all, upstreams...) {
+		key := string(r.Kind) + r.Name
+		if seen[key] {
+			continue
+		}
+		seen[key] = true
+		if _, err := s.Put(0, r); err != nil {
+			return err
+		}
+	}
+	return s.await(func() bool { return s.settled(len(s.options.Engines)) }, "not settled")
+}
+
+// settled tells whether every box has the newest configuration and serves.
+func (s *Set) settled(engines int) bool {
+	newest := 0
+	for _, b := range s.Boxes {
+		if b == nil {
+			continue
+		}
+		var st wire.Status
+		if s.Admin(b).Call(context.Background(), http.MethodGet, "/v1/status", nil, &st) != nil || len(st.Boxes) < s.running() {
+			return false
+		}
+		newest = max(newest, st.Revision)
+		if st.Revision < newest || b.Daemon.KnownEngines() < engines {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Set) running() int {
+	n := 0
+	for _, b := range s.Boxes {
+		if b != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Set) await(ready func() bool, what string) error {
+	for end := time.Now().Add(readyTime); time.Now().Before(end); {
+		if ready() {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return &NotReadyError{What: what}
+}
+
+// Await waits until something is so; false if it never comes.
+func (s *Set) Await(so func() bool) bool { return s.await(so, "") == nil }
+
+// Put declares a resource at a box.
+func (s *Set) Put(box int, r wire.Resource) (wire.Resource, error) {
+	var done wire.Resource
+	path := fmt.Sprintf("/v1/resources/%s/%s", r.Kind, r.Name)
+	c := s.Admin(s.Boxes[box])
+	defer c.Close()
+	err := c.Call(context.Background(), http.MethodPut, path, r, &done)
+	return done, err
+}
+
+// Admin returns an operator's client of a box.
+func (s *Set) Admin(b *Box) *client.Client {
+	return client.New([]string{"http://" + b.Settings.Listen.Admin}, OperatorKey)
+}
+
+// Callers returns a caller's client of all boxes that run.
+func (s *Set) Callers(key string) *client.Client {
+	var boxes []string
+	for _, b := range s.Boxes {
+		boxes = append(boxes, "http://"+b.Settings.Listen.Callers)
+	}
+	return client.New(boxes, key)
+}
+
+// StartBox starts a box, or starts one anew that was killed or stopped.
+func (s *Set) StartBox(i int) error {
+	raw, err := json.Marshal(map[string]any{
+		"box": fmt.Sprint("box", i), "hall": hallOf(i, s.options.Boxes),
+		"listen":      map[string]string{"callers": free(), "admin": free(), "peers": free()},
+		"platform":    map[string]any{"address": addressOf(s.servers[0])},
+		"request_key": "a-key-of-tests-that-all-boxes-share-0001", "operator_key_hash": front.HashKey(OperatorKey),
+		"limits": map[string]any{"comeback_ms": 300, "body_bytes": 4096}, "drain_ms": 20000,
+	})
+	if err != nil {
+		return err
+	}
+	var c config.Config
+	if err := json.Unmarshal(raw, &c.Settings); err != nil {
+		return err
+	}
+	if s.options.Change != nil {
+		s.options.Change(&c.Settings)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	out := s.options.Log
+	if out == nil {
+		out = io.Discard
+	}
+	d, err := daemon.New(ctx, c, logs.New(out, "info", c.Box))
+	if err != nil {
+		cancel()
+		return err
+	}
+	b := &Box{Settings: c.Settings, Daemon: d, cancel: cancel, done: make(chan error, 1)}
+	go func() { b.done <- d.Run(ctx) }()
+	if i < len(s.Boxes) {
+		s.Boxes[i] = b
+	} else {
+		s.Boxes = append(s.Boxes, b)
+	}
+	return s.await(func() bool { return answers(b.Settings.Listen.Admin) }, c.Box+" does not answer")
+}
+
+// free returns a loopback address that nothing listens on right now.
+func free() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err) // no loopback, no tests
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func answers(address string) bool {
+	c := client.New([]string{"http://" + address}, OperatorKey)
+	defer c.Close()
+	return c.Call(context.Background(), http.MethodGet, "/healthz", nil, nil) == nil
+}
+
+// Kill ends a box at once, as a loss of its machine does.
+func (s *Set) Kill(i int) {
+	s.Boxes[i].cancel()
+	<-s.Boxes[i].done
+	s.Boxes[i].over = true
+}
+
+// Stop begins the planned stop of a box and waits for its end.
+func (s *Set) Stop(i int) error {
+	s.Boxes[i].Daemon.Drain()
+	s.Boxes[i].over = true
+	return <-s.Boxes[i].done
+}
+
+// Close ends all.
+func (s *Set) Close() {
+	for _, b := range s.Boxes {
+		b.cancel()
+		if !b.over {
+			<-b.done
+		}
+	}
+	s.stop()
+	for _, server := range s.servers {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	s.engines.Wait()
+}
