resource, members, digest: fit control into its budget at 350 nodes

Decoding the whole configuration at each change took 32.8 ms at 3,000 resources; sorting all boxes for each ask 0.68 ms at 350; heartbeats told every load each second, 64.6 bytes each, to some 50 peers. Change: a view after one change decodes and copies only what the change touches; First looks at each box once; a digest tells loads that moved by a twentieth of an engine's memory, or changed state, or after 3 s, and at most 8 demands; boxes of other halls are beaten to every 2 s. Before, after: Apply at 3,000 resources 32.8 ms, 0.41 ms; home box of a cell at 350 boxes 681 us, 10.0 us. Suspicion now takes 3.5 s instead of 2.5 s, so that one lost heartbeat across halls does not raise it; refused connections are noticed at once as before. Ruled out: telling differences for each peer (state for each, and a lost one needs an answer).

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 
 guards:
 	scripts/guards
+
+slopes:
+	scripts/slopes
+
+bench:
+	go test -run '^$$' -bench . ./...
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"petrelstep/cells"
 	"petrelstep/config"
 	"petrelstep/declare"
+	"petrelstep/digest"
 	"petrelstep/dispatch"
 	"petrelstep/flight"
 	"petrelstep/front"
@@ -71,6 +72,7 @@
 	loads   *loads.Loads
 	health  *health.Health
 	quota   *quota.Quota
+	digest  *digest.Digest
 	grants  *grants.Grants
 	homes   *homes.Homes
 	flights *flight.Flights
@@ -117,6 +119,7 @@
 		loads:       loads.New(),
 		health:      health.New(),
 		quota:       quota.New(1),
+		digest:      digest.New(),
 		engines:     engine.New(),
 		drain:       make(chan struct{}),
 		cells:       cells.New(resource.NewView(0, nil), c.CellSize),
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -29,16 +29,31 @@
 	for name := range d.health.Gone() {
 		beat.GoneUpstreams = append(beat.GoneUpstreams, name)
 	}
+	beat.Loads, beat.Demand = d.digest.Make(now, d.ownLoads(now), d.ownDemand(now))
+	return beat
+}
+
+func (d *Daemon) ownLoads(now time.Time) []wire.EngineLoad {
+	var loads []wire.EngineLoad
 	for _, e := range d.ownEngines() {
 		if l, ok := d.loads.Fresh(now, e.Name, freshFor); ok {
-			beat.Loads = append(beat.Loads, l)
+			loads = append(loads, l)
 		}
 	}
+	return loads
+}
+
+// ownDemand returns the demand for what is limited: the rest concerns nobody.
+func (d *Daemon) ownDemand(now time.Time) []wire.Demand {
+	view := d.resources.View()
+	var demand []wire.Demand
 	for name, use := range d.quota.Uses(now) {
-		beat.Demand = append(beat.Demand, wire.Demand{Organisation: name, Rate: use.Rate, Tokens: use.Tokens})
+		if o := view.Organisations[name]; o.RequestsPerSecond > 0 || o.TokensInFlight > 0 {
+			demand = append(demand, wire.Demand{Organisation: name, Rate: use.Rate, Tokens: use.Tokens})
+		}
 	}
-	sort.Slice(beat.Demand, func(i, j int) bool { return beat.Demand[i].Organisation < beat.Demand[j].Organisation })
-	return beat
+	sort.Slice(demand, func(i, j int) bool { return demand[i].Organisation < demand[j].Organisation })
+	return demand
 }
 
 // Heartbeat takes a peer's.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -409,8 +409,13 @@
 	} else {
 		d.Flights.Start(f)
 	}
+	return NewRunning(g, f, d.Flights)
+}
+
+// NewRunning wraps a generation that was opened elsewhere.
+func NewRunning(g *generation.Generation, f *flight.Flight, flights *flight.Flights) *Running {
 	return &Running{
-		Generation: g, Attempt: c.Attempt, Engine: c.Engine, Address: c.Address, Empty: true,
-		promise: func() {}, flight: f, flights: d.Flights,
+		Generation: g, Attempt: f.Attempt, Engine: f.Engine, Address: f.Address, Empty: true,
+		promise: func() {}, flight: f, flights: flights,
 	}
 }
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -23,7 +23,10 @@
 	Period = time.Second
 	// acrossHalls is to how many boxes of each other hall a box beats.
 	acrossHalls = 2
-	beatTime    = 900 * time.Millisecond
+	// acrossPeriod is the time between heartbeats to other halls: their boxes
+	// are not in this hall's orders, and calls to them tell soon enough.
+	acrossPeriod = 2 * time.Second
+	beatTime     = 900 * time.Millisecond
 )
 
 // Box makes heartbeats and learns from the answers.
@@ -108,7 +111,11 @@
 
 func (h *Heartbeat) beatTo(ctx context.Context, b members.Box) {
 	lost := false
-	h.timer.Every(ctx, b.Name, Period, func(time.Time) {
+	period := Period
+	if b.Hall != h.members.Self().Hall {
+		period = acrossPeriod
+	}
+	h.timer.Every(ctx, b.Name, period, func(time.Time) {
 		call, cancel := context.WithTimeout(ctx, beatTime)
 		defer cancel()
 		var answer wire.HeartbeatAnswer
--- a/homes/homes.go
+++ b/homes/homes.go
@@ -39,11 +39,7 @@
 
 // Home returns the home box of a cell, as this box sees it.
 func (h *Homes) Home(cell string) (members.Box, bool) {
-	order := h.members.Order(time.Now(), cell, cells.Hall(cell))
-	if len(order) == 0 {
-		return members.Box{}, false
-	}
-	return order[0], true
+	return h.members.First(time.Now(), cell, cells.Hall(cell))
 }
 
 // IsHome tells whether this box is the home box of a cell.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -268,3 +270,31 @@
 	is.NoErr(l.Clean(ctx))
 	is.Equal(len(p.Scan("ledger/", "")), 0)
 }
+
+// BenchmarkBegin tells how many rows a transaction carries when so many calls
+// come at once and the table takes 10 ms.
+func BenchmarkBegin(b *testing.B) {
+	for _, callers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprint(callers, " callers"), func(b *testing.B) {
+			p := platform.New(platform.Options{})
+			p.Fault(wire.Fault{Part: platform.Table, Mode: wire.FaultModeSlow, DelayMs: 10})
+			ctx, cancel := context.WithCancel(context.Background())
+			l := ledger.New(ctx, p.Direct(), owners{"a": 1}, "a", 1, time.Hour)
+			done := make(chan struct{})
+			go func() { l.Run(); close(done) }()
+			defer func() { cancel(); <-done }()
+			rows := 0
+			for b.Loop() {
+				var all sync.WaitGroup
+				for range callers {
+					rows++
+					c := ledger.Call{Organisation: "o", Key: fmt.Sprint(rows), BodyHash: "h"}
+					all.Go(func() { _, _, _ = l.Begin(ctx, c) })
+				}
+				all.Wait()
+			}
+			_, commits := p.Counts()
+			b.ReportMetric(float64(rows)/float64(commits), "rows/transaction")
+		})
+	}
+}
--- /dev/null
+++ b/length/length_test.go
@@ -0,0 +1,125 @@
+package length_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"petrelstep/length"
+)
+
+var key = length.Key{Organisation: "o", Model: "m", Class: "draft"}
+
+// learn draws lengths by the seed and tells the estimator; those longer than
+// cut are cut off there.
+func learn(l *length.Lengths, k length.Key, n int, median float64, cut int) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range n {
+		tokens := int(median * math.Exp(rng.NormFloat64()))
+		if tokens > cut {
+			l.Progress(k, 0, cut)
+			l.End(k, cut, true)
+			continue
+		}
+		l.Progress(k, 0, tokens)
+		l.End(k, tokens, false)
+	}
+}
+
+// TestSurvival holds the learned chance to get beyond a length against the
+// true one, also where most generations were cut off.
+func TestSurvival(t *testing.T) {
+	tests := map[string]struct {
+		n, cut, at int
+		want, near float64
+	}{
+		"median":              {n: 300, cut: 1 << 20, at: 1000, want: 0.5, near: 0.08},
+		"tail":                {n: 300, cut: 1 << 20, at: 4000, want: 0.083, near: 0.04},
+		"cut off at half":     {n: 600, cut: 1000, at: 900, want: 0.54, near: 0.08},
+		"cut off, beyond":     {n: 600, cut: 1000, at: 2000, want: 0.24, near: 0.2},
+		"few of its own":      {n: 3, cut: 1 << 20, at: 1000, want: 0.5, near: 0.4},
+		"nothing of its own":  {n: 0, cut: 1, at: 8, want: 0.6, near: 0.4},
+		"shift to twice that": {n: 1000, cut: 1 << 20, at: 2000, want: 0.24, near: 0.08},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := length.New()
+			learn(l, key, tt.n, 1000, tt.cut)
+			got := l.Curve(key).Survival(tt.at)
+			is.True(math.Abs(got-tt.want) <= tt.near)
+		})
+	}
+}
+
+// TestShift changes the lengths: the estimate follows.
+func TestShift(t *testing.T) {
+	is := is.New(t)
+	l := length.New()
+	learn(l, key, 400, 1000, 1<<20)
+	before := l.Curve(key).Mean()
+	learn(l, key, 800, 3000, 1<<20)
+	is.True(l.Curve(key).Mean() > 2*before)
+}
+
+// TestWider lets a new organisation start from what its class and model tell.
+func TestWider(t *testing.T) {
+	is := is.New(t)
+	l := length.New()
+	learn(l, key, 300, 1000, 1<<20)
+	fresh := l.Curve(length.Key{Organisation: "new", Model: "m", Class: "draft"})
+	is.True(math.Abs(fresh.Mean()-l.Curve(key).Mean()) < 200)
+}
+
+func BenchmarkEnd(b *testing.B) {
+	for _, groups := range []int{10, 100, 4420} { // 260 organisations on 17 models
+		b.Run(fmt.Sprint(groups, " groups"), func(b *testing.B) {
+			l := length.New()
+			keys := make([]length.Key, groups)
+			for i := range keys {
+				keys[i] = length.Key{Organisation: fmt.Sprint("o", i%260), Model: fmt.Sprint("m", i/260), Class: "draft"}
+				l.End(keys[i], 500, false)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				k := keys[i%groups]
+				l.Progress(k, 0, 900)
+				l.End(k, 900, false)
+				l.Curve(k)
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkMemory is the memory of the state, by groups.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{100, 1000, 4420} {
+		b.Run(fmt.Sprint(n, " groups"), func(b *testing.B) {
+			before := heap()
+			l := length.New()
+			for i := range n {
+				k := length.Key{Organisation: fmt.Sprint("o", i%260), Model: fmt.Sprint("m", i/260), Class: "draft"}
+				l.End(k, 500, false)
+				l.Curve(k)
+			}
+			used := float64(heap() - before)
+			runtime.KeepAlive(l)
+			for b.Loop() {
+			}
+			b.ReportMetric(used, "heap-bytes")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/members/members.go
+++ b/members/members.go
@@ -25,7 +25,7 @@
 
 const (
 	// suspectAfter is the silence that makes a box suspect.
-	suspectAfter = 2500 * time.Millisecond
+	suspectAfter = 3500 * time.Millisecond
 	// goneAfter is the silence after which a box that is off the list is dropped.
 	goneAfter = 30 * time.Second
 	// failedFor is how long a box that refused a connection is passed by.
@@ -184,6 +184,33 @@
 	return order
 }
 
+// First returns the first live box in a key's order, and false if there is
+// none. It looks at each box once: Order, which sorts them all, took 0.7 ms
+// at 350 boxes.
+func (m *Members) First(now time.Time, key, hall string) (Box, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first, found := Box{}, false
+	var heaviest uint64
+	look := func(b Box) {
+		if b.State != Live {
+			return
+		}
+		w := weight(key, b.Name)
+		nearer := (b.Hall == hall) != (first.Hall == hall)
+		if !found || nearer && b.Hall == hall || !nearer && w > heaviest {
+			first, heaviest, found = b, w, true
+		}
+	}
+	look(m.self)
+	for _, r := range m.boxes {
+		if !found || first.Hall != hall || r.box.Hall == hall {
+			look(r.seen(now))
+		}
+	}
+	return first, found
+}
+
 func weight(key, box string) uint64 { return xxhash.Sum64String(key + "/" + box) }
 
 func (m *Members) record(now time.Time, name string) *record {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// stale is how long a peer's digest counts.
-	stale = 5 * time.Second
+	// stale is how long an entry of a peer's digest counts. A digest is bounded,
+	// so with many organisations an entry comes again only after a while.
+	stale = 20 * time.Second
+	// silent is how long a peer without any digest counts as heard.
+	silent = 5 * time.Second
 	// floor is the part of an even share that a box keeps without demand, so
 	// that a first request need not wait for a digest.
 	floor = 0.25
@@ -27,9 +30,14 @@
 	Tokens int     // promised memory in flight
 }
 
+type entry struct {
+	use Use
+	at  time.Time
+}
+
 type peerUse struct {
-	at   time.Time
-	uses map[string]Use
+	at      time.Time
+	entries map[string]entry
 }
 
 type account struct {
@@ -44,12 +52,12 @@
 	mu       sync.Mutex
 	boxes    int
 	accounts map[string]*account
-	peers    map[string]peerUse
+	peers    map[string]*peerUse
 }
 
 // New returns a quota for a box that is one of so many.
 func New(boxes int) *Quota {
-	return &Quota{boxes: max(boxes, 1), accounts: map[string]*account{}, peers: map[string]peerUse{}}
+	return &Quota{boxes: max(boxes, 1), accounts: map[string]*account{}, peers: map[string]*peerUse{}}
 }
 
 // Boxes tells how many boxes there are, the parted ones too.
@@ -59,11 +67,19 @@
 	q.boxes = max(n, 1)
 }
 
-// Heard takes a peer's digest.
+// Heard takes a peer's digest: the entries that it tells anew.
 func (q *Quota) Heard(now time.Time, box string, uses map[string]Use) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.peers[box] = peerUse{at: now, uses: uses}
+	p, ok := q.peers[box]
+	if !ok {
+		p = &peerUse{entries: map[string]entry{}}
+		q.peers[box] = p
+	}
+	p.at = now
+	for name, use := range uses {
+		p.entries[name] = entry{use: use, at: now}
+	}
 }
 
 // Request asks to let one request in; when it may not, it returns how long
@@ -129,11 +145,13 @@
 func (q *Quota) share(now time.Time, organisation string, of func(Use) float64, own float64) float64 {
 	heard, others := 1, 0.0
 	for _, p := range q.peers {
-		if now.Sub(p.at) > stale {
+		if now.Sub(p.at) > silent {
 			continue
 		}
 		heard++
-		others += of(p.uses[organisation])
+		if e := p.entries[organisation]; now.Sub(e.at) <= stale {
+			others += of(e.use)
+		}
 	}
 	even := 1 / float64(q.boxes)
 	known := min(float64(heard)*even, 1)
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -58,7 +58,7 @@
 		}
 	}
 	if len(fresh) > 0 {
-		r.forward(now, revision, fresh)
+		r.forward(now, fresh)
 	}
 	return revision >= set.Revision
 }
@@ -77,23 +77,15 @@
 	r.store(NewView(set.Revision, all))
 }
 
-func (r *Resources) forward(now *View, revision int, fresh []wire.Resource) {
-	all := make(map[string]wire.Resource, len(now.Resources)+1)
-	for k, v := range now.Resources {
-		all[k] = v
-	}
+func (r *Resources) forward(now *View, fresh []wire.Resource) {
 	for _, item := range fresh {
-		if item.Removed {
-			delete(all, Key(item.Kind, item.Name))
-			continue
-		}
-		all[Key(item.Kind, item.Name)] = item
+		now = now.With(item)
 	}
 	r.changes = append(r.changes, fresh...)
 	if len(r.changes) > kept {
 		r.changes = append([]wire.Resource{}, r.changes[len(r.changes)-kept/2:]...)
 	}
-	r.store(NewView(revision, all))
+	r.store(now)
 }
 
 func (r *Resources) store(v *View) {
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -122,3 +123,30 @@
 		})
 	}
 }
+
+// BenchmarkMemory is the memory of the state, by resources.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint(n, " resources"), func(b *testing.B) {
+			before := heap()
+			l := resource.New()
+			var all []wire.Resource
+			for i := range n {
+				all = append(all, hall(i+1, fmt.Sprint("hall-", i), "r"))
+			}
+			l.Apply(set(0, n, all...))
+			used := float64(heap() - before)
+			runtime.KeepAlive(l)
+			for b.Loop() {
+			}
+			b.ReportMetric(used, "heap-bytes")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/resource/view.go
+++ b/resource/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sort"
 
 	"petrelstep/wire"
@@ -45,6 +46,54 @@
 	return v
 }
 
+// With returns the configuration after one change. Only what the change
+// touches is decoded and copied: a whole decoding took 33 ms at 3,000
+// resources.
+func (v *View) With(r wire.Resource) *View {
+	next := *v
+	next.Revision = r.Revision
+	next.Resources = maps.Clone(v.Resources)
+	next.drop(r)
+	if r.Removed {
+		delete(next.Resources, Key(r.Kind, r.Name))
+		return &next
+	}
+	next.Resources[Key(r.Kind, r.Name)] = r
+	next.add(r)
+	return &next
+}
+
+// drop takes a resource out of copies of the maps that it is in.
+func (v *View) drop(r wire.Resource) {
+	switch r.Kind {
+	case wire.ResourceKindOrganisation:
+		v.Keys = maps.Clone(v.Keys)
+		for _, hash := range v.Organisations[r.Name].KeyHashes {
+			delete(v.Keys, hash)
+		}
+		v.Organisations = without(v.Organisations, r.Name)
+	case wire.ResourceKindModel:
+		v.Models = without(v.Models, r.Name)
+	case wire.ResourceKindAdapter:
+		v.Adapters = without(v.Adapters, r.Name)
+	case wire.ResourceKindHall:
+		v.Halls = without(v.Halls, r.Name)
+	case wire.ResourceKindUpstream:
+		v.Upstreams = without(v.Upstreams, r.Name)
+	case wire.ResourceKindPlacement:
+		v.Placements = without(v.Placements, r.Name)
+	case wire.ResourceKindPolicy:
+		v.Policy = wire.Policy{}
+		_ = json.Unmarshal([]byte("{}"), &v.Policy) // the defaults
+	}
+}
+
+func without[T any](m map[string]T, name string) map[string]T {
+	next := maps.Clone(m)
+	delete(next, name)
+	return next
+}
+
 func (v *View) add(r wire.Resource) {
 	switch r.Kind {
 	case wire.ResourceKindOrganisation:
