flight: settle every 6 s, and at once with a new home box

In between the home box goes by the engine's pace. A new home box used to wait for the next settling; now it is told at once. Ruled out: 10 s, whose silence could not be told from a lost box in the 20 s after which grants lapse. The experiment now counts messages as measured.

--- a/experiment/box.go
+++ b/experiment/box.go
@@ -167,7 +167,9 @@
 	b.waiting[q.id] = q
 	to := b.homeBox()
 	q.asked = to
-	b.w.message(askBytes)
+	if to != b {
+		b.w.message(askBytes)
+	}
 	b.w.after(b.linkTo(to), func() {
 		if q.over || q.asked != to || !to.alive || q.granted {
 			return
@@ -219,7 +221,9 @@
 		if q == nil || q.asked != b {
 			continue
 		}
-		b.w.message(grantBytes)
+		if q.box != b {
+			b.w.message(grantBytes)
+		}
 		b.w.after(b.linkTo(q.box), func() { q.box.got(q, b, g.Engine) })
 	}
 }
@@ -291,11 +295,16 @@
 	if !b.alive {
 		return
 	}
+	items := 0
 	for _, q := range sortedRequests(b.flying) {
 		if q.granted && !q.over {
 			b.settle(q, false, false)
+			items++
 		}
 	}
+	if items > 0 && b.homeBox() != b {
+		b.w.message(settleBytes + items*progressBytes)
+	}
 }
 
 // settle tells the home box how a granted generation goes on; a new home box
@@ -312,7 +321,9 @@
 		item.Prompt, item.MaxTokens = q.prompt, mostOutput
 		q.introduced = to
 	}
-	b.w.message(settleBytes)
+	if ended && to != b {
+		b.w.message(endBytes)
+	}
 	b.w.after(b.linkTo(to), func() {
 		if !to.alive {
 			return
@@ -348,4 +359,5 @@
 			b.ask(q)
 		}
 	}
+	b.progress() // a new home box is told at once of what is in flight
 }
--- a/flight/flight.go
+++ b/flight/flight.go
@@ -14,13 +14,20 @@
 	"petrelstep/wire"
 )
 
-// settleEvery is how often home boxes are told how far generations are.
-const settleEvery = 2 * time.Second
+const (
+	// settleEvery is how often home boxes are told how far generations are. In
+	// between they go by the engines' pace; every second did no better.
+	settleEvery = 6 * time.Second
+	// lookEvery is how often it is looked whether a cell has another home box,
+	// which is told at once.
+	lookEvery = time.Second
+)
 
 // Homes tells home boxes how generations go on.
 type Homes interface {
 	Settle(ctx context.Context, cell string, items func(home string) []wire.SettleItem) bool
 	IsHome(cell string) bool
+	HomeOf(cell string) string
 }
 
 // Timer calls a function each period.
@@ -153,10 +160,19 @@
 
 // Run settles with home boxes until ctx ends.
 func (s *Flights) Run(ctx context.Context, timer Timer) {
-	timer.Every(ctx, "settle", settleEvery, func(time.Time) { s.settleAll(ctx) })
+	var last time.Time
+	timer.Every(ctx, "settle", lookEvery, func(now time.Time) {
+		due := now.Sub(last) >= settleEvery
+		if due {
+			last = now
+		}
+		s.settleAll(ctx, due)
+	})
 }
 
-func (s *Flights) settleAll(ctx context.Context) {
+// settleAll settles all when it is due, and otherwise only what a new home box
+// does not know.
+func (s *Flights) settleAll(ctx context.Context, due bool) {
 	s.mu.Lock()
 	byCell := map[string][]*Flight{}
 	for _, f := range s.all {
@@ -166,11 +182,29 @@
 	}
 	s.mu.Unlock()
 	for cell, flights := range byCell {
+		if !due {
+			flights = s.unknownTo(s.homes.HomeOf(cell), flights)
+		}
+		if len(flights) == 0 {
+			continue
+		}
 		sort.Slice(flights, func(i, j int) bool { return flights[i].Attempt < flights[j].Attempt })
 		s.settle(ctx, cell, flights, false, false)
 	}
 }
 
+func (s *Flights) unknownTo(home string, flights []*Flight) []*Flight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var unknown []*Flight
+	for _, f := range flights {
+		if f.Home != home {
+			unknown = append(unknown, f)
+		}
+	}
+	return unknown
+}
+
 func (s *Flights) settle(ctx context.Context, cell string, flights []*Flight, ended, cut bool) {
 	told := ""
 	ok := s.homes.Settle(ctx, cell, func(home string) []wire.SettleItem {
--- a/home/home.go
+++ b/home/home.go
@@ -310,7 +310,7 @@
 
 // sweepAfter is how long a granted generation is held against its engine
 // without a word from its box.
-const sweepAfter = 15 * time.Second
+const sweepAfter = 20 * time.Second
 
 // Sweep drops granted generations whose boxes have fallen silent; what they
 // still hold is seen in the engines' reports.
--- a/homes/homes.go
+++ b/homes/homes.go
@@ -42,6 +42,12 @@
 	return h.members.First(time.Now(), cell, cells.Hall(cell))
 }
 
+// HomeOf returns the name of a cell's home box; empty if no box is live.
+func (h *Homes) HomeOf(cell string) string {
+	home, _ := h.Home(cell)
+	return home.Name
+}
+
 // IsHome tells whether this box is the home box of a cell.
 func (h *Homes) IsHome(cell string) bool {
 	home, ok := h.Home(cell)
