daemon: tell peers which upstreams leave; use probation at need

Cause: heartbeats carried the upstreams seen leaving, but receivers ignored them. And a box whose one other engine was on probation refused no_upstream: TestLeaving/its_own_report failed once on a busy machine. An engine on probation is now used where there is no other; suspect and leaving ones never. Without, then with the guards: leaving-not-tried fails TestLeaving, passes; retry-elsewhere fails TestGeneration/one_engine_killed_x_before_first_token, passes; probation-trickle fails TestMay/back,_on_probation, passes.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -418,3 +418,40 @@
 	is.Equal(r.out.TakenUp, 0) // it was not cut off
 	is.Equal(refused.Load(), "503 Service Unavailable 1")
 }
+
+// leavingTests are the ways in which an upstream says, or is said, to leave.
+var leavingTests = map[string]func(s *set.Set){
+	"its own report": func(s *set.Set) { s.Engines[0].Leave() },
+	"reclaimed":      func(s *set.Set) { s.Engines[0].Fault(wire.Fault{Mode: wire.FaultModeReclaim, DelayMs: 60_000}) },
+	"declared": func(s *set.Set) {
+		var now wire.Resource
+		c := s.Admin(s.Boxes[0])
+		defer c.Close()
+		_ = c.Call(context.Background(), http.MethodGet, "/v1/resources/Upstream/e0", nil, &now)
+		var spec map[string]any
+		_ = json.Unmarshal(now.Spec, &spec)
+		spec["leaving"] = true
+		now.Spec, _ = json.Marshal(spec)
+		_, _ = s.Put(0, now)
+	},
+}
+
+// TestLeaving lets one of two engines leave: a few seconds later no box even
+// tries it, by the engine's own count.
+func TestLeaving(t *testing.T) {
+	for name, leave := range leavingTests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // each has a set of its own
+			is := is.New(t)
+			s := newSet(t, 2, engines(2, 50))
+			leave(s)
+			time.Sleep(4 * time.Second)
+			before := s.Engines[0].Refused() + len(s.Engines[0].History())
+			for i := range 20 {
+				out := generate(s, i, draft("stream"), 0, nil).out
+				is.Equal(out.Ending+out.Reason, "done")
+			}
+			is.Equal(s.Engines[0].Refused()+len(s.Engines[0].History()), before)
+		})
+	}
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
 
 	"petrelstep/members"
@@ -26,9 +28,10 @@
 		Box: self.Name, Hall: self.Hall, Address: self.Address, Incarnation: self.Incarnation,
 		Revision: d.resources.View().Revision, Leaving: d.draining.Load(),
 	}
-	for name := range d.health.Gone() {
-		beat.GoneUpstreams = append(beat.GoneUpstreams, name)
+	for name, incarnation := range d.health.Gone() {
+		beat.GoneUpstreams = append(beat.GoneUpstreams, name+"@"+strconv.Itoa(incarnation))
 	}
+	sort.Strings(beat.GoneUpstreams)
 	beat.Loads, beat.Demand = d.digest.Make(now, d.ownLoads(now), d.ownDemand(now))
 	return beat
 }
@@ -68,6 +71,12 @@
 	for _, l := range from.Loads {
 		d.Loaded(l)
 	}
+	for _, gone := range from.GoneUpstreams {
+		name, incarnation, _ := strings.Cut(gone, "@")
+		if n, err := strconv.Atoi(incarnation); err == nil && n > 0 {
+			d.health.Leaving(name, n)
+		}
+	}
 	d.newer(from.Revision, from.Address)
 	self := d.members.Self()
 	return wire.HeartbeatAnswer{Incarnation: self.Incarnation, Revision: d.resources.View().Revision, Leaving: d.draining.Load()}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -249,12 +249,20 @@
 	return t, nil
 }
 
-// views returns what is known of the engines that may serve a request.
+// views returns what is known of the engines that may serve a request; those
+// on probation only where there is no other.
 func (d *Dispatcher) views(now time.Time, view *resource.View, req Request, avoid []string) []placement.View {
+	if views := d.viewsOf(now, view, req, avoid, d.Health.May); len(views) > 0 {
+		return views
+	}
+	return d.viewsOf(now, view, req, avoid, d.Health.MayAtNeed)
+}
+
+func (d *Dispatcher) viewsOf(now time.Time, view *resource.View, req Request, avoid []string, may func(time.Time, string) bool) []placement.View {
 	var views []placement.View
 	for _, name := range view.Engines("") {
 		l, ok := d.Loads.Load(name)
-		if !ok || !serves(l, req.Body) || view.Upstreams[name].Leaving || contains(avoid, name) || !d.Health.May(now, name) {
+		if !ok || !serves(l, req.Body) || view.Upstreams[name].Leaving || contains(avoid, name) || !may(now, name) {
 			continue
 		}
 		if v, ok := d.Loads.View(now, name); ok {
--- a/health/health.go
+++ b/health/health.go
@@ -121,6 +121,15 @@
 	return true
 }
 
+// MayAtNeed is May where there is nothing else: an upstream on probation is
+// better than a refusal.
+func (h *Health) MayAtNeed(now time.Time, upstream string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.record(upstream)
+	return !r.leaving && !r.suspect && !r.silent(now)
+}
+
 // Chosen notes that the upstream gets new work.
 func (h *Health) Chosen(now time.Time, upstream string) {
 	h.mu.Lock()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -60,6 +60,7 @@
 	dead        bool
 	frozen      chan struct{} // nil while it runs
 	history     []Started
+	refused     int // jobs not taken
 	loading     context.CancelFunc
 }
 
@@ -169,6 +170,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dead || e.leaving || !e.load.Ready || job.Model != e.load.Model {
+		e.refused++
 		return nil, false
 	}
 	if g, ok := e.generations[job.Attempt]; ok {
@@ -292,3 +294,10 @@
 	defer e.mu.Unlock()
 	return e.core.Running() + e.core.Waiting()
 }
+
+// Refused returns how many jobs were not taken.
+func (e *Engine) Refused() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refused
+}
