--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,51 @@
+package config_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"petrelstep/config"
+)
+
+const right = `{"box":"b1","hall":"leith","listen":{"callers":"127.0.0.1:1","admin":"127.0.0.1:2","peers":"127.0.0.1:3"},
+"platform":{"address":"127.0.0.1:4"},"request_key":"0123456789abcdef0123456789abcdef"`
+
+func TestNew(t *testing.T) {
+	tests := map[string]struct {
+		in     string
+		places []string
+	}{
+		"right":         {right + "}", nil},
+		"limits given":  {right + `,"limits":{"streams":5}}`, nil},
+		"unknown field": {right + `,"colour":"red"}`, []string{"colour"}},
+		"many mistakes": {`{"box":"B!","hall":7}`, []string{"/box", "/hall", "listen", "platform", "request_key"}},
+		"same address":  {strings.Replace(right, "127.0.0.1:2", "127.0.0.1:1", 1) + "}", []string{"/listen"}},
+		"short lease":   {right + `,"lease_ms":3000}`, []string{"/lease_ms"}},
+		"half of TLS":   {right + `,"tls":{"certificate":"/nowhere"}}`, []string{"/tls: certificate and key", "/tls: stat"}},
+		"not JSON":      {`{"box"`, []string{"not JSON"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), "settings.json")
+			is.NoErr(os.WriteFile(file, []byte(tt.in), 0o600))
+			c, err := config.New(file)
+			is.Equal(err != nil, tt.places != nil)
+			if err == nil {
+				is.True(c.Limits.BodyBytes == 1<<20) // defaults also within a section
+				is.Equal(c.CellSize, 16)
+				return
+			}
+			var e *config.Error
+			is.True(errors.As(err, &e))
+			for _, part := range tt.places {
+				is.True(strings.Contains(err.Error(), part))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/keys/keys_test.go
@@ -0,0 +1,168 @@
+package keys_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/keys"
+)
+
+// authority signs certificates of boxes.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	dir         string
+	serial      int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "boxes"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, _ := x509.ParseCertificate(raw)
+	a := &authority{certificate: certificate, key: key, dir: t.TempDir(), serial: 1}
+	a.write(t, "authority.pem", "CERTIFICATE", raw)
+	return a
+}
+
+func (a *authority) write(t *testing.T, name, kind string, raw []byte) string {
+	t.Helper()
+	file := filepath.Join(a.dir, name)
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// issue writes the files of a box and returns them.
+func (a *authority) issue(t *testing.T, name string) keys.Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.serial++
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, _ := x509.MarshalECPrivateKey(key)
+	return keys.Files{
+		Certificate: a.write(t, name+".pem", "CERTIFICATE", raw), Key: a.write(t, name+".key", "EC PRIVATE KEY", private),
+		Authority: filepath.Join(a.dir, "authority.pem"),
+	}
+}
+
+// meet lets a client meet a server; it returns the server's certificate's
+// serial number as the client sees it.
+func meet(server, client *tls.Config) (int64, error) {
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	if err != nil {
+		return 0, err
+	}
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = conn.Write([]byte("x"))
+	}()
+	conn, err := tls.DialWithDialer(&net.Dialer{Timeout: 5 * time.Second}, "tcp", listener.Addr().String(), client)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		return 0, err
+	}
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+func newKeys(t *testing.T, f keys.Files) *keys.Keys {
+	t.Helper()
+	k, err := keys.New(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// TestPeers tells which boxes may meet.
+func TestPeers(t *testing.T) {
+	ours, others := newAuthority(t), newAuthority(t)
+	a, b, stranger := newKeys(t, ours.issue(t, "a")), newKeys(t, ours.issue(t, "b")), newKeys(t, others.issue(t, "c"))
+	tests := map[string]struct {
+		server, client *tls.Config
+		ok             bool
+	}{
+		"two boxes":          {a.PeerServer(), b.PeerClient(), true},
+		"a stranger calls":   {a.PeerServer(), stranger.PeerClient(), false},
+		"a stranger answers": {stranger.PeerServer(), b.PeerClient(), false},
+		"no certificate":     {a.PeerServer(), &tls.Config{InsecureSkipVerify: true}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := meet(tt.server, tt.client)
+			is.Equal(err == nil, tt.ok)
+		})
+	}
+}
+
+// TestReload renews a certificate without a stop; broken files change nothing.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	ours := newAuthority(t)
+	files := ours.issue(t, "a")
+	k := newKeys(t, files)
+	server, client := k.Callers(), &tls.Config{InsecureSkipVerify: true}
+	before, err := meet(server, client)
+	is.NoErr(err)
+	ours.issue(t, "a")
+	is.NoErr(k.Reload())
+	after, err := meet(server, client)
+	is.NoErr(err)
+	is.True(after > before)
+	is.NoErr(os.WriteFile(files.Key, []byte("broken"), 0o600))
+	is.True(k.Reload() != nil)
+	still, err := meet(server, client)
+	is.NoErr(err)
+	is.Equal(still, after)
+}
+
+func TestNone(t *testing.T) {
+	is := is.New(t)
+	k := newKeys(t, keys.Files{})
+	is.True(k.Callers() == nil)
+	is.True(k.PeerServer() == nil)
+	is.True(k.PeerClient() == nil)
+}
--- /dev/null
+++ b/metrics/metrics_test.go
@@ -0,0 +1,49 @@
+package metrics_test
+
+import (
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"petrelstep/metrics"
+	"petrelstep/refusal"
+)
+
+// TestEveryReason holds that each reason for a refusal and for a retry has its
+// counter from the start, counts, and stands on the operators' page.
+func TestEveryReason(t *testing.T) {
+	is := is.New(t)
+	m, err := metrics.New()
+	is.NoErr(err)
+	page, err := os.ReadFile("../docs/OPERATING.md")
+	is.NoErr(err)
+	for _, r := range refusal.Reasons() {
+		is.True(strings.Contains(scrape(m), `petrelstep_refusals_total{`) && value(m, "petrelstep_refusals_total", string(r)) == "0")
+		m.Refused(r)
+		is.Equal(value(m, "petrelstep_refusals_total", string(r)), "1")
+		is.True(strings.Contains(string(page), string(r))) // the operators' page tells of it
+	}
+	for _, r := range metrics.RetryReasons() {
+		is.Equal(value(m, "petrelstep_retries_total", r), "0")
+		m.Retried(r)
+		is.Equal(value(m, "petrelstep_retries_total", r), "1")
+	}
+}
+
+func scrape(m *metrics.Metrics) string {
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	return w.Body.String()
+}
+
+func value(m *metrics.Metrics, name, reason string) string {
+	for _, line := range strings.Split(scrape(m), "\n") {
+		if strings.HasPrefix(line, name+"{") && strings.Contains(line, `reason="`+reason+`"`) {
+			return line[strings.LastIndex(line, " ")+1:]
+		}
+	}
+	return ""
+}
