--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"petrelstep/client"
+	"petrelstep/standin/batch"
 	"petrelstep/standin/engine"
 	"petrelstep/standin/set"
 	"petrelstep/standin/text"
@@ -455,3 +456,80 @@
 		})
 	}
 }
+
+// stopTests is the fault matrix of a planned stop: what is in flight at the box
+// that is stopped, and what else strikes.
+var stopTests = map[string]struct {
+	work   func(s *set.Set, stop func()) (ending string, takenUp int)
+	strike func(s *set.Set)
+}{
+	"stream":       {work: stopInStream("stream")},
+	"whole answer": {work: stopInStream("whole")},
+	"call that must not be repeated": {work: func(s *set.Set, stop func()) (string, int) {
+		s.Service.Fault(wire.Fault{Mode: wire.FaultModeSlow, DelayMs: 800, Count: 1})
+		time.AfterFunc(300*time.Millisecond, stop)
+		return callOnce(s, 0, "k"), 0
+	}},
+	"draft waiting for room": {work: func(s *set.Set, stop func()) (string, int) {
+		s.Engines[0].Fault(wire.Fault{Mode: wire.FaultModeFreeze, DelayMs: 1500})
+		time.AfterFunc(300*time.Millisecond, stop)
+		r := generate(s, 0, draft("stream"), 0, nil)
+		return r.out.Ending, r.out.TakenUp
+	}},
+	"stream, table down":       {work: stopInStream("stream"), strike: func(s *set.Set) { s.Platform.Fault(wire.Fault{Part: "table", Mode: wire.FaultModeDown}) }},
+	"stream, list down":        {work: stopInStream("stream"), strike: func(s *set.Set) { s.Platform.Fault(wire.Fault{Part: "members", Mode: wire.FaultModeDown}) }},
+	"stream, engine frozen":    {work: stopInStream("stream"), strike: func(s *set.Set) { s.Engines[0].Fault(wire.Fault{Mode: wire.FaultModeFreeze, DelayMs: 500}) }},
+	"stream, other box killed": {work: stopInStream("stream"), strike: func(s *set.Set) { s.Kill(1) }},
+}
+
+func stopInStream(deliver wire.GenerationRequestDeliver) func(*set.Set, func()) (string, int) {
+	return func(s *set.Set, stop func()) (string, int) {
+		if deliver == "whole" {
+			time.AfterFunc(200*time.Millisecond, stop)
+			r := generate(s, 0, draft(deliver), 0, nil)
+			return r.out.Ending, r.out.TakenUp
+		}
+		r := generate(s, 0, draft(deliver), 5, stop)
+		return r.out.Ending, r.out.TakenUp
+	}
+}
+
+// TestPlannedStop stops a box with work in flight: nothing is cut off, and the
+// box ends by itself.
+func TestPlannedStop(t *testing.T) {
+	for name, tt := range stopTests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // each has a set of its own
+			is := is.New(t)
+			s := newSet(t, 2, engines(1, 2))
+			if tt.strike != nil {
+				tt.strike(s)
+			}
+			ended := make(chan error, 1)
+			ending, takenUp := tt.work(s, func() { go func() { ended <- s.Stop(0) }() })
+			is.Equal(ending, "done")
+			is.Equal(takenUp, 0)
+			is.NoErr(<-ended)
+		})
+	}
+}
+
+// TestQueueSentOn stops the home box while a draft of another box waits in its
+// queue: the draft is sent on to the next home box, and is answered.
+func TestQueueSentOn(t *testing.T) {
+	is := is.New(t)
+	small := batch.Usual()
+	small.Capacity = 900
+	s := newSet(t, 2, []engine.Options{{Name: "e0", Model: "m", Speed: 2, DraftWords: 200, Seed: 3, Params: small}})
+	long := draft("stream")
+	long.Prompt = strings.Repeat("word ", 500)
+	first := make(chan reading)
+	go func() { first <- generate(s, 0, long, 0, nil) }()
+	is.True(s.Await(func() bool { return len(s.Engines[0].History()) == 1 }))
+	second := make(chan reading)
+	go func() { second <- generate(s, 1, long, 0, nil) }()
+	is.True(s.Await(func() bool { return s.Boxes[0].Daemon.Waiting() == 1 }))
+	is.NoErr(s.Stop(0))
+	is.Equal((<-first).out.Ending, "done")
+	is.Equal((<-second).out.Ending, "done")
+}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -96,3 +96,6 @@
 
 // Draining tells whether the planned stop has begun.
 func (d *Daemon) Draining() bool { return d.draining.Load() }
+
+// Waiting returns how many requests wait here for a grant.
+func (d *Daemon) Waiting() int { return d.grants.Waiting() }
