--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -167,7 +167,7 @@
 	})
 	d.front = front.New(front.Parts{
 		Box: c.Box, Resources: d.resources, Dispatcher: dispatcher, Engines: d.engines, Services: service.New(serviceTime),
-		Ledger: d.ledger, Flights: d.flights, Tickets: ticket.New(c.RequestKey), Health: d.health, Budget: budget,
+		Ledger: d.ledger, Flights: d.flights, Tickets: ticket.New(c.RequestKey), Budget: budget,
 		Metrics: d.metrics, Log: d.log, TellTaken: d.tellTaken, Ready: d.configured,
 		BodyMost: c.Limits.BodyBytes, Streams: c.Limits.Streams,
 	})
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -14,6 +12,7 @@
 	"petrelstep/platform/table"
 	"petrelstep/refusal"
 	"petrelstep/resource"
+	"petrelstep/token"
 	"petrelstep/wire"
 )
 
@@ -136,7 +135,7 @@
 }
 
 func transaction(r, next wire.Resource, revisionVersion int) (wire.Transaction, string) {
-	token := newToken()
+	token := token.New()
 	change := mustJSON(wire.Change{Token: token, Resource: next})
 	return wire.Transaction{
 		Token: token,
@@ -168,9 +167,3 @@
 	}
 	return string(b)
 }
-
-func newToken() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,10 +6,9 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/base64"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,8 +25,7 @@
 	"petrelstep/refusal"
 	"petrelstep/resource"
 	"petrelstep/retry"
-	"petrelstep/ticket"
-	"petrelstep/upstream/engine"
+	"petrelstep/token"
 	"petrelstep/wire"
 )
 
@@ -83,37 +81,6 @@
 // New returns a dispatcher.
 func New(parts Parts) *Dispatcher { return &Dispatcher{parts} }
 
-// Running is a generation whose first token, or whole end, has come.
-type Running struct {
-	*generation.Generation
-	Attempt string
-	Engine  string
-	Address string
-	First   generation.Token
-	Empty   bool // it ended without a token
-	promise func()
-	flight  *flight.Flight
-	flights *flight.Flights
-}
-
-// Progress notes how many tokens were passed on.
-func (r *Running) Progress() { r.flight.Progress(r.Count()) }
-
-// End settles the generation: cut says that it would have gone on.
-func (r *Running) End(cut bool) {
-	r.Close()
-	r.promise()
-	r.flights.End(r.Attempt, r.Count(), cut)
-}
-
-// Abandon leaves the generation at its engine for the caller to come back to.
-func (r *Running) Abandon() {
-	r.Close()
-	r.promise()
-	r.flight.Progress(r.Count())
-	r.flights.Abandon(r.Attempt)
-}
-
 // try is one attempt of a request.
 type try struct {
 	attempt string
@@ -206,7 +173,7 @@
 // of the home box for the rest.
 func (d *Dispatcher) place(ctx context.Context, req Request, key length.Key, prompt int, deadline time.Time, avoid []string) (try, error) {
 	view := d.Resources.View()
-	t := try{attempt: newAttempt()}
+	t := try{attempt: token.New()}
 	policy := view.Policy
 	expected := min(d.Lengths.Curve(key).Mean(), float64(req.Body.MaxTokens)) + float64(prompt)
 	if policy.Method != wire.PolicyMethodForecast || expected <= float64(policy.ShortTokens) {
@@ -262,7 +229,7 @@
 	var views []placement.View
 	for _, name := range view.Engines("") {
 		l, ok := d.Loads.Load(name)
-		if !ok || !serves(l, req.Body) || view.Upstreams[name].Leaving || contains(avoid, name) || !may(now, name) {
+		if !ok || !serves(l, req.Body) || view.Upstreams[name].Leaving || slices.Contains(avoid, name) || !may(now, name) {
 			continue
 		}
 		if v, ok := d.Loads.View(now, name); ok {
@@ -276,7 +243,7 @@
 	if !l.Ready || l.Leaving || l.Model != body.Model || l.Role == string(wire.PlacementRolePrefill) {
 		return false
 	}
-	return body.Adapter == "" || contains(l.Adapters, body.Adapter)
+	return body.Adapter == "" || slices.Contains(l.Adapters, body.Adapter)
 }
 
 // chooseCell picks the cell of the least crowded engine.
@@ -339,44 +306,6 @@
 	return &Running{Generation: g, Attempt: t.attempt, Engine: t.engine, Address: t.address, First: token, Empty: err == io.EOF}, nil
 }
 
-// failed tells what is certain after an attempt without a first token.
-func (d *Dispatcher) failed(ctx context.Context, t try, err error) (refusal.Refusal, string) {
-	var lost *generation.LostError
-	switch {
-	case engine.KindOf(err) == engine.NotSent, engine.KindOf(err) == engine.NotTaken:
-		d.Health.Failed(t.engine)
-		return refusal.New(refusal.NoUpstream, "engine took nothing").WithRetryAfter(comeAgain), metrics.RetryNeverStarted
-	case errors.As(err, &lost) && engine.KindOf(lost.Err) == engine.Gone:
-		d.Health.Failed(t.engine)
-		return refusal.New(refusal.UpstreamLost, "engine lost it before its first token").WithRetryAfter(comeAgain), metrics.RetryEngineLost
-	}
-	late := ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
-	if !late {
-		d.Health.Failed(t.engine)
-	}
-	return d.settleOpen(t, late)
-}
-
-// settleOpen cancels an attempt whose outcome is open, and tells by the
-// engine's answer what became of it.
-func (d *Dispatcher) settleOpen(t try, late bool) (refusal.Refusal, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
-	defer cancel()
-	reason, again := refusal.UpstreamLost, metrics.RetryEngineLost
-	if late {
-		reason, again = refusal.Deadline, ""
-	}
-	r := refusal.New(reason, "no first token").WithRetryAfter(comeAgain)
-	answer, err := d.Engines.Cancel(ctx, t.address, t.attempt)
-	switch {
-	case err != nil || answer.State == wire.CancelAnswerStateUnknown:
-		return r.WithEnding(refusal.Unknown), again
-	case answer.State == wire.CancelAnswerStateNeverStarted:
-		return r.WithEnding(refusal.NotRun), again
-	}
-	return r.WithEnding(refusal.Failed), again
-}
-
 // promptTokens estimates a prompt's tokens; engines tell the true count later.
 func promptTokens(prompt string) int { return max(len(strings.Fields(prompt)), 1) }
 
@@ -389,42 +318,3 @@
 	}
 	return out
 }
-
-func newAttempt() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:]) // never fails
-	// Base64 for the sake of its length: home boxes are told of each attempt often.
-	return base64.RawURLEncoding.EncodeToString(b[:])
-}
-
-func contains(all []string, one string) bool {
-	for _, s := range all {
-		if s == one {
-			return true
-		}
-	}
-	return false
-}
-
-// TakenUp wraps a generation that a caller takes up at this box. What another
-// box dispatched is settled by nobody here; its home box lets it lapse.
-func (d *Dispatcher) TakenUp(c ticket.Claims, g *generation.Generation) *Running {
-	f := &flight.Flight{
-		Attempt: c.Attempt, Engine: c.Engine, Address: c.Address, Cell: d.Cells().Of(c.Engine),
-		Key: length.Key{Organisation: c.Organisation, Model: c.Model},
-	}
-	if known := d.Flights.Get(c.Attempt); known != nil {
-		f = known
-	} else {
-		d.Flights.Start(f)
-	}
-	return NewRunning(g, f, d.Flights)
-}
-
-// NewRunning wraps a generation that was opened elsewhere.
-func NewRunning(g *generation.Generation, f *flight.Flight, flights *flight.Flights) *Running {
-	return &Running{
-		Generation: g, Attempt: f.Attempt, Engine: f.Engine, Address: f.Address, Empty: true,
-		promise: func() {}, flight: f, flights: flights,
-	}
-}
--- a/front/front.go
+++ b/front/front.go
@@ -18,7 +18,6 @@
 	"petrelstep/check"
 	"petrelstep/dispatch"
 	"petrelstep/flight"
-	"petrelstep/health"
 	"petrelstep/ledger"
 	"petrelstep/metrics"
 	"petrelstep/refusal"
@@ -43,7 +42,6 @@
 	Ledger     *ledger.Ledger
 	Flights    *flight.Flights
 	Tickets    *ticket.Ticket
-	Health     *health.Health
 	Budget     *retry.Budget
 	Metrics    *metrics.Metrics
 	Log        *logrus.Entry
@@ -194,12 +192,3 @@
 	}
 	return refusal.New(refusal.BadRequest, err.Error())
 }
-
-func has(all []string, one string) bool {
-	for _, s := range all {
-		if s == one {
-			return true
-		}
-	}
-	return false
-}
--- a/front/generation.go
+++ b/front/generation.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,7 +43,7 @@
 		return "", mistakes(err)
 	}
 	view := f.Resources.View()
-	if len(c.terms.Models) > 0 && !has(c.terms.Models, body.Model) {
+	if len(c.terms.Models) > 0 && !slices.Contains(c.terms.Models, body.Model) {
 		return "", refusal.New(refusal.NotAllowed, "the organisation may not use "+body.Model)
 	}
 	if model, ok := view.Models[body.Model]; ok {
--- a/front/service.go
+++ b/front/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
@@ -40,7 +41,7 @@
 		return "", refusal.New(refusal.NoUpstream, "no upstream of "+name+" is open").WithRetryAfter(comeAgain)
 	}
 	key := r.Header.Get("Idempotency-Key")
-	if has(targets[0].upstream.Repeatable, r.Method) {
+	if slices.Contains(targets[0].upstream.Repeatable, r.Method) {
 		return "", f.repeatable(w, r, call, targets)
 	}
 	if key == "" {
--- a/home/engine.go
+++ b/home/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"petrelstep/forecast"
@@ -227,7 +228,7 @@
 	if l.Engine == "" || l.Leaving || !l.Ready || l.Role == "prefill" || now.Sub(e.heard) > goneAfter {
 		return false
 	}
-	if l.Model != ask.Model || ask.Adapter != "" && !contains(l.Adapters, ask.Adapter) || contains(ask.Avoid, e.name) {
+	if l.Model != ask.Model || ask.Adapter != "" && !slices.Contains(l.Adapters, ask.Adapter) || slices.Contains(ask.Avoid, e.name) {
 		return false
 	}
 	if e.prefillUntil.Sub(now) > prefillAhead {
@@ -264,15 +265,6 @@
 // idleBelow is the part of memory in use below which the spare may shrink.
 const idleBelow = 0.85
 
-func contains(all []string, one string) bool {
-	for _, s := range all {
-		if s == one {
-			return true
-		}
-	}
-	return false
-}
-
 func chainOf(hashes []int) []uint64 {
 	chain := make([]uint64, len(hashes))
 	for i, h := range hashes {
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -11,6 +11,7 @@
 	"petrelstep/health"
 	"petrelstep/home"
 	"petrelstep/length"
+	"petrelstep/standin/heap"
 	"petrelstep/wire"
 )
 
@@ -223,9 +224,9 @@
 func BenchmarkMemory(b *testing.B) {
 	for _, engines := range []int{16, 64, 256} {
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
-			before := heap()
+			before := heap.Used()
 			f := crowded(b, engines, 0)
-			used := float64(heap() - before)
+			used := float64(heap.Used() - before)
 			runtime.KeepAlive(f)
 			for b.Loop() {
 			}
@@ -234,13 +235,6 @@
 	}
 }
 
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 func BenchmarkRefresh(b *testing.B) {
 	for _, running := range []int{5, 15, 60} {
 		b.Run(fmt.Sprint(running, " running"), func(b *testing.B) {
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"time"
 
 	"petrelstep/platform/table"
+	"petrelstep/token"
 	"petrelstep/wire"
 )
 
@@ -181,16 +180,10 @@
 }
 
 func transaction(batch []write) wire.Transaction {
-	tx := wire.Transaction{Token: newToken()}
+	tx := wire.Transaction{Token: token.New()}
 	for _, w := range batch {
 		tx.Checks = append(tx.Checks, w.check)
 		tx.Writes = append(tx.Writes, w.row)
 	}
 	return tx
 }
-
-func newToken() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
--- a/length/length_test.go
+++ b/length/length_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/length"
+	"petrelstep/standin/heap"
 )
 
 var key = length.Key{Organisation: "o", Model: "m", Class: "draft"}
@@ -101,14 +102,14 @@
 func BenchmarkMemory(b *testing.B) {
 	for _, n := range []int{100, 1000, 4420} {
 		b.Run(fmt.Sprint(n, " groups"), func(b *testing.B) {
-			before := heap()
+			before := heap.Used()
 			l := length.New()
 			for i := range n {
 				k := length.Key{Organisation: fmt.Sprint("o", i%260), Model: fmt.Sprint("m", i/260), Class: "draft"}
 				l.End(k, 500, false)
 				l.Curve(k)
 			}
-			used := float64(heap() - before)
+			used := float64(heap.Used() - before)
 			runtime.KeepAlive(l)
 			for b.Loop() {
 			}
@@ -116,10 +117,3 @@
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/loads"
+	"petrelstep/standin/heap"
 	"petrelstep/wire"
 )
 
@@ -51,12 +52,12 @@
 func BenchmarkMemory(b *testing.B) {
 	for _, n := range []int{10, 170, 2200} {
 		b.Run(fmt.Sprint(n, " engines"), func(b *testing.B) {
-			before := heap()
+			before := heap.Used()
 			l := loads.New()
 			for i := range n {
 				l.Report(start, report(fmt.Sprint("engine-", i), start, 100))
 			}
-			used := float64(heap() - before)
+			used := float64(heap.Used() - before)
 			runtime.KeepAlive(l)
 			for b.Loop() {
 			}
@@ -64,10 +65,3 @@
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -27,11 +27,9 @@
 	WaitTooLong        Reason = "wait_too_long"
 	Deadline           Reason = "deadline"
 	NoUpstream         Reason = "no_upstream"
-	UpstreamRefused    Reason = "upstream_refused"
 	UpstreamLost       Reason = "upstream_lost"
 	GenerationLost     Reason = "generation_lost"
 	GenerationCancel   Reason = "generation_cancelled"
-	RetryBudget        Reason = "retry_budget"
 	StoreDown          Reason = "store_down"
 	StoreUnsettled     Reason = "store_unsettled"
 	InProgress         Reason = "in_progress"
@@ -79,11 +77,9 @@
 	WaitTooLong:        {NotRun, http.StatusServiceUnavailable},
 	Deadline:           {NotRun, http.StatusServiceUnavailable},
 	NoUpstream:         {NotRun, http.StatusServiceUnavailable},
-	UpstreamRefused:    {NotRun, http.StatusBadGateway},
 	UpstreamLost:       {Failed, http.StatusBadGateway},
 	GenerationLost:     {Failed, http.StatusGone},
 	GenerationCancel:   {Failed, http.StatusGone},
-	RetryBudget:        {NotRun, http.StatusServiceUnavailable},
 	StoreDown:          {NotRun, http.StatusServiceUnavailable},
 	StoreUnsettled:     {NotRun, http.StatusServiceUnavailable},
 	InProgress:         {Unknown, http.StatusConflict},
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"petrelstep/resource"
+	"petrelstep/standin/heap"
 	"petrelstep/wire"
 )
 
@@ -128,14 +129,14 @@
 func BenchmarkMemory(b *testing.B) {
 	for _, n := range []int{300, 1000, 3000} {
 		b.Run(fmt.Sprint(n, " resources"), func(b *testing.B) {
-			before := heap()
+			before := heap.Used()
 			l := resource.New()
 			var all []wire.Resource
 			for i := range n {
 				all = append(all, hall(i+1, fmt.Sprint("hall-", i), "r"))
 			}
 			l.Apply(set(0, n, all...))
-			used := float64(heap() - before)
+			used := float64(heap.Used() - before)
 			runtime.KeepAlive(l)
 			for b.Loop() {
 			}
@@ -143,10 +144,3 @@
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/verify/verify.go
+++ b/verify/verify.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sort"
 
 	"petrelstep/check"
@@ -111,9 +112,9 @@
 	case wire.ResourceKindModel:
 		used(&l, v.Adapters, "Adapter", func(a wire.Adapter) bool { return a.Model == r.Name })
 		used(&l, v.Placements, "Placement", func(p wire.Placement) bool { return p.Model == r.Name })
-		used(&l, v.Organisations, "Organisation", func(o wire.Organisation) bool { return has(o.Models, r.Name) })
+		used(&l, v.Organisations, "Organisation", func(o wire.Organisation) bool { return slices.Contains(o.Models, r.Name) })
 	case wire.ResourceKindAdapter:
-		used(&l, v.Placements, "Placement", func(p wire.Placement) bool { return has(p.Adapters, r.Name) })
+		used(&l, v.Placements, "Placement", func(p wire.Placement) bool { return slices.Contains(p.Adapters, r.Name) })
 	}
 	return l.places
 }
@@ -140,12 +141,3 @@
 		l.add("/: " + kind + " " + name + " refers to it")
 	}
 }
-
-func has(all []string, one string) bool {
-	for _, s := range all {
-		if s == one {
-			return true
-		}
-	}
-	return false
-}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1052,9 +1052,6 @@
 	// Name of the model.
 	Model string `json:"model"`
 
-	// Rank within the organisation's own, 9 first.
-	Priority int `json:"priority,omitempty,omitzero"`
-
 	// Text the model continues.
 	Prompt string `json:"prompt"`
 }
@@ -1174,15 +1171,6 @@
 	if utf8.RuneCountInString(string(plain.Model)) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "model", 64)
 	}
-	if v, ok := raw["priority"]; !ok || v == nil {
-		plain.Priority = 0
-	}
-	if 9 < plain.Priority {
-		return fmt.Errorf("field %s: must be <= %v", "priority", 9)
-	}
-	if 0 > plain.Priority {
-		return fmt.Errorf("field %s: must be >= %v", "priority", 0)
-	}
 	if utf8.RuneCountInString(string(plain.Prompt)) < 1 {
 		return fmt.Errorf("field %s length: must be >= %d", "prompt", 1)
 	}
@@ -1254,9 +1242,6 @@
 
 	// Placements corresponds to the JSON schema field "placements".
 	Placements []PlacementStatus `json:"placements,omitempty,omitzero"`
-
-	// SinceMs corresponds to the JSON schema field "since_ms".
-	SinceMs int `json:"since_ms,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -1282,9 +1267,6 @@
 	if v, ok := raw["placements"]; !ok || v == nil {
 		plain.Placements = []PlacementStatus{}
 	}
-	if v, ok := raw["since_ms"]; !ok || v == nil {
-		plain.SinceMs = 0
-	}
 	*j = HallStatus(plain)
 	return nil
 }
@@ -1571,9 +1553,6 @@
 	// BodyBytes corresponds to the JSON schema field "body_bytes".
 	BodyBytes int `json:"body_bytes,omitempty,omitzero"`
 
-	// Held for a slow caller.
-	BufferTokens int `json:"buffer_tokens,omitempty,omitzero"`
-
 	// How long a generation outlives its caller.
 	ComebackMs int `json:"comeback_ms,omitempty,omitzero"`
 
@@ -1601,12 +1580,6 @@
 	if 1024 > plain.BodyBytes {
 		return fmt.Errorf("field %s: must be >= %v", "body_bytes", 1024)
 	}
-	if v, ok := raw["buffer_tokens"]; !ok || v == nil {
-		plain.BufferTokens = 256
-	}
-	if 1 > plain.BufferTokens {
-		return fmt.Errorf("field %s: must be >= %v", "buffer_tokens", 1)
-	}
 	if v, ok := raw["comeback_ms"]; !ok || v == nil {
 		plain.ComebackMs = 3000
 	}
@@ -1775,9 +1748,6 @@
 	// Size of its weights.
 	Bytes int `json:"bytes,omitempty,omitzero"`
 
-	// Bound for the first token.
-	FirstMs int `json:"first_ms,omitempty,omitzero"`
-
 	// Bound for the time between tokens.
 	GapMs int `json:"gap_ms,omitempty,omitzero"`
 
@@ -1802,12 +1772,6 @@
 	if 0 > plain.Bytes {
 		return fmt.Errorf("field %s: must be >= %v", "bytes", 0)
 	}
-	if v, ok := raw["first_ms"]; !ok || v == nil {
-		plain.FirstMs = 440
-	}
-	if 1 > plain.FirstMs {
-		return fmt.Errorf("field %s: must be >= %v", "first_ms", 1)
-	}
 	if v, ok := raw["gap_ms"]; !ok || v == nil {
 		plain.GapMs = 53
 	}
