digest, health: tell other halls often enough to be believed

Cause: tried as a new user, `make run` refused a check no_upstream right after its status had shown the engine ready. A box told of an engine across halls heard of it up to 5 s apart, because one digest served peers of two periods and a peer of the longer one could miss what it held; health took 3 s for silence. Change: a digest for the hall and one for other halls, each peer gets each once; the silence that means anything depends on how often an engine is heard: 3 s where it is polled, 10 s where it is told of. Ruled out: beating to other halls each second (twice their bytes). Without the guard told-often-enough fails TestToldAcrossHalls; with it passes. The page's example had its flag behind the argument, where flags are not read, and failed without a word: misuse now says where to look.

--- a/commands/apply.go
+++ b/commands/apply.go
@@ -35,7 +35,7 @@
 the version now in force; one with a version only over that one.
 
   petrelstep apply -f examples/declaration.json
-  petrelstep get Model -o json | petrelstep apply -f -
+  petrelstep get -o json Model | petrelstep apply -f -
 `
 }
 
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -32,7 +32,11 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	flag.Parse()
-	return int(subcommands.Execute(context.Background()))
+	code := subcommands.Execute(context.Background())
+	if code == exitUsage && flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "see petrelstep help %s; flags go before arguments\n", flag.Arg(0))
+	}
+	return int(code)
 }
 
 // target is the part of a command that says whom to call.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"petrelstep/front"
 	"petrelstep/grants"
 	"petrelstep/health"
+	"petrelstep/heartbeat"
 	"petrelstep/home"
 	"petrelstep/homes"
 	"petrelstep/keys"
@@ -72,7 +73,8 @@
 	loads   *loads.Loads
 	health  *health.Health
 	quota   *quota.Quota
-	digest  *digest.Digest
+	within  *digest.Digest // for peers of this hall
+	across  *digest.Digest // for peers of other halls
 	grants  *grants.Grants
 	homes   *homes.Homes
 	flights *flight.Flights
@@ -119,7 +121,8 @@
 		loads:       loads.New(),
 		health:      health.New(),
 		quota:       quota.New(1),
-		digest:      digest.New(),
+		within:      digest.New(heartbeat.Period),
+		across:      digest.New(heartbeat.AcrossPeriod),
 		engines:     engine.New(),
 		drain:       make(chan struct{}),
 		cells:       cells.New(resource.NewView(0, nil), c.CellSize),
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -533,3 +533,19 @@
 	is.Equal((<-first).out.Ending, "done")
 	is.Equal((<-second).out.Ending, "done")
 }
+
+// TestToldAcrossHalls sends short calls, seldom, by boxes that are not the
+// engine's home box: what they are told of it has to be enough.
+func TestToldAcrossHalls(t *testing.T) {
+	is := is.New(t)
+	s := newSet(t, 3, engines(1, 8))
+	short := draft("stream")
+	short.Class = wire.GenerationRequestClassCheck
+	for range 3 {
+		time.Sleep(3700 * time.Millisecond)
+		for box := 1; box < 3; box++ {
+			out := generate(s, box, short, 0, nil).out
+			is.Equal(out.Ending+out.Reason, "done")
+		}
+	}
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"petrelstep/heartbeat"
 	"petrelstep/members"
 	"petrelstep/peer"
 	"petrelstep/poll"
@@ -18,10 +19,15 @@
 	// freshFor is the age up to which a load report is passed on to peers.
 	freshFor = 1500 * time.Millisecond
 	callTime = 2 * time.Second
+	// polledSilence and toldSilence are the silences of an engine that make it
+	// suspect: one that is polled here is heard every half second; of others a
+	// box is told after two heartbeats across halls, one of which may be lost.
+	polledSilence = 3 * time.Second
+	toldSilence   = 5 * heartbeat.AcrossPeriod
 )
 
 // Beat makes the heartbeat for a peer.
-func (d *Daemon) Beat() wire.Heartbeat {
+func (d *Daemon) Beat(to members.Box) wire.Heartbeat {
 	now := time.Now()
 	self := d.members.Self()
 	beat := wire.Heartbeat{
@@ -32,7 +38,11 @@
 		beat.GoneUpstreams = append(beat.GoneUpstreams, name+"@"+strconv.Itoa(incarnation))
 	}
 	sort.Strings(beat.GoneUpstreams)
-	beat.Loads, beat.Demand = d.digest.Make(now, d.ownLoads(now), d.ownDemand(now))
+	digest := d.across
+	if to.Hall == self.Hall {
+		digest = d.within
+	}
+	beat.Loads, beat.Demand = digest.Make(now, d.ownLoads(now), d.ownDemand(now))
 	return beat
 }
 
@@ -69,7 +79,7 @@
 	}
 	d.quota.Heard(now, from.Box, uses)
 	for _, l := range from.Loads {
-		d.Loaded(l)
+		d.heardOf(l, toldSilence)
 	}
 	for _, gone := range from.GoneUpstreams {
 		name, incarnation, _ := strings.Cut(gone, "@")
@@ -185,13 +195,16 @@
 	return own
 }
 
-// Loaded takes a load report, polled or passed on.
-func (d *Daemon) Loaded(load wire.EngineLoad) {
+// Loaded takes a load report that was polled here.
+func (d *Daemon) Loaded(load wire.EngineLoad) { d.heardOf(load, polledSilence) }
+
+// heardOf takes a load report, polled or told.
+func (d *Daemon) heardOf(load wire.EngineLoad, silence time.Duration) {
 	now := time.Now()
 	if !d.loads.Report(now, load) {
 		return
 	}
-	d.health.Heard(now, load.Engine, load.Incarnation, time.Duration(load.StepUs)*time.Microsecond)
+	d.health.Heard(now, load.Engine, load.Incarnation, time.Duration(load.StepUs)*time.Microsecond, silence)
 	switch {
 	case load.Leaving:
 		d.health.Leaving(load.Engine, load.Incarnation)
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -56,7 +56,7 @@
 }
 
 // statusFresh is the age up to which an engine's report counts as its state.
-const statusFresh = 5 * time.Second
+const statusFresh = toldSilence
 
 // sinceWhen returns for how long a placement has stood as it stands now.
 func (d *Daemon) sinceWhen(now time.Time, hall string, p wire.PlacementStatus) int {
--- a/digest/digest.go
+++ b/digest/digest.go
@@ -13,16 +13,13 @@
 )
 
 const (
-	// refresh is how often all is told, changed or not. It is less than the
-	// time after which peers take silence for loss.
-	refresh = 3 * time.Second
+	// leastRefresh is how often all is told at most, changed or not.
+	leastRefresh = 3 * time.Second
 	// change is the part of an engine's memory by which its use must move to
 	// be told at once.
 	change = 0.05
 	// demandsMost bounds the demand entries of one heartbeat.
 	demandsMost = 4
-	// period is how long one digest serves all peers.
-	period = time.Second
 )
 
 type sentLoad struct {
@@ -35,9 +32,12 @@
 	at     time.Time
 }
 
-// Digest is safe for use by several goroutines.
+// Digest is for peers that are all told with the same period: each gets each
+// digest once. It is safe for use by several goroutines.
 type Digest struct {
 	mu      sync.Mutex
+	period  time.Duration
+	refresh time.Duration
 	made    time.Time
 	loads   []wire.EngineLoad
 	demands []wire.Demand
@@ -45,16 +45,17 @@
 	told    map[string]sentDemand
 }
 
-// New returns a digest that has told nothing yet.
-func New() *Digest {
-	return &Digest{sent: map[string]sentLoad{}, told: map[string]sentDemand{}}
+// New returns a digest for peers that are told with a period. All is told again
+// within two periods, or 3 s if that is more.
+func New(period time.Duration) *Digest {
+	return &Digest{period: period, refresh: max(leastRefresh, 2*period), sent: map[string]sentLoad{}, told: map[string]sentDemand{}}
 }
 
 // Make returns what to tell now. It is worked out once a period, for all peers.
 func (d *Digest) Make(now time.Time, loads []wire.EngineLoad, demands []wire.Demand) ([]wire.EngineLoad, []wire.Demand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if now.Sub(d.made) < period {
+	if now.Sub(d.made) < d.period {
 		return d.loads, d.demands
 	}
 	d.made = now
@@ -67,7 +68,7 @@
 	var picked []wire.EngineLoad
 	for _, l := range loads {
 		last, ok := d.sent[l.Engine]
-		if ok && now.Sub(last.at) < refresh && !moved(last.load, l) {
+		if ok && now.Sub(last.at) < d.refresh && !moved(last.load, l) {
 			continue
 		}
 		d.sent[l.Engine] = sentLoad{l, now}
--- a/experiment/box.go
+++ b/experiment/box.go
@@ -20,6 +20,8 @@
 	topPriority = 9
 	digestLag   = 500 * time.Millisecond
 	digestLoss  = 0.1
+	// leastSilence is that of reports which come every half second.
+	leastSilence = 3 * time.Second
 )
 
 // box is one petrelstepd in virtual time: the real decision code, and only
@@ -106,7 +108,7 @@
 		return
 	}
 	b.loads.Report(b.w.now, load)
-	b.health.Heard(b.w.now, load.Engine, load.Incarnation, time.Duration(load.StepUs)*time.Microsecond)
+	b.health.Heard(b.w.now, load.Engine, load.Incarnation, time.Duration(load.StepUs)*time.Microsecond, leastSilence)
 	if load.Leaving {
 		b.health.Leaving(load.Engine, load.Incarnation)
 	}
--- a/health/health.go
+++ b/health/health.go
@@ -12,7 +12,7 @@
 const (
 	// steps of silence that make an upstream suspect.
 	silentSteps = 40
-	// leastSilence keeps a quick engine from being suspected for one lost report.
+	// leastSilence holds where nothing is known of how often it is heard.
 	leastSilence = 3 * time.Second
 	// probation is how long a returned upstream gets only a trickle.
 	probation = 5 * time.Second
@@ -42,9 +42,10 @@
 // New returns a health that knows no upstream.
 func New() *Health { return &Health{records: map[string]*record{}} }
 
-// Heard takes a sign of life with the upstream's incarnation and the time of
-// its steps. A newer incarnation clears leaving and suspicion.
-func (h *Health) Heard(now time.Time, upstream string, incarnation int, step time.Duration) {
+// Heard takes a sign of life with the upstream's incarnation, the time of its
+// steps, and the least silence that means anything, which depends on how often
+// it is heard. A newer incarnation clears leaving and suspicion.
+func (h *Health) Heard(now time.Time, upstream string, incarnation int, step, least time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.record(upstream)
@@ -61,7 +62,7 @@
 		r.suspect, r.returned = false, now
 	}
 	r.heard = now
-	r.silence = max(leastSilence, silentSteps*step)
+	r.silence = max(least, silentSteps*step)
 }
 
 // Leaving notes that an incarnation takes no new work. Zero means the one
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -23,15 +23,15 @@
 	Period = time.Second
 	// acrossHalls is to how many boxes of each other hall a box beats.
 	acrossHalls = 2
-	// acrossPeriod is the time between heartbeats to other halls: their boxes
+	// AcrossPeriod is the time between heartbeats to other halls: their boxes
 	// are not in this hall's orders, and calls to them tell soon enough.
-	acrossPeriod = 2 * time.Second
+	AcrossPeriod = 2 * time.Second
 	beatTime     = 900 * time.Millisecond
 )
 
 // Box makes heartbeats and learns from the answers.
 type Box interface {
-	Beat() wire.Heartbeat
+	Beat(to members.Box) wire.Heartbeat
 	Answered(ctx context.Context, b members.Box, a wire.HeartbeatAnswer)
 }
 
@@ -113,13 +113,13 @@
 	lost := false
 	period := Period
 	if b.Hall != h.members.Self().Hall {
-		period = acrossPeriod
+		period = AcrossPeriod
 	}
 	h.timer.Every(ctx, b.Name, period, func(time.Time) {
 		call, cancel := context.WithTimeout(ctx, beatTime)
 		defer cancel()
 		var answer wire.HeartbeatAnswer
-		err := h.peers.Call(call, b.Address, peer.Heartbeat, h.box.Beat(), &answer)
+		err := h.peers.Call(call, b.Address, peer.Heartbeat, h.box.Beat(b), &answer)
 		if err != nil {
 			if !lost && ctx.Err() == nil {
 				h.log.WithError(err).WithField("peer", b.Name).Warn("peer_silent")
--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -16,8 +16,10 @@
 // roundsPerLease is how often within a lease it is tended and a round is made.
 const roundsPerLease = 4
 
-// freshFor is the age up to which a load report is acted on.
-const freshFor = 5 * time.Second
+// freshFor is the age up to which a load report is acted on: a box that is not
+// the engine's home box is told of it after 4 s, or 8 when a
+// heartbeat is lost.
+const freshFor = 10 * time.Second
 
 // Lease is the hall's lease.
 type Lease interface {
