members, grants: grant a part only while boxes are cut off; prove cuts

Cause: in boxes_parted each side's home box promised the whole headroom. A home box now grants the part of the free memory that the boxes it hears are of all that it has heard and the list still names. Ruled out: counting boxes never heard (at 350 boxes a box hears some 50).

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -549,3 +549,33 @@
 		}
 	}
 }
+
+// cutTests cut the link between boxes and their engine in the middle of a
+// stream, for a while.
+var cutTests = map[string]struct {
+	last   time.Duration
+	ending string
+}{
+	"for a moment":            {0, "done"},
+	"for a second":            {time.Second, "done"},
+	"longer than it is tried": {20 * time.Second, "failed"},
+}
+
+// TestCut holds that a stream goes on over a cut, token by token, or that the
+// caller is told.
+func TestCut(t *testing.T) {
+	for name, tt := range cutTests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // each has a set of its own
+			is := is.New(t)
+			s, err := set.New(set.Options{Boxes: 1, Engines: engines(1, 2), Relays: true})
+			is.NoErr(err)
+			defer s.Close()
+			r := generate(s, 0, draft("stream"), 10, func() { s.Relays[0].Cut(tt.last) })
+			is.Equal(r.out.Ending, tt.ending)
+			is.Equal(r.out.Wrong, "")
+			is.Equal(r.out.TakenUp, 0) // the box goes on by itself
+			r.oneGeneration(is)
+		})
+	}
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -116,6 +116,7 @@
 func (d *Daemon) start(ctx context.Context, all *sync.WaitGroup, open listeners) {
 	all.Go(d.ledger.Run)
 	all.Go(func() { d.timer.Every(ctx, "round", roundEvery, d.grants.Round) })
+	all.Go(func() { d.timer.Every(ctx, "share", time.Second, d.shareRoom) })
 	all.Go(func() { d.readTableEach(ctx) })
 	all.Go(func() { d.readListEach(ctx) })
 	all.Go(func() { d.follow(ctx) })
@@ -131,6 +132,12 @@
 	})
 }
 
+// shareRoom lets home boxes of parted sides spend their parts only.
+func (d *Daemon) shareRoom(now time.Time) {
+	reached, all := d.members.Reached(now)
+	d.grants.Share(float64(reached) / float64(all))
+}
+
 func (d *Daemon) httpServers(all *sync.WaitGroup, open listeners) []*http.Server {
 	callers := &http.Server{Handler: d.front.Handler(), ReadHeaderTimeout: headerTime}
 	operators := &http.Server{Handler: d.admin.Handler(), ReadHeaderTimeout: headerTime}
--- a/experiment/box.go
+++ b/experiment/box.go
@@ -77,6 +77,9 @@
 		names[i] = b.w.engines[i].name
 	}
 	b.home.Engines(names)
+	if len(b.w.boxes) == boxCount {
+		b.shareRoom()
+	}
 }
 
 func (b *box) start() {
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -84,6 +84,9 @@
 // part cuts the boxes below k from the others; 0 heals the cut.
 func (w *world) part(k int) {
 	w.parted = k
+	for _, b := range w.boxes {
+		b.shareRoom()
+	}
 	for _, b := range w.boxes {
 		for _, other := range w.boxes {
 			if !w.reachable(b, other) {
@@ -96,6 +99,23 @@
 	}
 }
 
+// shareRoom gives a home box the part of the free memory that the boxes it
+// reaches are of all that the list names.
+func (b *box) shareRoom() {
+	if b.w.policy.sharing != homeBox {
+		return
+	}
+	reached := 0
+	for _, other := range b.w.boxes {
+		if b == other || b.w.reachable(b, other) {
+			reached++
+		}
+	}
+	params := b.w.policy.params()
+	params.Share = float64(reached) / boxCount
+	b.home.SetParams(params)
+}
+
 func (w *world) reachable(a, b *box) bool {
 	return a.alive && b.alive && (w.parted == 0 || (a.id < w.parted) == (b.id < w.parted))
 }
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -88,7 +88,11 @@
 // Run measures one policy in one scenario. The same arguments give the same
 // result.
 func Run(s Scenario, policyName string, seed uint64) Result {
-	w := newWorld(s, policies[policyName], seed)
+	return newWorld(s, policies[policyName], seed).run(seed)
+}
+
+func (w *world) run(seed uint64) Result {
+	s := w.scenario
 	for _, e := range w.engines {
 		e.report()
 	}
--- /dev/null
+++ b/flight/flight_test.go
@@ -0,0 +1,122 @@
+package flight_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/flight"
+	"petrelstep/length"
+	"petrelstep/timer"
+	"petrelstep/wire"
+)
+
+// homes records what home boxes are told. The home box may change.
+type homes struct {
+	mu   sync.Mutex
+	home string
+	told map[string][]wire.SettleItem // by home box
+}
+
+func (h *homes) Settle(_ context.Context, _ string, items func(string) []wire.SettleItem) bool {
+	h.mu.Lock()
+	home := h.home
+	h.mu.Unlock()
+	settled := items(home)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.told[home] = append(h.told[home], settled...)
+	return true
+}
+func (h *homes) IsHome(string) bool { return false }
+func (h *homes) HomeOf(string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home
+}
+
+func (h *homes) move(home string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home = home
+}
+
+// engines records cancels.
+type engines struct {
+	mu        sync.Mutex
+	cancelled []string
+}
+
+func (e *engines) Cancel(_ context.Context, _, attempt string) (wire.CancelAnswer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled = append(e.cancelled, attempt)
+	return wire.CancelAnswer{State: wire.CancelAnswerStateCancelled, Count: 9}, nil
+}
+
+// TestSettle tells a home box of a generation: in short to one that knows it, in
+// whole, and at once, to a new one.
+func TestSettle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &homes{home: "a", told: map[string][]wire.SettleItem{}}
+		s := flight.New(h, length.New(), &engines{}, time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { s.Run(ctx, timer.New()); close(done) }()
+		f := &flight.Flight{Attempt: "x", Cell: "leith/0", Engine: "e", Granted: true, Home: "a"}
+		s.Start(f)
+		f.Progress(5)
+		time.Sleep(20 * time.Second)
+		is.True(len(h.told["a"]) >= 3) // every 6 s
+		is.Equal(h.told["a"][0].Engine, "")
+		h.move("b")
+		time.Sleep(2 * time.Second)
+		is.Equal(h.told["b"][0].Engine, "e")
+		is.Equal(h.told["b"][0].Tokens, 5)
+		s.End("x", 8, false)
+		synctest.Wait()
+		last := h.told["b"][len(h.told["b"])-1]
+		is.True(last.Ended)
+		is.Equal(last.Tokens, 8)
+		is.Equal(s.Len(), 0)
+		cancel()
+		<-done
+	})
+}
+
+// TestAbandon tells whether a generation is cancelled after its caller hung up.
+func TestAbandon(t *testing.T) {
+	tests := map[string]struct {
+		does      func(s *flight.Flights)
+		cancelled int
+		left      int // in flight
+	}{
+		"stays away":             {func(*flight.Flights) {}, 1, 0},
+		"comes back here":        {func(s *flight.Flights) { s.TakenUp("x") }, 0, 1},
+		"comes back elsewhere":   {func(s *flight.Flights) { s.Handed("x") }, 0, 0},
+		"comes back, goes again": {func(s *flight.Flights) { s.TakenUp("x"); s.Abandon("x") }, 1, 0},
+		"box ends":               {func(s *flight.Flights) { s.Close() }, 0, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := &engines{}
+				s := flight.New(&homes{told: map[string][]wire.SettleItem{}}, length.New(), e, 3*time.Second)
+				s.Start(&flight.Flight{Attempt: "x"})
+				s.Abandon("x")
+				time.Sleep(2 * time.Second)
+				is.Equal(len(e.cancelled), 0) // not before its time
+				tt.does(s)
+				time.Sleep(5 * time.Second)
+				is.Equal(len(e.cancelled), tt.cancelled)
+				is.Equal(s.Len(), tt.left)
+			})
+		})
+	}
+}
--- a/grants/grants.go
+++ b/grants/grants.go
@@ -39,6 +39,7 @@
 func (g *Grants) Configure(params home.Params) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	params.Share = g.params.Share
 	g.params = params
 	for id, c := range g.cells {
 		c.home.SetParams(params)
@@ -46,6 +47,20 @@
 	}
 }
 
+// Share sets the part of the free memory that is granted: less than all while
+// boxes are cut off, whose side may have a home box of its own.
+func (g *Grants) Share(share float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.params.Share == share {
+		return
+	}
+	g.params.Share = share
+	for _, c := range g.cells {
+		c.home.SetParams(g.params)
+	}
+}
+
 // Ask waits for the answer to an ask. When ctx ends first the request is
 // taken out of the queue, and a grant that crossed with it is given back.
 func (g *Grants) Ask(ctx context.Context, now time.Time, ask wire.Ask) wire.Grant {
--- a/members/members.go
+++ b/members/members.go
@@ -164,6 +164,24 @@
 	return peers
 }
 
+// Reached returns how many boxes this one hears, itself included, and how many
+// it has heard that the platform still lists. The rest are lost or cut off.
+func (m *Members) Reached(now time.Time) (reached, all int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reached, all = 1, 1
+	for _, r := range m.boxes {
+		switch {
+		case r.heard.IsZero() || r.box.State == Leaving:
+		case r.seen(now).State == Live:
+			reached, all = reached+1, all+1
+		case r.listed:
+			all++
+		}
+	}
+	return reached, all
+}
+
 // Order returns the boxes in the rendezvous order of a key, those that are
 // live; this box stands in it too unless it leaves. Boxes of the key's hall
 // come first.
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -79,6 +79,26 @@
 	}
 }
 
+// TestReached counts a box that is cut off for as long as the list names it.
+func TestReached(t *testing.T) {
+	is := is.New(t)
+	m := members.New(alive("a", 1, members.Live))
+	both := []wire.Member{member("b", wire.MemberStateLive), member("c", wire.MemberStateLive)}
+	count := func(at time.Duration) [2]int {
+		reached, all := m.Reached(start.Add(at))
+		return [2]int{reached, all}
+	}
+	m.Listed(start, both)
+	is.Equal(count(0), [2]int{1, 1}) // never heard
+	m.Heard(start, alive("b", 1, members.Live))
+	m.Heard(start, alive("c", 1, members.Live))
+	is.Equal(count(time.Second), [2]int{3, 3})
+	m.Heard(start.Add(9*time.Second), alive("b", 1, members.Live))
+	is.Equal(count(10*time.Second), [2]int{2, 3}) // c is silent
+	m.Listed(start.Add(10*time.Second), both[:1])
+	is.Equal(count(10*time.Second), [2]int{2, 2}) // and off the list
+}
+
 // TestOrder holds that boxes agree on the order, that a box that is gone moves
 // only its own keys, and that the hall's boxes come first.
 func TestOrder(t *testing.T) {
--- a/standin/set/set.go
+++ b/standin/set/set.go
@@ -22,6 +22,7 @@
 	"petrelstep/logs"
 	"petrelstep/standin/engine"
 	"petrelstep/standin/platform"
+	"petrelstep/standin/relay"
 	"petrelstep/standin/service"
 	"petrelstep/wire"
 )
@@ -38,6 +39,7 @@
 	Boxes   int
 	Engines []engine.Options // the hall of engine i is that of box i
 	Change  func(*wire.Settings)
+	Relays  bool      // engines are reached through relays that can be cut
 	Log     io.Writer // of the boxes; nil for none
 }
 
@@ -55,6 +57,7 @@
 	Platform *platform.Platform
 	Engines  []*engine.Engine
 	Service  *service.Service
+	Relays   []*relay.Relay // of engines
 	Boxes    []*Box
 	options  Options
 	servers  []*httptest.Server
@@ -86,7 +89,12 @@
 		s.engines.Go(func() { e.Run(ctx) })
 		server := httptest.NewServer(e.Handler())
 		s.servers = append(s.servers, server)
-		upstreams = append(upstreams, Upstream(o.Name, "engine", hallOf(i, options.Boxes), addressOf(server)))
+		address, err := s.reach(addressOf(server))
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		upstreams = append(upstreams, Upstream(o.Name, "engine", hallOf(i, options.Boxes), address))
 	}
 	upstreams = append(upstreams, Upstream("portal", "service", hallOf(0, options.Boxes), addressOf(serviceServer)))
 	for i := range options.Boxes {
@@ -102,6 +110,19 @@
 	return s, nil
 }
 
+// reach returns the address by which boxes reach an engine.
+func (s *Set) reach(address string) (string, error) {
+	if !s.options.Relays {
+		return address, nil
+	}
+	r, err := relay.New(address)
+	if err != nil {
+		return "", err
+	}
+	s.Relays = append(s.Relays, r)
+	return r.Address(), nil
+}
+
 func hallOf(i, boxes int) string { return fmt.Sprint("hall", i%max(boxes, 1)) }
 
 func addressOf(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
@@ -292,6 +313,9 @@
 		}
 	}
 	s.stop()
+	for _, r := range s.Relays {
+		r.Close()
+	}
 	for _, server := range s.servers {
 		server.CloseClientConnections()
 		server.Close()
