--- /dev/null
+++ b/belief/belief.go
@@ -0,0 +1,53 @@
+// Package belief holds the configuration that a box believes to be in force,
+// and how old that belief is. Versions only rise within a life.
+package belief
+
+import (
+	"sync"
+	"time"
+
+	"petrelstep/route"
+)
+
+// Belief is safe for use by several goroutines.
+type Belief struct {
+	mu        sync.Mutex
+	table     *route.Table
+	confirmed time.Time
+	most      time.Duration
+}
+
+// New returns a belief of nothing. One that was confirmed longer than most ago
+// is stale: a key may have been taken away since.
+func New(most time.Duration) *Belief { return &Belief{most: most} }
+
+// Take takes a version; it reports false, and keeps what it has, if that is as
+// new or newer.
+func (b *Belief) Take(t *route.Table) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.table != nil && t.Version() <= b.table.Version() {
+		return false
+	}
+	b.table = t
+	return true
+}
+
+// Confirm notes that nothing newer had been accepted when a call was sent. The
+// steady clock counts, so at must carry it.
+func (b *Belief) Confirm(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if at.After(b.confirmed) {
+		b.confirmed = at
+	}
+}
+
+// Now returns the configuration, nil if there is none yet, how old the belief
+// in it is, and whether that is too old to serve by.
+func (b *Belief) Now(now time.Time) (t *route.Table, age time.Duration, stale bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	age = now.Sub(b.confirmed)
+	return b.table, age, b.table == nil || age > b.most
+}
--- /dev/null
+++ b/choose/choose.go
@@ -0,0 +1,101 @@
+// Package choose picks the upstream that a request goes to, or a run moves to.
+package choose
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"petrelstep/fleet"
+	"petrelstep/reliability"
+	"petrelstep/route"
+	"petrelstep/tally"
+)
+
+// Weights of a score, in shares of an upstream's capacity.
+const (
+	// far is what another hall costs: bytes between halls are paid for, and a
+	// moved memory takes twice as long.
+	far = 0.03
+	// slots weighs an engine's requests against its memory.
+	slots = 0.3
+	// failing weighs the share of sends that failed of late.
+	failing = 3.0
+	// missing is for one whose entry has lapsed and may come back.
+	missing = 1.0
+	// noise breaks ties otherwise on each box.
+	noise = 0.02
+)
+
+// Chooser is safe for use by several goroutines.
+type Chooser struct {
+	fleet       *fleet.Fleet
+	tally       *tally.Tally
+	reliability *reliability.Reliability
+	hall        string
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// New returns a chooser of a box in a hall.
+func New(f *fleet.Fleet, t *tally.Tally, r *reliability.Reliability, hall string, random *rand.Rand) *Chooser {
+	return &Chooser{fleet: f, tally: t, reliability: r, hall: hall, random: random}
+}
+
+// Want is what an upstream is chosen for.
+type Want struct {
+	Service route.Service
+	Tokens  int
+	Hall    string // to be near; the box's own where empty
+	Avoid   []string
+}
+
+// Choose returns the upstream with the most room, and its load as a share of
+// its capacity. It reports false if there is none.
+func (c *Chooser) Choose(now time.Time, w Want) (best fleet.Upstream, load float64, found bool) {
+	if w.Hall == "" {
+		w.Hall = c.hall
+	}
+	lowest := 0.0
+	for _, u := range c.fleet.Serving(w.Service.Name) {
+		if slices.Contains(w.Avoid, u.ID) {
+			continue
+		}
+		used := c.load(now, w, u)
+		score := used + c.penalty(now, w, u)
+		if !found || score < lowest {
+			best, load, lowest, found = u, used, score, true
+		}
+	}
+	return best, load, found
+}
+
+// load is the share of an upstream's capacity that is in use.
+func (c *Chooser) load(now time.Time, w Want, u fleet.Upstream) float64 {
+	l := c.tally.Load(now, u.ID)
+	places := float64(l.Requests) / float64(max(u.Slots, 1))
+	e := w.Service.Engine
+	if e == nil || e.Memory == 0 {
+		return places
+	}
+	return float64(l.Tokens+w.Tokens)/float64(e.Memory) + slots*places
+}
+
+func (c *Chooser) penalty(now time.Time, w Want, u fleet.Upstream) float64 {
+	p := failing*c.reliability.Failing(now, u.ID) + noise*c.draw()
+	if u.Hall != w.Hall {
+		p += far
+	}
+	if u.State == fleet.Missing {
+		p += missing
+	}
+	return p
+}
+
+func (c *Chooser) draw() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
--- a/cmd/petrelstepd/main.go
+++ b/cmd/petrelstepd/main.go
@@ -7,11 +7,17 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"petrelstep/config"
 	"petrelstep/daemon"
+	"petrelstep/edge"
 	"petrelstep/logs"
+	"petrelstep/metrics"
 	"petrelstep/version"
 )
 
@@ -42,26 +48,58 @@
 	os.Exit(run(c))
 }
 
+// logTime is the longest wait at the end for lines that are not yet written.
+const logTime = 200 * time.Millisecond
+
+// box is a box of either kind: with petrelstep's own interface to callers and
+// operators, or before the users' platform.
+type box interface {
+	Run(ctx context.Context) error
+	Drain()
+	Reload()
+}
+
 func run(c config.Config) int {
-	log := logs.New(os.Stderr, string(c.LogLevel), c.Box)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	d, err := daemon.New(ctx, c, log)
+	counts, err := metrics.New()
 	if err != nil {
-		log.WithError(err).Error("not_started")
+		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	go signals(d, cancel)
-	if err := d.Run(ctx); err != nil {
+	out := logs.NewBounded(os.Stdout, counts.LinesDropped)
+	defer out.Close(logTime)
+	log := logs.New(out, string(c.LogLevel), c.Box)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b, err := newBox(ctx, c, log, counts)
+	if err == nil {
+		go signals(b, cancel)
+		err = b.Run(ctx)
+	}
+	if err != nil {
 		log.WithError(err).Error("not_started")
 		return exitFailed
 	}
 	return 0
 }
 
+func newBox(ctx context.Context, c config.Config, log *logrus.Entry, counts *metrics.Metrics) (box, error) {
+	if c.Edge == nil {
+		return daemon.New(ctx, c, log, counts)
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(c.Edge.MemoryMb) * megabyte))
+	return edge.New(c, log, counts), nil
+}
+
+const (
+	megabyte = 1 << 20
+	// memoryPart of a box's memory is what the collector keeps the heap under;
+	// the rest is for stacks, buffers of connections and the program itself.
+	memoryPart = 0.6
+)
+
 // signals drains on the first signal to stop and ends at once on the second;
 // SIGHUP reads the key files again.
-func signals(d *daemon.Daemon, cancel context.CancelFunc) {
+func signals(d box, cancel context.CancelFunc) {
 	got := make(chan os.Signal, 4)
 	signal.Notify(got, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	stops := 0
--- a/config/config.go
+++ b/config/config.go
@@ -88,3 +88,12 @@
 
 // Millis turns a setting into a duration.
 func Millis(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// SharedKey returns the secret that all boxes share; empty where the settings
+// need none.
+func (c Config) SharedKey() string {
+	if c.RequestKey == nil {
+		return ""
+	}
+	return *c.RequestKey
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -100,11 +100,7 @@
 
 // New puts a box together; nothing runs and no port is open before Run. ctx
 // bounds what outlives single requests.
-func New(ctx context.Context, c config.Config, log *logrus.Entry) (*Daemon, error) {
-	counts, err := metrics.New()
-	if err != nil {
-		return nil, err
-	}
+func New(ctx context.Context, c config.Config, log *logrus.Entry, counts *metrics.Metrics) (*Daemon, error) {
 	k, err := keys.New(keys.Files{Certificate: c.TLS.Certificate, Key: c.TLS.Key, Authority: c.TLS.PeerAuthority})
 	if err != nil {
 		return nil, err
@@ -170,7 +166,7 @@
 	})
 	d.front = front.New(front.Parts{
 		Box: c.Box, Resources: d.resources, Dispatcher: dispatcher, Engines: d.engines, Services: service.New(serviceTime),
-		Ledger: d.ledger, Flights: d.flights, Tickets: ticket.New(c.RequestKey), Budget: budget,
+		Ledger: d.ledger, Flights: d.flights, Tickets: ticket.New(c.SharedKey()), Budget: budget,
 		Metrics: d.metrics, Log: d.log, TellTaken: d.tellTaken, Ready: d.configured,
 		BodyMost: c.Limits.BodyBytes, Streams: c.Limits.Streams,
 	})
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,171 @@
+// Package edge puts the parts of a box together that serves the callers of the
+// users' platform. What must last lies in the platform's store; the box itself
+// keeps nothing.
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/belief"
+	"petrelstep/choose"
+	"petrelstep/config"
+	"petrelstep/evacuate"
+	"petrelstep/fleet"
+	"petrelstep/members"
+	"petrelstep/metrics"
+	"petrelstep/peer"
+	"petrelstep/platform/callers"
+	"petrelstep/platform/manifest"
+	"petrelstep/platform/store"
+	"petrelstep/platform/upstream"
+	"petrelstep/relay"
+	"petrelstep/reliability"
+	"petrelstep/retry"
+	"petrelstep/route"
+	"petrelstep/runs"
+	"petrelstep/tally"
+	"petrelstep/timer"
+	"petrelstep/turns"
+	"petrelstep/wire"
+)
+
+const (
+	// ageSlack is how much sooner than the bound on keys a belief is stale: the
+	// bound runs from the store's word to a request's sending, and clocks and
+	// processors lag a little.
+	ageSlack = 400 * time.Millisecond
+	// missingPart is the part of the time that a leaving upstream may still get
+	// work in which an upstream whose entry lapsed may come back.
+	missingPart = 0.75
+	// budgetPart is the part of the repeats of all boxes that is shared out: a
+	// box that has just started begins with a full share.
+	budgetPart = 0.5
+	// boxesGuess is among how many boxes the slack of the repeats is shared out
+	// before it is known how many there are.
+	boxesGuess = 8
+)
+
+// Edge is one box.
+type Edge struct {
+	config  config.Config
+	record  wire.BoxRecord
+	log     *logrus.Entry
+	timer   *timer.Service
+	metrics *metrics.Metrics
+
+	store     *store.Store
+	boxes     *manifest.Boxes
+	belief    *belief.Belief
+	fleet     *fleet.Fleet
+	tally     *tally.Tally
+	runs      *runs.Runs
+	members   *members.Members
+	peers     *peer.Peers
+	turns     *turns.Turns
+	upstreams *upstream.Client
+	relay     *relay.Relay
+	callers   *callers.Handler
+	evacuator *evacuate.Evacuator
+
+	serving   atomic.Int64
+	draining  atomic.Bool
+	drain     chan struct{}
+	drainOnce sync.Once
+
+	mu    sync.Mutex
+	heard map[string]time.Time // when boxes were last heard, by name
+}
+
+// New puts a box together; nothing runs and no port is open before Run.
+func New(c config.Config, log *logrus.Entry, counts *metrics.Metrics) *Edge {
+	s := c.Edge
+	now := time.Now()
+	e := &Edge{
+		config: c,
+		record: wire.BoxRecord{
+			Box: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: int(now.UnixMilli()),
+		},
+		log:       log,
+		timer:     timer.New(),
+		metrics:   counts,
+		store:     store.New(c.Platform.Address, counts),
+		belief:    belief.New(config.Millis(s.KeyAgeMs) - ageSlack),
+		fleet:     fleet.New(time.Duration(missingPart * float64(config.Millis(s.LeaveMs)))),
+		tally:     tally.New(),
+		runs:      runs.New(),
+		peers:     peer.New(nil),
+		turns:     turns.New(),
+		upstreams: upstream.New(),
+		drain:     make(chan struct{}),
+		heard:     map[string]time.Time{},
+	}
+	e.boxes = manifest.NewBoxes(e.store)
+	e.members = members.New(members.Box{
+		Name: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: e.record.Incarnation, State: members.Live,
+	})
+	e.serve()
+	return e
+}
+
+// serve makes the parts that requests pass through.
+func (e *Edge) serve() {
+	s := e.config.Edge
+	failures := reliability.New()
+	chooser := choose.New(e.fleet, e.tally, failures, e.config.Hall, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)))
+	e.relay = relay.New(relay.Parts{
+		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Tally: e.tally, Reliability: failures, Sender: e.upstreams,
+		Budget: retry.NewBudget(budgetPart*s.RetryRatio, max(budgetPart*float64(s.RetrySlack)/boxesGuess, 1)),
+		Runs:   e.runs, Metrics: e.metrics, Leaving: e.draining.Load, Log: e.log,
+	})
+	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
+	e.evacuator = evacuate.New(evacuate.Parts{
+		Runs: e.runs, Chooser: chooser, Mover: e.upstreams, Turns: e, Services: e.service, Begin: e.tally.Begin,
+		Moved: e.metrics.Moved, Log: e.log,
+	})
+}
+
+// bodyMost bounds a request's body by the configuration in force.
+func (e *Edge) bodyMost() int {
+	table, _, _ := e.belief.Now(time.Now())
+	if table == nil || table.Limits().BodyBytes == 0 {
+		return e.config.Limits.BodyBytes
+	}
+	return table.Limits().BodyBytes
+}
+
+func (e *Edge) service(name string) (route.Service, bool) {
+	table, _, _ := e.belief.Now(time.Now())
+	if table == nil {
+		return route.Service{}, false
+	}
+	return table.Service(name)
+}
+
+// ready tells whether callers are to be sent here.
+func (e *Edge) ready() bool {
+	_, _, stale := e.belief.Now(time.Now())
+	return !stale && e.fleet.Loaded() && !e.draining.Load()
+}
+
+// Drain begins the planned stop.
+func (e *Edge) Drain() { e.drainOnce.Do(func() { close(e.drain) }) }
+
+// Reload notes that the settings have changed; those of a box hold for its life.
+func (e *Edge) Reload() { e.log.Info("reload") }
+
+// departed takes the news that an upstream leaves.
+func (e *Edge) departed(ctx context.Context) fleet.Departure {
+	return func(u fleet.Upstream, source string) {
+		at := len(e.runs.At(u.ID))
+		e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "source": source, "runs": at}).Info("upstream_leaves")
+		if e.config.Edge.Moves != wire.EdgeMovesNone {
+			e.evacuator.Leaves(ctx, u)
+		}
+	}
+}
--- /dev/null
+++ b/edge/run.go
@@ -0,0 +1,177 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/config"
+	"petrelstep/follow"
+	"petrelstep/gossip"
+	"petrelstep/peer/edgepoint"
+	"petrelstep/platform/manifest"
+)
+
+const (
+	// confirmEvery is how often the store confirms that nothing has changed. A
+	// box that has lost the store is told by its first failed call, well before
+	// its belief is too old.
+	confirmEvery = 1200 * time.Millisecond
+	// upstreamsEvery is the same for the list of upstreams; changes come at once.
+	upstreamsEvery = 2 * time.Second
+	tickEvery      = 100 * time.Millisecond
+	joinEvery      = time.Second
+	headerTime     = 10 * time.Second
+	// idleTime lies above every bound on idle connections that callers reckon with.
+	idleTime    = 90 * time.Second
+	headerBytes = 64 << 10
+	drainLook   = 50 * time.Millisecond
+	// leaveNotice is how long a stopping box goes on taking requests: the
+	// balancer asks once a second and takes a box out after two bad answers.
+	leaveNotice = 3 * time.Second
+)
+
+// ListenError says that an address could not be opened.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Run serves until Drain is called and all work in flight is done, or until
+// ctx ends, which cuts off what is left.
+func (e *Edge) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var all sync.WaitGroup
+	servers, err := e.open(ctx, &all)
+	if err != nil {
+		return err
+	}
+	e.fleet.Subscribe(e.departed(ctx))
+	e.start(ctx, &all)
+	l := e.config.Listen
+	e.log.WithFields(logrus.Fields{"callers": l.Callers, "peers": l.Peers, "admin": l.Admin, "store": e.config.Platform.Address}).Info("started")
+	select {
+	case <-ctx.Done():
+	case <-e.drain:
+		e.drainAll(ctx, servers)
+	}
+	cancel()
+	for _, s := range servers {
+		_ = s.Close() // what is left is cut off
+	}
+	e.peers.Close()
+	e.store.Close()
+	all.Wait()
+	e.log.Info("stopped")
+	return nil
+}
+
+// open opens the box's addresses and serves them.
+func (e *Edge) open(ctx context.Context, all *sync.WaitGroup) ([]*http.Server, error) {
+	l := e.config.Listen
+	handlers := map[string]http.Handler{
+		l.Callers: http.HandlerFunc(e.serveCaller), e.config.Edge.Ready: e.readiness(), l.Admin: e.admin(),
+	}
+	var servers []*http.Server
+	var listeners []net.Listener
+	for _, address := range []string{l.Callers, e.config.Edge.Ready, l.Admin, l.Peers} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, &ListenError{Address: address, Err: err}
+		}
+		listeners = append(listeners, listener)
+	}
+	for _, listener := range listeners[:len(listeners)-1] {
+		s := &http.Server{
+			Handler: handlers[listener.Addr().String()], ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+		}
+		servers = append(servers, s)
+		all.Go(func() { e.serveHTTP(s, listener) })
+	}
+	peers := listeners[len(listeners)-1]
+	all.Go(func() {
+		if err := edgepoint.New(ctx, e, e.turns).Serve(peers); err != nil {
+			e.log.WithError(err).Error("peers_not_served")
+		}
+	})
+	return servers, nil
+}
+
+func (e *Edge) serveHTTP(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		e.log.WithError(err).Error("not_served")
+	}
+}
+
+func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) {
+	e.serving.Add(1)
+	defer e.serving.Add(-1)
+	e.callers.ServeHTTP(w, r)
+}
+
+// readiness answers the balancer, whatever path it asks for.
+func (e *Edge) readiness() http.Handler {
+	r := mux.NewRouter()
+	r.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+// admin serves the box's own figures.
+func (e *Edge) admin() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", e.metrics.Handler())
+	return r
+}
+
+// start starts the tasks that are not bound to a caller.
+func (e *Edge) start(ctx context.Context, all *sync.WaitGroup) {
+	configuration := manifest.NewConfiguration(e.store, e.belief, e.log)
+	workers := manifest.NewWorkers(e.store, e.fleet, e.log)
+	all.Go(func() { follow.New("configuration", configuration, confirmEvery, e.belief.Confirm, e.log).Run(ctx) })
+	all.Go(func() { follow.New("upstreams", workers, upstreamsEvery, func(time.Time) {}, e.log).Run(ctx) })
+	all.Go(func() { e.timer.Every(ctx, "tick", tickEvery, e.fleet.Tick) })
+	all.Go(func() { e.join(ctx) })
+	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
+}
+
+// drainAll is the planned stop: callers are sent elsewhere, and all in flight
+// is waited for.
+func (e *Edge) drainAll(ctx context.Context, servers []*http.Server) {
+	e.log.WithField("in_flight", e.serving.Load()).Info("draining")
+	e.draining.Store(true)
+	e.members.Leave()
+	for _, s := range servers[:1] {
+		s.SetKeepAlivesEnabled(false)
+	}
+	began := time.Now()
+	until := began.Add(config.Millis(e.config.DrainMs))
+	for time.Now().Before(until) && ctx.Err() == nil {
+		if e.serving.Load() == 0 && time.Since(began) > leaveNotice {
+			break
+		}
+		e.timer.Sleep(ctx, drainLook)
+	}
+	if n := e.serving.Load(); n > 0 {
+		e.log.WithField("in_flight", n).Warn("drain_cut_off")
+	}
+}
--- /dev/null
+++ b/evacuate/evacuate.go
@@ -0,0 +1,197 @@
+// Package evacuate moves the generations off an upstream that leaves, so that
+// they go on elsewhere as the same runs. Copies of several runs share one link
+// and hold each other up, so that only one run at a time moves off an upstream.
+package evacuate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/choose"
+	"petrelstep/exchange"
+	"petrelstep/fleet"
+	"petrelstep/route"
+	"petrelstep/runs"
+)
+
+const (
+	// evacuateFor bounds the work at one upstream: it is gone by then.
+	evacuateFor = 12 * time.Second
+	// copyTime bounds one copy; it takes 0.1 to 0.5 s alone on its link.
+	copyTime = 3 * time.Second
+	// stopTime bounds the stop with the last of a copy; 25 ms alone, and up to
+	// 1.2 s behind other copies.
+	stopTime = 2 * time.Second
+	// again is the wait before a run is tried that could not be moved just now.
+	again = 60 * time.Millisecond
+	// targetsMost is how many targets are tried for one run at a time.
+	targetsMost = 3
+	// finishing is how much of a stream may be left that is not worth a move:
+	// it ends within the shortest notice there is.
+	finishing = 600 * time.Millisecond
+	// eventTime is how long an event takes to make, in calm.
+	eventTime = 40 * time.Millisecond
+)
+
+// What an upstream may answer to a move.
+var (
+	ErrNoRun  = errors.New("no such run")
+	ErrNoRoom = errors.New("no room for the copy")
+	ErrBusy   = errors.New("a move of the run is under way")
+)
+
+// Copied is what came of a copy.
+type Copied struct {
+	Copy   exchange.Copy
+	Events int // made when it was complete
+}
+
+// Mover moves the memory of runs.
+type Mover interface {
+	Move(ctx context.Context, source, run, target string, last bool) (Copied, error)
+}
+
+// Turns gives one box at a time the turn to move runs off an upstream.
+type Turns interface {
+	// Take waits for the turn; it is given back by the returned function. A box
+	// that cannot reach the keeper of the turns goes alone.
+	Take(ctx context.Context, upstream string) (giveBack func())
+}
+
+// Services returns a service of the configuration in force.
+type Services func(name string) (route.Service, bool)
+
+// Parts are what an evacuator works with.
+type Parts struct {
+	Runs     *runs.Runs
+	Chooser  *choose.Chooser
+	Mover    Mover
+	Turns    Turns
+	Services Services
+	Begin    func(upstream string, tokens int) (end func()) // counts a copy at its target
+	Moved    func(outcome string, took time.Duration)       // counts moves
+	Log      *logrus.Entry
+}
+
+// Evacuator is safe for use by several goroutines.
+type Evacuator struct{ Parts }
+
+// New returns an evacuator.
+func New(parts Parts) *Evacuator { return &Evacuator{parts} }
+
+// Leaves moves what this box has at an upstream that leaves, until nothing is
+// left there or the upstream is gone.
+func (e *Evacuator) Leaves(ctx context.Context, u fleet.Upstream) {
+	service, ok := e.Services(u.Service)
+	if !ok || service.Engine == nil || !service.Engine.Moves {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, evacuateFor)
+	defer cancel()
+	gaveUp := map[*runs.Run]bool{}
+	for ctx.Err() == nil {
+		run := e.next(u, gaveUp)
+		if run == nil {
+			return
+		}
+		giveBack := e.Turns.Take(ctx, u.ID)
+		done := e.move(ctx, run, u, service)
+		giveBack()
+		if done {
+			gaveUp[run] = true
+			continue
+		}
+		sleep(ctx, again)
+	}
+}
+
+// next returns the run to move next. What ends soon stays until nothing else
+// is left, and ends by itself.
+func (e *Evacuator) next(u fleet.Upstream, gaveUp map[*runs.Run]bool) *runs.Run {
+	for _, r := range e.Runs.At(u.ID) {
+		soon := time.Duration(r.Remaining())*eventTime < finishing
+		if !gaveUp[r] && !soon {
+			return r
+		}
+	}
+	return nil
+}
+
+// move moves one run. It reports false if that may be tried again.
+func (e *Evacuator) move(ctx context.Context, run *runs.Run, u fleet.Upstream, service route.Service) (done bool) {
+	began := time.Now()
+	log := e.Log.WithFields(logrus.Fields{"request": run.Request.ID, "from": u.ID, "tokens": run.Tokens(), "events": run.Events()})
+	avoid := []string{u.ID}
+	var err error
+	for range targetsMost {
+		target, load, ok := e.Chooser.Choose(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Avoid: avoid})
+		if !ok {
+			err = ErrNoRoom
+			break
+		}
+		avoid = append(avoid, target.ID)
+		end := e.Begin(target.ID, run.Tokens())
+		err = e.moveTo(ctx, run, u, target)
+		end()
+		log = log.WithFields(logrus.Fields{"to": target.ID, "load": load})
+		if !errors.Is(err, ErrNoRoom) {
+			break
+		}
+	}
+	took := time.Since(began)
+	log = log.WithField("took_ms", took.Milliseconds())
+	switch {
+	case err == nil:
+		e.Moved("moved", took)
+		log.Info("moved")
+		return true
+	case errors.Is(err, ErrNoRun):
+		e.Moved("no_run", took)
+		log.Info("not_moved_ended")
+		return run.Events() > 0
+	case errors.Is(err, ErrNoRoom), errors.Is(err, ErrBusy):
+		e.Moved("no_room", took)
+		log.WithError(err).Warn("not_moved")
+		return false
+	}
+	e.Moved("failed", took)
+	log.WithError(err).Warn("not_moved")
+	return true
+}
+
+// moveTo copies a run while it goes on, then stops it with the rest.
+func (e *Evacuator) moveTo(ctx context.Context, run *runs.Run, source, target fleet.Upstream) error {
+	copying, cancel := context.WithTimeout(ctx, copyTime)
+	first, err := e.Mover.Move(copying, source.Address, run.Request.ID, target.Address, false)
+	cancel()
+	if err != nil {
+		return err
+	}
+	handoff := runs.Handoff{Copy: first.Copy, Target: target, Source: source, OK: true}
+	run.Copied(handoff)
+	if !run.Stopping() {
+		return ErrNoRun
+	}
+	// Stopping is not broken off with ctx: where the run is then must be known.
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+	defer cancel()
+	last, err := e.Mover.Move(stopping, source.Address, run.Request.ID, target.Address, true)
+	if last.Copy.ID != "" {
+		handoff.Copy = last.Copy
+	}
+	handoff.OK = err == nil || errors.Is(err, ErrNoRoom) && last.Copy.ID != ""
+	run.Stopped(handoff)
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,123 @@
+// Package exchange holds what callers, the relay and the clients of upstreams
+// hand to each other: requests, sends and answers, without any protocol's names.
+package exchange
+
+import (
+	"context"
+	"time"
+)
+
+// Part is one part of a prompt, in order. Parts are shared between requests;
+// the last is a request's own.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is one try of a caller. Values are immutable.
+type Request struct {
+	ID      string
+	Arrived time.Time
+	Host    string
+	Path    string
+	Key     string // of the caller's organisation; empty without one
+	Wait    time.Duration
+	Model   string
+	Prompt  int // tokens
+	Most    int // most tokens of the answer; 0 where it is not told
+	Hint    int // the caller's guess of the answer's tokens; 0 for none
+	Parts   []Part
+	After   int // last event that the caller has of an earlier try; NoEvent for none
+	Message any // what only the adapters of callers and upstreams read
+}
+
+// NoEvent stands for the time before a stream's first event.
+const NoEvent = -1
+
+// Expected returns the tokens that a request is expected to hold at the end.
+func (r *Request) Expected() int { return r.Prompt + r.Answer() }
+
+// Answer returns the expected tokens of the answer: the caller's hint, which is
+// right at the median, bounded by the most there can be.
+func (r *Request) Answer() int {
+	if r.Hint > 0 && (r.Most == 0 || r.Hint < r.Most) {
+		return r.Hint
+	}
+	return r.Most
+}
+
+// Copy names the memory of a run that an upstream holds.
+type Copy struct {
+	Holder string // address of the upstream that made it
+	ID     string
+}
+
+// Send is one dispatch of a request to an upstream. Values are immutable.
+type Send struct {
+	Request      *Request
+	Upstream     string // its lifetime's id; any other refuses
+	Address      string
+	Left         time.Duration
+	Organisation string
+	Urgency      int   // 0 goes first
+	After        int   // last event delivered; NoEvent from the start
+	From         *Copy // memory to go on from
+}
+
+// Answer is an upstream's answer from its head on. Close must be called.
+type Answer struct {
+	Status  int
+	NotRun  bool // the upstream states that it did not run the request
+	Whole   bool // it carries the upstream's seal
+	Framed  bool // its end is told apart from a broken connection
+	Message any  // what only the adapters read
+	Body    Body
+}
+
+// Body reads what follows an answer's head.
+type Body interface {
+	// Next returns the next whole event of a stream; io.EOF after the last.
+	Next() (Event, error)
+	// All returns a body that is no stream, if it is no longer than most bytes;
+	// more tells that there is more to Read.
+	All(most int) (body []byte, more bool, err error)
+	// Read goes on after All.
+	Read(p []byte) (int, error)
+	Close()
+}
+
+// Event is one event of a stream as it came.
+type Event struct {
+	ID  int // NoEvent where it has none
+	Raw []byte
+}
+
+// Caller takes the answer to a request. One answer is written, by one of
+// Answer, Refuse and Abort, and then what follows the head.
+type Caller interface {
+	// Answer sends an upstream's head; length is that of the body, or negative.
+	Answer(a *Answer, length int) error
+	// Write sends a part of the body at once.
+	Write(p []byte) error
+	// Refuse ends the request with the system's own answer.
+	Refuse(err error)
+	// Abort breaks the answer off, so that it cannot look complete.
+	Abort()
+}
+
+// FailedError says that a send has no answer.
+type FailedError struct {
+	NotSent bool // certain that nothing reached the upstream
+	Err     error
+}
+
+// Error implements error.
+func (e *FailedError) Error() string { return "upstream: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *FailedError) Unwrap() error { return e.Err }
+
+// Sender sends requests to upstreams.
+type Sender interface {
+	Send(ctx context.Context, s Send) (*Answer, error)
+}
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,134 @@
+// Package follow keeps up with one table of the platform's store: a listing,
+// then its changes as they come, a listing again when history was forgotten.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// firstWait and mostWait bound the waits between failed calls: calls are
+	// paid for also when the store is down, and a box has to be current again
+	// within some 3 s of the store's return.
+	firstWait = 100 * time.Millisecond
+	mostWait  = 600 * time.Millisecond
+	// slack is how much longer than its wait a call may take. A slow store
+	// takes some 300 ms an answer.
+	slack = 900 * time.Millisecond
+	// unsureFor is how long after trouble entries that are gone may only have
+	// lapsed: upstreams are listed again within 2 s of the store's return.
+	unsureFor = 3 * time.Second
+)
+
+// ErrForgotten says that changes since a mark are no longer to be had.
+var ErrForgotten = errors.New("the store has forgotten its history")
+
+// Source reads a table and applies what it reads. unsure says that the store
+// was away until just now, so that an entry that is gone may only have lapsed.
+type Source interface {
+	// List reads and applies all of it; mark is where changes go on from.
+	List(ctx context.Context, unsure bool) (mark int64, err error)
+	// Next waits for changes after mark, applies them, and returns the new mark.
+	Next(ctx context.Context, mark int64, wait time.Duration, unsure bool) (int64, error)
+}
+
+// Follower is used by one goroutine.
+type Follower struct {
+	name    string
+	source  Source
+	wait    time.Duration
+	confirm func(at time.Time)
+	log     *logrus.Entry
+	now     func() time.Time
+
+	trouble time.Time // of the last failed call
+	lost    bool
+	sent    time.Time
+}
+
+// New returns a follower; confirm is called after each answer with the time
+// when its call was sent. wait is how long a call waits for changes, and so how
+// often the belief is confirmed.
+func New(name string, source Source, wait time.Duration, confirm func(at time.Time), log *logrus.Entry) *Follower {
+	return &Follower{name: name, source: source, wait: wait, confirm: confirm, log: log.WithField("table", name), now: time.Now}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	mark, listed := int64(0), false
+	pause := firstWait
+	for ctx.Err() == nil {
+		err := f.step(ctx, &mark, &listed)
+		if err == nil {
+			pause = firstWait
+			continue
+		}
+		if !sleep(ctx, pause/2+rand.N(pause)) {
+			return
+		}
+		pause = min(2*pause, mostWait)
+	}
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context, mark *int64, listed *bool) error {
+	f.sent = f.now()
+	unsure := !f.trouble.IsZero() && f.sent.Sub(f.trouble) < unsureFor
+	var err error
+	next := *mark
+	if *listed {
+		call, cancel := context.WithTimeout(ctx, f.wait+slack)
+		next, err = f.source.Next(call, *mark, f.wait, unsure)
+		cancel()
+	} else {
+		call, cancel := context.WithTimeout(ctx, 2*slack)
+		next, err = f.source.List(call, unsure)
+		cancel()
+	}
+	switch {
+	case errors.Is(err, ErrForgotten):
+		f.log.Warn("history_forgotten")
+		*listed = false
+		return nil
+	case err != nil && ctx.Err() == nil:
+		f.failed(err)
+		return err
+	case err != nil:
+		return err
+	}
+	f.worked()
+	*mark, *listed = next, true
+	return nil
+}
+
+func (f *Follower) failed(err error) {
+	f.trouble = f.now()
+	if !f.lost {
+		f.log.WithError(err).Warn("store_lost")
+	}
+	f.lost = true
+}
+
+func (f *Follower) worked() {
+	if f.lost {
+		f.log.WithField("away_ms", f.now().Sub(f.trouble).Milliseconds()).Info("store_regained")
+	}
+	f.lost = false
+	f.confirm(f.sent)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,119 @@
+// Package gossip keeps one task for each peer of a box, which tells it several
+// times a second what the box has running and knows, and takes the same back.
+package gossip
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/members"
+	"petrelstep/peer"
+	"petrelstep/wire"
+)
+
+const (
+	// period is the time between calls to a peer; engines' loads change that
+	// fast. Each call also brings the peer's word, so that a pair of boxes hears
+	// of each other twice as often.
+	period = 250 * time.Millisecond
+	// callTime bounds a call: a link loses a packet now and then, and it is sent
+	// again within 0.3 s.
+	callTime = 500 * time.Millisecond
+	// forgetAfter so many calls without an answer the connection is made anew.
+	forgetAfter = 3
+	// lookEvery is how often it is looked for new boxes.
+	lookEvery = 500 * time.Millisecond
+)
+
+// Box makes gossip and takes it.
+type Box interface {
+	Say() wire.Gossip
+	Hear(g wire.Gossip)
+}
+
+// Peers calls other boxes.
+type Peers interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+	Forget(address string)
+}
+
+// Timer calls a function each period.
+type Timer interface {
+	Every(ctx context.Context, name string, period time.Duration, f func(now time.Time))
+}
+
+// Gossip is one box's.
+type Gossip struct {
+	members *members.Members
+	peers   Peers
+	box     Box
+	timer   Timer
+	log     *logrus.Entry
+}
+
+// New returns gossip that Run passes on.
+func New(m *members.Members, p Peers, box Box, t Timer, log *logrus.Entry) *Gossip {
+	return &Gossip{members: m, peers: p, box: box, timer: t, log: log}
+}
+
+// Run starts and stops the tasks of peers as boxes come and go, until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	tasks := map[string]context.CancelFunc{}
+	var all sync.WaitGroup
+	g.timer.Every(ctx, "peers", lookEvery, func(now time.Time) {
+		known := map[string]members.Box{}
+		for _, b := range g.members.Peers(now) {
+			known[b.Address] = b
+		}
+		for address, stop := range tasks {
+			if _, ok := known[address]; !ok {
+				stop()
+				delete(tasks, address)
+			}
+		}
+		for address, b := range known {
+			if _, ok := tasks[address]; ok {
+				continue
+			}
+			task, stop := context.WithCancel(ctx)
+			tasks[address] = stop
+			all.Go(func() { g.with(task, b) })
+		}
+	})
+	for _, stop := range tasks {
+		stop()
+	}
+	all.Wait()
+}
+
+// with is the task of one peer.
+func (g *Gossip) with(ctx context.Context, b members.Box) {
+	silent := 0
+	g.timer.Every(ctx, b.Name, period, func(time.Time) {
+		call, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
+		var answer wire.Gossip
+		err := g.peers.Call(call, b.Address, peer.Gossip, g.box.Say(), &answer)
+		if err == nil {
+			if silent >= forgetAfter {
+				g.log.WithField("peer", b.Name).Info("peer_regained")
+			}
+			silent = 0
+			g.box.Hear(answer)
+			return
+		}
+		silent++
+		if peer.Refused(err) {
+			g.members.Failed(time.Now(), b.Name)
+		}
+		if silent%forgetAfter == 0 {
+			g.peers.Forget(b.Address)
+		}
+		if silent == forgetAfter && ctx.Err() == nil {
+			g.log.WithError(err).WithField("peer", b.Name).Warn("peer_lost")
+		}
+	})
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -23,11 +24,12 @@
 	RetryResume       = "resume"
 	RetryHomeGone     = "home_gone"
 	RetryIdempotent   = "idempotent_call"
+	RetryMoved        = "moved"
 )
 
 // RetryReasons lists every reason for a retry.
 func RetryReasons() []string {
-	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent}
+	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved}
 }
 
 // Metrics holds the instruments of one box.
@@ -40,6 +42,10 @@
 	stall    metric.Float64Counter
 	first    metric.Float64Histogram
 	gap      metric.Float64Histogram
+	whole    metric.Float64Histogram
+	store    metric.Float64Histogram
+	moves    metric.Float64Histogram
+	dropped  metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -60,6 +66,10 @@
 	m.stall = b.seconds("petrelstep_stall", "Time beyond the bounds for first token and gap.")
 	m.first = b.histogram("petrelstep_first_token", "Time to the first token.")
 	m.gap = b.histogram("petrelstep_gap", "Longest time between tokens of one stream.")
+	m.whole = b.histogram("petrelstep_whole_answer", "Time to a whole answer that is no stream.")
+	m.store = b.histogram("petrelstep_store_call", "Time of a call to the platform's store, by call and outcome.")
+	m.moves = b.histogram("petrelstep_move", "Time of a generation's move to another upstream, by outcome.")
+	m.dropped = b.counter("petrelstep_log_lines_dropped", "Log lines dropped because nobody read them.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -101,6 +111,23 @@
 	m.gap.Record(ctx, longestGap)
 }
 
+// Answered records a whole answer that is no stream.
+func (m *Metrics) Answered(took time.Duration) { m.whole.Record(context.Background(), took.Seconds()) }
+
+// Stored records a call to the platform's store.
+func (m *Metrics) Stored(call, outcome string, took time.Duration) {
+	m.store.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("call", call), attribute.String("outcome", outcome)))
+}
+
+// Moved records a generation's move to another upstream.
+func (m *Metrics) Moved(outcome string, took time.Duration) {
+	m.moves.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// LinesDropped counts log lines that were dropped.
+func (m *Metrics) LinesDropped(n int) { m.dropped.Add(context.Background(), int64(n)) }
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- /dev/null
+++ b/peer/edgepoint/edgepoint.go
@@ -0,0 +1,55 @@
+// Package edgepoint is what a box before the users' platform answers to its
+// peers, by net/rpc.
+package edgepoint
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"petrelstep/peer/serve"
+	"petrelstep/turns"
+	"petrelstep/wire"
+)
+
+// Box is the rest of a box, as its peers may call on it.
+type Box interface {
+	// Heard takes a peer's gossip and answers with the box's own.
+	Heard(from wire.Gossip) wire.Gossip
+}
+
+// Edgepoint holds the methods; its name on the wire is Peer.
+type Edgepoint struct {
+	ctx   context.Context
+	box   Box
+	turns *turns.Turns
+}
+
+// New returns the endpoint of a box; waits for turns end with ctx.
+func New(ctx context.Context, box Box, t *turns.Turns) *Edgepoint {
+	return &Edgepoint{ctx: ctx, box: box, turns: t}
+}
+
+// Gossip takes a peer's word and answers with the box's own.
+func (e *Edgepoint) Gossip(from wire.Gossip, answer *wire.Gossip) error {
+	*answer = e.box.Heard(from)
+	return nil
+}
+
+// Turn waits for the turn to move runs off an upstream.
+func (e *Edgepoint) Turn(ask wire.TurnAsk, answer *wire.TurnAnswer) error {
+	ctx, cancel := context.WithTimeout(e.ctx, time.Duration(ask.WaitMs)*time.Millisecond)
+	defer cancel()
+	answer.Granted = e.turns.Take(ctx, ask.Upstream, ask.Box)
+	return nil
+}
+
+// TurnBack takes a turn back.
+func (e *Edgepoint) TurnBack(ask wire.TurnAsk, answer *wire.Nothing) error {
+	e.turns.GiveBack(ask.Upstream, ask.Box)
+	answer.Ok = true
+	return nil
+}
+
+// Serve answers peers until the endpoint's context ends.
+func (e *Edgepoint) Serve(listener net.Listener) error { return serve.Serve(e.ctx, e, listener) }
--- a/peer/endpoint/endpoint.go
+++ b/peer/endpoint/endpoint.go
@@ -4,11 +4,10 @@
 import (
 	"context"
 	"net"
-	"net/rpc"
-	"sync"
 	"time"
 
 	"petrelstep/grants"
+	"petrelstep/peer/serve"
 	"petrelstep/wire"
 )
 
@@ -83,64 +82,4 @@
 }
 
 // Serve answers connections on a listener until ctx ends.
-func (e *Endpoint) Serve(listener net.Listener) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName("Peer", e); err != nil {
-		return err
-	}
-	open := &connections{all: map[net.Conn]bool{}}
-	stop := context.AfterFunc(e.ctx, func() {
-		_ = listener.Close()
-		open.closeAll()
-	})
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if e.ctx.Err() != nil {
-				return nil
-			}
-			return err
-		}
-		if !open.add(conn) {
-			continue
-		}
-		go func() {
-			server.ServeConn(conn)
-			open.remove(conn)
-		}()
-	}
-}
-
-type connections struct {
-	mu     sync.Mutex
-	all    map[net.Conn]bool
-	closed bool
-}
-
-func (c *connections) add(conn net.Conn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		_ = conn.Close()
-		return false
-	}
-	c.all[conn] = true
-	return true
-}
-
-func (c *connections) remove(conn net.Conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.all, conn)
-	_ = conn.Close()
-}
-
-func (c *connections) closeAll() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	for conn := range c.all {
-		_ = conn.Close()
-	}
-}
+func (e *Endpoint) Serve(listener net.Listener) error { return serve.Serve(e.ctx, e, listener) }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -20,6 +20,9 @@
 	Withdraw  = "Peer.Withdraw"
 	Settle    = "Peer.Settle"
 	TakenUp   = "Peer.TakenUp"
+	Gossip    = "Peer.Gossip"
+	Turn      = "Peer.Turn"
+	TurnBack  = "Peer.TurnBack"
 )
 
 const dialTime = 500 * time.Millisecond
@@ -81,6 +84,17 @@
 	return &Error{Address: address, Method: method, Refused: true, Err: call.Error}
 }
 
+// Forget drops the connection to an address: one that a partition holds up
+// would stay silent for long after it.
+func (p *Peers) Forget(address string) {
+	p.mu.Lock()
+	client, ok := p.clients[address]
+	p.mu.Unlock()
+	if ok {
+		p.drop(address, client)
+	}
+}
+
 // Close ends all connections.
 func (p *Peers) Close() {
 	p.mu.Lock()
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -37,6 +37,12 @@
 	AnswerNotKept      Reason = "answer_not_kept"
 	UnknownOutcome     Reason = "unknown_outcome"
 	HomeUnreachable    Reason = "home_unreachable"
+	StaleConfiguration Reason = "stale_configuration"
+	UnknownRoute       Reason = "unknown_route"
+	UpstreamFull       Reason = "upstream_full"
+	NoAnswer           Reason = "no_answer"
+	TimedOut           Reason = "timed_out"
+	CallerGone         Reason = "caller_gone"
 	InternalUnexpected Reason = "internal"
 )
 
@@ -87,6 +93,12 @@
 	AnswerNotKept:      {Unknown, http.StatusBadGateway},
 	UnknownOutcome:     {Unknown, http.StatusBadGateway},
 	HomeUnreachable:    {NotRun, http.StatusServiceUnavailable},
+	StaleConfiguration: {NotRun, http.StatusServiceUnavailable},
+	UnknownRoute:       {NotRun, http.StatusNotFound},
+	UpstreamFull:       {NotRun, http.StatusServiceUnavailable},
+	NoAnswer:           {Unknown, http.StatusBadGateway},
+	TimedOut:           {Unknown, http.StatusGatewayTimeout},
+	CallerGone:         {Unknown, http.StatusBadGateway},
 	InternalUnexpected: {Failed, http.StatusInternalServerError},
 }
 
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,261 @@
+// Package relay brings a caller's request to an upstream and its answer back.
+// It is the one layer that sends a request again.
+package relay
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/belief"
+	"petrelstep/choose"
+	"petrelstep/exchange"
+	"petrelstep/fleet"
+	"petrelstep/metrics"
+	"petrelstep/refusal"
+	"petrelstep/reliability"
+	"petrelstep/retry"
+	"petrelstep/route"
+	"petrelstep/runs"
+	"petrelstep/tally"
+)
+
+const (
+	// comeAgain is when to come back to another box, which may know better.
+	comeAgain = 50 * time.Millisecond
+	// comeLater is when to come back where all boxes fare alike.
+	comeLater = 500 * time.Millisecond
+	// leastLeft is the least time that is worth a send: a round trip between
+	// halls and the shortest work.
+	leastLeft = 5 * time.Millisecond
+	// unreachedMost bounds how many upstreams are passed by that nothing
+	// reached; such sends are not tries.
+	unreachedMost = 3
+	// urgencyMost is the last rank that engines know.
+	urgencyMost = 9
+)
+
+// Parts are what a relay works with.
+type Parts struct {
+	Belief      *belief.Belief
+	Fleet       *fleet.Fleet
+	Chooser     *choose.Chooser
+	Tally       *tally.Tally
+	Reliability *reliability.Reliability
+	Sender      exchange.Sender
+	Budget      *retry.Budget
+	Runs        *runs.Runs
+	Metrics     *metrics.Metrics
+	Leaving     func() bool // this box is being stopped
+	Log         *logrus.Entry
+}
+
+// Relay is safe for use by several goroutines.
+type Relay struct{ Parts }
+
+// New returns a relay.
+func New(parts Parts) *Relay { return &Relay{parts} }
+
+// job is one request on its way.
+type job struct {
+	req          *exchange.Request
+	route        route.Route
+	table        *route.Table
+	organisation string
+	urgency      int
+	deadline     time.Time
+	service      route.Service
+	tried        []string // upstreams that it was sent to
+	passed       []string // upstreams that nothing reached
+	log          *logrus.Entry
+	first        time.Duration // to the first event or the whole answer
+}
+
+// Serve answers a request.
+func (r *Relay) Serve(ctx context.Context, req *exchange.Request, c exchange.Caller) {
+	j, err := r.admit(req)
+	if err != nil {
+		r.refuse(r.Log.WithField("request", req.ID), req, c, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	if j.route.Streams {
+		r.stream(ctx, j, c)
+		return
+	}
+	r.whole(ctx, j, c)
+}
+
+// admit holds a request against the configuration in force.
+func (r *Relay) admit(req *exchange.Request) (*job, error) {
+	table, age, stale := r.Belief.Now(req.Arrived)
+	if table == nil {
+		return nil, refusal.New(refusal.NotReady, "no configuration yet").WithRetryAfter(comeAgain)
+	}
+	log := r.Log.WithFields(logrus.Fields{"request": req.ID, "version": table.Version(), "age_ms": age.Milliseconds()})
+	rt, ok := table.Match(req.Host, req.Path)
+	if stale && !(ok && rt.Public) {
+		return nil, refusal.New(refusal.StaleConfiguration, "the configuration was confirmed too long ago").WithRetryAfter(comeAgain)
+	}
+	if !ok {
+		return nil, refusal.New(refusal.UnknownRoute, req.Path)
+	}
+	j := &job{req: req, route: rt, table: table, log: log, urgency: rt.Priority, deadline: req.Arrived.Add(min(req.Wait, rt.Timeout))}
+	if table.Keyed() {
+		o, known := table.Organisation(req.Key)
+		switch {
+		case known:
+			j.organisation = o.Name
+			if o.Priority != nil {
+				j.urgency = *o.Priority
+			}
+		case !rt.Public && req.Key == "":
+			return nil, refusal.New(refusal.NoKey, "send a key")
+		case !rt.Public:
+			return nil, refusal.New(refusal.WrongKey, "the key belongs to no organisation")
+		}
+	}
+	j.urgency = min(max(j.urgency, 0), urgencyMost)
+	j.service, ok = r.serviceOf(j)
+	if !ok {
+		return nil, refusal.New(refusal.UnknownService, rt.Name).WithRetryAfter(comeLater)
+	}
+	if r.Leaving() && rt.Streams && !rt.Resumable {
+		return nil, refusal.New(refusal.Draining, "this box is leaving").WithRetryAfter(comeAgain)
+	}
+	return j, nil
+}
+
+// serviceOf picks one of the route's services by their weights, the same for
+// each try of a request; one without upstreams gives way to the others.
+func (r *Relay) serviceOf(j *job) (route.Service, bool) {
+	sum := 0
+	for _, s := range j.route.Split {
+		sum += s.Weight
+	}
+	hash := fnv.New32a()
+	hash.Write([]byte(j.req.ID))
+	at := int(hash.Sum32()>>1) % max(sum, 1)
+	var chosen, other route.Service
+	found, others := false, false
+	for _, s := range j.route.Split {
+		service, ok := j.table.Service(s.Service)
+		within := at >= 0 && at < s.Weight
+		at -= s.Weight
+		if !ok || s.Weight == 0 {
+			continue
+		}
+		if within {
+			chosen, found = service, true
+		}
+		if len(r.Fleet.Serving(s.Service)) > 0 {
+			other, others = service, true
+		}
+	}
+	if found && (len(r.Fleet.Serving(chosen.Name)) > 0 || !others) {
+		return chosen, true
+	}
+	return other, others
+}
+
+// sent is an answer and where it came from.
+type sent struct {
+	answer   *exchange.Answer
+	upstream fleet.Upstream
+	began    time.Time
+	end      func() // takes it off the tally
+	close    func()
+}
+
+// send sends a request to the upstream with the most room. Upstreams that
+// nothing reached are passed by. An error is a refusal, or what became of a
+// send that may have arrived.
+func (r *Relay) send(ctx context.Context, j *job, after int) (*sent, error) {
+	for {
+		now := time.Now()
+		left := time.Until(j.deadline)
+		if left < leastLeft {
+			return nil, refusal.New(refusal.Deadline, "no time is left")
+		}
+		avoid := append(append([]string{}, j.tried...), j.passed...)
+		u, load, ok := r.Chooser.Choose(now, choose.Want{Service: j.service, Tokens: j.req.Expected(), Avoid: avoid})
+		if !ok {
+			return nil, refusal.New(refusal.NoUpstream, "no upstream of "+j.service.Name).WithRetryAfter(comeLater)
+		}
+		j.log.WithFields(logrus.Fields{"upstream": u.ID, "load": load, "left_ms": left.Milliseconds(), "try": len(j.tried) + 1}).Info("sent")
+		s, err := r.sendTo(ctx, j, u, after, nil)
+		if err == nil {
+			j.tried = append(j.tried, u.ID)
+			return s, nil
+		}
+		var failed *exchange.FailedError
+		if !errors.As(err, &failed) || !failed.NotSent || len(j.passed) >= unreachedMost || ctx.Err() != nil {
+			j.tried = append(j.tried, u.ID)
+			return nil, err
+		}
+		j.passed = append(j.passed, u.ID)
+		r.Metrics.Retried(metrics.RetryNeverStarted)
+		j.log.WithError(err).WithField("upstream", u.ID).Warn("not_reached")
+	}
+}
+
+// sendTo sends to one upstream.
+func (r *Relay) sendTo(ctx context.Context, j *job, u fleet.Upstream, after int, from *exchange.Copy) (*sent, error) {
+	end := r.Tally.Begin(u.ID, j.req.Expected())
+	sending, cancel := context.WithCancel(ctx)
+	began := time.Now()
+	answer, err := r.Sender.Send(sending, exchange.Send{
+		Request: j.req, Upstream: u.ID, Address: u.Address, Left: time.Until(j.deadline), Organisation: j.organisation,
+		Urgency: j.urgency, After: after, From: from,
+	})
+	if err != nil {
+		cancel()
+		end()
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			r.Reliability.Record(time.Now(), u.ID, true)
+		}
+		return nil, err
+	}
+	return &sent{answer: answer, upstream: u, began: began, end: end, close: func() {
+		answer.Body.Close()
+		cancel()
+		end()
+	}}, nil
+}
+
+// refuse ends a request with the system's own answer.
+func (r *Relay) refuse(log *logrus.Entry, req *exchange.Request, c exchange.Caller, err error) {
+	var refused refusal.Refusal
+	if !errors.As(err, &refused) {
+		refused = refusal.New(refusal.InternalUnexpected, err.Error())
+	}
+	r.Metrics.Refused(refused.Reason())
+	r.Metrics.Ended(refused.Ending())
+	log.WithFields(logrus.Fields{
+		"reason": refused.Reason(), "ending": refused.Ending(), "retry_after_ms": refused.RetryAfter().Milliseconds(),
+		"took_ms": time.Since(req.Arrived).Milliseconds(), "detail": refused.Error(),
+	}).Info("refused")
+	c.Refuse(refused)
+}
+
+// lost tells what a caller is told after a send without an answer: it may have
+// run, so that nothing is promised.
+func lost(ctx context.Context, err error) refusal.Refusal {
+	var refused refusal.Refusal
+	var failed *exchange.FailedError
+	switch {
+	case errors.As(err, &refused):
+		return refused
+	case errors.As(err, &failed) && failed.NotSent:
+		return refusal.New(refusal.NoUpstream, "no upstream was reached").WithRetryAfter(comeLater)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return refusal.New(refusal.TimedOut, "no answer in time")
+	case ctx.Err() != nil:
+		return refusal.New(refusal.CallerGone, "the caller hung up")
+	}
+	return refusal.New(refusal.NoAnswer, err.Error())
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,281 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"petrelstep/exchange"
+	"petrelstep/metrics"
+	"petrelstep/refusal"
+	"petrelstep/runs"
+)
+
+// goOnTries bounds how often a stream that was moved is asked for.
+const goOnTries = 2
+
+// OrderError says that an upstream's events do not follow on each other.
+type OrderError struct{ Last, Got int }
+
+// Error implements error.
+func (e *OrderError) Error() string { return "events out of order" }
+
+// flow is a stream that is passed on.
+type flow struct {
+	job    *job
+	caller exchange.Caller
+	run    *runs.Run
+	sent   *sent
+	begun  bool // the head has gone out
+	last   int  // event passed on
+	count  int
+	passed time.Time // when the last event went out
+	gap    time.Duration
+}
+
+// stream serves a request whose answer is a stream.
+func (r *Relay) stream(ctx context.Context, j *job, c exchange.Caller) {
+	f := &flow{job: j, caller: c, last: j.req.After}
+	err := r.open(ctx, f)
+	if err != nil {
+		r.refuse(j.log, j.req, c, lost(ctx, err))
+		return
+	}
+	if f.run == nil {
+		return // answered with something that is no stream
+	}
+	leave := r.Runs.Add(f.run)
+	err = r.pass(ctx, f)
+	leave()
+	f.sent.close()
+	r.ended(ctx, f, err)
+}
+
+// open sends the request until an upstream answers with a stream.
+func (r *Relay) open(ctx context.Context, f *flow) error {
+	j := f.job
+	for {
+		s, err := r.send(ctx, j, f.last)
+		o := outcome{sent: s, err: err}
+		if err == nil && s.answer.Status == http.StatusOK && s.answer.Whole {
+			r.Reliability.Record(time.Now(), s.upstream.ID, false)
+			r.Budget.Succeeded()
+			f.sent = s
+			f.run = runs.NewRun(j.req, s.upstream, r.eventTokens(j), s.began)
+			return nil
+		}
+		if err == nil && s.answer.Status == http.StatusOK {
+			s.close()
+			o = outcome{err: &SealError{}}
+		}
+		if o.err == nil {
+			r.Reliability.Record(time.Now(), s.upstream.ID, true)
+		}
+		if r.again(ctx, j, o) || o.err != nil && j.route.Resumable && r.mayResume(ctx, j) {
+			if o.sent != nil {
+				o.sent.close()
+			}
+			continue
+		}
+		if o.err != nil {
+			return o.err
+		}
+		return r.notStream(ctx, f, o)
+	}
+}
+
+// notStream passes on an upstream's answer that is no stream.
+func (r *Relay) notStream(ctx context.Context, f *flow, o outcome) error {
+	body, more, err := o.sent.answer.Body.All(wholeMost)
+	if err != nil || more {
+		o.sent.close()
+		return &exchange.FailedError{Err: err}
+	}
+	o.body = body
+	r.deliver(ctx, f.job, f.caller, o)
+	return nil
+}
+
+func (r *Relay) eventTokens(j *job) int {
+	if j.service.Engine == nil {
+		return 1
+	}
+	return j.service.Engine.EventTokens
+}
+
+// pass passes events on until the stream is whole; it goes on elsewhere where
+// the run was moved, or may be resumed.
+func (r *Relay) pass(ctx context.Context, f *flow) error {
+	for {
+		err := r.events(ctx, f)
+		if err == nil || ctx.Err() != nil || errors.As(err, new(*callerError)) {
+			return err
+		}
+		f.job.log.WithError(err).WithFields(map[string]any{"upstream": f.sent.upstream.ID, "events": f.count, "stopping": f.run.IsStopping()}).Info("stream_broke")
+		f.sent.close()
+		if goneOn, moved := r.goOn(ctx, f); moved {
+			if !goneOn {
+				return err
+			}
+			continue
+		}
+		if !f.job.route.Resumable || !r.mayResume(ctx, f.job) {
+			return err
+		}
+		if err := r.resume(ctx, f); err != nil {
+			return err
+		}
+	}
+}
+
+// callerError says that the caller could not be written to.
+type callerError struct{ err error }
+
+func (e *callerError) Error() string { return "caller: " + e.err.Error() }
+
+func (e *callerError) Unwrap() error { return e.err }
+
+// events passes on one upstream's stream to its end.
+func (r *Relay) events(ctx context.Context, f *flow) error {
+	for {
+		e, err := f.sent.answer.Body.Next()
+		if err == io.EOF {
+			return f.end()
+		}
+		if err != nil {
+			return err
+		}
+		if e.ID != exchange.NoEvent {
+			if e.ID <= f.last {
+				continue // had before the move
+			}
+			if f.count > 0 && e.ID != f.last+1 {
+				return &OrderError{Last: f.last, Got: e.ID}
+			}
+		}
+		if err := r.event(f, e); err != nil {
+			return &callerError{err}
+		}
+	}
+}
+
+// end tells whether a stream that closed is whole: one that is being stopped
+// and has no length closes alike.
+func (f *flow) end() error {
+	if !f.sent.answer.Framed && f.run.IsStopping() {
+		return io.ErrUnexpectedEOF
+	}
+	if f.begun {
+		return nil
+	}
+	f.begun = true
+	if err := f.caller.Answer(f.sent.answer, -1); err != nil {
+		return &callerError{err}
+	}
+	return nil
+}
+
+// event passes on one event; the head goes out with the first, so that until
+// then the request may be sent elsewhere.
+func (r *Relay) event(f *flow, e exchange.Event) error {
+	now := time.Now()
+	if !f.begun {
+		f.begun = true
+		if err := f.caller.Answer(f.sent.answer, -1); err != nil {
+			return err
+		}
+		f.job.first = now.Sub(f.job.req.Arrived)
+	} else {
+		f.gap = max(f.gap, now.Sub(f.passed))
+	}
+	f.passed = now
+	if err := f.caller.Write(e.Raw); err != nil {
+		return err
+	}
+	f.count++
+	if e.ID != exchange.NoEvent {
+		f.last = e.ID
+	}
+	f.run.Progress()
+	return nil
+}
+
+// goOn goes on with a run that was moved. moved is false if it was not.
+func (r *Relay) goOn(ctx context.Context, f *flow) (goneOn, moved bool) {
+	h, ok := f.run.Await(ctx)
+	if !ok {
+		return false, false
+	}
+	began := time.Now()
+	at := h.Target
+	for range goOnTries {
+		s, err := r.sendTo(ctx, f.job, at, f.last, &h.Copy)
+		log := f.job.log.WithFields(map[string]any{"upstream": at.ID, "after": f.last, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds()})
+		if err == nil && s.answer.Status == http.StatusOK {
+			f.sent = s
+			f.run.Moved(at)
+			r.Metrics.Retried(metrics.RetryMoved)
+			log.Info("went_on")
+			return true, true
+		}
+		if err == nil {
+			log = log.WithField("status", s.answer.Status)
+			s.close()
+		}
+		log.WithError(err).Warn("not_gone_on")
+		at = h.Source
+	}
+	return false, true
+}
+
+// mayResume tells whether one more upstream may be asked, and takes that from
+// the budget.
+func (r *Relay) mayResume(ctx context.Context, j *job) bool {
+	if ctx.Err() != nil || len(j.tried) >= j.route.Attempts || time.Until(j.deadline) < leastLeft || !r.Budget.Spend() {
+		return false
+	}
+	r.Metrics.Retried(metrics.RetryResume)
+	return true
+}
+
+// resume asks another upstream for the events after the last.
+func (r *Relay) resume(ctx context.Context, f *flow) error {
+	s, err := r.send(ctx, f.job, f.last)
+	if err != nil {
+		return err
+	}
+	if s.answer.Status != http.StatusOK || !s.answer.Whole {
+		s.close()
+		return &exchange.FailedError{Err: &SealError{}}
+	}
+	f.sent = s
+	f.run.Moved(s.upstream)
+	f.job.log.WithFields(map[string]any{"upstream": s.upstream.ID, "after": f.last}).Info("resumed")
+	return nil
+}
+
+// ended settles a stream.
+func (r *Relay) ended(ctx context.Context, f *flow, err error) {
+	r.Metrics.Streamed(f.count, f.job.first.Seconds(), f.gap.Seconds(), max(f.gap-f.job.route.Gap, 0).Seconds())
+	log := f.job.log.WithFields(map[string]any{
+		"upstream": f.sent.upstream.ID, "events": f.count, "first_ms": f.job.first.Milliseconds(), "gap_ms": f.gap.Milliseconds(),
+		"took_ms": time.Since(f.job.req.Arrived).Milliseconds(),
+	})
+	switch {
+	case err == nil:
+		r.Metrics.Ended(refusal.Done)
+		log.Info("streamed")
+	case errors.Is(ctx.Err(), context.Canceled) || errors.As(err, new(*callerError)):
+		log.Info("caller_gone")
+		f.caller.Abort()
+	case !f.begun:
+		r.refuse(log, f.job.req, f.caller, lost(ctx, err))
+	default:
+		r.Metrics.Refused(refusal.GenerationLost)
+		r.Metrics.Ended(refusal.Failed)
+		log.WithError(err).Warn("stream_lost")
+		f.caller.Abort()
+	}
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -24,18 +24,26 @@
 
 // Budget is safe for use by several goroutines.
 type Budget struct {
-	mu    sync.Mutex
-	saved float64
+	mu     sync.Mutex
+	saved  float64
+	earned float64
+	most   float64
 }
 
 // New returns a full budget.
-func New() *Budget { return &Budget{saved: most} }
+func New() *Budget { return NewBudget(earned, most) }
+
+// NewBudget returns a full budget that earns a part of a retry each time and
+// saves up no more than most.
+func NewBudget(earned, most float64) *Budget {
+	return &Budget{saved: most, earned: earned, most: most}
+}
 
 // Succeeded earns a part of a retry.
 func (b *Budget) Succeeded() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(b.saved+earned, most)
+	b.saved = min(b.saved+b.earned, b.most)
 }
 
 // Spend takes one retry from the budget; false if there is none left.
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,131 @@
+// Package route holds the configuration by which requests are routed.
+package route
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Share is one service's part of a route's traffic.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route tells where requests go and what may be done with them.
+type Route struct {
+	Name       string
+	Host       string
+	Prefix     string // of the path; begins and ends with a slash
+	Streams    bool   // answers are streams of events
+	Repeatable bool   // a request may run more than once
+	Resumable  bool   // a stream may go on at another upstream after an event
+	Attempts   int    // upstreams that one request may be sent to
+	Timeout    time.Duration
+	Aim        time.Duration // for the first event or the whole answer
+	Gap        time.Duration // longest pause of a stream in time
+	Priority   int           // 0 goes first
+	Public     bool          // needs no key
+	Split      []Share
+}
+
+// Idempotent tells whether a request may run more than once.
+func (r Route) Idempotent() bool { return r.Repeatable || r.Resumable }
+
+// Engine is what a service's model engines offer.
+type Engine struct {
+	Slots       int
+	Memory      int // tokens
+	TokenBytes  int
+	LinkMbit    float64 // megabits a second, for moved memory
+	Moves       bool
+	EventTokens int
+}
+
+// Service is a set of like upstreams.
+type Service struct {
+	Name        string
+	HealthPath  string
+	Connections int     // that one upstream takes from all boxes
+	Engine      *Engine // nil for a plain service
+}
+
+// Organisation is one that sends requests.
+type Organisation struct {
+	Name     string
+	Keys     []string
+	Priority *int // goes before the route's
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Table is one version of the configuration. It is immutable.
+type Table struct {
+	version       int
+	hosts         map[string][]Route // longest prefix first
+	services      map[string]Service
+	organisations map[string]Organisation // by key
+	limits        Limits
+}
+
+// New returns a table.
+func New(version int, routes []Route, services []Service, organisations []Organisation, limits Limits) *Table {
+	t := &Table{
+		version: version, hosts: map[string][]Route{}, services: map[string]Service{},
+		organisations: map[string]Organisation{}, limits: limits,
+	}
+	for _, r := range routes {
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, list := range t.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	for _, o := range organisations {
+		for _, k := range o.Keys {
+			t.organisations[k] = o
+		}
+	}
+	return t
+}
+
+// Version returns the version, which rises with each change.
+func (t *Table) Version() int { return t.version }
+
+// Limits returns the bounds on what callers send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Match returns the route of a request: of its host's, the one with the
+// longest prefix of the path.
+func (t *Table) Match(host, path string) (Route, bool) {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service returns a service by its name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Organisation returns the organisation that holds a key.
+func (t *Table) Organisation(key string) (Organisation, bool) {
+	o, ok := t.organisations[key]
+	return o, ok
+}
+
+// Keyed tells whether any organisation is declared: then requests carry keys.
+func (t *Table) Keyed() bool { return len(t.organisations) > 0 }
--- a/standin/set/set.go
+++ b/standin/set/set.go
@@ -20,6 +20,7 @@
 	"petrelstep/daemon"
 	"petrelstep/front"
 	"petrelstep/logs"
+	"petrelstep/metrics"
 	"petrelstep/standin/engine"
 	"petrelstep/standin/platform"
 	"petrelstep/standin/relay"
@@ -286,12 +287,16 @@
 	if err != nil {
 		return nil, err
 	}
+	counts, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	out := s.options.Log
 	if out == nil {
 		out = io.Discard
 	}
-	d, err := daemon.New(ctx, c, logs.New(out, "info", c.Box))
+	d, err := daemon.New(ctx, c, logs.New(out, "info", c.Box), counts)
 	if err != nil {
 		cancel()
 		return nil, err
