evacuate: move what is overdue or not yet answered; wait for turns longer

Two late ones (gap 425 ms) came from a box that stopped waiting for its turn. Ruled out: copies without room (none), turns without keeper (none).

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -48,7 +48,8 @@
 type Want struct {
 	Service route.Service
 	Tokens  int
-	Hall    string // to be near; the box's own where empty
+	Hall    string  // to be near; the box's own where empty
+	Far     float64 // what another hall costs, as a share of capacity; 0 for the usual
 	Avoid   []string
 }
 
@@ -58,6 +59,9 @@
 	if w.Hall == "" {
 		w.Hall = c.hall
 	}
+	if w.Far == 0 {
+		w.Far = far
+	}
 	lowest := 0.0
 	for _, u := range c.fleet.Serving(w.Service.Name) {
 		if slices.Contains(w.Avoid, u.ID) {
@@ -86,7 +90,7 @@
 func (c *Chooser) penalty(now time.Time, w Want, u fleet.Upstream) float64 {
 	p := failing*c.reliability.Failing(now, u.ID) + noise*c.draw()
 	if u.Hall != w.Hall {
-		p += far
+		p += w.Far
 	}
 	if u.State == fleet.Missing {
 		p += missing
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -14,9 +14,8 @@
 	// heardWithin is how recently a box was heard that keeps turns: three of its
 	// periods of gossip.
 	heardWithin = 800 * time.Millisecond
-	// turnWait is the longest wait for a turn: an upstream that leaves is gone
-	// within 1.5 to 2 s.
-	turnWait = 900 * time.Millisecond
+	// turnBackTime bounds the call that gives a turn back; it lapses anyway.
+	turnBackTime = 500 * time.Millisecond
 	// turnSlack is for the way to the keeper of the turns and back.
 	turnSlack = 50 * time.Millisecond
 	// departingFor is how long peers are told of an upstream that leaves.
@@ -100,8 +99,6 @@
 	if e.config.Edge.Moves != wire.EdgeMovesTurns {
 		return func() {}
 	}
-	ctx, cancel := context.WithTimeout(ctx, turnWait)
-	defer cancel()
 	keeper, ok := e.members.First(time.Now(), "turns/"+upstream, "")
 	if !ok || keeper.Name == e.config.Box {
 		e.turns.Take(ctx, upstream, e.config.Box)
@@ -111,7 +108,8 @@
 		e.log.WithField("keeper", keeper.Name).Info("turn_without_keeper")
 		return func() {}
 	}
-	ask := wire.TurnAsk{Upstream: upstream, Box: e.config.Box, WaitMs: int((turnWait - turnSlack).Milliseconds())}
+	until, _ := ctx.Deadline()
+	ask := wire.TurnAsk{Upstream: upstream, Box: e.config.Box, WaitMs: int(max(time.Until(until)-turnSlack, 0).Milliseconds())}
 	var answer wire.TurnAnswer
 	if err := e.peers.Call(ctx, keeper.Address, peer.Turn, ask, &answer); err != nil {
 		e.log.WithError(err).WithField("keeper", keeper.Name).Warn("turn_not_asked")
@@ -121,7 +119,7 @@
 }
 
 func (e *Edge) turnBack(keeper members.Box, ask wire.TurnAsk) {
-	ctx, cancel := context.WithTimeout(context.Background(), turnWait)
+	ctx, cancel := context.WithTimeout(context.Background(), turnBackTime)
 	defer cancel()
 	var answer wire.Nothing
 	if err := e.peers.Call(ctx, keeper.Address, peer.TurnBack, ask, &answer); err != nil {
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -18,8 +18,12 @@
 )
 
 const (
-	// evacuateFor bounds the work at one upstream: it is gone by then.
+	// evacuateFor bounds the work at one upstream: most are gone after 2 s, some
+	// serve on for many.
 	evacuateFor = 12 * time.Second
+	// turnsFor is how long boxes wait for turns: soon after, the upstream is
+	// gone, and a late move is better than none.
+	turnsFor = 1300 * time.Millisecond
 	// copyTime bounds one copy; it takes 0.1 to 0.5 s alone on its link.
 	copyTime = 3 * time.Second
 	// stopTime bounds the stop with the last of a copy; 25 ms alone, and up to
@@ -29,11 +33,14 @@
 	again = 60 * time.Millisecond
 	// targetsMost is how many targets are tried for one run at a time.
 	targetsMost = 3
-	// finishing is how much of a stream may be left that is not worth a move:
-	// it ends within the shortest notice there is.
+	// finishing is how much of a stream may be left for it to be moved last: it
+	// may end within the shortest notice there is, 1.5 s.
 	finishing = 600 * time.Millisecond
 	// eventTime is how long an event takes to make, in calm.
 	eventTime = 40 * time.Millisecond
+	// near is what another hall costs as a target, as a share of its capacity:
+	// a copy there takes twice as long, and those behind it wait.
+	near = 0.25
 )
 
 // What an upstream may answer to a move.
@@ -72,6 +79,7 @@
 	Turns    Turns
 	Services Services
 	Begin    func(upstream string, tokens int) (end func()) // counts a copy at its target
+	Busy     func(upstream string) bool                     // requests of this box are there, also unanswered ones
 	Moved    func(outcome string, took time.Duration)       // counts moves
 	Log      *logrus.Entry
 }
@@ -83,24 +91,24 @@
 func New(parts Parts) *Evacuator { return &Evacuator{parts} }
 
 // Leaves moves what this box has at an upstream that leaves, until nothing is
-// left there or the upstream is gone.
+// left there or the upstream is gone. Requests that are not answered yet are
+// waited for: they can be moved once they run.
 func (e *Evacuator) Leaves(ctx context.Context, u fleet.Upstream) {
 	service, ok := e.Services(u.Service)
 	if !ok || service.Engine == nil || !service.Engine.Moves {
 		return
 	}
+	turns := time.Now().Add(turnsFor)
 	ctx, cancel := context.WithTimeout(ctx, evacuateFor)
 	defer cancel()
 	gaveUp := map[*runs.Run]bool{}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && e.Busy(u.ID) {
 		run := e.next(u, gaveUp)
 		if run == nil {
-			return
+			sleep(ctx, again)
+			continue
 		}
-		giveBack := e.Turns.Take(ctx, u.ID)
-		done := e.move(ctx, run, u, service)
-		giveBack()
-		if done {
+		if e.inTurn(ctx, turns, run, u, service) {
 			gaveUp[run] = true
 			continue
 		}
@@ -108,16 +116,31 @@
 	}
 }
 
-// next returns the run to move next. What ends soon stays until nothing else
-// is left, and ends by itself.
+// inTurn moves a run when it is this box's turn.
+func (e *Evacuator) inTurn(ctx context.Context, until time.Time, run *runs.Run, u fleet.Upstream, service route.Service) (done bool) {
+	waiting, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	giveBack := e.Turns.Take(waiting, u.ID)
+	defer giveBack()
+	return e.move(ctx, run, u, service)
+}
+
+// next returns the run to move next: the smallest, as it is the quickest, but
+// last what may end by itself.
 func (e *Evacuator) next(u fleet.Upstream, gaveUp map[*runs.Run]bool) *runs.Run {
+	var last *runs.Run
 	for _, r := range e.Runs.At(u.ID) {
-		soon := time.Duration(r.Remaining())*eventTime < finishing
-		if !gaveUp[r] && !soon {
+		if gaveUp[r] {
+			continue
+		}
+		if time.Duration(r.Remaining())*eventTime >= finishing || r.Overdue() {
 			return r
 		}
+		if last == nil {
+			last = r
+		}
 	}
-	return nil
+	return last
 }
 
 // move moves one run. It reports false if that may be tried again.
@@ -127,7 +150,7 @@
 	avoid := []string{u.ID}
 	var err error
 	for range targetsMost {
-		target, load, ok := e.Chooser.Choose(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Avoid: avoid})
+		target, load, ok := e.Chooser.Choose(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Far: near, Avoid: avoid})
 		if !ok {
 			err = ErrNoRoom
 			break
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -76,6 +76,14 @@
 	return max(r.Request.Answer()/r.perEvent-r.events, 1)
 }
 
+// Overdue tells whether it has made more than was expected: then how much is to
+// come is not known.
+func (r *Run) Overdue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events*r.perEvent > r.Request.Answer()
+}
+
 // Copied notes a copy made while it runs: should its upstream be lost, it goes
 // on from there.
 func (r *Run) Copied(h Handoff) {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -56,6 +56,13 @@
 	t.own[upstream] = l
 }
 
+// Busy tells whether this box has anything at an upstream.
+func (t *Tally) Busy(upstream string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.own[upstream].Requests > 0
+}
+
 // Own returns what this box has running, for its peers.
 func (t *Tally) Own() []wire.UpstreamTally {
 	t.mu.Lock()
