--- a/choose/choose.go
+++ b/choose/choose.go
@@ -20,6 +20,11 @@
 	far = 0.03
 	// slots weighs an engine's requests against its memory.
 	slots = 0.3
+	// prefillRate is how many tokens of prompts an engine reads in a second
+	// beside the tokens of some running requests, half of what it reads alone.
+	prefillRate = 7000.0
+	// waiting weighs a second of waiting for other prompts to be read.
+	waiting = 1.0
 	// failing weighs the share of sends that failed of late.
 	failing = 3.0
 	// missing is for one whose entry has lapsed and may come back.
@@ -84,7 +89,7 @@
 	if e == nil || e.Memory == 0 {
 		return places
 	}
-	return float64(l.Tokens+w.Tokens)/float64(e.Memory) + slots*places
+	return float64(l.Tokens+w.Tokens)/float64(e.Memory) + slots*places + waiting*float64(l.Prefill)/prefillRate
 }
 
 func (c *Chooser) penalty(now time.Time, w Want, u fleet.Upstream) float64 {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -125,7 +125,7 @@
 	})
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Parts{
-		Runs: e.runs, Chooser: chooser, Mover: e.upstreams, Turns: e, Services: e.service, Begin: e.tally.Begin, Busy: e.tally.Busy,
+		Runs: e.runs, Chooser: chooser, Mover: e.upstreams, Turns: e, Services: e.service, Tally: e.tally,
 		Moved: e.metrics.Moved, Log: e.log,
 	})
 }
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -15,6 +15,7 @@
 	"petrelstep/fleet"
 	"petrelstep/route"
 	"petrelstep/runs"
+	"petrelstep/tally"
 )
 
 const (
@@ -78,9 +79,8 @@
 	Mover    Mover
 	Turns    Turns
 	Services Services
-	Begin    func(upstream string, tokens int) (end func()) // counts a copy at its target
-	Busy     func(upstream string) bool                     // requests of this box are there, also unanswered ones
-	Moved    func(outcome string, took time.Duration)       // counts moves
+	Tally    *tally.Tally                             // counts copies at their targets
+	Moved    func(outcome string, took time.Duration) // counts moves
 	Log      *logrus.Entry
 }
 
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, evacuateFor)
 	defer cancel()
 	gaveUp := map[*runs.Run]bool{}
-	for ctx.Err() == nil && e.Busy(u.ID) {
+	for ctx.Err() == nil && e.Tally.Busy(u.ID) {
 		run := e.next(u, gaveUp)
 		if run == nil {
 			sleep(ctx, again)
@@ -156,9 +156,9 @@
 			break
 		}
 		avoid = append(avoid, target.ID)
-		end := e.Begin(target.ID, run.Tokens())
+		entry := e.Tally.Begin(target.ID, tally.Load{Requests: 1, Tokens: run.Request.Expected()})
 		err = e.moveTo(ctx, run, u, target)
-		end()
+		entry.End()
 		log = log.WithFields(logrus.Fields{"to": target.ID, "load": load})
 		if !errors.Is(err, ErrNoRoom) {
 			break
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -167,7 +167,7 @@
 	answer   *exchange.Answer
 	upstream fleet.Upstream
 	began    time.Time
-	end      func() // takes it off the tally
+	entry    *tally.Entry
 	close    func()
 }
 
@@ -205,7 +205,11 @@
 
 // sendTo sends to one upstream.
 func (r *Relay) sendTo(ctx context.Context, j *job, u fleet.Upstream, after int, from *exchange.Copy) (*sent, error) {
-	end := r.Tally.Begin(u.ID, j.req.Expected())
+	load := tally.Load{Requests: 1, Tokens: j.req.Expected(), Prefill: j.req.Prompt}
+	if from != nil {
+		load.Prefill = 0 // all but the last tokens are in the copy
+	}
+	entry := r.Tally.Begin(u.ID, load)
 	sending, cancel := context.WithCancel(ctx)
 	began := time.Now()
 	answer, err := r.Sender.Send(sending, exchange.Send{
@@ -214,16 +218,16 @@
 	})
 	if err != nil {
 		cancel()
-		end()
+		entry.End()
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			r.Reliability.Record(time.Now(), u.ID, true)
 		}
 		return nil, err
 	}
-	return &sent{answer: answer, upstream: u, began: began, end: end, close: func() {
+	return &sent{answer: answer, upstream: u, began: began, entry: entry, close: func() {
 		answer.Body.Close()
 		cancel()
-		end()
+		entry.End()
 	}}, nil
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -194,6 +194,9 @@
 	if err := f.caller.Write(e.Raw); err != nil {
 		return err
 	}
+	if f.count == 0 {
+		f.sent.entry.Started()
+	}
 	f.count++
 	if e.ID != exchange.NoEvent {
 		f.last = e.ID
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -17,7 +17,16 @@
 // Load is what runs at one upstream.
 type Load struct {
 	Requests int
-	Tokens   int
+	Tokens   int // of memory, at the end of what is running
+	Prefill  int // tokens of prompts whose first event has not come
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{Requests: l.Requests + o.Requests, Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill}
+}
+
+func (l Load) negative() Load {
+	return Load{Requests: -l.Requests, Tokens: -l.Tokens, Prefill: -l.Prefill}
 }
 
 type told struct {
@@ -35,25 +44,41 @@
 // New returns an empty tally.
 func New() *Tally { return &Tally{own: map[string]Load{}, others: map[string]told{}} }
 
-// Begin counts a request of so many tokens at an upstream; the returned
-// function takes it off again, once.
-func (t *Tally) Begin(upstream string, tokens int) (end func()) {
-	t.add(upstream, 1, tokens)
-	var once sync.Once
-	return func() { once.Do(func() { t.add(upstream, -1, -tokens) }) }
+// Entry is one request that is counted at an upstream.
+type Entry struct {
+	tally    *Tally
+	upstream string
+	left     Load // still counted
+}
+
+// Begin counts a request at an upstream until its entry ends.
+func (t *Tally) Begin(upstream string, l Load) *Entry {
+	t.add(upstream, l)
+	return &Entry{tally: t, upstream: upstream, left: l}
+}
+
+// Started takes the prompt off what is to be read: the first event has come.
+func (e *Entry) Started() {
+	e.take(Load{Prefill: e.left.Prefill})
+}
+
+// End takes off what is still counted. It may be called again.
+func (e *Entry) End() { e.take(e.left) }
+
+func (e *Entry) take(l Load) {
+	e.left = e.left.plus(l.negative())
+	e.tally.add(e.upstream, l.negative())
 }
 
-func (t *Tally) add(upstream string, requests, tokens int) {
+func (t *Tally) add(upstream string, l Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.own[upstream]
-	l.Requests += requests
-	l.Tokens += tokens
-	if l.Requests == 0 {
+	sum := t.own[upstream].plus(l)
+	if sum == (Load{}) {
 		delete(t.own, upstream)
 		return
 	}
-	t.own[upstream] = l
+	t.own[upstream] = sum
 }
 
 // Busy tells whether this box has anything at an upstream.
@@ -69,7 +94,7 @@
 	defer t.mu.Unlock()
 	list := make([]wire.UpstreamTally, 0, len(t.own))
 	for id, l := range t.own {
-		list = append(list, wire.UpstreamTally{Upstream: id, Requests: l.Requests, Tokens: l.Tokens})
+		list = append(list, wire.UpstreamTally{Upstream: id, Requests: l.Requests, Tokens: l.Tokens, Prefill: l.Prefill})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Upstream < list[j].Upstream })
 	return list
@@ -79,7 +104,7 @@
 func (t *Tally) Told(now time.Time, box string, list []wire.UpstreamTally) {
 	loads := make(map[string]Load, len(list))
 	for _, u := range list {
-		loads[u.Upstream] = Load{Requests: u.Requests, Tokens: u.Tokens}
+		loads[u.Upstream] = Load{Requests: u.Requests, Tokens: u.Tokens, Prefill: u.Prefill}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -96,9 +121,7 @@
 			delete(t.others, box)
 			continue
 		}
-		l := o.loads[upstream]
-		sum.Requests += l.Requests
-		sum.Tokens += l.Tokens
+		sum = sum.plus(o.loads[upstream])
 	}
 	return sum
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3369,6 +3369,9 @@
 
 // What one box has running at an upstream.
 type UpstreamTally struct {
+	// Tokens of prompts that are not answered yet.
+	Prefill int `json:"prefill,omitempty,omitzero"`
+
 	// Requests corresponds to the JSON schema field "requests".
 	Requests int `json:"requests"`
 
@@ -3399,6 +3402,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["prefill"]; !ok || v == nil {
+		plain.Prefill = 0
+	}
 	*j = UpstreamTally(plain)
 	return nil
 }
