--- a/choose/choose.go
+++ b/choose/choose.go
@@ -64,7 +64,7 @@
 type Want struct {
 	Service route.Service
 	Tokens  int
-	Hall    string  // to be near; the box's own where empty
+	Hall    string // to be near; the box's own where empty
 	Moves   bool   // it is for a run that moves there
 	Avoid   []string
 }
--- /dev/null
+++ b/tally/tally_test.go
@@ -0,0 +1,49 @@
+package tally_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/tally"
+	"petrelstep/wire"
+)
+
+func TestEntryIsTakenOffOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := tally.New()
+	a := s.Begin("u", tally.Load{Requests: 1, Tokens: 900, Prefill: 700})
+	b := s.Begin("u", tally.Load{Requests: 1, Tokens: 100, Prefill: 50})
+	is.Equal(s.Load(now, "u"), tally.Load{Requests: 2, Tokens: 1000, Prefill: 750})
+	a.Started()
+	a.Started()
+	is.Equal(s.Load(now, "u"), tally.Load{Requests: 2, Tokens: 1000, Prefill: 50})
+	a.End()
+	a.End()
+	is.Equal(s.Load(now, "u"), tally.Load{Requests: 1, Tokens: 100, Prefill: 50})
+	is.True(s.Busy("u"))
+	b.End()
+	is.True(!s.Busy("u"))
+	is.Equal(len(s.Own()), 0)
+}
+
+func TestWhatOthersTell(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := tally.New()
+	s.Begin("u", tally.Load{Requests: 1, Tokens: 10})
+	s.Told(now, "b1", []wire.UpstreamTally{{Upstream: "u", Requests: 2, Tokens: 20}})
+	s.Told(now, "b2", []wire.UpstreamTally{{Upstream: "u", Requests: 3, Tokens: 30, Prefill: 7}})
+	is.Equal(s.Load(now, "u"), tally.Load{Requests: 6, Tokens: 60, Prefill: 7})
+	// A hub tells a box what all others have, so that it adds its own.
+	is.Equal(s.Without(now, "b2"), []wire.UpstreamTally{{Upstream: "u", Requests: 3, Tokens: 30}})
+	// A box that is gone takes its word with it.
+	later := now.Add(3500 * time.Millisecond)
+	is.Equal(s.Load(later, "u"), tally.Load{Requests: 1, Tokens: 10})
+	// A hub's sum stands for all others, and is not added to what they told.
+	s.Told(later, "b1", []wire.UpstreamTally{{Upstream: "u", Requests: 2, Tokens: 20}})
+	s.ToldSum(later, []wire.UpstreamTally{{Upstream: "u", Requests: 4, Tokens: 40}})
+	is.Equal(s.Load(later, "u"), tally.Load{Requests: 5, Tokens: 50})
+}
