--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,459 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/belief"
+	"petrelstep/choose"
+	"petrelstep/exchange"
+	"petrelstep/fleet"
+	"petrelstep/logs"
+	"petrelstep/metrics"
+	"petrelstep/refusal"
+	"petrelstep/relay"
+	"petrelstep/reliability"
+	"petrelstep/retry"
+	"petrelstep/route"
+	"petrelstep/runs"
+	"petrelstep/tally"
+)
+
+// reply is what one send meets.
+type reply struct {
+	status   int
+	notRun   bool
+	unsealed bool
+	notSent  bool
+	err      error
+	hang     bool // nothing comes until the sender gives up
+	body     string
+	cutAfter error // the body ends with this
+	events   []int // ids; the stream ends well after them unless cutAfter is set
+	unframed bool
+	pause    time.Duration // before each event
+	wait     func()        // before the stream ends
+}
+
+// sender answers the sends of a test, in order; past the script, it is the
+// last reply again.
+type sender struct {
+	mu     sync.Mutex
+	script []reply
+	sends  []exchange.Send
+}
+
+func (s *sender) Send(ctx context.Context, send exchange.Send) (*exchange.Answer, error) {
+	s.mu.Lock()
+	r := s.script[min(len(s.sends), len(s.script)-1)]
+	s.sends = append(s.sends, send)
+	s.mu.Unlock()
+	if r.hang {
+		<-ctx.Done()
+		return nil, &exchange.FailedError{Err: ctx.Err()}
+	}
+	if r.err != nil {
+		return nil, &exchange.FailedError{NotSent: r.notSent, Err: r.err}
+	}
+	if r.status == 0 {
+		r.status = http.StatusOK
+	}
+	return &exchange.Answer{
+		Status: r.status, NotRun: r.notRun, Whole: !r.unsealed, Framed: !r.unframed, Body: &bodyOf{ctx: ctx, reply: r},
+	}, nil
+}
+
+type bodyOf struct {
+	ctx   context.Context
+	reply reply
+	at    int
+}
+
+func (b *bodyOf) Next() (exchange.Event, error) {
+	if b.at >= len(b.reply.events) {
+		if b.reply.wait != nil {
+			b.reply.wait()
+		}
+		if b.reply.cutAfter != nil {
+			return exchange.Event{}, b.reply.cutAfter
+		}
+		return exchange.Event{}, io.EOF
+	}
+	select {
+	case <-time.After(b.reply.pause):
+	case <-b.ctx.Done():
+		return exchange.Event{}, b.ctx.Err()
+	}
+	id := b.reply.events[b.at]
+	b.at++
+	return exchange.Event{ID: id, Raw: []byte(fmt.Sprint(id, ";"))}, nil
+}
+
+func (b *bodyOf) All(int) ([]byte, bool, error) { return []byte(b.reply.body), false, b.reply.cutAfter }
+func (b *bodyOf) Read([]byte) (int, error)      { return 0, io.EOF }
+func (b *bodyOf) Close()                        {}
+
+// caller keeps what it is told.
+type caller struct {
+	status  int
+	body    strings.Builder
+	refused *refusal.Refusal
+	aborted bool
+	broken  bool // writes fail
+	first   time.Duration
+	began   time.Time
+}
+
+func (c *caller) Answer(a *exchange.Answer, _ int) error {
+	c.status = a.Status
+	return nil
+}
+
+func (c *caller) Write(p []byte) error {
+	if c.broken {
+		return io.ErrClosedPipe
+	}
+	if c.body.Len() == 0 {
+		c.first = time.Since(c.began)
+	}
+	c.body.Write(p)
+	return nil
+}
+
+func (c *caller) Refuse(err error) {
+	var r refusal.Refusal
+	errors.As(err, &r)
+	c.refused = &r
+}
+
+func (c *caller) Abort() { c.aborted = true }
+
+// world is a relay with what it works with.
+type world struct {
+	belief *belief.Belief
+	fleet  *fleet.Fleet
+	runs   *runs.Runs
+	sender *sender
+	tally  *tally.Tally
+	relay  *relay.Relay
+	leaves bool
+}
+
+var table = route.New(7, []route.Route{
+	{Name: "safe", Host: "h", Prefix: "/safe/", Repeatable: true, Attempts: 2, Timeout: time.Second, Aim: 100 * time.Millisecond, Split: split("plain")},
+	{Name: "once", Host: "h", Prefix: "/once/", Attempts: 1, Timeout: time.Second, Aim: 100 * time.Millisecond, Split: split("plain")},
+	{Name: "twice", Host: "h", Prefix: "/unsafe2/", Attempts: 2, Timeout: time.Second, Aim: 100 * time.Millisecond, Split: split("plain")},
+	{Name: "public", Host: "h", Prefix: "/public/", Public: true, Attempts: 1, Timeout: time.Second, Aim: time.Second, Split: split("plain")},
+	{Name: "draft", Host: "h", Prefix: "/draft/", Streams: true, Attempts: 1, Timeout: 30 * time.Second, Aim: time.Second, Split: split("llm")},
+	{Name: "check", Host: "h", Prefix: "/check/", Streams: true, Resumable: true, Attempts: 2, Timeout: 6 * time.Second, Aim: time.Second, Split: split("llm")},
+	{Name: "nowhere", Host: "h", Prefix: "/nowhere/", Attempts: 1, Timeout: time.Second, Aim: time.Second, Split: split("empty")},
+}, []route.Service{
+	{Name: "plain"}, {Name: "empty"},
+	{Name: "llm", Engine: &route.Engine{Slots: 8, Memory: 30000, EventTokens: 4, Moves: true}},
+}, []route.Organisation{{Name: "council", Keys: []string{"key"}}}, route.Limits{})
+
+func split(service string) []route.Share { return []route.Share{{Service: service, Weight: 1}} }
+
+func newWorld(t *testing.T, script ...reply) *world {
+	t.Helper()
+	counts, err := metrics.New()
+	is.New(t).NoErr(err)
+	w := &world{
+		belief: belief.New(4600 * time.Millisecond), fleet: fleet.New(time.Second), runs: runs.New(), tally: tally.New(),
+		sender: &sender{script: script},
+	}
+	w.belief.Take(table)
+	w.belief.Confirm(time.Now())
+	var list []fleet.Upstream
+	for _, service := range []string{"plain", "llm"} {
+		for i := range 4 {
+			list = append(list, fleet.Upstream{ID: fmt.Sprint(service, i), Service: service, Address: fmt.Sprint(service, i, ":1"), Slots: 8, State: fleet.Open})
+		}
+	}
+	w.fleet.Replace(time.Now(), list, false)
+	failures := reliability.New()
+	w.relay = relay.New(relay.Parts{
+		Belief: w.belief, Fleet: w.fleet, Tally: w.tally, Reliability: failures, Sender: w.sender, Budget: retry.NewBudget(0.1, 3),
+		Chooser: choose.New(w.fleet, w.tally, failures, "leith", rand.New(rand.NewPCG(1, 1))), Runs: w.runs, Metrics: counts,
+		Leaving: func() bool { return w.leaves }, Log: logs.New(io.Discard, "info", "b"),
+	})
+	return w
+}
+
+func (w *world) serve(ctx context.Context, path string) *caller {
+	c := &caller{began: time.Now()}
+	w.relay.Serve(ctx, request(path), c)
+	return c
+}
+
+func request(path string) *exchange.Request {
+	return &exchange.Request{
+		ID: "r1", Arrived: time.Now(), Host: "h", Path: path + "x", Key: "key", Wait: time.Minute, Prompt: 1000, Hint: 400,
+		After: exchange.NoEvent,
+	}
+}
+
+var errReset = errors.New("connection reset")
+
+// TestAdmit holds requests against what the box believes.
+func TestAdmit(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		key    string
+		age    time.Duration
+		none   bool
+		leaves bool
+		want   refusal.Reason // empty for served
+		again  bool           // it says when to come back
+	}{
+		"served":                              {path: "/safe/", key: "key"},
+		"no configuration yet":                {path: "/safe/", key: "key", none: true, want: refusal.NotReady, again: true},
+		"no key":                              {path: "/safe/", want: refusal.NoKey},
+		"a key that nobody holds":             {path: "/safe/", key: "other", want: refusal.WrongKey},
+		"no such route":                       {path: "/other/", key: "key", want: refusal.UnknownRoute},
+		"public without a key":                {path: "/public/"},
+		"a service without upstreams":         {path: "/nowhere/", key: "key", want: refusal.NoUpstream, again: true},
+		"too old to serve a key by":           {path: "/safe/", key: "key", age: 4700 * time.Millisecond, want: refusal.StaleConfiguration, again: true},
+		"too old to say that there is no key": {path: "/safe/", key: "other", age: 5 * time.Second, want: refusal.StaleConfiguration, again: true},
+		"too old to say there is no route":    {path: "/other/", key: "key", age: 5 * time.Second, want: refusal.StaleConfiguration, again: true},
+		"public, however old":                 {path: "/public/", age: time.Minute},
+		"leaving, a short one":                {path: "/safe/", key: "key", leaves: true},
+		"leaving, a draft goes elsewhere":     {path: "/draft/", key: "key", leaves: true, want: refusal.Draining, again: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, reply{body: "ok", events: []int{0}})
+				if tt.none {
+					w.belief = belief.New(time.Second)
+					w.relay.Belief = w.belief
+				}
+				w.leaves = tt.leaves
+				time.Sleep(tt.age)
+				req := request(tt.path)
+				req.Key = tt.key
+				c := &caller{}
+				w.relay.Serve(t.Context(), req, c)
+				if tt.want == "" {
+					is.True(c.refused == nil)
+					is.Equal(c.status, 200)
+					return
+				}
+				is.Equal(c.refused.Reason(), tt.want)
+				is.Equal(c.refused.Ending(), refusal.NotRun)
+				is.Equal(len(w.sender.sends), 0) // not run is true
+				is.Equal(c.refused.RetryAfter() > 0, tt.again)
+			})
+		})
+	}
+}
+
+// TestWhole is the fault matrix of requests whose answers are no streams.
+func TestWhole(t *testing.T) {
+	ok := reply{body: "ok"}
+	full := reply{status: 503, notRun: true}
+	tests := map[string]struct {
+		path   string
+		script []reply
+		sends  int
+		status int            // of an upstream's answer that is passed on
+		want   refusal.Reason // else
+		ending refusal.Ending
+	}{
+		"answered":                              {"/once/", []reply{ok}, 1, 200, "", ""},
+		"safe, reset":                           {"/safe/", []reply{{err: errReset}, ok}, 2, 200, "", ""},
+		"safe, its own failure":                 {"/safe/", []reply{{status: 500}, ok}, 2, 200, "", ""},
+		"safe, fails twice: no third":           {"/safe/", []reply{{status: 500}, {status: 500}, ok}, 2, 500, "", ""},
+		"safe, cut in the answer":               {"/safe/", []reply{{cutAfter: io.ErrUnexpectedEOF}, ok}, 2, 200, "", ""},
+		"safe, no seal":                         {"/safe/", []reply{{unsealed: true}, ok}, 2, 200, "", ""},
+		"safe, hung: elsewhere at half the aim": {"/safe/", []reply{{hang: true}, ok}, 2, 200, "", ""},
+		"once, reset":                           {"/once/", []reply{{err: errReset}, ok}, 1, 0, refusal.NoAnswer, refusal.Unknown},
+		"once, its own failure":                 {"/once/", []reply{{status: 500}, ok}, 1, 500, "", ""},
+		"once, cut in the answer":               {"/once/", []reply{{cutAfter: io.ErrUnexpectedEOF}, ok}, 1, 0, refusal.NoAnswer, refusal.Unknown},
+		"once, no seal":                         {"/once/", []reply{{unsealed: true}, ok}, 1, 0, refusal.NoAnswer, refusal.Unknown},
+		"once, full: come back":                 {"/once/", []reply{full, ok}, 1, 0, refusal.UpstreamFull, refusal.NotRun},
+		"once, 503 without the mark":            {"/once/", []reply{{status: 503}, ok}, 1, 503, "", ""},
+		"once, nothing reached it":              {"/once/", []reply{{err: errReset, notSent: true}, ok}, 2, 200, "", ""},
+		"once, nothing is reached":              {"/once/", []reply{{err: errReset, notSent: true}}, 4, 0, refusal.NoUpstream, refusal.NotRun},
+		"once, hung":                            {"/once/", []reply{{hang: true}}, 1, 0, refusal.TimedOut, refusal.Unknown},
+		"unsafe with two tries, full":           {"/unsafe2/", []reply{full, ok}, 2, 200, "", ""},
+		"unsafe with two tries, reset":          {"/unsafe2/", []reply{{err: errReset}, ok}, 1, 0, refusal.NoAnswer, refusal.Unknown},
+		"unsafe with two tries, failure":        {"/unsafe2/", []reply{{status: 500}, ok}, 1, 500, "", ""},
+		"another has the address":               {"/unsafe2/", []reply{{status: 421, notRun: true}, ok}, 2, 200, "", ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, tt.script...)
+				c := w.serve(t.Context(), tt.path)
+				is.Equal(len(w.sender.sends), tt.sends)
+				is.Equal(c.status, tt.status)
+				seen := map[string]bool{}
+				for _, s := range w.sender.sends {
+					is.True(!seen[s.Upstream]) // never the same upstream again
+					seen[s.Upstream] = true
+					is.Equal(s.Organisation, "council")
+					is.True(s.Left <= time.Second) // the route's bound, not the caller's minute
+				}
+				if tt.want != "" {
+					is.Equal(c.refused.Reason(), tt.want)
+					is.Equal(c.refused.Ending(), tt.ending)
+				}
+				is.Equal(len(w.tally.Own()), 0)
+			})
+		})
+	}
+}
+
+// TestBudget shows that repeats are bounded where all fails.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, reply{err: errReset})
+		const requests = 50
+		for range requests {
+			w.belief.Confirm(time.Now())
+			w.serve(t.Context(), "/safe/")
+		}
+		is.Equal(len(w.sender.sends), requests+3) // the budget that was saved up
+	})
+}
+
+// TestStream is the fault matrix of streams.
+func TestStream(t *testing.T) {
+	tests := map[string]struct {
+		path    string
+		script  []reply
+		sends   int
+		body    string
+		aborted bool
+		want    refusal.Reason
+	}{
+		"whole":                               {"/draft/", []reply{{events: []int{0, 1, 2}}}, 1, "0;1;2;", false, ""},
+		"whole, without a length":             {"/draft/", []reply{{events: []int{0, 1}, unframed: true}}, 1, "0;1;", false, ""},
+		"a draft breaks":                      {"/draft/", []reply{{events: []int{0, 1}, cutAfter: errReset}, {events: []int{2}}}, 1, "0;1;", true, ""},
+		"a draft breaks before it begins":     {"/draft/", []reply{{cutAfter: errReset}}, 1, "", false, refusal.NoAnswer},
+		"a draft is not run":                  {"/draft/", []reply{{status: 503, notRun: true}, {events: []int{0}}}, 1, "", false, refusal.UpstreamFull},
+		"a draft's upstream resets":           {"/draft/", []reply{{err: errReset}, {events: []int{0}}}, 1, "", false, refusal.NoAnswer},
+		"a gap":                               {"/draft/", []reply{{events: []int{0, 2}}}, 1, "0;", true, ""},
+		"a piece comes twice":                 {"/draft/", []reply{{events: []int{0, 1, 1, 2}}}, 1, "0;1;2;", false, ""},
+		"a check breaks and is resumed":       {"/check/", []reply{{events: []int{0, 1}, cutAfter: errReset}, {events: []int{2, 3}}}, 2, "0;1;2;3;", false, ""},
+		"a check breaks before it begins":     {"/check/", []reply{{cutAfter: errReset}, {events: []int{0, 1}}}, 2, "0;1;", false, ""},
+		"a check's upstream resets":           {"/check/", []reply{{err: errReset}, {events: []int{0, 1}}}, 2, "0;1;", false, ""},
+		"a check is resumed from the start":   {"/check/", []reply{{events: []int{0, 1}, cutAfter: errReset}, {events: []int{0, 1, 2}}}, 2, "0;1;2;", false, ""},
+		"a check breaks twice":                {"/check/", []reply{{events: []int{0}, cutAfter: errReset}, {events: []int{1}, cutAfter: errReset}, {events: []int{2}}}, 2, "0;1;", true, ""},
+		"a check resumed at one that is full": {"/check/", []reply{{events: []int{0}, cutAfter: errReset}, {status: 503, notRun: true}}, 2, "0;", true, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, tt.script...)
+				c := w.serve(t.Context(), tt.path)
+				is.Equal(len(w.sender.sends), tt.sends)
+				is.Equal(c.body.String(), tt.body)
+				is.Equal(c.aborted, tt.aborted)
+				if tt.want != "" {
+					is.Equal(c.refused.Reason(), tt.want)
+				}
+				is.Equal(len(w.tally.Own()), 0)
+				is.Equal(w.runs.Len(), 0)
+			})
+		})
+	}
+}
+
+// TestMoved moves a stream while it is passed on.
+func TestMoved(t *testing.T) {
+	source := fleet.Upstream{ID: "llm0", Service: "llm", Address: "llm0:1"}
+	target := fleet.Upstream{ID: "llm3", Service: "llm", Address: "llm3:1"}
+	handoff := runs.Handoff{Copy: exchange.Copy{Holder: source.Address, ID: "c1"}, Target: target, Source: source, OK: true}
+	stop := func(h runs.Handoff) func(*runs.Run) {
+		return func(r *runs.Run) {
+			r.Stopping()
+			go func() {
+				time.Sleep(20 * time.Millisecond) // the stream closes before the stop is answered
+				r.Stopped(h)
+			}()
+		}
+	}
+	tests := map[string]struct {
+		during func(r *runs.Run) // once two events are out
+		ends   error             // how the first stream ends then; nil for well
+		frame  bool              // without a length
+		next   []reply
+		body   string
+		abort  bool
+		asked  []string // upstreams that were asked to go on
+	}{
+		"goes on at the target":                        {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
+		"an end without a length":                      {during: stop(handoff), frame: true, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
+		"it ended by itself":                           {during: stop(runs.Handoff{}), body: "0;1;"},
+		"the target refuses, it goes on at the source": {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{status: 503, notRun: true}, {events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3", "llm0"}},
+		"both refuse":                                  {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{status: 503, notRun: true}}, body: "0;1;", abort: true, asked: []string{"llm3", "llm0"}},
+		"lost after its first copy":                    {during: func(r *runs.Run) { r.Copied(handoff) }, ends: errReset, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3"}},
+		"the stop failed, it is lost":                  {during: stop(runs.Handoff{}), ends: errReset, body: "0;1;", abort: true},
+		"the target repeats an event":                  {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{1, 2}}}, body: "0;1;2;", asked: []string{"llm3"}},
+		"the target leaves a gap":                      {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{3}}}, body: "0;1;", abort: true, asked: []string{"llm3"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var w *world
+				first := reply{events: []int{0, 1}, cutAfter: tt.ends, unframed: tt.frame, wait: func() {
+					for _, u := range w.runs.Upstreams() {
+						for _, r := range w.runs.At(u.ID) {
+							tt.during(r)
+						}
+					}
+				}}
+				w = newWorld(t, append([]reply{first}, tt.next...)...)
+				c := w.serve(t.Context(), "/draft/")
+				time.Sleep(time.Second) // the stop is answered
+				is.Equal(c.body.String(), tt.body)
+				is.Equal(c.aborted, tt.abort)
+				var asked []string
+				for _, s := range w.sender.sends[1:] {
+					asked = append(asked, s.Upstream)
+					is.Equal(s.After, 1)
+					is.Equal(*s.From, handoff.Copy)
+				}
+				is.Equal(asked, tt.asked)
+				is.Equal(len(w.tally.Own()), 0)
+			})
+		})
+	}
+}
+
+// TestCallerGone shows that an upstream is left at once when its caller is.
+func TestCallerGone(t *testing.T) {
+	for name, path := range map[string]string{"stream": "/draft/", "safe": "/safe/", "once": "/once/"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, reply{hang: true})
+				ctx, cancel := context.WithCancel(t.Context())
+				began := time.Now()
+				time.AfterFunc(20*time.Millisecond, cancel)
+				w.serve(ctx, path)
+				is.Equal(time.Since(began), 20*time.Millisecond)
+				is.Equal(len(w.sender.sends), 1) // and nothing is sent on its behalf
+				is.Equal(len(w.tally.Own()), 0)
+			})
+		})
+	}
+}
