platform/store: one client of the store for bench, tests and the own interface

petrelstep's own rows and its list of boxes now lie in the store behind the published calls: platform/table and platform/members translate to them, platform/rest is gone, and the stand-in speaks rows, transactions and feed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,7 +34,7 @@
 	"petrelstep/peer"
 	"petrelstep/placement"
 	platformmembers "petrelstep/platform/members"
-	"petrelstep/platform/rest"
+	"petrelstep/platform/store"
 	"petrelstep/platform/table"
 	"petrelstep/poll"
 	"petrelstep/quota"
@@ -135,9 +135,9 @@
 // connect makes the clients of the platform and of the peers.
 func (d *Daemon) connect() {
 	c := d.config
-	platform := rest.New(c.Platform.Address, config.Millis(c.Platform.TimeoutMs))
-	d.table = table.New(platform)
-	d.list = platformmembers.New(platform)
+	platform, timeout := store.New(c.Platform.Address, d.metrics), config.Millis(c.Platform.TimeoutMs)
+	d.table = table.New(platform, timeout)
+	d.list = platformmembers.New(platform, timeout)
 	d.members = members.New(members.Box{
 		Name: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: d.incarnation, State: members.Live,
 	})
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 
 	"petrelstep/ledger"
-	"petrelstep/platform/rest"
+	"petrelstep/platform/store"
 	"petrelstep/platform/table"
 	"petrelstep/refusal"
 	"petrelstep/standin/platform"
@@ -40,9 +40,9 @@
 	t.Helper()
 	p := platform.New(platform.Options{})
 	server := httptest.NewServer(p.Handler())
-	client := rest.New(strings.TrimPrefix(server.URL, "http://"), time.Second)
+	client := store.New(strings.TrimPrefix(server.URL, "http://"), nil)
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fixture{platform: p, table: table.New(client), owners: owners{"a": 1, "b": 1}, boxes: map[string]*ledger.Ledger{}}
+	f := &fixture{platform: p, table: table.New(client, time.Second), owners: owners{"a": 1, "b": 1}, boxes: map[string]*ledger.Ledger{}}
 	done := make(chan struct{}, 2)
 	for _, box := range []string{"a", "b"} {
 		l := ledger.New(ctx, f.table, f.owners, box, 1, time.Hour)
@@ -254,10 +254,10 @@
 	p := platform.New(platform.Options{})
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	client := rest.New(strings.TrimPrefix(server.URL, "http://"), time.Second)
+	client := store.New(strings.TrimPrefix(server.URL, "http://"), nil)
 	defer client.Close()
 	ctx, cancel := context.WithCancel(context.Background())
-	l := ledger.New(ctx, table.New(client), owners{"a": 1}, "a", 1, 0)
+	l := ledger.New(ctx, table.New(client, time.Second), owners{"a": 1}, "a", 1, 0)
 	done := make(chan struct{})
 	go func() { l.Run(); close(done) }()
 	defer func() { cancel(); <-done }()
--- a/standin/platform/direct.go
+++ b/standin/platform/direct.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"petrelstep/platform/rest"
+	"petrelstep/platform/store"
 	"petrelstep/wire"
 )
 
@@ -59,14 +59,14 @@
 	mode, delay := d.platform.struck(part)
 	switch mode {
 	case wire.FaultModeDown:
-		return &rest.Error{Call: Table, NoEffect: true, Temporary: true, Err: &DownError{}}
+		return &store.Error{Call: Table, NoEffect: true, Err: &DownError{}}
 	case wire.FaultModeLoseReply:
 		effect()
-		return &rest.Error{Call: Table, Temporary: true, Err: &DownError{}}
+		return &store.Error{Call: Table, Err: &DownError{}}
 	case wire.FaultModeSlow:
 		select {
 		case <-ctx.Done():
-			return &rest.Error{Call: Table, Temporary: true, Err: ctx.Err()}
+			return &store.Error{Call: Table, Err: ctx.Err()}
 		case <-time.After(delay):
 		}
 	}
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -14,12 +14,10 @@
 // Handler serves the platform's protocol.
 func (p *Platform) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.Handle("/table/transact", p.struckBy(TableWrites, p.struckBy(Table, p.serveTransact).ServeHTTP)).Methods(http.MethodPost)
-	r.Handle("/table/row", p.struckBy(Table, p.serveRow)).Methods(http.MethodGet)
-	r.Handle("/table/scan", p.struckBy(Table, p.serveScan)).Methods(http.MethodGet)
+	r.HandleFunc("/api/rows-tx", p.serveTx).Methods(http.MethodPost)
+	r.HandleFunc("/api/rows-get", p.serveGet).Methods(http.MethodGet)
+	r.HandleFunc("/api/rows-feed", p.serveFeed).Methods(http.MethodGet)
 	r.Handle("/objects/{name:.*}", p.struckBy(Objects, p.serveObject)).Methods(http.MethodGet, http.MethodPut)
-	r.Handle("/members", p.struckBy(Members, p.serveMembers)).Methods(http.MethodGet)
-	r.Handle("/members", p.struckBy(Members, p.serveJoin)).Methods(http.MethodPost)
 	r.Handle("/weights/take", p.struckBy(Weights, p.serveWeights)).Methods(http.MethodPost)
 	r.HandleFunc("/faults", p.serveFault).Methods(http.MethodPost)
 	return r
@@ -51,27 +49,6 @@
 func (d discard) Write(b []byte) (int, error) { return len(b), nil }
 func (d discard) WriteHeader(int)             {}
 
-func (p *Platform) serveTransact(w http.ResponseWriter, r *http.Request) {
-	if !p.mayWrite(time.Now()) {
-		http.Error(w, "too many writes", http.StatusTooManyRequests)
-		return
-	}
-	var t wire.Transaction
-	if !decode(w, r, &t) {
-		return
-	}
-	answer(w, p.Transact(t))
-}
-
-func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
-	answer(w, p.Get(r.URL.Query().Get("key")))
-}
-
-func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	answer(w, wire.Rows{Rows: p.Scan(q.Get("prefix"), q.Get("after"))})
-}
-
 func (p *Platform) serveObject(w http.ResponseWriter, r *http.Request) {
 	name := mux.Vars(r)["name"]
 	if r.Method == http.MethodPut {
@@ -94,17 +71,6 @@
 	_, _ = w.Write(body)
 }
 
-func (p *Platform) serveMembers(w http.ResponseWriter, _ *http.Request) { answer(w, p.List()) }
-
-func (p *Platform) serveJoin(w http.ResponseWriter, r *http.Request) {
-	var m wire.Member
-	if !decode(w, r, &m) {
-		return
-	}
-	p.change(m, r.URL.Query().Get("gone") == "true")
-	answer(w, wire.Nothing{Ok: true})
-}
-
 func (p *Platform) serveWeights(w http.ResponseWriter, _ *http.Request) {
 	answer(w, p.TakeWeights(time.Now()))
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,7 +1,8 @@
-// Package platform is the stand-in for the platform's services: a
-// transactional table, an object store, a lagging list of boxes and a
-// rate-limited weight store. Each can be told to be down, slow, to lose the
-// reply of a write that took effect, or to hand out an older state.
+// Package platform is the stand-in for the platform's services: the metadata
+// store's published calls (rows, transactions, the feed of changes), with a
+// list of boxes in it that lags, an object store and a rate-limited weight
+// store. Each can be told to be down, slow, to lose the reply of a write that
+// took effect, to hand out an older state, or to forget its history.
 package platform
 
 import (
@@ -12,6 +13,8 @@
 
 	"golang.org/x/time/rate"
 
+	"petrelstep/platform/store"
+	"petrelstep/platform/table"
 	"petrelstep/wire"
 )
 
@@ -41,8 +44,8 @@
 // Platform is safe for use by several goroutines.
 type Platform struct {
 	mu      sync.Mutex
-	rows    map[string]wire.Row
-	old     map[string]wire.Row // what the fault "old" hands out
+	rows    *rowSet
+	old     *rowSet // what the fault "old" hands out
 	objects map[string][]byte
 	members []memberChange
 	faults  map[string]*fault
@@ -62,7 +65,7 @@
 // New returns an empty platform.
 func New(options Options) *Platform {
 	return &Platform{
-		rows:    map[string]wire.Row{},
+		rows:    newRowSet(),
 		objects: map[string][]byte{},
 		faults:  map[string]*fault{},
 		weights: limiter(options.WeightsPerSec),
@@ -86,10 +89,7 @@
 		mode: f.Mode, delay: time.Duration(f.DelayMs) * time.Millisecond, left: f.Count, limited: f.Count > 0,
 	}
 	if f.Mode == wire.FaultModeOld {
-		p.old = map[string]wire.Row{}
-		for k, r := range p.rows {
-			p.old[k] = r
-		}
+		p.old = p.rows.clone()
 	}
 }
 
@@ -99,7 +99,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults[Table] = &fault{mode: wire.FaultModeOld}
-	p.old = rows
+	p.old = newRowSet()
+	for key, r := range rows {
+		p.old.apply(store.Transaction{Put: []store.Row{{Table: table.Name, Key: key, Value: table.Encode(r.Version, r.Value)}}})
+	}
 }
 
 // struck returns the fault that strikes a call, and counts it.
@@ -123,58 +126,58 @@
 	return p.reads, p.commits
 }
 
-// Transact applies the writes if all checks hold.
+// Transact applies the writes to petrelstep's own rows if all checks hold.
 func (p *Platform) Transact(t wire.Transaction) wire.TransactionAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conflicts := []wire.Row{}
 	for _, c := range t.Checks {
-		if row := p.rows[c.Key]; row.Version != c.Version {
-			row.Key = c.Key
+		if row := p.rows.own(c.Key); row.Version != c.Version {
 			conflicts = append(conflicts, row)
 		}
 	}
 	if len(conflicts) > 0 {
 		return wire.TransactionAnswer{Conflicts: conflicts}
 	}
+	var tx store.Transaction
 	for _, w := range t.Writes {
+		row := store.Row{Table: table.Name, Key: w.Key}
 		if w.Remove {
-			delete(p.rows, w.Key)
+			tx.Remove = append(tx.Remove, row)
 			continue
 		}
-		p.rows[w.Key] = wire.Row{Key: w.Key, Value: w.Value, Version: p.rows[w.Key].Version + 1}
+		row.Value = table.Encode(p.rows.own(w.Key).Version+1, w.Value)
+		tx.Put = append(tx.Put, row)
 	}
+	p.rows.apply(tx)
 	p.commits++
 	return wire.TransactionAnswer{Committed: true, Conflicts: conflicts}
 }
 
-// Get returns a row; version 0 means that there is none.
+// Get returns one of petrelstep's own rows; version 0 means that there is none.
 func (p *Platform) Get(key string) wire.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
-	row := p.table()[key]
-	row.Key = key
-	return row
+	return p.table().own(key)
 }
 
-// Scan returns the rows whose keys begin with prefix and lie after a key.
+// Scan returns those whose keys begin with prefix and lie after a key.
 func (p *Platform) Scan(prefix, after string) []wire.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
 	rows := []wire.Row{}
-	for k, r := range p.table() {
-		if strings.HasPrefix(k, prefix) && k > after {
-			rows = append(rows, r)
+	for _, r := range p.table().in(store.Range{Table: table.Name, From: prefix}) {
+		if strings.HasPrefix(r.Key, prefix) && r.Key > after {
+			rows = append(rows, decoded(r))
 		}
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
 	return rows
 }
 
 // table returns the state to hand out; the lock is held.
-func (p *Platform) table() map[string]wire.Row {
+func (p *Platform) table() *rowSet {
 	if f, ok := p.faults[Table]; ok && f.mode == wire.FaultModeOld && (!f.limited || f.left > 0) {
 		return p.old
 	}
