--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,6 +78,7 @@
 	evacuator *evacuate.Evacuator
 
 	configuration *manifest.Configuration
+	catching      atomic.Bool // a newer configuration is being asked for
 
 	serving   atomic.Int64
 	draining  atomic.Bool
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"petrelstep/config"
 	"petrelstep/fleet"
 	"petrelstep/members"
@@ -16,6 +18,8 @@
 	// heardWithin is how recently a box was heard that keeps turns: three of its
 	// periods of gossip.
 	heardWithin = 800 * time.Millisecond
+	// catchTime bounds the call for a configuration of some 100 KB.
+	catchTime = time.Second
 	// turnBackTime bounds the call that gives a turn back; it lapses anyway.
 	turnBackTime = 500 * time.Millisecond
 	// turnSlack is for the way to the keeper of the turns and back.
@@ -109,11 +113,7 @@
 	for _, r := range a.Hubs {
 		e.introduce(now, r)
 	}
-	if a.Configuration != "" {
-		if err := e.configuration.Take(a.Configuration, a.Sender.Box); err != nil {
-			e.log.WithError(err).WithField("peer", a.Sender.Box).Error("configuration_not_taken")
-		}
-	}
+	e.catchUp(now, a.Sender, a.Version)
 	table, _, _ := e.belief.Now(now)
 	if table != nil && table.Version() == a.Version {
 		e.belief.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
@@ -187,20 +187,48 @@
 	} else {
 		a.Tallies = e.tally.Without(now, from.Sender.Box)
 	}
-	e.answerConfiguration(now, from, &a)
+	e.answerConfiguration(now, &a)
 	e.answerFleet(now, from, &a)
 	return a
 }
 
-func (e *Edge) answerConfiguration(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
+func (e *Edge) answerConfiguration(now time.Time, a *wire.GossipAnswer) {
 	table, age, _ := e.belief.Now(now)
 	if table == nil {
 		return
 	}
 	a.Version, a.VersionAgeMs = table.Version(), int(age.Milliseconds())+1
-	if from.Version < a.Version {
-		a.Configuration = e.configuration.Newest()
+}
+
+// Configuration implements edgepoint.Box.
+func (e *Edge) Configuration() wire.Configuration {
+	table, _, _ := e.belief.Now(time.Now())
+	if table == nil {
+		return wire.Configuration{}
 	}
+	return wire.Configuration{Version: table.Version(), Encoded: string(e.configuration.Newest())}
+}
+
+// catchUp asks a hub for a configuration that is newer than this box's, one hub
+// at a time: all hubs tell of it within the same moment.
+func (e *Edge) catchUp(now time.Time, hub wire.BoxRecord, version int) {
+	table, _, _ := e.belief.Now(now)
+	if table != nil && table.Version() >= version || version == 0 || !e.catching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.catching.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), catchTime)
+		defer cancel()
+		var answer wire.Configuration
+		err := e.peers.Call(ctx, hub.Address, peer.Configuration, wire.Nothing{}, &answer)
+		if err == nil && answer.Version > 0 {
+			err = e.configuration.Take([]byte(answer.Encoded), hub.Box)
+		}
+		if err != nil {
+			e.log.WithError(err).WithFields(logrus.Fields{"peer": hub.Box, "version": version}).Warn("configuration_not_taken")
+		}
+	}()
 }
 
 func (e *Edge) answerFleet(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
--- a/peer/edgepoint/edgepoint.go
+++ b/peer/edgepoint/edgepoint.go
@@ -16,6 +16,8 @@
 type Box interface {
 	// Heard takes a peer's gossip and answers with what the box knows.
 	Heard(from wire.Gossip) wire.GossipAnswer
+	// Configuration returns the configuration in force.
+	Configuration() wire.Configuration
 }
 
 // Edgepoint holds the methods; its name on the wire is Peer.
@@ -36,6 +38,12 @@
 	return nil
 }
 
+// Configuration answers with the configuration in force.
+func (e *Edgepoint) Configuration(_ wire.Nothing, answer *wire.Configuration) error {
+	*answer = e.box.Configuration()
+	return nil
+}
+
 // Turn waits for the turn to move runs off an upstream.
 func (e *Edgepoint) Turn(ask wire.TurnAsk, answer *wire.TurnAnswer) error {
 	ctx, cancel := context.WithTimeout(e.ctx, time.Duration(ask.WaitMs)*time.Millisecond)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,16 +13,17 @@
 
 // Methods of the endpoint of each box.
 const (
-	Heartbeat = "Peer.Heartbeat"
-	Changes   = "Peer.Changes"
-	Tell      = "Peer.Tell"
-	Ask       = "Peer.Ask"
-	Withdraw  = "Peer.Withdraw"
-	Settle    = "Peer.Settle"
-	TakenUp   = "Peer.TakenUp"
-	Gossip    = "Peer.Gossip"
-	Turn      = "Peer.Turn"
-	TurnBack  = "Peer.TurnBack"
+	Heartbeat     = "Peer.Heartbeat"
+	Changes       = "Peer.Changes"
+	Tell          = "Peer.Tell"
+	Ask           = "Peer.Ask"
+	Withdraw      = "Peer.Withdraw"
+	Settle        = "Peer.Settle"
+	TakenUp       = "Peer.TakenUp"
+	Gossip        = "Peer.Gossip"
+	Turn          = "Peer.Turn"
+	Configuration = "Peer.Configuration"
+	TurnBack      = "Peer.TurnBack"
 )
 
 const dialTime = 500 * time.Millisecond
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -508,6 +508,36 @@
 	return nil
 }
 
+// A hub's configuration.
+type Configuration struct {
+	// Compressed; only the adapter of the platform reads it.
+	Encoded string `json:"encoded"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Configuration) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["encoded"]; raw != nil && !ok {
+		return fmt.Errorf("field encoded in Configuration: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in Configuration: required")
+	}
+	type Plain Configuration
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Configuration(plain)
+	return nil
+}
+
 // An organisation's use at one box.
 type Demand struct {
 	// Organisation corresponds to the JSON schema field "organisation".
@@ -1394,15 +1424,12 @@
 	// What the sender has running.
 	Tallies []UpstreamTally `json:"tallies,omitempty,omitzero"`
 
-	// Configuration in force; the hub sends a newer one.
+	// Configuration in force.
 	Version int `json:"version"`
 }
 
 // A hub tells a box what it knows, each with its age on the hub's steady clock.
 type GossipAnswer struct {
-	// The configuration, encoded, if it is newer than the asker's.
-	Configuration string `json:"configuration,omitempty,omitzero"`
-
 	// Departing corresponds to the JSON schema field "departing".
 	Departing []string `json:"departing,omitempty,omitzero"`
 
@@ -1427,7 +1454,7 @@
 	// Changes of the fleet that the asker does not have.
 	Upstreams []UpstreamRecord `json:"upstreams,omitempty,omitzero"`
 
-	// Version corresponds to the JSON schema field "version".
+	// Configuration in force; a box with an older one asks for it.
 	Version int `json:"version"`
 
 	// Since the store confirmed the version.
@@ -1460,9 +1487,6 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
-	if v, ok := raw["configuration"]; !ok || v == nil {
-		plain.Configuration = ""
-	}
 	if v, ok := raw["departing"]; !ok || v == nil {
 		plain.Departing = []string{}
 	}
