--- /dev/null
+++ b/commands/explain.go
@@ -0,0 +1,69 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"petrelstep/lifeline"
+)
+
+func init() { subcommands.Register(&explain{}, "operators") }
+
+// explain tells one request's life from the boxes' logs.
+type explain struct{ request string }
+
+func (*explain) Name() string     { return "explain" }
+func (*explain) Synopsis() string { return "tell a request's life from the logs of boxes" }
+func (*explain) Usage() string {
+	return `explain -request ID FILE...: print what the boxes' logs tell of a request, in order,
+with what each box that touched it learned or lost meanwhile. FILE - is standard input.
+
+  petrelstep explain -request 9c41d07be2a35f68 box1.log box2.log
+`
+}
+
+func (c *explain) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.request, "request", "", "id of the request")
+}
+
+func (c *explain) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.request == "" || f.NArg() == 0 {
+		fmt.Fprintln(os.Stderr, "name the request by -request, and the logs")
+		return exitUsage
+	}
+	var lines []lifeline.Line
+	for _, name := range f.Args() {
+		more, err := readLog(name)
+		if err != nil {
+			return fail(err)
+		}
+		lines = append(lines, more...)
+	}
+	life := lifeline.Of(lines, c.request)
+	if len(life) == 0 {
+		fmt.Fprintln(os.Stderr, "no line names request", c.request)
+		return exitFailed
+	}
+	for _, l := range life {
+		fmt.Println(l.Text)
+	}
+	return exitDone
+}
+
+func readLog(name string) ([]lifeline.Line, error) {
+	in := io.ReadCloser(os.Stdin)
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		in = file
+	}
+	defer in.Close()
+	return lifeline.Read(in)
+}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -298,7 +298,8 @@
 func TestStop(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1)
-	w := s.worker("e1", "llm", 300)
+	const events = 700
+	w := s.worker("e1", "llm", events)
 	b := s.boxes[0]
 	until(t, "a box is ready", b.isReady)
 	var body string
@@ -310,8 +311,13 @@
 	until(t, "it runs", func() bool { return len(w.Runs()) == 1 })
 	b.Drain()
 	until(t, "it is not ready", func() bool { return !b.isReady() })
+	select {
+	case <-ended:
+		t.Fatal("it was ready until its work had ended")
+	default:
+	}
 	<-ended
-	is.Equal(body, wholeStream("d", 300))
+	is.Equal(body, wholeStream("d", events))
 	<-b.done
 }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -16,6 +16,7 @@
 	"petrelstep/gossip"
 	"petrelstep/peer/edgepoint"
 	"petrelstep/platform/manifest"
+	"petrelstep/watch"
 )
 
 const (
@@ -153,10 +154,13 @@
 	all.Go(func() {
 		follow.New("configuration", e.configuration, confirmEvery, e.belief.Confirm, e.needsConfiguration, e.log).Run(ctx)
 	})
+	upstreams := follow.New("upstreams", workers, upstreamsEvery, e.fleet.Confirm, e.needsUpstreams, e.log)
+	all.Go(func() { upstreams.Run(ctx) })
+	all.Go(func() { e.timer.Every(ctx, "tick", tickEvery, e.fleet.Tick) })
+	look := watch.New(e.fleet, upstreams.Lost, e.runs, e.upstreams, e.log)
 	all.Go(func() {
-		follow.New("upstreams", workers, upstreamsEvery, e.fleet.Confirm, e.needsUpstreams, e.log).Run(ctx)
+		e.timer.Every(ctx, "watch", watch.Period, func(now time.Time) { look.Look(ctx, now) })
 	})
-	all.Go(func() { e.timer.Every(ctx, "tick", tickEvery, e.fleet.Tick) })
 	all.Go(func() { e.join(ctx) })
 	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +20,9 @@
 	mostWait  = 600 * time.Millisecond
 	// slack is how much longer than its wait a call may take. A slow store
 	// takes some 300 ms an answer.
-	slack = 900 * time.Millisecond
+	slack = 600 * time.Millisecond
+	// listTime bounds a listing, of several pages.
+	listTime = 1800 * time.Millisecond
 	// idleLook is how often a follower that is not needed looks whether it is.
 	idleLook = 100 * time.Millisecond
 	// gather is waited after a change before the next call: changes come many at
@@ -42,7 +45,7 @@
 	Next(ctx context.Context, mark int64, wait time.Duration, unsure bool) (int64, error)
 }
 
-// Follower is used by one goroutine.
+// Follower runs on one goroutine.
 type Follower struct {
 	source  Source
 	wait    time.Duration
@@ -52,7 +55,7 @@
 	now     func() time.Time
 
 	trouble time.Time // of the last failed call
-	lost    bool
+	lost    atomic.Bool
 	sent    time.Time
 }
 
@@ -66,6 +69,9 @@
 	}
 }
 
+// Lost tells whether the last call failed. It may be called from any goroutine.
+func (f *Follower) Lost() bool { return f.lost.Load() }
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	mark, listed := int64(0), false
@@ -102,7 +108,7 @@
 		next, err = f.source.Next(call, *mark, f.wait, unsure)
 		cancel()
 	} else {
-		call, cancel := context.WithTimeout(ctx, 2*slack)
+		call, cancel := context.WithTimeout(ctx, listTime)
 		next, err = f.source.List(call, unsure)
 		cancel()
 	}
@@ -124,17 +130,15 @@
 
 func (f *Follower) failed(err error) {
 	f.trouble = f.now()
-	if !f.lost {
+	if !f.lost.Swap(true) {
 		f.log.WithError(err).Warn("store_lost")
 	}
-	f.lost = true
 }
 
 func (f *Follower) worked() {
-	if f.lost {
+	if f.lost.Swap(false) {
 		f.log.WithField("away_ms", f.now().Sub(f.trouble).Milliseconds()).Info("store_regained")
 	}
-	f.lost = false
 	f.confirm(f.sent)
 }
 
