--- a/edge/edge.go
+++ b/edge/edge.go
@@ -82,6 +82,7 @@
 
 	serving   atomic.Int64
 	draining  atomic.Bool
+	gone      atomic.Pointer[time.Time] // when a stopping box is gone, on the steady clock
 	drain     chan struct{}
 	drainOnce sync.Once
 
@@ -133,7 +134,7 @@
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Tally: e.tally, Reliability: failures, Sender: e.upstreams,
 		Budget: retry.NewBudget(budgetPart*s.RetryRatio, max(budgetPart*float64(s.RetrySlack)/boxesGuess, 1)),
-		Runs:   e.runs, Metrics: e.metrics, Leaving: e.draining.Load, Log: e.log,
+		Runs:   e.runs, Metrics: e.metrics, Leaving: e.leaving, Log: e.log,
 	})
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Parts{
@@ -159,6 +160,15 @@
 	return table.Service(name)
 }
 
+// leaving tells whether this box is being stopped, and how long it still has.
+func (e *Edge) leaving() (left time.Duration, leaving bool) {
+	gone := e.gone.Load()
+	if gone == nil {
+		return 0, false
+	}
+	return time.Until(*gone), true
+}
+
 // ready tells whether callers are to be sent here.
 func (e *Edge) ready() bool {
 	_, _, stale := e.belief.Now(time.Now())
--- a/edge/run.go
+++ b/edge/run.go
@@ -169,13 +169,14 @@
 // is waited for.
 func (e *Edge) drainAll(ctx context.Context, servers []*http.Server) {
 	e.log.WithField("in_flight", e.serving.Load()).Info("draining")
+	began := time.Now()
+	until := began.Add(config.Millis(e.config.DrainMs))
+	e.gone.Store(&until)
 	e.draining.Store(true)
 	e.members.Leave()
 	for _, s := range servers[:1] {
 		s.SetKeepAlivesEnabled(false)
 	}
-	began := time.Now()
-	until := began.Add(config.Millis(e.config.DrainMs))
 	for time.Now().Before(until) && ctx.Err() == nil {
 		if e.serving.Load() == 0 && time.Since(began) > leaveNotice {
 			break
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,6 +28,9 @@
 	comeAgain = 50 * time.Millisecond
 	// comeLater is when to come back where all boxes fare alike.
 	comeLater = 500 * time.Millisecond
+	// stopSlack is how long before a stopping box is gone all its requests must
+	// have ended.
+	stopSlack = 500 * time.Millisecond
 	// leastLeft is the least time that is worth a send: a round trip between
 	// halls and the shortest work.
 	leastLeft = 5 * time.Millisecond
@@ -49,7 +52,7 @@
 	Budget      *retry.Budget
 	Runs        *runs.Runs
 	Metrics     *metrics.Metrics
-	Leaving     func() bool // this box is being stopped
+	Leaving     func() (left time.Duration, leaving bool) // this box is being stopped, and is gone then
 	Log         *logrus.Entry
 }
 
@@ -124,8 +127,8 @@
 	if !ok {
 		return nil, refusal.New(refusal.UnknownService, rt.Name).WithRetryAfter(comeLater)
 	}
-	if r.Leaving() && rt.Streams && !rt.Resumable {
-		return nil, refusal.New(refusal.Draining, "this box is leaving").WithRetryAfter(comeAgain)
+	if left, leaving := r.Leaving(); leaving && j.deadline.Sub(req.Arrived) > left-stopSlack {
+		return nil, refusal.New(refusal.Draining, "this box is gone before it would end").WithRetryAfter(comeAgain)
 	}
 	return j, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -147,7 +147,7 @@
 	sender *sender
 	tally  *tally.Tally
 	relay  *relay.Relay
-	leaves bool
+	leaves time.Duration // until the box is gone; 0 while it stays
 }
 
 var table = route.New(7, []route.Route{
@@ -186,7 +186,7 @@
 	w.relay = relay.New(relay.Parts{
 		Belief: w.belief, Fleet: w.fleet, Tally: w.tally, Reliability: failures, Sender: w.sender, Budget: retry.NewBudget(0.1, 3),
 		Chooser: choose.New(w.fleet, w.tally, failures, "leith", rand.New(rand.NewPCG(1, 1))), Runs: w.runs, Metrics: counts,
-		Leaving: func() bool { return w.leaves }, Log: logs.New(io.Discard, "info", "b"),
+		Leaving: func() (time.Duration, bool) { return w.leaves, w.leaves > 0 }, Log: logs.New(io.Discard, "info", "b"),
 	})
 	return w
 }
@@ -213,7 +213,7 @@
 		key    string
 		age    time.Duration
 		none   bool
-		leaves bool
+		leaves time.Duration
 		want   refusal.Reason // empty for served
 		again  bool           // it says when to come back
 	}{
@@ -228,8 +228,11 @@
 		"too old to say that there is no key": {path: "/safe/", key: "other", age: 5 * time.Second, want: refusal.StaleConfiguration, again: true},
 		"too old to say there is no route":    {path: "/other/", key: "key", age: 5 * time.Second, want: refusal.StaleConfiguration, again: true},
 		"public, however old":                 {path: "/public/", age: time.Minute},
-		"leaving, a short one":                {path: "/safe/", key: "key", leaves: true},
-		"leaving, a draft goes elsewhere":     {path: "/draft/", key: "key", leaves: true, want: refusal.Draining, again: true},
+		"leaving, a short one":                {path: "/safe/", key: "key", leaves: 8 * time.Second},
+		"leaving soon, a short one":           {path: "/safe/", key: "key", leaves: time.Second, want: refusal.Draining, again: true},
+		"leaving, a check":                    {path: "/check/", key: "key", leaves: 8 * time.Second},
+		"leaving soon, a check":               {path: "/check/", key: "key", leaves: 6 * time.Second, want: refusal.Draining, again: true},
+		"leaving, a draft goes elsewhere":     {path: "/draft/", key: "key", leaves: 8 * time.Second, want: refusal.Draining, again: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
