edge: a box that found few others at its start reads the table again

Cause: boxes that started first knew eight or fewer, took themselves for hubs and read the store to the end: eight readers on 58 boxes instead of four (trial that printed each call: 8 x 237 calls of 2,865). Also: tries at a lost store up to 1.2 s apart, changes gathered for 100 ms.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -15,6 +15,9 @@
 
 const (
 	joinTime = 1500 * time.Millisecond
+	// settleTime is how long after its start a box that knows few others reads
+	// the table again: all start within 0.3 s, and their programs within 1 s.
+	settleTime = 2 * time.Second
 	// heardWithin is how recently a box was heard that keeps turns: three of its
 	// periods of gossip.
 	heardWithin = 800 * time.Millisecond
@@ -31,28 +34,41 @@
 )
 
 // join puts this box into the table of boxes and reads who else is there. A box
-// that starts later finds this one, and tells it of itself.
+// that starts later finds this one, and tells it of itself. All boxes may start
+// at once: one that finds few reads again once all must have joined, as it
+// would take itself for a hub.
 func (e *Edge) join(ctx context.Context) {
-	joined := false
+	write := func(ctx context.Context) error { return e.boxes.Join(ctx, e.record) }
+	if !e.insist(ctx, write) || !e.insist(ctx, e.readBoxes) {
+		return
+	}
+	e.timer.Sleep(ctx, settleTime)
+	if e.members.Few() {
+		e.insist(ctx, e.readBoxes)
+	}
+}
+
+// insist makes a call until it succeeds; it reports false if ctx ended first.
+func (e *Edge) insist(ctx context.Context, call func(context.Context) error) bool {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, joinTime)
-		err := error(nil)
-		if !joined {
-			err = e.boxes.Join(call, e.record)
-			joined = err == nil
-		}
-		var list []wire.BoxRecord
-		if err == nil {
-			list, err = e.boxes.List(call)
-		}
+		limited, cancel := context.WithTimeout(ctx, joinTime)
+		err := call(limited)
 		cancel()
 		if err == nil {
-			e.listed(list)
-			return
+			return true
 		}
 		e.log.WithError(err).Warn("boxes_not_read")
 		e.timer.Sleep(ctx, joinEvery)
 	}
+	return false
+}
+
+func (e *Edge) readBoxes(ctx context.Context) error {
+	list, err := e.boxes.List(ctx)
+	if err == nil {
+		e.listed(list)
+	}
+	return err
 }
 
 func (e *Edge) listed(list []wire.BoxRecord) {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,7 +17,7 @@
 	// paid for also when the store is down, and a box has to be current again
 	// within some 3 s of the store's return.
 	firstWait = 100 * time.Millisecond
-	mostWait  = 600 * time.Millisecond
+	mostWait  = 1200 * time.Millisecond
 	// slack is how much longer than its wait a call may take. A slow store
 	// takes some 300 ms an answer.
 	slack = 600 * time.Millisecond
@@ -27,7 +27,7 @@
 	idleLook = 100 * time.Millisecond
 	// gather is waited after a change before the next call: changes come many at
 	// a time, and each call is paid for.
-	gather = 40 * time.Millisecond
+	gather = 100 * time.Millisecond
 	// unsureFor is how long after trouble entries that are gone may only have
 	// lapsed: upstreams are listed again within 2 s of the store's return.
 	unsureFor = 3 * time.Second
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,164 @@
+package gossip_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/gossip"
+	"petrelstep/logs"
+	"petrelstep/members"
+	"petrelstep/peer"
+	"petrelstep/timer"
+	"petrelstep/wire"
+)
+
+// network answers calls to boxes, by address, unless they are struck.
+type network struct {
+	mu     sync.Mutex
+	struck map[string]string // how: refused or silent
+	calls  map[string][]time.Time
+	forgot map[string]int
+}
+
+func (n *network) Call(ctx context.Context, address, method string, _, reply any) error {
+	n.mu.Lock()
+	n.calls[address] = append(n.calls[address], time.Now())
+	how := n.struck[address]
+	n.mu.Unlock()
+	switch how {
+	case "refused":
+		return &peer.Error{Address: address, Method: method, Refused: true, Err: io.EOF}
+	case "silent":
+		<-ctx.Done()
+		return &peer.Error{Address: address, Method: method, Err: ctx.Err()}
+	}
+	reply.(*wire.GossipAnswer).Sender.Box = address
+	return nil
+}
+
+func (n *network) Forget(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forgot[address]++
+}
+
+func (n *network) strike(address, how string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.struck[address] = how
+}
+
+// since returns how often an address was called after a time.
+func (n *network) since(address string, at time.Time) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, t := range n.calls[address] {
+		if t.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
+type box struct {
+	mu    sync.Mutex
+	heard map[string]time.Time
+}
+
+func (*box) Say(members.Box) wire.Gossip { return wire.Gossip{} }
+
+func (b *box) Hear(a wire.GossipAnswer, _ time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heard[a.Sender.Box] = time.Now()
+}
+
+// last returns how long ago any hub was heard.
+func (b *box) last() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	least := time.Hour
+	for _, at := range b.heard {
+		least = min(least, time.Since(at))
+	}
+	return least
+}
+
+// fleet returns a membership of many boxes in four halls; this one is weak.
+func fleet(boxes int) *members.Members {
+	m := members.New(members.Box{Name: "self", Hall: "leith", Address: "self", State: members.Live})
+	var list []wire.Member
+	for i := range boxes {
+		name := "b" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		list = append(list, wire.Member{Box: name, Hall: []string{"leith", "gorgie", "sighthill", "musselburgh"}[i%4], Address: name, State: wire.MemberStateLive, Strong: true})
+	}
+	m.Listed(time.Now(), list)
+	return m
+}
+
+// TestHubsAreReplaced strikes all hubs at once: others are heard soon, and when
+// the first are back they are called again.
+func TestHubsAreReplaced(t *testing.T) {
+	for name, how := range map[string]string{"killed": "refused", "frozen or cut off": "silent"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m := fleet(50)
+				n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+				b := &box{heard: map[string]time.Time{}}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+				}()
+				time.Sleep(3 * time.Second)
+				hubs := m.Hubs(time.Now())
+				is.Equal(len(hubs), 4)
+				is.Equal(len(n.calls), 4) // only hubs are called
+				for _, h := range hubs {
+					is.True(n.since(h.Address, time.Now().Add(-time.Second)) >= 3)
+				}
+				is.True(b.last() <= 300*time.Millisecond)
+				for _, h := range hubs {
+					n.strike(h.Address, how) // all at once
+				}
+				struck := time.Now()
+				for time.Since(struck) < 10*time.Second {
+					time.Sleep(50 * time.Millisecond)
+					is.True(b.last() <= 2*time.Second) // never longer without any hub
+				}
+				for _, h := range hubs {
+					n.strike(h.Address, "")
+				}
+				time.Sleep(5 * time.Second)
+				is.Equal(m.Hubs(time.Now())[0].Address, hubs[0].Address)
+				is.True(b.last() <= 300*time.Millisecond)
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// TestFewTellAll shows that few boxes call each other, and often.
+func TestFewTellAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		gossip.New(fleet(6), n, &box{heard: map[string]time.Time{}}, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+		is.Equal(len(n.calls), 6)
+		for address := range n.calls {
+			is.True(n.since(address, time.Now().Add(-time.Second)) >= 3)
+		}
+	})
+}
--- a/members/members.go
+++ b/members/members.go
@@ -275,6 +275,13 @@
 	return hubs
 }
 
+// Few tells whether so few boxes are known that each is a hub.
+func (m *Members) Few() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.boxes)+1 <= directMost
+}
+
 // Keeper returns the hub that is first in the rendezvous order of a key.
 func (m *Members) Keeper(now time.Time, key string) (Box, bool) {
 	hubs := m.Hubs(now)
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	m, err := metrics.New()
 	is.NoErr(err)
-	page, err := os.ReadFile("../docs/OPERATING.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	is.NoErr(err)
 	for _, r := range refusal.Reasons() {
 		is.True(strings.Contains(scrape(m), `petrelstep_refusals_total{`) && value(m, "petrelstep_refusals_total", string(r)) == "0")
