--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -57,6 +57,8 @@
 // Mover moves the memory of runs.
 type Mover interface {
 	Move(ctx context.Context, source, run, target string, last bool) (Copied, error)
+	// Release frees a copy that nobody goes on from.
+	Release(ctx context.Context, c exchange.Copy) error
 }
 
 // Turns gives one box at a time the turn to move runs off an upstream.
@@ -193,6 +195,7 @@
 	handoff := runs.Handoff{Copy: first.Copy, Target: target, Source: source, OK: true}
 	run.Copied(handoff)
 	if !run.Stopping() {
+		e.release(first.Copy)
 		return ErrNoRun
 	}
 	// Stopping is not broken off with ctx: where the run is then must be known.
@@ -204,9 +207,22 @@
 	}
 	handoff.OK = err == nil || errors.Is(err, ErrNoRoom) && last.Copy.ID != ""
 	run.Stopped(handoff)
+	if errors.Is(err, ErrNoRun) {
+		e.release(first.Copy)
+	}
 	return err
 }
 
+// release frees the copy of a run that has ended: it would hold memory and a
+// slot at its target for seconds.
+func (e *Evacuator) release(c exchange.Copy) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	if err := e.Mover.Release(ctx, c); err != nil {
+		e.Log.WithError(err).WithField("copy", c.ID).Info("copy_not_released")
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -41,8 +41,10 @@
 	pauses map[string]time.Duration // from a run's stop to its copy's end
 	moved  map[string]string
 	copied map[string]bool
-	fail   func(run, target string, last bool) error
-	tokens map[string]int
+
+	released []string // copies that were freed
+	fail     func(run, target string, last bool) error
+	tokens   map[string]int
 }
 
 func (l *link) Move(_ context.Context, source, run, target string, last bool) (evacuate.Copied, error) {
@@ -70,6 +72,11 @@
 	return evacuate.Copied{Copy: exchange.Copy{Holder: source, ID: "copy-" + run}}, nil
 }
 
+func (l *link) Release(_ context.Context, c exchange.Copy) error {
+	l.released = append(l.released, c.ID)
+	return nil
+}
+
 func newLink() *link {
 	return &link{
 		dies: time.Now().Add(notice), pauses: map[string]time.Duration{}, moved: map[string]string{}, copied: map[string]bool{},
@@ -151,45 +158,50 @@
 	end()
 }
 
-// TestTurnsAgainstAlone moves seven boxes' runs off one upstream: by turns
-// against the baseline that each box moves its own at once.
-func TestTurnsAgainstAlone(t *testing.T) {
-	const boxes = 7
-	const pauseMost = 180 * time.Millisecond // of a stream in time
-	measure := func(t *testing.T, turnsOf func(name string) evacuate.Turns) (inTime int) {
-		synctest.Test(t, func(t *testing.T) {
-			l := newLink()
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-			defer cancel()
-			var all sync.WaitGroup
-			var result sync.Map
-			for i := range boxes {
-				l.tokens[fmt.Sprint("r", i)] = 3000 + 300*i
-			}
-			for i := range boxes {
-				b := newBox(l, turnsOf(fmt.Sprint("b", i)), 8)
-				id := fmt.Sprint("r", i)
-				r, end := b.run(id, l.tokens[id], 900, 10)
-				all.Go(func() { relay(ctx, r, end, &result) })
-				all.Go(func() { b.Leaves(ctx, leaving) })
-			}
-			all.Wait()
-			is.New(t).Equal(len(l.moved), boxes) // none is lost either way
-			for _, p := range l.pauses {
-				if p <= pauseMost {
-					inTime++
-				}
+// inTime moves seven boxes' runs off one upstream, and returns how many streams
+// paused no longer than one in time may. None is lost.
+func inTime(t *testing.T, turnsOf func(name string) evacuate.Turns) (count int) {
+	const (
+		boxes     = 7
+		pauseMost = 180 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		l := newLink()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		var all sync.WaitGroup
+		var result sync.Map
+		for i := range boxes {
+			l.tokens[fmt.Sprint("r", i)] = 3000 + 300*i
+		}
+		for i := range boxes {
+			b := newBox(l, turnsOf(fmt.Sprint("b", i)), 8)
+			id := fmt.Sprint("r", i)
+			r, end := b.run(id, l.tokens[id], 900, 10)
+			all.Go(func() { relay(ctx, r, end, &result) })
+			all.Go(func() { b.Leaves(ctx, leaving) })
+		}
+		all.Wait()
+		is.New(t).Equal(len(l.moved), boxes)
+		for _, p := range l.pauses {
+			if p <= pauseMost {
+				count++
 			}
-		})
-		return inTime
-	}
+		}
+	})
+	return count
+}
+
+// TestTurnsAgainstAlone holds turns against the baseline that each box moves
+// its own runs at once.
+func TestTurnsAgainstAlone(t *testing.T) {
 	is := is.New(t)
 	keeper := turns.New()
 	// The copies take 1.5 s of the 1.7 s that there are: at the end the last
 	// boxes go without turns, and hold each other up. Which they are differs with
 	// the order of the turns: 5 to 7 are in time by turns, and 1 or 2 alone.
-	is.True(measure(t, func(name string) evacuate.Turns { return byTurns{keeper, name} }) >= 5)
-	is.True(measure(t, func(string) evacuate.Turns { return alone{} }) <= 2)
+	is.True(inTime(t, func(name string) evacuate.Turns { return byTurns{keeper, name} }) >= 5)
+	is.True(inTime(t, func(string) evacuate.Turns { return alone{} }) <= 2)
 }
 
 // TestLeaves moves one run under what may happen on the way.
@@ -213,6 +225,7 @@
 		later  time.Duration // when the run begins to be answered
 		moved  bool
 		goesOn bool // from a copy, also where it was not stopped
+		freed  bool // its copy
 	}{
 		"moved":                                  {events: 10, hint: 900, moved: true, goesOn: true},
 		"longer than its caller guessed":         {events: 300, hint: 400, moved: true, goesOn: true},
@@ -222,7 +235,7 @@
 		"a move is under way":                    {fail: once(evacuate.ErrBusy, first), events: 10, hint: 900, moved: true, goesOn: true},
 		"it has ended meanwhile":                 {fail: once(evacuate.ErrNoRun, first), events: 10, hint: 900},
 		"the upstream dies before the stop":      {fail: once(errGone, last), events: 10, hint: 900, goesOn: true},
-		"it ended between its copy and its stop": {fail: once(evacuate.ErrNoRun, last), events: 10, hint: 900, goesOn: true},
+		"it ended between its copy and its stop": {fail: once(evacuate.ErrNoRun, last), events: 10, hint: 900, goesOn: true, freed: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -245,6 +258,7 @@
 				is.Equal(l.moved["r"] != "", tt.moved)
 				goesOn, _ := result.Load("r")
 				is.Equal(goesOn == true, tt.goesOn)
+				is.Equal(len(l.released) == 1, tt.freed)
 			})
 		})
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -102,7 +102,7 @@
 	f.sent = f.now()
 	unsure := !f.trouble.IsZero() && f.sent.Sub(f.trouble) < unsureFor
 	var err error
-	next := *mark
+	var next int64
 	if *listed {
 		call, cancel := context.WithTimeout(ctx, f.wait+slack)
 		next, err = f.source.Next(call, *mark, f.wait, unsure)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -103,47 +103,58 @@
 	return m
 }
 
-// TestHubsAreReplaced strikes all hubs at once: others are heard soon, and when
-// the first are back they are called again.
+// oftenCalled tells whether all these boxes were called three times or more in
+// the last second.
+func (n *network) oftenCalled(boxes []members.Box) bool {
+	for _, b := range boxes {
+		if n.since(b.Address, time.Now().Add(-time.Second)) < 3 {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *network) strikeAll(boxes []members.Box, how string) {
+	for _, b := range boxes {
+		n.strike(b.Address, how)
+	}
+}
+
+// replaced strikes all hubs at once: others are heard soon, and when the first
+// are back they are called again.
+func replaced(t *testing.T, how string) {
+	is := is.New(t)
+	m := fleet(50)
+	n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+	b := &box{heard: map[string]time.Time{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+	}()
+	time.Sleep(3 * time.Second)
+	hubs := m.Hubs(time.Now())
+	is.Equal(len(hubs), 4)
+	is.Equal(len(n.calls), 4) // only hubs are called
+	is.True(n.oftenCalled(hubs))
+	n.strikeAll(hubs, how)
+	for struck := time.Now(); time.Since(struck) < 10*time.Second; {
+		time.Sleep(50 * time.Millisecond)
+		is.True(b.last() <= 2*time.Second) // never longer without any hub
+	}
+	n.strikeAll(hubs, "")
+	time.Sleep(5 * time.Second)
+	is.Equal(m.Hubs(time.Now())[0].Address, hubs[0].Address)
+	is.True(b.last() <= 300*time.Millisecond)
+	cancel()
+	<-done
+}
+
 func TestHubsAreReplaced(t *testing.T) {
 	for name, how := range map[string]string{"killed": "refused", "frozen or cut off": "silent"} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				m := fleet(50)
-				n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
-				b := &box{heard: map[string]time.Time{}}
-				ctx, cancel := context.WithCancel(t.Context())
-				done := make(chan struct{})
-				go func() {
-					defer close(done)
-					gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
-				}()
-				time.Sleep(3 * time.Second)
-				hubs := m.Hubs(time.Now())
-				is.Equal(len(hubs), 4)
-				is.Equal(len(n.calls), 4) // only hubs are called
-				for _, h := range hubs {
-					is.True(n.since(h.Address, time.Now().Add(-time.Second)) >= 3)
-				}
-				is.True(b.last() <= 300*time.Millisecond)
-				for _, h := range hubs {
-					n.strike(h.Address, how) // all at once
-				}
-				struck := time.Now()
-				for time.Since(struck) < 10*time.Second {
-					time.Sleep(50 * time.Millisecond)
-					is.True(b.last() <= 2*time.Second) // never longer without any hub
-				}
-				for _, h := range hubs {
-					n.strike(h.Address, "")
-				}
-				time.Sleep(5 * time.Second)
-				is.Equal(m.Hubs(time.Now())[0].Address, hubs[0].Address)
-				is.True(b.last() <= 300*time.Millisecond)
-				cancel()
-				<-done
-			})
+			synctest.Test(t, func(t *testing.T) { replaced(t, how) })
 		})
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -379,6 +379,42 @@
 	}
 }
 
+// move is one row of TestMoved.
+type move struct {
+	during func(r *runs.Run) // once two events are out
+	ends   error             // how the first stream ends then; nil for well
+	frame  bool              // without a length
+	next   []reply
+	body   string
+	abort  bool
+	asked  []string // upstreams that were asked to go on
+}
+
+func (m move) check(t *testing.T, from exchange.Copy) {
+	is := is.New(t)
+	var w *world
+	first := reply{events: []int{0, 1}, cutAfter: m.ends, unframed: m.frame, wait: func() {
+		for _, u := range w.runs.Upstreams() {
+			for _, r := range w.runs.At(u.ID) {
+				m.during(r)
+			}
+		}
+	}}
+	w = newWorld(t, append([]reply{first}, m.next...)...)
+	c := w.serve(t.Context(), "/draft/")
+	time.Sleep(time.Second) // the stop is answered
+	is.Equal(c.body.String(), m.body)
+	is.Equal(c.aborted, m.abort)
+	var asked []string
+	for _, s := range w.sender.sends[1:] {
+		asked = append(asked, s.Upstream)
+		is.Equal(s.After, 1)
+		is.Equal(*s.From, from)
+	}
+	is.Equal(asked, m.asked)
+	is.Equal(len(w.tally.Own()), 0)
+}
+
 // TestMoved moves a stream while it is passed on.
 func TestMoved(t *testing.T) {
 	source := fleet.Upstream{ID: "llm0", Service: "llm", Address: "llm0:1"}
@@ -393,15 +429,7 @@
 			}()
 		}
 	}
-	tests := map[string]struct {
-		during func(r *runs.Run) // once two events are out
-		ends   error             // how the first stream ends then; nil for well
-		frame  bool              // without a length
-		next   []reply
-		body   string
-		abort  bool
-		asked  []string // upstreams that were asked to go on
-	}{
+	tests := map[string]move{
 		"goes on at the target":                        {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
 		"an end without a length":                      {during: stop(handoff), frame: true, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
 		"it ended by itself":                           {during: stop(runs.Handoff{}), body: "0;1;"},
@@ -414,30 +442,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				var w *world
-				first := reply{events: []int{0, 1}, cutAfter: tt.ends, unframed: tt.frame, wait: func() {
-					for _, u := range w.runs.Upstreams() {
-						for _, r := range w.runs.At(u.ID) {
-							tt.during(r)
-						}
-					}
-				}}
-				w = newWorld(t, append([]reply{first}, tt.next...)...)
-				c := w.serve(t.Context(), "/draft/")
-				time.Sleep(time.Second) // the stop is answered
-				is.Equal(c.body.String(), tt.body)
-				is.Equal(c.aborted, tt.abort)
-				var asked []string
-				for _, s := range w.sender.sends[1:] {
-					asked = append(asked, s.Upstream)
-					is.Equal(s.After, 1)
-					is.Equal(*s.From, handoff.Copy)
-				}
-				is.Equal(asked, tt.asked)
-				is.Equal(len(w.tally.Own()), 0)
-			})
+			synctest.Test(t, func(t *testing.T) { tt.check(t, handoff.Copy) })
 		})
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"petrelstep/exchange"
 	"petrelstep/metrics"
 	"petrelstep/refusal"
@@ -113,7 +115,7 @@
 		if err == nil || ctx.Err() != nil || errors.As(err, new(*callerError)) {
 			return err
 		}
-		f.job.log.WithError(err).WithFields(map[string]any{"upstream": f.sent.upstream.ID, "events": f.count, "stopping": f.run.IsStopping()}).Info("stream_broke")
+		f.job.log.WithError(err).WithFields(logrus.Fields{"upstream": f.sent.upstream.ID, "events": f.count, "stopping": f.run.IsStopping()}).Info("stream_broke")
 		f.sent.close()
 		if goneOn, moved := r.goOn(ctx, f); moved {
 			if !goneOn {
@@ -215,7 +217,7 @@
 	at := h.Target
 	for range goOnTries {
 		s, err := r.sendTo(ctx, f.job, at, f.last, &h.Copy)
-		log := f.job.log.WithFields(map[string]any{"upstream": at.ID, "after": f.last, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds()})
+		log := f.job.log.WithFields(logrus.Fields{"upstream": at.ID, "after": f.last, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds()})
 		if err == nil && s.answer.Status == http.StatusOK {
 			f.sent = s
 			f.run.Moved(at)
@@ -255,14 +257,14 @@
 	}
 	f.sent = s
 	f.run.Moved(s.upstream)
-	f.job.log.WithFields(map[string]any{"upstream": s.upstream.ID, "after": f.last}).Info("resumed")
+	f.job.log.WithFields(logrus.Fields{"upstream": s.upstream.ID, "after": f.last}).Info("resumed")
 	return nil
 }
 
 // ended settles a stream.
 func (r *Relay) ended(ctx context.Context, f *flow, err error) {
 	r.Metrics.Streamed(f.count, f.job.first.Seconds(), f.gap.Seconds(), max(f.gap-f.job.route.Gap, 0).Seconds())
-	log := f.job.log.WithFields(map[string]any{
+	log := f.job.log.WithFields(logrus.Fields{
 		"upstream": f.sent.upstream.ID, "events": f.count, "first_ms": f.job.first.Milliseconds(), "gap_ms": f.gap.Milliseconds(),
 		"took_ms": time.Since(f.job.req.Arrived).Milliseconds(),
 	})
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"petrelstep/exchange"
 	"petrelstep/metrics"
 	"petrelstep/refusal"
@@ -89,7 +91,7 @@
 		return false
 	}
 	r.Metrics.Retried(reason)
-	j.log.WithFields(map[string]any{"why": reason, "tried": len(j.tried)}).Info("sent_again")
+	j.log.WithFields(logrus.Fields{"why": reason, "tried": len(j.tried)}).Info("sent_again")
 	return true
 }
 
@@ -133,7 +135,7 @@
 	}
 	took := time.Since(j.req.Arrived)
 	r.Metrics.Answered(took)
-	log := j.log.WithFields(map[string]any{"upstream": o.sent.upstream.ID, "status": o.sent.answer.Status, "took_ms": took.Milliseconds()})
+	log := j.log.WithFields(logrus.Fields{"upstream": o.sent.upstream.ID, "status": o.sent.answer.Status, "took_ms": took.Milliseconds()})
 	if err != nil {
 		c.Abort()
 		log.WithError(err).Info("answer_cut")
--- a/route/route.go
+++ b/route/route.go
@@ -36,19 +36,15 @@
 // Engine is what a service's model engines offer.
 type Engine struct {
 	Slots       int
-	Memory      int // tokens
-	TokenBytes  int
-	LinkMbit    float64 // megabits a second, for moved memory
-	Moves       bool
-	EventTokens int
+	Memory      int  // tokens
+	Moves       bool // memory of runs can be moved
+	EventTokens int  // in one event of a stream
 }
 
 // Service is a set of like upstreams.
 type Service struct {
-	Name        string
-	HealthPath  string
-	Connections int     // that one upstream takes from all boxes
-	Engine      *Engine // nil for a plain service
+	Name   string
+	Engine *Engine // nil for a plain service
 }
 
 // Organisation is one that sends requests.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -604,9 +604,6 @@
 
 	// Repeats beyond the ratio in one window.
 	RetrySlack int `json:"retry_slack,omitempty,omitzero"`
-
-	// RetryWindowMs corresponds to the JSON schema field "retry_window_ms".
-	RetryWindowMs int `json:"retry_window_ms,omitempty,omitzero"`
 }
 
 type EdgeMoves string
@@ -706,12 +703,6 @@
 	if 0 > plain.RetrySlack {
 		return fmt.Errorf("field %s: must be >= %v", "retry_slack", 0)
 	}
-	if v, ok := raw["retry_window_ms"]; !ok || v == nil {
-		plain.RetryWindowMs = 10000
-	}
-	if 1000 > plain.RetryWindowMs {
-		return fmt.Errorf("field %s: must be >= %v", "retry_window_ms", 1000)
-	}
 	*j = Edge(plain)
 	return nil
 }
