--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -31,7 +31,7 @@
 
 // site is a whole path on loopback: the store, workers and boxes.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Platform
 	address  string // of the store
 	version  int
@@ -47,7 +47,7 @@
 	cancel                context.CancelFunc
 }
 
-func newSite(t *testing.T, boxes int) *site {
+func newSite(t testing.TB, boxes int) *site {
 	t.Helper()
 	s := &site{t: t, platform: platform.New(platform.Options{}), workers: map[string]*worker.Worker{}, servers: map[string]*httptest.Server{}}
 	server := httptest.NewServer(s.platform.Handler())
@@ -84,11 +84,16 @@
 
 func (s *site) worker(id, service string, events int) *worker.Worker {
 	w := worker.New(id, events, 3*time.Millisecond)
+	s.serve(id, service, w)
+	return w
+}
+
+// serve opens a worker's address and puts its row into the store.
+func (s *site) serve(id, service string, w *worker.Worker) {
 	server := httptest.NewServer(w.Handler())
 	s.t.Cleanup(server.Close)
 	s.workers[id], s.servers[id] = w, server
 	s.say(id, service, "ready")
-	return w
 }
 
 func (s *site) say(id, service, state string) {
@@ -96,7 +101,7 @@
 		`{"service":%q,"address":%q,"zone":"leith","slots":8,"state":%q}`, service, strings.TrimPrefix(s.servers[id].URL, "http://"), state)})
 }
 
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -130,7 +135,7 @@
 }
 
 // until waits for a condition.
-func until(t *testing.T, what string, f func() bool) {
+func until(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(waitMost); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if f() {
