relay: pass on long answers whole; end a long failure of a stream

Found in reading: an answer of more than 256 KB on a route that allows another try was cut at half the aim, and a failure of that size in place of a stream ended in a nil error. Tests: TestLong, TestStream/a failure without an end, both seen to fail first.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -39,8 +39,9 @@
 	err      error
 	hang     bool // nothing comes until the sender gives up
 	body     string
-	cutAfter error // the body ends with this
-	events   []int // ids; the stream ends well after them unless cutAfter is set
+	rest     string // of a long answer, after what is held
+	cutAfter error  // the body ends with this
+	events   []int  // ids; the stream ends well after them unless cutAfter is set
 	unframed bool
 	pause    time.Duration // before each event
 	wait     func()        // before the stream ends
@@ -100,9 +101,24 @@
 	return exchange.Event{ID: id, Raw: []byte(fmt.Sprint(id, ";"))}, nil
 }
 
-func (b *bodyOf) All(int) ([]byte, bool, error) { return []byte(b.reply.body), false, b.reply.cutAfter }
-func (b *bodyOf) Read([]byte) (int, error)      { return 0, io.EOF }
-func (b *bodyOf) Close()                        {}
+func (b *bodyOf) All(int) ([]byte, bool, error) {
+	return []byte(b.reply.body), b.reply.rest != "", b.reply.cutAfter
+}
+
+func (b *bodyOf) Read(p []byte) (int, error) {
+	time.Sleep(time.Second / 10) // longer than part of the aim
+	if b.ctx.Err() != nil {
+		return 0, b.ctx.Err()
+	}
+	n := copy(p, b.reply.rest)
+	b.reply.rest = b.reply.rest[n:]
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+func (*bodyOf) Close() {}
 
 // caller keeps what it is told.
 type caller struct {
@@ -321,6 +337,24 @@
 	}
 }
 
+// TestLong passes on an answer that is too long to be held, also where another
+// try might have followed.
+func TestLong(t *testing.T) {
+	for name, path := range map[string]string{"safe": "/safe/", "once": "/once/"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, reply{body: "begin, ", rest: "and the rest"})
+				c := w.serve(t.Context(), path)
+				is.Equal(c.body.String(), "begin, and the rest")
+				is.True(!c.aborted)
+				is.Equal(len(w.sender.sends), 1)
+				is.Equal(len(w.tally.Own()), 0)
+			})
+		})
+	}
+}
+
 // TestBudget shows that repeats are bounded where all fails.
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -351,6 +385,8 @@
 		"a draft breaks before it begins":     {"/draft/", []reply{{cutAfter: errReset}}, 1, "", false, refusal.NoAnswer},
 		"a draft is not run":                  {"/draft/", []reply{{status: 503, notRun: true}, {events: []int{0}}}, 1, "", false, refusal.UpstreamFull},
 		"a draft's upstream resets":           {"/draft/", []reply{{err: errReset}, {events: []int{0}}}, 1, "", false, refusal.NoAnswer},
+		"a failure, whole":                    {"/draft/", []reply{{status: 500, body: "no"}}, 1, "no", false, ""},
+		"a failure without an end":            {"/draft/", []reply{{status: 500, body: "no", rest: "more"}}, 1, "", false, refusal.NoAnswer},
 		"a gap":                               {"/draft/", []reply{{events: []int{0, 2}}}, 1, "0;", true, ""},
 		"a piece comes twice":                 {"/draft/", []reply{{events: []int{0, 1, 1, 2}}}, 1, "0;1;2;", false, ""},
 		"a check breaks and is resumed":       {"/check/", []reply{{events: []int{0, 1}, cutAfter: errReset}, {events: []int{2, 3}}}, 2, "0;1;2;3;", false, ""},
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -24,6 +24,12 @@
 // Error implements error.
 func (e *OrderError) Error() string { return "events out of order" }
 
+// LongError says that an answer in place of a stream is too long.
+type LongError struct{}
+
+// Error implements error.
+func (*LongError) Error() string { return "an answer too long to be a failure" }
+
 // flow is a stream that is passed on.
 type flow struct {
 	job    *job
@@ -91,7 +97,10 @@
 // notStream passes on an upstream's answer that is no stream.
 func (r *Relay) notStream(ctx context.Context, f *flow, o outcome) error {
 	body, more, err := o.sent.answer.Body.All(wholeMost)
-	if err != nil || more {
+	if err == nil && more {
+		err = &LongError{}
+	}
+	if err != nil {
 		o.sent.close()
 		return &exchange.FailedError{Err: err}
 	}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -49,13 +49,14 @@
 // tryWhole sends once. Where another try may follow, it waits for the answer
 // only for a part of the aim.
 func (r *Relay) tryWhole(ctx context.Context, j *job, more bool) outcome {
+	ctx, cancel := context.WithCancel(ctx)
 	if j.route.Repeatable && more {
-		limited, cancel := context.WithTimeout(ctx, time.Duration(waitPart*float64(j.route.Aim)))
-		defer cancel()
-		ctx = limited
+		late := time.AfterFunc(time.Duration(waitPart*float64(j.route.Aim)), cancel)
+		defer late.Stop()
 	}
 	s, err := r.send(ctx, j, exchange.NoEvent)
 	if err != nil {
+		cancel()
 		return outcome{err: err}
 	}
 	body, rest, err := s.answer.Body.All(wholeMost)
@@ -63,11 +64,17 @@
 	r.Reliability.Record(time.Now(), s.upstream.ID, bad || s.answer.NotRun)
 	if bad {
 		s.close()
+		cancel()
 		if err == nil {
 			err = &SealError{}
 		}
 		return outcome{err: err}
 	}
+	closeSent := s.close
+	s.close = func() {
+		closeSent()
+		cancel()
+	}
 	return outcome{sent: s, body: body, more: rest}
 }
 
