edge, gossip: mend tests that differed from run to run

Found by the race detector beside busy processes: TestPath met a port that another process had taken between its being found free and opened (confirmed by taking the first port handed out: a box then starts on others); TestStop and TestPath asked for a stream before the worker's row was known; a gossip test read the calls without their lock. Checks are as strict as before.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -109,7 +109,30 @@
 	return l.Addr().String()
 }
 
+// startTries bounds how often a box is started on other addresses: one that
+// was free may be taken before the box listens on it.
+const startTries = 5
+
 func (s *site) startBox(name string) *box {
+	s.t.Helper()
+	var last error
+	for range startTries {
+		b, ended := s.startOnce(name)
+		if ended == nil {
+			s.t.Cleanup(func() {
+				b.cancel()
+				<-b.done
+			})
+			return b
+		}
+		last = ended
+	}
+	s.t.Fatal(last)
+	return nil
+}
+
+// startOnce starts a box and waits until it listens, or returns why it ended.
+func (s *site) startOnce(name string) (*box, error) {
 	s.t.Helper()
 	is := is.New(s.t)
 	counts, err := metrics.New()
@@ -123,15 +146,30 @@
 	b.Edge = edge.New(c, logs.New(io.Discard, "info", name), counts)
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
+	var ended error
 	go func() {
 		defer close(b.done)
-		_ = b.Run(ctx)
+		ended = b.Run(ctx)
 	}()
-	s.t.Cleanup(func() {
-		cancel()
-		<-b.done
+	listens := false
+	until(s.t, "a box listens or ends", func() bool {
+		select {
+		case <-b.done:
+			return true
+		default:
+		}
+		conn, err := net.Dial("tcp", b.ready)
+		if err == nil {
+			conn.Close()
+			listens = true
+		}
+		return listens
 	})
-	return b
+	if listens {
+		return b, nil
+	}
+	<-b.done
+	return nil, ended
 }
 
 // until waits for a condition.
@@ -194,8 +232,9 @@
 	for i, b := range s.boxes {
 		until(t, "a box is ready", b.isReady)
 		until(t, "a box serves", func() bool {
-			status, _ := b.ask(t, "GET", "/look/a", "warm", "key")
-			return status == 200
+			plain, _ := b.ask(t, "GET", "/look/a", "warm", "key")
+			draft, _ := b.ask(t, "POST", "/stream/x", "warm", "key")
+			return plain == 200 && draft == 200
 		})
 		id := fmt.Sprint("r", i)
 		status, body := b.ask(t, "GET", "/look/a?b=c", id, "key")
@@ -311,7 +350,11 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_, body = b.ask(t, "POST", "/stream/x", "d", "key")
+		until(t, "a draft is taken", func() bool { // the worker may not be known yet
+			var status int
+			status, body = b.ask(t, "POST", "/stream/x", "d", "key")
+			return status == 200
+		})
 	}()
 	until(t, "it runs", func() bool { return len(w.Runs()) == 1 })
 	b.Drain()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -54,6 +54,13 @@
 	n.struck[address] = how
 }
 
+// called returns how many boxes were called.
+func (n *network) called() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.calls)
+}
+
 // since returns how often an address was called after a time.
 func (n *network) since(address string, at time.Time) int {
 	n.mu.Lock()
@@ -136,7 +143,7 @@
 	time.Sleep(3 * time.Second)
 	hubs := m.Hubs(time.Now())
 	is.Equal(len(hubs), 4)
-	is.Equal(len(n.calls), 4) // only hubs are called
+	is.Equal(n.called(), 4) // only hubs are called
 	is.True(n.oftenCalled(hubs))
 	n.strikeAll(hubs, how)
 	for struck := time.Now(); time.Since(struck) < 10*time.Second; {
@@ -167,7 +174,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
 		gossip.New(fleet(6), n, &box{heard: map[string]time.Time{}}, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
-		is.Equal(len(n.calls), 6)
+		is.Equal(n.called(), 6)
 		for address := range n.calls {
 			is.True(n.since(address, time.Now().Add(-time.Second)) >= 3)
 		}
