standin: know by its own log that a box under test is up

Cause of daemon.TestGeneration's failure at set-up ("field kind in Resource: required"): the box's operator address, found free, had been taken by another server. That server answered /healthz before the box had ended for want of the address, and the set declared its resources to it. Ruled out: the rows themselves, and the new table (the declaration never reached it). The edge tests start boxes the same way now.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -22,6 +22,7 @@
 	"petrelstep/metrics"
 	"petrelstep/platform/store"
 	"petrelstep/standin/platform"
+	"petrelstep/standin/started"
 	"petrelstep/standin/worker"
 	"petrelstep/wire"
 )
@@ -131,7 +132,8 @@
 	return nil
 }
 
-// startOnce starts a box and waits until it listens, or returns why it ended.
+// startOnce starts a box and waits until its addresses are open, or returns why
+// it ended.
 func (s *site) startOnce(name string) (*box, error) {
 	s.t.Helper()
 	is := is.New(s.t)
@@ -143,7 +145,8 @@
 		Listen: wire.Listen{Callers: b.callers, Admin: b.admin, Peers: free(s.t)}, Limits: wire.Limits{BodyBytes: 4096},
 		Edge: &wire.Edge{Ready: b.ready, KeyAgeMs: 5000, LeaveMs: 2000, RetryRatio: 0.2, RetrySlack: 50, MemoryMb: 128, Moves: wire.EdgeMovesTurns, Processors: 1, LinkMbit: 1000},
 	}}
-	b.Edge = edge.New(c, logs.New(io.Discard, "info", name), counts)
+	up := started.New(io.Discard)
+	b.Edge = edge.New(c, logs.New(up, "info", name), counts)
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	var ended error
@@ -151,25 +154,12 @@
 		defer close(b.done)
 		ended = b.Run(ctx)
 	}()
-	listens := false
-	until(s.t, "a box listens or ends", func() bool {
-		select {
-		case <-b.done:
-			return true
-		default:
-		}
-		conn, err := net.Dial("tcp", b.ready)
-		if err == nil {
-			conn.Close()
-			listens = true
-		}
-		return listens
-	})
-	if listens {
+	select {
+	case <-up.Done():
 		return b, nil
+	case <-b.done:
+		return nil, ended
 	}
-	<-b.done
-	return nil, ended
 }
 
 // until waits for a condition.
--- a/standin/set/set.go
+++ b/standin/set/set.go
@@ -25,6 +25,7 @@
 	"petrelstep/standin/platform"
 	"petrelstep/standin/relay"
 	"petrelstep/standin/service"
+	"petrelstep/standin/started"
 	"petrelstep/wire"
 )
 
@@ -51,6 +52,7 @@
 	cancel   context.CancelFunc
 	done     chan error
 	over     bool
+	up       <-chan struct{} // closed once its addresses are open
 }
 
 // Set is what runs.
@@ -272,8 +274,10 @@
 		select {
 		case ended = <-b.done:
 			return true
-		default:
+		case <-b.up:
 			return answers(b.Settings.Listen.Admin)
+		default:
+			return false
 		}
 	}, b.Settings.Box+" does not answer")
 	if ended != nil {
@@ -296,12 +300,13 @@
 	if out == nil {
 		out = io.Discard
 	}
-	d, err := daemon.New(ctx, c, logs.New(out, "info", c.Box), counts)
+	up := started.New(out)
+	d, err := daemon.New(ctx, c, logs.New(up, "info", c.Box), counts)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	b := &Box{Settings: c.Settings, Daemon: d, cancel: cancel, done: make(chan error, 1)}
+	b := &Box{Settings: c.Settings, Daemon: d, cancel: cancel, done: make(chan error, 1), up: up.Done()}
 	go func() { b.done <- d.Run(ctx) }()
 	return b, nil
 }
