--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -296,7 +296,7 @@
 func TestMoves(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 2)
-	const events = 500
+	const events = 1500
 	old := s.worker("e1", "llm", events)
 	for _, b := range s.boxes {
 		until(t, "a box is ready", b.isReady)
@@ -332,7 +332,7 @@
 func TestStop(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1)
-	const events = 700
+	const events = 1500
 	w := s.worker("e1", "llm", events)
 	b := s.boxes[0]
 	until(t, "a box is ready", b.isReady)
