choose: move runs to upstreams of their own hall

Each lost one's log shows the same: its engine left with 1.5 s of notice, its turn came after 1.2 s, and its copy was under way when the engine was gone. A copy between halls takes twice as long (0.35 to 0.45 s instead of 0.2), and of eight upstreams drawn from 57 only two lie in the run's hall. Change: of the eight, six are of the run's own hall, and another hall costs a move 0.5 of a capacity instead of 0.22. Ruled out: late news of the notice (17 to 120 ms everywhere), missing turns (no box went without its keeper), full targets.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -18,8 +18,9 @@
 	// far is what another hall costs: bytes between halls are paid for.
 	far = 0.03
 	// farMove is what it costs a run that moves: its copy takes twice as long,
-	// and those behind it wait.
-	farMove = 0.22
+	// and those behind it wait. An upstream with some room in the own hall goes
+	// before an empty one elsewhere.
+	farMove = 0.5
 	// slots weighs an engine's requests against its memory.
 	slots = 0.3
 	// prefillRate is how many tokens of prompts an engine reads in a second
@@ -39,9 +40,10 @@
 	// sampled is how many are weighed then.
 	sampled = 5
 	// sampledMost is how many are weighed for a run that moves, which is worth
-	// more care: three, four and eight for all lost 23, 17 and 7 drafts on the
-	// grown quiet day, and began later ones after 1.28, 1.36 and 1.67 s.
+	// more care; most of them of its own hall.
 	sampledMost = 8
+	// sampledFar is how many of them are of other halls, should the own be full.
+	sampledFar = 2
 )
 
 // Chooser is safe for use by several goroutines.
@@ -96,11 +98,19 @@
 	defer c.mu.Unlock()
 	c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	if w.Moves {
-		return list[:sampledMost]
+		return mostlyNear(list, w.Hall)
 	}
 	return list[:sampled]
 }
 
+// mostlyNear returns the sample of a shuffled list for a run that moves.
+func mostlyNear(list []fleet.Upstream, hall string) []fleet.Upstream {
+	near := slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return u.Hall != hall })
+	far := slices.DeleteFunc(list, func(u fleet.Upstream) bool { return u.Hall == hall })
+	near = near[:min(len(near), max(sampledMost-sampledFar, sampledMost-len(far)))]
+	return append(near, far[:sampledMost-len(near)]...)
+}
+
 // load is the share of an upstream's capacity that is in use.
 func (c *Chooser) load(now time.Time, w Want, u fleet.Upstream) float64 {
 	l := c.tally.Load(now, u.ID)
