turns, evacuate: a turn holds the links of both ends of a move

The stop with the rest then waited behind other copies: pauses of 200 to 800 ms. Change: a box names up to four targets, the keeper grants a turn that holds the leaving upstream and the first target that receives nothing; of those who wait the smallest goes first. One box keeps the turns of a service, so that it knows all its links. A turn lapses after 0.8 s instead of 1.5 s. Ruled out: memory at the targets (none refused), the wait for the notice.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -2,6 +2,7 @@
 package choose
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -71,21 +72,36 @@
 	Avoid   []string
 }
 
+// Choice is an upstream, and its load as a share of its capacity.
+type Choice struct {
+	Upstream fleet.Upstream
+	Load     float64
+	score    float64
+}
+
 // Choose returns the upstream with the most room, and its load as a share of
 // its capacity. It reports false if there is none.
 func (c *Chooser) Choose(now time.Time, w Want) (best fleet.Upstream, load float64, found bool) {
+	ranked := c.Ranked(now, w)
+	if len(ranked) == 0 {
+		return fleet.Upstream{}, 0, false
+	}
+	return ranked[0].Upstream, ranked[0].Load, true
+}
+
+// Ranked returns the upstreams that were weighed, the one with the most room
+// first.
+func (c *Chooser) Ranked(now time.Time, w Want) []Choice {
 	if w.Hall == "" {
 		w.Hall = c.hall
 	}
-	lowest := 0.0
+	var ranked []Choice
 	for _, u := range c.candidates(w) {
-		used := c.load(now, w, u)
-		score := used + c.penalty(now, w, u)
-		if !found || score < lowest {
-			best, load, lowest, found = u, used, score, true
-		}
+		load := c.load(now, w, u)
+		ranked = append(ranked, Choice{Upstream: u, Load: load, score: load + c.penalty(now, w, u)})
 	}
-	return best, load, found
+	slices.SortStableFunc(ranked, func(a, b Choice) int { return cmp.Compare(a.score, b.score) })
+	return ranked
 }
 
 // candidates returns the upstreams to weigh.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,9 +7,11 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/config"
+	"petrelstep/evacuate"
 	"petrelstep/fleet"
 	"petrelstep/members"
 	"petrelstep/peer"
+	"petrelstep/turns"
 	"petrelstep/wire"
 )
 
@@ -278,29 +280,46 @@
 	return records
 }
 
-// Take implements evacuate.Turns: the box that keeps an upstream's turns is the
-// first in its rendezvous order. One that is not heard is done without.
-func (e *Edge) Take(ctx context.Context, upstream string) (giveBack func()) {
+// Take implements evacuate.Turns: one box keeps the turns of all upstreams of a
+// service, the first in the service's rendezvous order, so that it knows all
+// links that are in use. One that is not heard is done without.
+func (e *Edge) Take(ctx context.Context, ask evacuate.Ask) (target string, giveBack func()) {
+	alone := func() {}
 	if e.config.Edge.Moves != wire.EdgeMovesTurns {
-		return func() {}
+		return ask.Targets[0], alone
 	}
-	keeper, ok := e.members.Keeper(time.Now(), "turns/"+upstream)
+	keeper, ok := e.members.Keeper(time.Now(), "turns/"+ask.Source.Service)
 	if !ok || keeper.Name == e.config.Box {
-		e.turns.Take(ctx, upstream, e.config.Box)
-		return func() { e.turns.GiveBack(upstream, e.config.Box) }
+		own := turns.Ask{Box: e.config.Box, Source: ask.Source.ID, Targets: ask.Targets, Tokens: ask.Tokens}
+		target, ok := e.turns.Take(ctx, own)
+		if !ok {
+			return ask.Targets[0], alone
+		}
+		return target, func() { e.turns.GiveBack(ask.Source.ID, e.config.Box) }
 	}
 	if !e.hears(keeper.Name) {
 		e.log.WithField("keeper", keeper.Name).Info("turn_without_keeper")
-		return func() {}
+		return ask.Targets[0], alone
 	}
+	return e.askTurn(ctx, keeper, ask)
+}
+
+// askTurn asks another box for a turn.
+func (e *Edge) askTurn(ctx context.Context, keeper members.Box, ask evacuate.Ask) (target string, giveBack func()) {
 	until, _ := ctx.Deadline()
-	ask := wire.TurnAsk{Upstream: upstream, Box: e.config.Box, WaitMs: int(max(time.Until(until)-turnSlack, 0).Milliseconds())}
+	call := wire.TurnAsk{
+		Upstream: ask.Source.ID, Box: e.config.Box, Targets: ask.Targets, Tokens: ask.Tokens,
+		WaitMs: int(max(time.Until(until)-turnSlack, 0).Milliseconds()),
+	}
 	var answer wire.TurnAnswer
-	if err := e.peers.Call(ctx, keeper.Address, peer.Turn, ask, &answer); err != nil {
+	if err := e.peers.Call(ctx, keeper.Address, peer.Turn, call, &answer); err != nil {
 		e.log.WithError(err).WithField("keeper", keeper.Name).Warn("turn_not_asked")
-		return func() {}
+		return ask.Targets[0], func() {}
+	}
+	if !answer.Granted {
+		return ask.Targets[0], func() {}
 	}
-	return func() { e.turnBack(keeper, ask) }
+	return answer.Target, func() { e.turnBack(keeper, call) }
 }
 
 func (e *Edge) turnBack(keeper members.Box, ask wire.TurnAsk) {
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,6 +35,10 @@
 	again = 60 * time.Millisecond
 	// targetsMost is how many targets are tried for one run at a time.
 	targetsMost = 3
+	// targetsNamed is of how many targets the keeper of the turns may pick one
+	// whose link is free; where many upstreams leave at once, each has a run under
+	// way to another target.
+	targetsNamed = 4
 	// finishing is how much of a stream may be left for it to be moved last: it
 	// may end within the shortest notice there is, 1.5 s.
 	finishing = 600 * time.Millisecond
@@ -61,11 +66,19 @@
 	Release(ctx context.Context, c exchange.Copy) error
 }
 
-// Turns gives one box at a time the turn to move runs off an upstream.
+// Ask is what a turn is asked for.
+type Ask struct {
+	Source  fleet.Upstream
+	Targets []string // ids, the best first
+	Tokens  int      // of memory that moves
+}
+
+// Turns gives the turns to move runs off upstreams.
 type Turns interface {
-	// Take waits for the turn; it is given back by the returned function. A box
-	// that cannot reach the keeper of the turns goes alone.
-	Take(ctx context.Context, upstream string) (giveBack func())
+	// Take waits for a turn, and returns which of the targets it is for; it is
+	// given back by the returned function. A box that cannot reach the keeper of
+	// the turns, or waits in vain, goes alone, to the first target.
+	Take(ctx context.Context, ask Ask) (target string, giveBack func())
 }
 
 // Services returns a service of the configuration in force.
@@ -107,7 +120,7 @@
 			sleep(ctx, again)
 			continue
 		}
-		if e.inTurn(ctx, turns, run, u, service) {
+		if e.move(ctx, turns, run, u, service) {
 			gaveUp[run] = true
 			continue
 		}
@@ -115,15 +128,6 @@
 	}
 }
 
-// inTurn moves a run when it is this box's turn.
-func (e *Evacuator) inTurn(ctx context.Context, until time.Time, run *runs.Run, u fleet.Upstream, service route.Service) (done bool) {
-	waiting, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	giveBack := e.Turns.Take(waiting, u.ID)
-	defer giveBack()
-	return e.move(ctx, run, u, service)
-}
-
 // next returns the run to move next: the smallest, as it is the quickest, but
 // last what may end by itself.
 func (e *Evacuator) next(u fleet.Upstream, gaveUp map[*runs.Run]bool) *runs.Run {
@@ -142,26 +146,23 @@
 	return last
 }
 
-// move moves one run. It reports false if that may be tried again.
-func (e *Evacuator) move(ctx context.Context, run *runs.Run, u fleet.Upstream, service route.Service) (done bool) {
+// move moves one run when it is this box's turn; it waits for turns only until
+// a time. It reports false if that may be tried again.
+func (e *Evacuator) move(ctx context.Context, until time.Time, run *runs.Run, u fleet.Upstream, service route.Service) (done bool) {
 	began := time.Now()
 	log := e.Log.WithFields(logrus.Fields{"request": run.Request.ID, "from": u.ID, "tokens": run.Tokens(), "events": run.Events()})
 	avoid := []string{u.ID}
-	var err error
-	for range targetsMost {
-		target, load, ok := e.Chooser.Choose(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Moves: true, Avoid: avoid})
-		if !ok {
-			err = ErrNoRoom
-			break
-		}
-		avoid = append(avoid, target.ID)
-		entry := e.Tally.Begin(target.ID, tally.Load{Requests: 1, Tokens: run.Request.Expected()})
-		err = e.moveTo(ctx, run, u, target)
-		entry.End()
-		log = log.WithFields(logrus.Fields{"to": target.ID, "load": load})
-		if !errors.Is(err, ErrNoRoom) {
+	err := ErrNoRoom
+	for tries := 0; tries < targetsMost && errors.Is(err, ErrNoRoom); tries++ {
+		ranked := e.Chooser.Ranked(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Moves: true, Avoid: avoid})
+		if len(ranked) == 0 {
 			break
 		}
+		target, giveBack := e.take(ctx, until, run, u, ranked[:min(len(ranked), targetsNamed)])
+		avoid = append(avoid, target.Upstream.ID)
+		log = log.WithFields(logrus.Fields{"to": target.Upstream.ID, "load": target.Load, "waited_ms": time.Since(began).Milliseconds()})
+		err = e.moveTo(ctx, run, u, target.Upstream)
+		giveBack()
 	}
 	took := time.Since(began)
 	log = log.WithField("took_ms", took.Milliseconds())
@@ -184,8 +185,22 @@
 	return true
 }
 
+// take waits for the turn to move a run to one of some targets.
+func (e *Evacuator) take(ctx context.Context, until time.Time, run *runs.Run, u fleet.Upstream, ranked []choose.Choice) (target choose.Choice, giveBack func()) {
+	ask := Ask{Source: u, Tokens: run.Tokens()}
+	for _, c := range ranked {
+		ask.Targets = append(ask.Targets, c.Upstream.ID)
+	}
+	waiting, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	id, giveBack := e.Turns.Take(waiting, ask)
+	return ranked[max(slices.Index(ask.Targets, id), 0)], giveBack
+}
+
 // moveTo copies a run while it goes on, then stops it with the rest.
 func (e *Evacuator) moveTo(ctx context.Context, run *runs.Run, source, target fleet.Upstream) error {
+	entry := e.Tally.Begin(target.ID, tally.Load{Requests: 1, Tokens: run.Request.Expected()})
+	defer entry.End()
 	copying, cancel := context.WithTimeout(ctx, copyTime)
 	first, err := e.Mover.Move(copying, source.Address, run.Request.ID, target.Address, false)
 	cancel()
--- a/peer/edgepoint/edgepoint.go
+++ b/peer/edgepoint/edgepoint.go
@@ -44,11 +44,11 @@
 	return nil
 }
 
-// Turn waits for the turn to move runs off an upstream.
+// Turn waits for the turn to move a run off an upstream.
 func (e *Edgepoint) Turn(ask wire.TurnAsk, answer *wire.TurnAnswer) error {
 	ctx, cancel := context.WithTimeout(e.ctx, time.Duration(ask.WaitMs)*time.Millisecond)
 	defer cancel()
-	answer.Granted = e.turns.Take(ctx, ask.Upstream, ask.Box)
+	answer.Target, answer.Granted = e.turns.Take(ctx, turns.Ask{Box: ask.Box, Source: ask.Upstream, Targets: ask.Targets, Tokens: ask.Tokens})
 	return nil
 }
 
--- a/turns/turns.go
+++ b/turns/turns.go
@@ -1,72 +1,121 @@
 // Package turns keeps the turns at which boxes move runs off upstreams that
-// leave: one box at a time for each upstream. A turn is soft state: it lapses,
-// and a box that cannot reach the keeper goes without.
+// leave. A copy takes the links of both its ends, and copies on one link go one
+// after another, so that a turn holds an upstream that leaves and the one that
+// the run goes to: no copy waits behind another. A turn is soft state: it
+// lapses, and a box that cannot reach the keeper goes without.
 package turns
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
 
-// turnMost is how long a box may keep a turn: one move takes half a second.
-const turnMost = 1500 * time.Millisecond
+// turnMost is how long a box may keep a turn: a move takes 0.2 s within a hall
+// and 0.4 s between halls. One whose holder died must not cost the others the
+// whole notice of 1.5 s.
+const turnMost = 800 * time.Millisecond
+
+// Ask is what a box asks for. Values are immutable.
+type Ask struct {
+	Box     string
+	Source  string   // upstream that leaves
+	Targets []string // upstreams that the run may go to, the best first
+	Tokens  int      // of memory that moves: the smallest goes first
+}
 
 type turn struct {
-	holder string
-	until  time.Time
-	freed  chan struct{}
+	box    string
+	target string
+	lapse  *time.Timer
+}
+
+type waiter struct {
+	ask     Ask
+	granted chan string // the target
 }
 
 // Turns is safe for use by several goroutines.
 type Turns struct {
-	mu   sync.Mutex
-	held map[string]*turn
+	mu      sync.Mutex
+	held    map[string]*turn // by source
+	waiting []*waiter        // the smallest first
 }
 
 // New returns a keeper that no box holds a turn of.
 func New() *Turns { return &Turns{held: map[string]*turn{}} }
 
-// Take waits for an upstream's turn until ctx ends; it reports whether the box
-// has it.
-func (t *Turns) Take(ctx context.Context, upstream, box string) bool {
-	for {
-		free, left, ok := t.try(time.Now(), upstream, box)
-		if ok {
-			return true
-		}
-		lapse := time.NewTimer(left)
-		select {
-		case <-ctx.Done():
-			lapse.Stop()
-			return false
-		case <-free:
-		case <-lapse.C:
-		}
-		lapse.Stop()
+// Take waits until ctx ends for a turn, and returns the target that it holds.
+// It reports false if there was none in time. A box that asks again for a source
+// has given its turn back.
+func (t *Turns) Take(ctx context.Context, ask Ask) (target string, ok bool) {
+	w := &waiter{ask: ask, granted: make(chan string, 1)}
+	t.mu.Lock()
+	t.drop(ask.Source, ask.Box)
+	at, _ := slices.BinarySearchFunc(t.waiting, w, func(a, b *waiter) int { return a.ask.Tokens - b.ask.Tokens })
+	t.waiting = slices.Insert(t.waiting, at, w)
+	t.grant()
+	t.mu.Unlock()
+	select {
+	case target = <-w.granted:
+		return target, true
+	case <-ctx.Done():
 	}
-}
-
-func (t *Turns) try(now time.Time, upstream, box string) (free <-chan struct{}, left time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held, taken := t.held[upstream]
-	if taken && held.holder != box && now.Before(held.until) {
-		return held.freed, held.until.Sub(now), false
-	}
-	if taken {
-		close(held.freed)
+	t.waiting = slices.DeleteFunc(t.waiting, func(o *waiter) bool { return o == w })
+	select {
+	case target = <-w.granted: // in the same moment
+		return target, true
+	default:
+		return "", false
 	}
-	t.held[upstream] = &turn{holder: box, until: now.Add(turnMost), freed: make(chan struct{})}
-	return nil, 0, true
 }
 
 // GiveBack ends a box's turn.
-func (t *Turns) GiveBack(upstream, box string) {
+func (t *Turns) GiveBack(source, box string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if held, ok := t.held[upstream]; ok && held.holder == box {
-		delete(t.held, upstream)
-		close(held.freed)
+	t.drop(source, box)
+	t.grant()
+}
+
+func (t *Turns) drop(source, box string) {
+	if held, ok := t.held[source]; ok && held.box == box {
+		held.lapse.Stop()
+		delete(t.held, source)
+	}
+}
+
+// grant gives turns to those who wait, as far as both links are free.
+func (t *Turns) grant() {
+	receiving := map[string]bool{}
+	for _, held := range t.held {
+		receiving[held.target] = true
 	}
+	t.waiting = slices.DeleteFunc(t.waiting, func(w *waiter) bool {
+		free := slices.IndexFunc(w.ask.Targets, func(target string) bool { return !receiving[target] })
+		if t.held[w.ask.Source] != nil || free < 0 {
+			return false
+		}
+		target := w.ask.Targets[free]
+		receiving[target] = true
+		t.hold(w.ask, target)
+		w.granted <- target
+		return true
+	})
+}
+
+func (t *Turns) hold(ask Ask, target string) {
+	held := &turn{box: ask.Box, target: target}
+	held.lapse = time.AfterFunc(turnMost, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.held[ask.Source] == held {
+			delete(t.held, ask.Source)
+			t.grant()
+		}
+	})
+	t.held[ask.Source] = held
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3404,6 +3404,9 @@
 type TurnAnswer struct {
 	// Granted corresponds to the JSON schema field "granted".
 	Granted bool `json:"granted"`
+
+	// Upstream that the generation goes to; empty if not granted.
+	Target string `json:"target,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -3420,6 +3423,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["target"]; !ok || v == nil {
+		plain.Target = ""
+	}
 	*j = TurnAnswer(plain)
 	return nil
 }
@@ -3429,6 +3435,12 @@
 	// Box corresponds to the JSON schema field "box".
 	Box string `json:"box"`
 
+	// Upstreams that the generation may go to, the best first.
+	Targets []string `json:"targets,omitempty,omitzero"`
+
+	// Memory that moves; of those who wait the smallest goes first.
+	Tokens int `json:"tokens,omitempty,omitzero"`
+
 	// Upstream corresponds to the JSON schema field "upstream".
 	Upstream string `json:"upstream"`
 
@@ -3453,6 +3465,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["tokens"]; !ok || v == nil {
+		plain.Tokens = 0
+	}
 	if v, ok := raw["wait_ms"]; !ok || v == nil {
 		plain.WaitMs = 0
 	}
