reading, follow, edge: few boxes read the store, and none before it knows them

A hub's knowledge is up to 2.4 s old, two of its calls, and after a change all hubs are confirmed in step, so that the others' limit of 2.5 s was passed in calm; the same for upstreams (4 s against 3.5 s), where the store had by then forgotten the mark (54 times 410). Change: package reading decides. A box that hears hubs reads from 2.9 to 3.7 s on, one that hears none from 0.8 s on; hubs wait 0.7 to 1.2 s at random; between failed calls the boxes that are no hubs keep 50 ms for each box together; a follower that was not needed lists anew; at a cold start nothing is read until the others are known (edge.cold_start). Ruled out: changes of workers (138 calls a hub, each with news). Tests: reading.TestNeeded, TestPace, TestWait, follow.TestListsAgain.

--- a/belief/belief.go
+++ b/belief/belief.go
@@ -51,3 +51,9 @@
 	age = now.Sub(b.confirmed)
 	return b.table, age, b.table == nil || age > b.most
 }
+
+// Age returns how old the belief is; false if there is none.
+func (b *Belief) Age(now time.Time) (time.Duration, bool) {
+	t, age, _ := b.Now(now)
+	return age, t != nil
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -79,6 +79,8 @@
 
 	configuration *manifest.Configuration
 	catching      atomic.Bool // a newer configuration is being asked for
+	joined        atomic.Bool // the other boxes are known
+	random        *rand.Rand
 
 	serving   atomic.Int64
 	draining  atomic.Bool
@@ -89,6 +91,8 @@
 	mu    sync.Mutex
 	heard map[string]time.Time // when boxes were last heard, by name
 	known map[string]mark      // how far the fleets of hubs are known, by name
+
+	hubHeard time.Time // when a hub last answered
 }
 
 // New puts a box together; nothing runs and no port is open before Run.
@@ -113,6 +117,7 @@
 		turns:     turns.New(),
 		upstreams: upstream.New(),
 		drain:     make(chan struct{}),
+		random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
 		heard:     map[string]time.Time{},
 		known:     map[string]mark{},
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -29,6 +29,9 @@
 	turnBackTime = 500 * time.Millisecond
 	// turnSlack is for the way to the keeper of the turns and back.
 	turnSlack = 50 * time.Millisecond
+	// oldFleet is the age from which a hub's knowledge of the upstreams is not
+	// taken: two of its calls to the store, and some.
+	oldFleet = 3500 * time.Millisecond
 	// departingFor is how long peers are told of an upstream that leaves.
 	departingFor = 10 * time.Second
 	// neverAge is told where there is no knowledge: older than all that counts.
@@ -44,7 +47,11 @@
 	if !e.insist(ctx, write) || !e.insist(ctx, e.readBoxes) {
 		return
 	}
+	if !e.config.Edge.ColdStart {
+		e.joined.Store(true)
+	}
 	e.timer.Sleep(ctx, settleTime)
+	defer e.joined.Store(true)
 	if e.members.Few() {
 		e.insist(ctx, e.readBoxes)
 	}
@@ -98,15 +105,23 @@
 	return false
 }
 
-// needsConfiguration tells whether this box reads the configuration itself.
-func (e *Edge) needsConfiguration() bool {
-	_, age, stale := e.belief.Now(time.Now())
-	return stale || age > readAfter || e.isHub()
-}
+// Known implements reading.Boxes.
+func (e *Edge) Known() bool { return e.joined.Load() }
+
+// IsHub implements reading.Boxes.
+func (e *Edge) IsHub() bool { return e.isHub() }
+
+// Count implements reading.Boxes.
+func (e *Edge) Count() int { return len(e.members.All(time.Now())) }
+
+// AllHubs implements reading.Boxes.
+func (e *Edge) AllHubs() bool { return e.members.Few() }
 
-func (e *Edge) needsUpstreams() bool {
-	age, known := e.fleet.Age(time.Now())
-	return !known || age > readUpstreams || e.isHub()
+// HubHeard implements reading.Boxes.
+func (e *Edge) HubHeard() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hubHeard
 }
 
 // Say implements gossip.Box.
@@ -128,6 +143,9 @@
 func (e *Edge) Hear(a wire.GossipAnswer, sent time.Time) {
 	now := time.Now()
 	e.heardBox(now, a.Sender, a.Leaving)
+	e.mu.Lock()
+	e.hubHeard = now
+	e.mu.Unlock()
 	for _, r := range a.Hubs {
 		e.introduce(now, r)
 	}
@@ -151,7 +169,7 @@
 		e.fleet.Leaves(now, id, "peer")
 	}
 	age := config.Millis(a.FleetAgeMs)
-	if age > readUpstreams {
+	if age > oldFleet {
 		return
 	}
 	for _, u := range a.Upstreams {
--- a/edge/run.go
+++ b/edge/run.go
@@ -16,23 +16,14 @@
 	"petrelstep/gossip"
 	"petrelstep/peer/edgepoint"
 	"petrelstep/platform/manifest"
+	"petrelstep/reading"
 	"petrelstep/watch"
 )
 
 const (
-	// confirmEvery is how often the store confirms that nothing has changed. A
-	// box that has lost the store is told by its first failed call, well before
-	// its belief is too old.
-	confirmEvery = 1200 * time.Millisecond
-	// upstreamsEvery is the same for the list of upstreams; changes come at once.
-	upstreamsEvery = 2 * time.Second
-	// readAfter is the age of a belief at which a box that is no hub reads for
-	// itself; hubs confirm theirs each 1.2 and 2 s.
-	readAfter     = 2500 * time.Millisecond
-	readUpstreams = 3500 * time.Millisecond
-	tickEvery     = 100 * time.Millisecond
-	joinEvery     = time.Second
-	headerTime    = 10 * time.Second
+	tickEvery  = 100 * time.Millisecond
+	joinEvery  = time.Second
+	headerTime = 10 * time.Second
 	// idleTime lies above every bound on idle connections that callers reckon with.
 	idleTime    = 90 * time.Second
 	headerBytes = 64 << 10
@@ -151,10 +142,9 @@
 // start starts the tasks that are not bound to a caller.
 func (e *Edge) start(ctx context.Context, all *sync.WaitGroup) {
 	workers := manifest.NewWorkers(e.store, e.fleet, e.log)
-	all.Go(func() {
-		follow.New("configuration", e.configuration, confirmEvery, e.belief.Confirm, e.needsConfiguration, e.log).Run(ctx)
-	})
-	upstreams := follow.New("upstreams", workers, upstreamsEvery, e.fleet.Confirm, e.needsUpstreams, e.log)
+	configuration := follow.New("configuration", e.configuration, e.belief.Confirm, e.reading(e.belief.Age), e.log)
+	all.Go(func() { configuration.Run(ctx) })
+	upstreams := follow.New("upstreams", workers, e.fleet.Confirm, e.reading(e.fleet.Age), e.log)
 	all.Go(func() { upstreams.Run(ctx) })
 	all.Go(func() { e.timer.Every(ctx, "tick", tickEvery, e.fleet.Tick) })
 	look := watch.New(e.fleet, upstreams.Lost, e.runs, e.upstreams, e.log)
@@ -165,6 +155,11 @@
 	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
 }
 
+// reading decides when this box reads a table whose knowledge has an age.
+func (e *Edge) reading(age func(now time.Time) (time.Duration, bool)) *reading.Reading {
+	return reading.New(e, age, e.config.Edge.ColdStart, e.random)
+}
+
 // drainAll is the planned stop: callers are sent elsewhere, and all in flight
 // is waited for.
 func (e *Edge) drainAll(ctx context.Context, servers []*http.Server) {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// firstWait and mostWait bound the waits between failed calls: calls are
-	// paid for also when the store is down, and a box has to be current again
-	// within some 3 s of the store's return.
-	firstWait = 100 * time.Millisecond
-	mostWait  = 1200 * time.Millisecond
 	// slack is how much longer than its wait a call may take. A slow store
 	// takes some 300 ms an answer.
 	slack = 600 * time.Millisecond
@@ -45,12 +40,29 @@
 	Next(ctx context.Context, mark int64, wait time.Duration, unsure bool) (int64, error)
 }
 
+// Pace bounds the waits between failed calls, which are paid for also when the
+// store is down.
+type Pace struct {
+	First time.Duration
+	Most  time.Duration
+}
+
+// Need decides whether calls are made at all.
+type Need interface {
+	// Needed tells whether a call is to be made.
+	Needed(now time.Time) bool
+	// Wait returns how long the next call waits for changes, and so how often
+	// the belief is confirmed.
+	Wait() time.Duration
+	// Pace returns the waits between failed calls.
+	Pace() Pace
+}
+
 // Follower runs on one goroutine.
 type Follower struct {
 	source  Source
-	wait    time.Duration
 	confirm func(at time.Time)
-	needed  func() bool
+	need    Need
 	log     *logrus.Entry
 	now     func() time.Time
 
@@ -60,12 +72,11 @@
 }
 
 // New returns a follower; confirm is called after each answer with the time
-// when its call was sent. wait is how long a call waits for changes, and so how
-// often the belief is confirmed. While it is not needed, because others tell,
-// no calls are made.
-func New(name string, source Source, wait time.Duration, confirm func(at time.Time), needed func() bool, log *logrus.Entry) *Follower {
+// when its call was sent. While it is not needed, because others tell,
+// no calls are made; when it is needed again, it lists.
+func New(name string, source Source, confirm func(at time.Time), need Need, log *logrus.Entry) *Follower {
 	return &Follower{
-		source: source, wait: wait, confirm: confirm, needed: needed, log: log.WithField("table", name), now: time.Now,
+		source: source, confirm: confirm, need: need, log: log.WithField("table", name), now: time.Now,
 	}
 }
 
@@ -75,25 +86,27 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	mark, listed := int64(0), false
-	pause := firstWait
+	pause := time.Duration(0)
 	for ctx.Err() == nil {
-		if !f.needed() {
+		if !f.need.Needed(f.now()) {
+			listed = false
 			sleep(ctx, idleLook)
 			continue
 		}
 		before := mark
 		err := f.step(ctx, &mark, &listed)
 		if err == nil {
-			pause = firstWait
+			pause = 0
 			if mark != before {
 				sleep(ctx, gather)
 			}
 			continue
 		}
+		pace := f.need.Pace()
+		pause = min(max(2*pause, pace.First), pace.Most)
 		if !sleep(ctx, pause/2+rand.N(pause)) {
 			return
 		}
-		pause = min(2*pause, mostWait)
 	}
 }
 
@@ -104,8 +117,9 @@
 	var err error
 	var next int64
 	if *listed {
-		call, cancel := context.WithTimeout(ctx, f.wait+slack)
-		next, err = f.source.Next(call, *mark, f.wait, unsure)
+		wait := f.need.Wait()
+		call, cancel := context.WithTimeout(ctx, wait+slack)
+		next, err = f.source.Next(call, *mark, wait, unsure)
 		cancel()
 	} else {
 		call, cancel := context.WithTimeout(ctx, listTime)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -55,6 +55,17 @@
 	return s.next(ctx, call{mark: mark, unsure: unsure})
 }
 
+// need is always there, or from a time on.
+type need struct{ from time.Time }
+
+func (n need) Needed(now time.Time) bool { return !now.Before(n.from) }
+
+func (need) Wait() time.Duration { return wait }
+
+func (need) Pace() follow.Pace {
+	return follow.Pace{First: 100 * time.Millisecond, Most: 1200 * time.Millisecond}
+}
+
 func gives(mark int64, err error) func(context.Context) (int64, error) {
 	return func(context.Context) (int64, error) { return mark, err }
 }
@@ -92,7 +103,7 @@
 				s := &source{began: time.Now(), script: tt.script}
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 				defer cancel()
-				f := follow.New("t", s, wait, func(time.Time) {}, func() bool { return true }, logs.New(io.Discard, "info", "b"))
+				f := follow.New("t", s, func(time.Time) {}, need{}, logs.New(io.Discard, "info", "b"))
 				f.Run(ctx)
 				is.True(len(s.calls) >= len(tt.calls))
 				for i, want := range tt.calls {
@@ -121,8 +132,8 @@
 		var confirmed []time.Duration
 		ctx, cancel := context.WithTimeout(t.Context(), 350*time.Millisecond)
 		defer cancel()
-		f := follow.New("t", s, wait, func(at time.Time) { confirmed = append(confirmed, at.Sub(began)) },
-			func() bool { return true }, logs.New(io.Discard, "info", "b"))
+		f := follow.New("t", s, func(at time.Time) { confirmed = append(confirmed, at.Sub(began)) },
+			need{}, logs.New(io.Discard, "info", "b"))
 		f.Run(ctx)
 		is.Equal(confirmed, []time.Duration{0})
 	})
@@ -136,9 +147,38 @@
 		until := time.Now().Add(5 * time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		needed := func() bool { return time.Now().After(until) }
-		follow.New("t", s, wait, func(time.Time) {}, needed, logs.New(io.Discard, "info", "b")).Run(ctx)
+		follow.New("t", s, func(time.Time) {}, need{until}, logs.New(io.Discard, "info", "b")).Run(ctx)
 		is.True(s.calls[0].at >= 5*time.Second)
 		is.True(s.calls[0].at < 5200*time.Millisecond)
 	})
 }
+
+// needOften is there at times.
+type needOften struct {
+	need
+	times func(now time.Time) bool
+}
+
+func (n needOften) Needed(now time.Time) bool { return n.times(now) }
+
+// TestListsAgain shows that one which was not needed for a while lists, instead
+// of asking for changes since a mark that the store has forgotten.
+func TestListsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		s := &source{began: began}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		often := needOften{times: func(now time.Time) bool { return now.Sub(began) < 2*time.Second || now.Sub(began) > 8*time.Second }}
+		follow.New("t", s, func(time.Time) {}, often, logs.New(io.Discard, "info", "b")).Run(ctx)
+		lists := 0
+		for _, c := range s.calls {
+			if c.list {
+				lists++
+				is.True(c.at < time.Second || c.at > 8*time.Second)
+			}
+		}
+		is.Equal(lists, 2)
+	})
+}
--- /dev/null
+++ b/reading/reading.go
@@ -0,0 +1,108 @@
+// Package reading decides when a box reads a table of the platform's store for
+// itself. Each call is paid for, so that a few hubs read and tell the others;
+// a box that is told nothing, or only what is old, reads too.
+package reading
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"petrelstep/follow"
+)
+
+const (
+	// feedWait is how long a hub's call waits for changes, and so how often the
+	// store confirms to it that there are none. A hub that has lost the store
+	// learns it by its first failed call, well before keys must be refused, 5 s
+	// after they were last confirmed.
+	feedWait = 1200 * time.Millisecond
+	// feedLeast is the least that it waits, at random, where it reads for others:
+	// hubs that were answered at the same moment, by a change, are then confirmed
+	// at different times, and the youngest word counts.
+	feedLeast = 700 * time.Millisecond
+	// told is the age of knowledge at which a box reads although it hears hubs.
+	// It is at most 2.4 s at a hub, two of its calls, and 0.25 s later here: what
+	// is older means that the hubs have lost the store.
+	told = 2900 * time.Millisecond
+	// spread is drawn once over boxes, so that not all of them read at once; the
+	// last begins at 3.7 s, 0.9 s before keys are refused.
+	spread = 800 * time.Millisecond
+	// unheard is how long no hub may answer, three of the periods of gossip,
+	// before a box reads.
+	unheard = 800 * time.Millisecond
+	// coldMost bounds the wait at a cold start until the other boxes are known.
+	coldMost = 3 * time.Second
+	// hubFirst and hubMost bound a hub's waits between failed calls: it has to be
+	// current again within some 2 s of the store's return.
+	hubFirst = 100 * time.Millisecond
+	hubMost  = 1200 * time.Millisecond
+	// shared is what the boxes that are no hubs keep between their failed calls,
+	// all together, so that 20 a second are paid for however many they are.
+	shared = 50 * time.Millisecond
+	// sharedMost bounds that for one box.
+	sharedMost = 5 * time.Second
+)
+
+// Boxes is what is known of the boxes.
+type Boxes interface {
+	// Known tells whether this box has read who the others are.
+	Known() bool
+	// IsHub tells whether this box reads for others.
+	IsHub() bool
+	// Count returns how many boxes there are.
+	Count() int
+	// AllHubs tells whether every box reads for itself.
+	AllHubs() bool
+	// HubHeard returns when a hub last answered.
+	HubHeard() time.Time
+}
+
+// Reading is that of one table. It is safe for use by several goroutines.
+type Reading struct {
+	boxes  Boxes
+	age    func(now time.Time) (age time.Duration, known bool)
+	until  time.Time // a cold start ends
+	spread time.Duration
+}
+
+// New returns the reading of a table, whose knowledge has an age. At a cold
+// start, when all boxes start together, it waits until they know each other:
+// until then each would take itself for a hub.
+func New(boxes Boxes, age func(now time.Time) (time.Duration, bool), cold bool, random *rand.Rand) *Reading {
+	r := &Reading{boxes: boxes, age: age, spread: time.Duration(random.Int64N(int64(spread)))}
+	if cold {
+		r.until = time.Now().Add(coldMost)
+	}
+	return r
+}
+
+// Needed implements follow.Need: it tells whether this box is to read now.
+func (r *Reading) Needed(now time.Time) bool {
+	age, known := r.age(now)
+	switch {
+	case !known:
+		return r.boxes.Known() || now.After(r.until)
+	case !r.boxes.Known(), now.Sub(r.boxes.HubHeard()) > unheard && !r.boxes.IsHub():
+		return age > unheard
+	case r.boxes.IsHub():
+		return true
+	}
+	return age > told+r.spread
+}
+
+// Wait implements follow.Need.
+func (r *Reading) Wait() time.Duration {
+	if r.boxes.AllHubs() {
+		return feedWait
+	}
+	return feedLeast + rand.N(feedWait-feedLeast)
+}
+
+// Pace implements follow.Need.
+func (r *Reading) Pace() follow.Pace {
+	if r.boxes.IsHub() {
+		return follow.Pace{First: hubFirst, Most: hubMost}
+	}
+	wait := min(max(time.Duration(r.boxes.Count())*shared, hubMost), sharedMost)
+	return follow.Pace{First: wait, Most: wait}
+}
--- /dev/null
+++ b/reading/reading_test.go
@@ -0,0 +1,98 @@
+package reading_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/follow"
+	"petrelstep/reading"
+)
+
+// boxes is what a test says of the boxes.
+type boxes struct {
+	known, hub bool
+	count      int
+	heard      time.Time
+}
+
+func (b boxes) Known() bool         { return b.known }
+func (b boxes) IsHub() bool         { return b.hub }
+func (b boxes) Count() int          { return b.count }
+func (b boxes) AllHubs() bool       { return b.count <= 8 }
+func (b boxes) HubHeard() time.Time { return b.heard }
+
+const never = -1
+
+func TestNeeded(t *testing.T) {
+	tests := map[string]struct {
+		boxes boxes
+		heard time.Duration // ago; a negative one for never
+		age   time.Duration // of the knowledge; a negative one for none
+		cold  bool
+		after time.Duration // since the start
+		want  bool
+	}{
+		"a hub":                    {boxes: boxes{known: true, hub: true}, age: 0, want: true},
+		"a box that knows nothing": {boxes: boxes{known: true}, age: never, want: true},
+		"a box that restarts, the others not yet read": {age: never, want: true},
+		"a cold start, the others not yet read":        {age: never, cold: true, after: time.Second},
+		"a cold start, the others cannot be read":      {age: never, cold: true, after: 3100 * time.Millisecond, want: true},
+		"a cold start, the others are known":           {boxes: boxes{known: true}, age: never, cold: true, after: time.Second, want: true},
+		"no feed before the others are known":          {age: 500 * time.Millisecond},
+		"the others cannot be read, the store can":     {age: time.Second, want: true},
+		"told what hubs can know at best":              {boxes: boxes{known: true}, age: 2700 * time.Millisecond},
+		"told what is old, the hubs lost the store":    {boxes: boxes{known: true}, age: 3800 * time.Millisecond, want: true},
+		"no hub answers":                               {boxes: boxes{known: true}, heard: time.Second, age: time.Second, want: true},
+		"no hub answers, it has just read":             {boxes: boxes{known: true}, heard: time.Second, age: 500 * time.Millisecond},
+		"no hub ever answered":                         {boxes: boxes{known: true}, heard: never, age: time.Second, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				age := func(time.Time) (time.Duration, bool) { return tt.age, tt.age >= 0 }
+				if tt.heard >= 0 {
+					tt.boxes.heard = time.Now().Add(tt.after - tt.heard)
+				}
+				r := reading.New(&tt.boxes, age, tt.cold, rand.New(rand.NewPCG(1, 1)))
+				time.Sleep(tt.after)
+				is.New(t).Equal(r.Needed(time.Now()), tt.want)
+			})
+		})
+	}
+}
+
+func TestPace(t *testing.T) {
+	tests := map[string]struct {
+		boxes boxes
+		want  follow.Pace
+	}{
+		"a hub":      {boxes{hub: true, count: 350}, follow.Pace{First: 100 * time.Millisecond, Most: 1200 * time.Millisecond}},
+		"few boxes":  {boxes{count: 10}, follow.Pace{First: 1200 * time.Millisecond, Most: 1200 * time.Millisecond}},
+		"many boxes": {boxes{count: 58}, follow.Pace{First: 2900 * time.Millisecond, Most: 2900 * time.Millisecond}},
+		"350 boxes":  {boxes{count: 350}, follow.Pace{First: 5 * time.Second, Most: 5 * time.Second}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := reading.New(tt.boxes, nil, false, rand.New(rand.NewPCG(1, 1)))
+			is.New(t).Equal(r.Pace(), tt.want)
+		})
+	}
+}
+
+func TestWait(t *testing.T) {
+	is := is.New(t)
+	alone := reading.New(boxes{count: 7}, nil, false, rand.New(rand.NewPCG(1, 1)))
+	forOthers := reading.New(boxes{hub: true, count: 58}, nil, false, rand.New(rand.NewPCG(1, 1)))
+	seen := map[time.Duration]bool{}
+	for range 20 {
+		is.Equal(alone.Wait(), 1200*time.Millisecond)
+		w := forOthers.Wait()
+		is.True(w >= 700*time.Millisecond && w < 1200*time.Millisecond)
+		seen[w] = true
+	}
+	is.True(len(seen) > 10) // not in step with other hubs
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -577,6 +577,10 @@
 // Serve the callers of the users' platform: configuration, upstreams and boxes are
 // read from its store.
 type Edge struct {
+	// All boxes start for the first time, together: this one waits until it knows the
+	// others before it reads the store.
+	ColdStart bool `json:"cold_start,omitempty,omitzero"`
+
 	// A key taken away is served no longer than this.
 	KeyAgeMs int `json:"key_age_ms,omitempty,omitzero"`
 
@@ -652,6 +656,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["cold_start"]; !ok || v == nil {
+		plain.ColdStart = false
+	}
 	if v, ok := raw["key_age_ms"]; !ok || v == nil {
 		plain.KeyAgeMs = 5000
 	}
