reliability, told, relay: boxes tell each other which upstreams fail

Drafts at an upstream that hangs ended when their callers left after 7.2 s, which was not counted either, so that more went there. Change: own 500s count; a request without an answer after twice its aim counts at once (upstream_hangs); hubs tell sums of failures as they tell loads. What others told is kept by one generic book, told.Book, for both. Ruled out: the weight of failures in a choice (the learnt ones were avoided). Tests: relay.TestFailuresAreTold (500, hung: fail without), reliability.TestFailing, TestTells.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -63,19 +63,20 @@
 	timer   *timer.Service
 	metrics *metrics.Metrics
 
-	store     *store.Store
-	boxes     *manifest.Boxes
-	belief    *belief.Belief
-	fleet     *fleet.Fleet
-	tally     *tally.Tally
-	runs      *runs.Runs
-	members   *members.Members
-	peers     *peer.Peers
-	turns     *turns.Turns
-	upstreams *upstream.Client
-	relay     *relay.Relay
-	callers   *callers.Handler
-	evacuator *evacuate.Evacuator
+	store       *store.Store
+	boxes       *manifest.Boxes
+	belief      *belief.Belief
+	fleet       *fleet.Fleet
+	tally       *tally.Tally
+	reliability *reliability.Reliability
+	runs        *runs.Runs
+	members     *members.Members
+	peers       *peer.Peers
+	turns       *turns.Turns
+	upstreams   *upstream.Client
+	relay       *relay.Relay
+	callers     *callers.Handler
+	evacuator   *evacuate.Evacuator
 
 	configuration *manifest.Configuration
 	catching      atomic.Bool // a newer configuration is being asked for
@@ -105,21 +106,22 @@
 			Box: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: int(now.UnixMilli()),
 			Strong: s.Processors >= strongProcessors && s.LinkMbit >= strongLink,
 		},
-		log:       log,
-		timer:     timer.New(),
-		metrics:   counts,
-		store:     store.New(c.Platform.Address, counts),
-		belief:    belief.New(config.Millis(s.KeyAgeMs) - ageSlack),
-		fleet:     fleet.New(time.Duration(missingPart * float64(config.Millis(s.LeaveMs)))),
-		tally:     tally.New(),
-		runs:      runs.New(),
-		peers:     peer.New(nil),
-		turns:     turns.New(),
-		upstreams: upstream.New(),
-		drain:     make(chan struct{}),
-		random:    rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
-		heard:     map[string]time.Time{},
-		known:     map[string]mark{},
+		log:         log,
+		timer:       timer.New(),
+		metrics:     counts,
+		store:       store.New(c.Platform.Address, counts),
+		belief:      belief.New(config.Millis(s.KeyAgeMs) - ageSlack),
+		fleet:       fleet.New(time.Duration(missingPart * float64(config.Millis(s.LeaveMs)))),
+		tally:       tally.New(),
+		reliability: reliability.New(),
+		runs:        runs.New(),
+		peers:       peer.New(nil),
+		turns:       turns.New(),
+		upstreams:   upstream.New(),
+		drain:       make(chan struct{}),
+		random:      rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
+		heard:       map[string]time.Time{},
+		known:       map[string]mark{},
 	}
 	e.boxes = manifest.NewBoxes(e.store)
 	e.configuration = manifest.NewConfiguration(e.store, e.belief, log)
@@ -134,10 +136,9 @@
 // serve makes the parts that requests pass through.
 func (e *Edge) serve() {
 	s := e.config.Edge
-	failures := reliability.New()
-	chooser := choose.New(e.fleet, e.tally, failures, e.config.Hall, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)))
+	chooser := choose.New(e.fleet, e.tally, e.reliability, e.config.Hall, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)))
 	e.relay = relay.New(relay.Parts{
-		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Tally: e.tally, Reliability: failures, Sender: e.upstreams,
+		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
 		Budget: retry.NewBudget(budgetPart*s.RetryRatio, max(budgetPart*float64(s.RetrySlack)/boxesGuess, 1)),
 		Runs:   e.runs, Metrics: e.metrics, Leaving: e.leaving, Log: e.log,
 	})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -135,6 +135,7 @@
 	e.mu.Unlock()
 	return wire.Gossip{
 		Sender: e.record, Leaving: e.draining.Load(), Hub: e.isHub(), Version: version, Tallies: e.tally.Own(),
+		Failures: e.reliability.Own(time.Now()),
 		Departing: e.fleet.Departing(time.Now(), departingFor), FleetOf: m.incarnation, FleetAfter: m.change,
 	}
 }
@@ -156,8 +157,10 @@
 	}
 	if e.isHub() {
 		e.tally.Told(now, a.Sender.Box, a.Tallies)
+		e.reliability.Told(now, a.Sender.Box, a.Failures)
 	} else {
 		e.tally.ToldSum(now, a.Tallies)
+		e.reliability.ToldSum(now, a.Failures)
 	}
 	e.hearFleet(now, a, sent)
 }
@@ -212,6 +215,7 @@
 	now := time.Now()
 	e.heardBox(now, from.Sender, from.Leaving)
 	e.tally.Told(now, from.Sender.Box, from.Tallies)
+	e.reliability.Told(now, from.Sender.Box, from.Failures)
 	for _, id := range from.Departing {
 		e.fleet.Leaves(now, id, "peer")
 	}
@@ -219,9 +223,9 @@
 		Sender: e.record, Leaving: e.draining.Load(), Departing: e.fleet.Departing(now, departingFor), Hubs: e.hubRecords(now),
 	}
 	if from.Hub {
-		a.Tallies = e.tally.Own()
+		a.Tallies, a.Failures = e.tally.Own(), e.reliability.Own(now)
 	} else {
-		a.Tallies = e.tally.Without(now, from.Sender.Box)
+		a.Tallies, a.Failures = e.tally.Without(now, from.Sender.Box), e.reliability.Without(now, from.Sender.Box)
 	}
 	e.answerConfiguration(now, &a)
 	e.answerFleet(now, from, &a)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,10 @@
 	// unreachedMost bounds how many upstreams are passed by that nothing
 	// reached; such sends are not tries.
 	unreachedMost = 3
+	// hungPart is after how many times its aim a request without an answer counts
+	// as a failure of its upstream, which may hang: the others are told before the
+	// caller gives up, at four times the aim or more.
+	hungPart = 2
 	// urgencyMost is the last rank that engines know.
 	urgencyMost = 9
 )
@@ -171,6 +175,7 @@
 	upstream fleet.Upstream
 	began    time.Time
 	entry    *tally.Entry
+	hung     *time.Timer // stopped by what comes first
 	close    func()
 }
 
@@ -215,19 +220,25 @@
 	entry := r.Tally.Begin(u.ID, load)
 	sending, cancel := context.WithCancel(ctx)
 	began := time.Now()
+	hung := time.AfterFunc(hungPart*j.route.Aim, func() {
+		r.Reliability.Record(time.Now(), u.ID, true)
+		j.log.WithField("upstream", u.ID).Warn("upstream_hangs")
+	})
 	answer, err := r.Sender.Send(sending, exchange.Send{
 		Request: j.req, Upstream: u.ID, Address: u.Address, Left: time.Until(j.deadline), Organisation: j.organisation,
 		Urgency: j.urgency, After: after, From: from,
 	})
 	if err != nil {
 		cancel()
+		hung.Stop()
 		entry.End()
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			r.Reliability.Record(time.Now(), u.ID, true)
 		}
 		return nil, err
 	}
-	return &sent{answer: answer, upstream: u, began: began, entry: entry, close: func() {
+	return &sent{answer: answer, upstream: u, began: began, entry: entry, hung: hung, close: func() {
+		hung.Stop()
 		answer.Body.Close()
 		cancel()
 		entry.End()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -162,6 +162,7 @@
 	runs   *runs.Runs
 	sender *sender
 	tally  *tally.Tally
+	failed *reliability.Reliability
 	relay  *relay.Relay
 	leaves time.Duration // until the box is gone; 0 while it stays
 }
@@ -198,10 +199,10 @@
 		}
 	}
 	w.fleet.Replace(time.Now(), list, false)
-	failures := reliability.New()
+	w.failed = reliability.New()
 	w.relay = relay.New(relay.Parts{
-		Belief: w.belief, Fleet: w.fleet, Tally: w.tally, Reliability: failures, Sender: w.sender, Budget: retry.NewBudget(0.1, 3),
-		Chooser: choose.New(w.fleet, w.tally, failures, "leith", rand.New(rand.NewPCG(1, 1))), Runs: w.runs, Metrics: counts,
+		Belief: w.belief, Fleet: w.fleet, Tally: w.tally, Reliability: w.failed, Sender: w.sender, Budget: retry.NewBudget(0.1, 3),
+		Chooser: choose.New(w.fleet, w.tally, w.failed, "leith", rand.New(rand.NewPCG(1, 1))), Runs: w.runs, Metrics: counts,
 		Leaving: func() (time.Duration, bool) { return w.leaves, w.leaves > 0 }, Log: logs.New(io.Discard, "info", "b"),
 	})
 	return w
@@ -501,3 +502,37 @@
 		})
 	}
 }
+
+// TestFailuresAreTold shows which upstreams other boxes hear of.
+func TestFailuresAreTold(t *testing.T) {
+	tests := map[string]struct {
+		path  string
+		reply reply
+		leave time.Duration // of the caller; 0 if it stays
+		told  bool
+	}{
+		"an answer":                       {path: "/once/", reply: reply{body: "x"}},
+		"its own failure":                 {path: "/once/", reply: reply{status: 500}, told: true},
+		"no room":                         {path: "/once/", reply: reply{status: 503, notRun: true}, told: true},
+		"reset":                           {path: "/once/", reply: reply{err: errReset}, told: true},
+		"a stream":                        {path: "/draft/", reply: reply{events: []int{0, 1}}},
+		"no stream":                       {path: "/draft/", reply: reply{status: 500}, told: true},
+		"it hangs until the caller goes":  {path: "/draft/", reply: reply{hang: true}, leave: 4 * time.Second, told: true},
+		"the caller goes before its time": {path: "/draft/", reply: reply{hang: true}, leave: time.Second},
+		"a slow stream":                   {path: "/draft/", reply: reply{events: []int{0, 1}, pause: 1900 * time.Millisecond}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, tt.reply)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if tt.leave > 0 {
+					time.AfterFunc(tt.leave, cancel)
+				}
+				w.serve(ctx, tt.path)
+				is.New(t).Equal(len(w.failed.Own(time.Now())) > 0, tt.told)
+			})
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -205,6 +205,7 @@
 	if err := f.caller.Write(e.Raw); err != nil {
 		return err
 	}
+	f.sent.hung.Stop()
 	if f.count == 0 {
 		f.sent.entry.Started()
 	}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -60,8 +60,10 @@
 		return outcome{err: err}
 	}
 	body, rest, err := s.answer.Body.All(wholeMost)
+	s.hung.Stop()
 	bad := err != nil || s.answer.Status == http.StatusOK && !s.answer.Whole
-	r.Reliability.Record(time.Now(), s.upstream.ID, bad || s.answer.NotRun)
+	failed := bad || s.answer.NotRun || s.answer.Status >= http.StatusInternalServerError
+	r.Reliability.Record(time.Now(), s.upstream.ID, failed)
 	if bad {
 		s.close()
 		cancel()
--- /dev/null
+++ b/reliability/reliability_test.go
@@ -0,0 +1,72 @@
+package reliability_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/reliability"
+	"petrelstep/wire"
+)
+
+// TestFailing shows what one box holds of an upstream at which it met failures,
+// or heard of them.
+func TestFailing(t *testing.T) {
+	now := time.Now()
+	failures := func(failed, all int) []wire.UpstreamFailures {
+		return []wire.UpstreamFailures{{Upstream: "u", Failed: 100 * failed, All: 100 * all}}
+	}
+	tests := map[string]struct {
+		met   []bool // failed
+		told  map[string][]wire.UpstreamFailures
+		sum   []wire.UpstreamFailures
+		after time.Duration
+		want  float64
+	}{
+		"nothing known":                 {},
+		"one failure is no verdict":     {met: []bool{true}, want: 1.0 / 3},
+		"some failures":                 {met: []bool{true, true, true, false}, want: 0.5},
+		"forgotten by half":             {met: []bool{true, true, true, false}, after: 3 * time.Second, want: 1.5 / 4},
+		"met by other boxes":            {told: map[string][]wire.UpstreamFailures{"b1": failures(1, 1), "b2": failures(3, 5)}, want: 0.5},
+		"told by a hub, not told twice": {told: map[string][]wire.UpstreamFailures{"b1": failures(1, 1)}, sum: failures(4, 6), want: 0.5},
+		"a box that is gone":            {told: map[string][]wire.UpstreamFailures{"b1": failures(1, 1)}, after: 4 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := reliability.New()
+			for _, failed := range tt.met {
+				r.Record(now, "u", failed)
+			}
+			for box, list := range tt.told {
+				r.Told(now, box, list)
+			}
+			if tt.sum != nil {
+				r.ToldSum(now, tt.sum)
+			}
+			got := r.Failing(now.Add(tt.after), "u")
+			is.True(got > tt.want-0.001 && got < tt.want+0.001)
+			is.Equal(r.Failing(now, "v"), 0.0)
+		})
+	}
+}
+
+// TestTells shows what boxes tell each other: only of what fails, and to each
+// what all others met.
+func TestTells(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := reliability.New()
+	r.Record(now, "good", false)
+	r.Record(now, "bad", true)
+	bad := func(n int) []wire.UpstreamFailures {
+		return []wire.UpstreamFailures{{Upstream: "bad", Failed: 100 * n, All: 100 * n}}
+	}
+	is.Equal(r.Own(now), bad(1))
+	r.Told(now, "b1", bad(2))
+	r.Told(now, "b2", bad(4))
+	is.Equal(r.Without(now, "b2"), bad(3))
+	is.Equal(r.Without(now, "b3"), bad(7))
+	is.Equal(len(r.Own(now.Add(10*time.Second))), 0)
+}
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -8,13 +8,10 @@
 	"sync"
 	"time"
 
+	"petrelstep/told"
 	"petrelstep/wire"
 )
 
-// toldFor is how long another box's word counts: some of its periods of
-// gossip, after which it is taken to be gone and its work with it.
-const toldFor = 3 * time.Second
-
 // Load is what runs at one upstream.
 type Load struct {
 	Requests int
@@ -22,7 +19,8 @@
 	Prefill  int // tokens of prompts whose first event has not come
 }
 
-func (l Load) plus(o Load) Load {
+// Plus returns the sum of both.
+func (l Load) Plus(o Load) Load {
 	return Load{Requests: l.Requests + o.Requests, Tokens: l.Tokens + o.Tokens, Prefill: l.Prefill + o.Prefill}
 }
 
@@ -30,31 +28,23 @@
 	return Load{Requests: -l.Requests, Tokens: -l.Tokens, Prefill: -l.Prefill}
 }
 
-type told struct {
-	at    time.Time
-	loads map[string]Load
-}
-
-func toldOf(now time.Time, list []wire.UpstreamTally) told {
+func loadsOf(list []wire.UpstreamTally) map[string]Load {
 	loads := make(map[string]Load, len(list))
 	for _, u := range list {
 		loads[u.Upstream] = Load{Requests: u.Requests, Tokens: u.Tokens, Prefill: u.Prefill}
 	}
-	return told{at: now, loads: loads}
+	return loads
 }
 
-func (o told) fresh(now time.Time) bool { return now.Sub(o.at) <= toldFor }
-
 // Tally is safe for use by several goroutines.
 type Tally struct {
 	mu     sync.Mutex
 	own    map[string]Load
-	others map[string]told
-	sum    told // of all other boxes, as a hub tells it
+	others *told.Book[Load]
 }
 
 // New returns an empty tally.
-func New() *Tally { return &Tally{own: map[string]Load{}, others: map[string]told{}} }
+func New() *Tally { return &Tally{own: map[string]Load{}, others: told.New[Load]()} }
 
 // Entry is one request that is counted at an upstream.
 type Entry struct {
@@ -78,14 +68,14 @@
 func (e *Entry) End() { e.take(e.left) }
 
 func (e *Entry) take(l Load) {
-	e.left = e.left.plus(l.negative())
+	e.left = e.left.Plus(l.negative())
 	e.tally.add(e.upstream, l.negative())
 }
 
 func (t *Tally) add(upstream string, l Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := t.own[upstream].plus(l)
+	sum := t.own[upstream].Plus(l)
 	if sum == (Load{}) {
 		delete(t.own, upstream)
 		return
@@ -119,50 +109,26 @@
 // Without returns what all boxes but one have running, for that one.
 func (t *Tally) Without(now time.Time, box string) []wire.UpstreamTally {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	sum := maps.Clone(t.own)
-	for name, o := range t.others {
-		if name == box || !o.fresh(now) {
-			continue
-		}
-		for id, l := range o.loads {
-			sum[id] = sum[id].plus(l)
-		}
-	}
+	t.mu.Unlock()
+	t.others.Without(now, box, sum)
 	return listOf(sum)
 }
 
 // Told takes another box's word of what it has running.
 func (t *Tally) Told(now time.Time, box string, list []wire.UpstreamTally) {
-	o := toldOf(now, list)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.others[box] = o
+	t.others.Told(now, box, loadsOf(list))
 }
 
 // ToldSum takes a hub's word of what all other boxes have running.
 func (t *Tally) ToldSum(now time.Time, list []wire.UpstreamTally) {
-	o := toldOf(now, list)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sum = o
+	t.others.ToldSum(now, loadsOf(list))
 }
 
-// Load returns what runs at an upstream by all that is known: by the sum that a
-// hub tells, or by what the others tell themselves.
+// Load returns what runs at an upstream by all that is known.
 func (t *Tally) Load(now time.Time, upstream string) Load {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.sum.fresh(now) {
-		return t.own[upstream].plus(t.sum.loads[upstream])
-	}
-	sum := t.own[upstream]
-	for box, o := range t.others {
-		if !o.fresh(now) {
-			delete(t.others, box)
-			continue
-		}
-		sum = sum.plus(o.loads[upstream])
-	}
-	return sum
+	own := t.own[upstream]
+	t.mu.Unlock()
+	return own.Plus(t.others.Of(now, upstream))
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1404,6 +1404,9 @@
 	// Upstreams known to leave.
 	Departing []string `json:"departing,omitempty,omitzero"`
 
+	// Failures corresponds to the JSON schema field "failures".
+	Failures []UpstreamFailures `json:"failures,omitempty,omitzero"`
+
 	// Last change of the hub's fleet that the sender has.
 	FleetAfter int `json:"fleet_after,omitempty,omitzero"`
 
@@ -1431,6 +1434,9 @@
 	// Departing corresponds to the JSON schema field "departing".
 	Departing []string `json:"departing,omitempty,omitzero"`
 
+	// Failures corresponds to the JSON schema field "failures".
+	Failures []UpstreamFailures `json:"failures,omitempty,omitzero"`
+
 	// Since the store confirmed the fleet.
 	FleetAgeMs int `json:"fleet_age_ms"`
 
@@ -3506,6 +3512,42 @@
 	Service string `json:"service,omitempty,omitzero"`
 }
 
+// What came of late of sends to an upstream that failed.
+type UpstreamFailures struct {
+	// Answers and failures, in hundredths.
+	All int `json:"all"`
+
+	// Failures, in hundredths.
+	Failed int `json:"failed"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *UpstreamFailures) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["all"]; raw != nil && !ok {
+		return fmt.Errorf("field all in UpstreamFailures: required")
+	}
+	if _, ok := raw["failed"]; raw != nil && !ok {
+		return fmt.Errorf("field failed in UpstreamFailures: required")
+	}
+	if _, ok := raw["upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field upstream in UpstreamFailures: required")
+	}
+	type Plain UpstreamFailures
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = UpstreamFailures(plain)
+	return nil
+}
+
 // What a hub knows of one upstream.
 type UpstreamRecord struct {
 	// Address corresponds to the JSON schema field "address".
