fleet: an upstream whose entry comes back is used again

Cause: an upstream cut off from the store for 6 s loses its entry after three heartbeats, works on, and writes again once the cut has healed. Likewise a listing that was read stale took upstreams that were newer than it for gone. Change: news carries the version of the store's change, also between boxes (departing, upstreams): newer wins. What an upstream said itself, by entry or report, stays for its life. Moves off an upstream that is back end.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -145,7 +145,7 @@
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Parts{
 		Runs: e.runs, Chooser: chooser, Mover: e.upstreams, Turns: e, Services: e.service, Tally: e.tally,
-		Moved: e.metrics.Moved, Log: e.log,
+		Moved: e.metrics.Moved, Log: e.log, Leaving: e.fleet.Leaving,
 	})
 }
 
@@ -188,9 +188,13 @@
 // Reload notes that the settings have changed; those of a box hold for its life.
 func (e *Edge) Reload() { e.log.Info("reload") }
 
-// departed takes the news that an upstream leaves.
-func (e *Edge) departed(ctx context.Context) fleet.Departure {
+// departed takes the news that an upstream leaves, or is back.
+func (e *Edge) departed(ctx context.Context) fleet.Listener {
 	return func(u fleet.Upstream, source string) {
+		if u.State != fleet.Leaving {
+			e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "source": source}).Info("upstream_back")
+			return
+		}
 		at := len(e.runs.At(u.ID))
 		e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "source": source, "runs": at}).Info("upstream_leaves")
 		if e.config.Edge.Moves != wire.EdgeMovesNone {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -135,8 +135,8 @@
 	e.mu.Unlock()
 	return wire.Gossip{
 		Sender: e.record, Leaving: e.draining.Load(), Hub: e.isHub(), Version: version, Tallies: e.tally.Own(),
-		Failures: e.reliability.Own(time.Now()),
-		Departing: e.fleet.Departing(time.Now(), departingFor), FleetOf: m.incarnation, FleetAfter: m.change,
+		Failures:  e.reliability.Own(time.Now()),
+		Departing: e.departing(time.Now()), FleetOf: m.incarnation, FleetAfter: m.change,
 	}
 }
 
@@ -168,9 +168,7 @@
 // hearFleet takes a hub's knowledge of the upstreams, if it is not much older
 // than what is known here.
 func (e *Edge) hearFleet(now time.Time, a wire.GossipAnswer, sent time.Time) {
-	for _, id := range a.Departing {
-		e.fleet.Leaves(now, id, "peer")
-	}
+	e.hearDeparting(now, a.Departing)
 	age := config.Millis(a.FleetAgeMs)
 	if age > oldFleet {
 		return
@@ -178,7 +176,7 @@
 	for _, u := range a.Upstreams {
 		e.fleet.Told(now, fleet.Upstream{
 			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, Slow: config.Millis(u.SlowMs),
-			State: fleet.State(u.State),
+			State: fleet.State(u.State), Version: int64(u.Version), Said: u.Said,
 		})
 	}
 	e.fleet.Confirm(sent.Add(-age))
@@ -187,6 +185,20 @@
 	e.mu.Unlock()
 }
 
+func (e *Edge) hearDeparting(now time.Time, list []wire.UpstreamDeparture) {
+	for _, d := range list {
+		e.fleet.Leaves(now, fleet.Departure{ID: d.Upstream, Version: int64(d.Version), Said: d.Said}, "peer")
+	}
+}
+
+func (e *Edge) departing(now time.Time) []wire.UpstreamDeparture {
+	var list []wire.UpstreamDeparture
+	for _, d := range e.fleet.Departing(now, departingFor) {
+		list = append(list, wire.UpstreamDeparture{Upstream: d.ID, Version: int(d.Version), Said: d.Said})
+	}
+	return list
+}
+
 func (e *Edge) heardBox(now time.Time, r wire.BoxRecord, leaving bool) {
 	state := members.Live
 	if leaving {
@@ -216,11 +228,9 @@
 	e.heardBox(now, from.Sender, from.Leaving)
 	e.tally.Told(now, from.Sender.Box, from.Tallies)
 	e.reliability.Told(now, from.Sender.Box, from.Failures)
-	for _, id := range from.Departing {
-		e.fleet.Leaves(now, id, "peer")
-	}
+	e.hearDeparting(now, from.Departing)
 	a := wire.GossipAnswer{
-		Sender: e.record, Leaving: e.draining.Load(), Departing: e.fleet.Departing(now, departingFor), Hubs: e.hubRecords(now),
+		Sender: e.record, Leaving: e.draining.Load(), Departing: e.departing(now), Hubs: e.hubRecords(now),
 	}
 	if from.Hub {
 		a.Tallies, a.Failures = e.tally.Own(), e.reliability.Own(now)
@@ -287,7 +297,7 @@
 	for _, u := range changed {
 		a.Upstreams = append(a.Upstreams, wire.UpstreamRecord{
 			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, SlowMs: int(u.Slow.Milliseconds()),
-			State: string(u.State),
+			State: string(u.State), Version: int(u.Version), Said: u.Said,
 		})
 	}
 }
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -93,6 +93,7 @@
 	Services Services
 	Tally    *tally.Tally                             // counts copies at their targets
 	Moved    func(outcome string, took time.Duration) // counts moves
+	Leaving  func(upstream string) bool               // false once it is back
 	Log      *logrus.Entry
 }
 
@@ -103,7 +104,7 @@
 func New(parts Parts) *Evacuator { return &Evacuator{parts} }
 
 // Leaves moves what this box has at an upstream that leaves, until nothing is
-// left there or the upstream is gone. Requests that are not answered yet are
+// left there, the upstream is gone, or it turns out to stay. Requests that are not answered yet are
 // waited for: they can be moved once they run.
 func (e *Evacuator) Leaves(ctx context.Context, u fleet.Upstream) {
 	service, ok := e.Services(u.Service)
@@ -114,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, evacuateFor)
 	defer cancel()
 	gaveUp := map[*runs.Run]bool{}
-	for ctx.Err() == nil && e.Tally.Busy(u.ID) {
+	for ctx.Err() == nil && e.Tally.Busy(u.ID) && e.Leaving(u.ID) {
 		run := e.next(u, gaveUp)
 		if run == nil {
 			sleep(ctx, again)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,5 +1,8 @@
 // Package fleet knows the upstreams: which there are, and which of them leave.
-// One lifetime of an upstream has one id; once it is heard to leave, it leaves.
+// One lifetime of an upstream has one id; once it has said that it leaves, it
+// leaves. One whose entry only went is back if a newer entry comes: it was cut
+// off from the store. Versions tell what is newer, as news comes from several
+// sides and late.
 package fleet
 
 import (
@@ -31,6 +34,15 @@
 	Slots   int
 	Slow    time.Duration // it is slow for so long after it was listed
 	State   State
+	Version int64 // of the table's last change that is known of it
+	Said    bool  // it said itself that it leaves
+}
+
+// Departure is the news that an upstream leaves. Values are immutable.
+type Departure struct {
+	ID      string
+	Version int64 // of the change; 0 where it is not known
+	Said    bool  // the upstream itself said so
 }
 
 type entry struct {
@@ -40,15 +52,16 @@
 	changed  int // number of its last change
 }
 
-// Departure tells subscribers that an upstream leaves.
-type Departure func(u Upstream, source string)
+// Listener is told that an upstream leaves, or, by its state, that it is back;
+// source is for the log.
+type Listener func(u Upstream, source string)
 
 // Fleet is safe for use by several goroutines.
 type Fleet struct {
 	mu        sync.Mutex
 	grace     time.Duration
 	all       map[string]*entry
-	hooks     []Departure
+	listeners []Listener
 	changes   int
 	confirmed time.Time
 }
@@ -57,16 +70,18 @@
 // the store was away has grace to come back.
 func New(grace time.Duration) *Fleet { return &Fleet{grace: grace, all: map[string]*entry{}} }
 
-// Subscribe calls f, on a goroutine of its own, for each upstream that leaves.
-func (f *Fleet) Subscribe(d Departure) {
+// Subscribe calls l, on a goroutine of its own, for each upstream that leaves or
+// is back.
+func (f *Fleet) Subscribe(l Listener) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hooks = append(f.hooks, d)
+	f.listeners = append(f.listeners, l)
 }
 
-// Replace takes a whole listing. After an outage of the store, entries that
-// lapsed meanwhile may come back; what is missing has the grace to do so.
-func (f *Fleet) Replace(now time.Time, list []Upstream, outage bool) {
+// Replace takes a whole listing as of a version. After an outage of the store,
+// entries that lapsed meanwhile may come back; what is missing has the grace to
+// do so. What is known to be newer than the listing stays.
+func (f *Fleet) Replace(now time.Time, list []Upstream, version int64, outage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := map[string]bool{}
@@ -75,14 +90,15 @@
 		f.put(now, u)
 	}
 	for id, e := range f.all {
-		if listed[id] || !e.listed {
+		if listed[id] || !e.listed || e.upstream.Version > version {
 			continue
 		}
+		e.upstream.Version = version
 		f.unlist(now, e, outage, "listing")
 	}
 }
 
-// Put takes one entry.
+// Put takes one entry; its state is Leaving if the upstream says so.
 func (f *Fleet) Put(now time.Time, u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -90,32 +106,48 @@
 }
 
 func (f *Fleet) put(now time.Time, u Upstream) {
+	u.Said = u.State == Leaving
 	e, ok := f.all[u.ID]
-	if !ok {
-		e = &entry{since: now}
+	switch {
+	case !ok:
+		e = &entry{since: now, upstream: u, listed: true}
+		e.upstream.State = Open
 		f.all[u.ID] = e
-	}
-	old := e.upstream.State
-	e.listed = true
-	if u.State != Leaving && old == Leaving {
-		u.State = Leaving
-	}
-	if e.upstream.State != u.State || e.upstream.Address != u.Address {
 		f.change(e)
+	case u.Version <= e.upstream.Version && !u.Said && e.upstream.State == Leaving, u.Version < e.upstream.Version:
+		return // told late
+	default:
+		f.renew(now, e, u)
 	}
-	e.upstream = u
-	if u.State == Leaving && old != Leaving {
-		e.upstream.State = old
+	if u.Said {
 		f.leave(now, e, "entry")
 	}
 }
 
-// Remove takes the news that an entry is gone: the upstream leaves, though it
-// may never have said so; after an outage of the store it may only have lapsed.
-func (f *Fleet) Remove(now time.Time, id string, outage bool) {
+// renew takes a newer entry. One that has said that it leaves stays so.
+func (f *Fleet) renew(now time.Time, e *entry, u Upstream) {
+	old := e.upstream
+	u.State, u.Said = old.State, old.Said || u.Said
+	if !u.Said && old.State != Open {
+		u.State, e.since = Open, now
+	}
+	e.upstream, e.listed = u, true
+	if old.State == Leaving && u.State == Open {
+		f.tell(e, "entry")
+	}
+	if u.State != old.State || u.Address != old.Address {
+		f.change(e)
+	}
+}
+
+// Remove takes the news that an entry is gone, by a change of a version: the
+// upstream leaves, though it may never have said so; after an outage of the
+// store it may only have lapsed.
+func (f *Fleet) Remove(now time.Time, id string, version int64, outage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e, ok := f.all[id]; ok {
+	if e, ok := f.all[id]; ok && version >= e.upstream.Version {
+		e.upstream.Version = version
 		f.unlist(now, e, outage, "removed")
 	}
 }
@@ -133,13 +165,20 @@
 }
 
 // Leaves takes the news from elsewhere that an upstream leaves; source is for
-// the log.
-func (f *Fleet) Leaves(now time.Time, id, source string) {
+// the log. News that is older than an entry that came back is dropped.
+func (f *Fleet) Leaves(now time.Time, d Departure, source string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e, ok := f.all[id]; ok {
-		f.leave(now, e, source)
+	e, ok := f.all[d.ID]
+	if !ok || !d.Said && d.Version < e.upstream.Version {
+		return
+	}
+	if d.Said && !e.upstream.Said {
+		e.upstream.Said = true
+		f.change(e)
 	}
+	e.upstream.Version = max(e.upstream.Version, d.Version)
+	f.leave(now, e, source)
 }
 
 func (f *Fleet) leave(now time.Time, e *entry, source string) {
@@ -148,8 +187,12 @@
 	}
 	e.upstream.State, e.since = Leaving, now
 	f.change(e)
-	for _, d := range f.hooks {
-		go d(e.upstream, source)
+	f.tell(e, source)
+}
+
+func (f *Fleet) tell(e *entry, source string) {
+	for _, l := range f.listeners {
+		go l(e.upstream, source)
 	}
 }
 
@@ -191,8 +234,8 @@
 	return changed, f.changes
 }
 
-// Told takes another box's knowledge of an upstream. What is known here to
-// leave leaves.
+// Told takes another box's knowledge of an upstream, unless what is known here
+// is newer.
 func (f *Fleet) Told(now time.Time, u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -201,16 +244,26 @@
 		if u.State == Leaving {
 			return // nothing of this box can be there
 		}
-		f.put(now, u)
+		f.all[u.ID] = &entry{since: now, upstream: u, listed: true}
+		f.change(f.all[u.ID])
 		return
 	}
+	if u.Version < e.upstream.Version && !u.Said {
+		return
+	}
+	newer := u.Version > e.upstream.Version
+	e.upstream.Version = max(e.upstream.Version, u.Version)
+	e.upstream.Said = e.upstream.Said || u.Said
 	switch {
-	case e.upstream.State == u.State:
 	case u.State == Leaving:
 		f.leave(now, e, "hub")
-	case e.upstream.State != Leaving:
+	case newer && !e.upstream.Said && e.upstream.State != u.State, e.upstream.State == Open && u.State == Missing:
+		back := e.upstream.State == Leaving && u.State == Open
 		e.upstream.State, e.since = u.State, now
 		f.change(e)
+		if back {
+			f.tell(e, "hub")
+		}
 	}
 }
 
@@ -230,24 +283,29 @@
 	return e.upstream, true
 }
 
+// Leaving tells whether an upstream leaves, or is known no longer.
+func (f *Fleet) Leaving(id string) bool {
+	u, ok := f.Get(id)
+	return !ok || u.State == Leaving
+}
+
 // Serving returns the upstreams of a service that take new work, by id.
 func (f *Fleet) Serving(service string) []Upstream {
 	return f.list(func(e *entry) bool { return e.upstream.Service == service && e.upstream.State != Leaving })
 }
 
-// Departing returns the ids of upstreams that leave and may still be listed
-// elsewhere.
-func (f *Fleet) Departing(now time.Time, within time.Duration) []string {
+// Departing returns the upstreams that leave and may still be listed elsewhere.
+func (f *Fleet) Departing(now time.Time, within time.Duration) []Departure {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var ids []string
+	var list []Departure
 	for id, e := range f.all {
 		if e.upstream.State == Leaving && now.Sub(e.since) < within {
-			ids = append(ids, id)
+			list = append(list, Departure{ID: id, Version: e.upstream.Version, Said: e.upstream.Said})
 		}
 	}
-	sort.Strings(ids)
-	return ids
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
 }
 
 func (f *Fleet) list(want func(*entry) bool) []Upstream {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -73,6 +73,6 @@
 		return
 	}
 	if leaves {
-		w.fleet.Leaves(time.Now(), u.ID, "report")
+		w.fleet.Leaves(time.Now(), fleet.Departure{ID: u.ID, Said: true}, "report")
 	}
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1402,7 +1402,7 @@
 // A box tells a hub what it runs and knows.
 type Gossip struct {
 	// Upstreams known to leave.
-	Departing []string `json:"departing,omitempty,omitzero"`
+	Departing []UpstreamDeparture `json:"departing,omitempty,omitzero"`
 
 	// Failures corresponds to the JSON schema field "failures".
 	Failures []UpstreamFailures `json:"failures,omitempty,omitzero"`
@@ -1432,7 +1432,7 @@
 // A hub tells a box what it knows, each with its age on the hub's steady clock.
 type GossipAnswer struct {
 	// Departing corresponds to the JSON schema field "departing".
-	Departing []string `json:"departing,omitempty,omitzero"`
+	Departing []UpstreamDeparture `json:"departing,omitempty,omitzero"`
 
 	// Failures corresponds to the JSON schema field "failures".
 	Failures []UpstreamFailures `json:"failures,omitempty,omitzero"`
@@ -1492,7 +1492,7 @@
 		return err
 	}
 	if v, ok := raw["departing"]; !ok || v == nil {
-		plain.Departing = []string{}
+		plain.Departing = []UpstreamDeparture{}
 	}
 	if v, ok := raw["hubs"]; !ok || v == nil {
 		plain.Hubs = []BoxRecord{}
@@ -1527,9 +1527,6 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
-	if v, ok := raw["departing"]; !ok || v == nil {
-		plain.Departing = []string{}
-	}
 	if v, ok := raw["fleet_after"]; !ok || v == nil {
 		plain.FleetAfter = 0
 	}
@@ -3512,6 +3509,42 @@
 	Service string `json:"service,omitempty,omitzero"`
 }
 
+// The news that an upstream leaves.
+type UpstreamDeparture struct {
+	// The upstream itself said so.
+	Said bool `json:"said"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+
+	// Change of the platform's table by which it is known; 0 for none.
+	Version int `json:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *UpstreamDeparture) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["said"]; raw != nil && !ok {
+		return fmt.Errorf("field said in UpstreamDeparture: required")
+	}
+	if _, ok := raw["upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field upstream in UpstreamDeparture: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in UpstreamDeparture: required")
+	}
+	type Plain UpstreamDeparture
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = UpstreamDeparture(plain)
+	return nil
+}
+
 // What came of late of sends to an upstream that failed.
 type UpstreamFailures struct {
 	// Answers and failures, in hundredths.
@@ -3559,6 +3592,9 @@
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id"`
 
+	// It said itself that it leaves.
+	Said bool `json:"said,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
@@ -3570,6 +3606,9 @@
 
 	// State corresponds to the JSON schema field "state".
 	State string `json:"state"`
+
+	// Last change of the platform's table that is known of it.
+	Version int `json:"version,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -3601,9 +3640,15 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["said"]; !ok || v == nil {
+		plain.Said = false
+	}
 	if v, ok := raw["slow_ms"]; !ok || v == nil {
 		plain.SlowMs = 0
 	}
+	if v, ok := raw["version"]; !ok || v == nil {
+		plain.Version = 0
+	}
 	*j = UpstreamRecord(plain)
 	return nil
 }
