relay: an upstream's 503 without its word is no promise to a caller

Callers take 503, 429, 408 and 421 for the promise that it has not run, and ask again. Ruled out: a second send (one run, one box). Change: for what may not be repeated such an answer becomes no_answer (502, unknown), without the worker's seal; a status with the mark stays a promise.

--- a/relay/whole.go
+++ b/relay/whole.go
@@ -131,6 +131,11 @@
 			refusal.New(refusal.UpstreamFull, "the upstream did not run it").WithRetryAfter(comeAgain))
 		return
 	}
+	if promisesNotRun(o.sent.answer.Status) && !j.route.Repeatable && !j.route.Resumable {
+		r.refuse(j.log.WithField("status", o.sent.answer.Status), j.req, c,
+			refusal.New(refusal.NoAnswer, "the upstream does not say that it did not run it"))
+		return
+	}
 	length := len(o.body)
 	if o.more {
 		length = -1
@@ -154,6 +159,16 @@
 	log.Info("answered")
 }
 
+// promisesNotRun tells whether callers take a status for the word that their
+// request has not run, and may then ask again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // rest passes on what is too long to be held.
 func (r *Relay) rest(body exchange.Body, c exchange.Caller) error {
 	buf := make([]byte, copySize)
