--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 .POSIX:
-.PHONY: all build demo run test race lint bench slopes experiment soak guards generate install
+.PHONY: all build demo run test race lint bench slopes experiment soak soak-own guards generate install
 
 all: build
 
@@ -32,7 +32,10 @@
 	build/petrelstep-experiment
 
 soak: build
-	timeout 180 scripts/soak
+	timeout 600 scripts/soak
+
+soak-own: build
+	timeout 180 scripts/soak-own
 
 guards:
 	scripts/guards
--- a/soak/load/load.go
+++ b/soak/load/load.go
@@ -27,6 +27,13 @@
 	againMost = 2
 	// againWait is the wait before that, where the answer names none.
 	againWait = 100 * time.Millisecond
+	// oldKeyShare is one in how many requests that still come with the key that
+	// was taken away last.
+	oldKeyShare = 6
+	// targets are how many paths there are of a kind.
+	targets = 50
+	// boxesMost is how many boxes a caller talks to; it keeps a connection to each.
+	boxesMost = 4
 	// leaveShare is one in how many requests whose caller leaves early.
 	leaveShare = 25
 )
@@ -70,7 +77,8 @@
 		kind := kinds[random.IntN(len(kinds))]
 		for again := range againMost + 1 {
 			id := fmt.Sprintf("%s-%d-%d-%d", kind, number, n, again)
-			wait, more := l.ask(transport, random, kind, id, n)
+			box := l.site.Boxes[(number+random.IntN(boxesMost))%len(l.site.Boxes)]
+			wait, more := l.ask(transport, random, box, kind, id)
 			if !more || ctx.Err() != nil {
 				break
 			}
@@ -81,11 +89,13 @@
 }
 
 // ask sends one request, and returns whether it may be asked again, and when.
-func (l *Load) ask(transport *http.Transport, random *rand.Rand, kind verdict.Kind, id string, n int) (wait time.Duration, again bool) {
-	box := l.site.Boxes[random.IntN(len(l.site.Boxes))]
+func (l *Load) ask(transport *http.Transport, random *rand.Rand, box *site.Box, kind verdict.Kind, id string) (wait time.Duration, again bool) {
 	organisation := []string{"council", "firm"}[random.IntN(2)]
 	key := l.site.Key(organisation)
-	a := verdict.Attempt{ID: id, Kind: kind, Box: box.Name, Organisation: organisation, Target: site.Target(kind, n), Sent: time.Now()}
+	if old := l.site.OldKey(organisation); old != "" && random.IntN(oldKeyShare) == 0 {
+		key = old
+	}
+	a := verdict.Attempt{ID: id, Kind: kind, Box: box.Name, Organisation: organisation, Target: site.Target(kind, random.IntN(targets)), Sent: time.Now()}
 	if kind == verdict.Draft || kind == verdict.Once {
 		a.Body = "body of " + id
 	}
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -66,6 +66,7 @@
 	all     []*Worker
 	version int
 	keys    map[string]string    // organisation by key
+	old     map[string]string    // key taken away last, by organisation
 	revoked map[string]time.Time // when a key was taken away
 	born    int
 }
@@ -73,7 +74,8 @@
 // New starts a site; Close ends it.
 func New(o Options) (*Site, error) {
 	s := &Site{
-		Platform: platform.New(platform.Options{}), workers: map[string]*Worker{}, keys: map[string]string{}, revoked: map[string]time.Time{},
+		Platform: platform.New(platform.Options{}), workers: map[string]*Worker{}, keys: map[string]string{}, old: map[string]string{},
+		revoked: map[string]time.Time{},
 	}
 	address, server, err := serve(s.Platform.Handler())
 	if err != nil {
@@ -161,7 +163,7 @@
 		"version": s.version,
 		"routes": []map[string]any{
 			route(verdict.Draft, "streaming", "llm", 1), route(verdict.Check, "streaming", "llm", 2),
-			route(verdict.Once, "unsafe", "plain", 1), route(verdict.Look, "safe", "plain", 2),
+			route(verdict.Once, "unsafe", "plain", 2), route(verdict.Look, "safe", "plain", 2),
 		},
 		"services": []map[string]any{
 			{"name": "llm", "engine": map[string]any{"slots": 24, "kv_capacity_tokens": 30000, "moves": true, "stride": 4}},
@@ -183,6 +185,7 @@
 	for key, of := range s.keys {
 		if of == organisation {
 			delete(s.keys, key)
+			s.old[organisation] = key
 			s.revoked[key] = time.Now() // before the store has it: later by the bound is surely late
 		}
 	}
@@ -210,6 +213,14 @@
 	return ""
 }
 
+// OldKey returns the key of an organisation that was taken away last; empty if
+// none was.
+func (s *Site) OldKey(organisation string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.old[organisation]
+}
+
 // Revoked returns when a key was taken away; zero if it was not.
 func (s *Site) Revoked(key string) time.Time {
 	s.mu.Lock()
--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -22,7 +22,7 @@
 
 const (
 	// pauseMost is the longest pause between strikes.
-	pauseMost = 900 * time.Millisecond
+	pauseMost = 600 * time.Millisecond
 	// lastMost is the longest that one strike lasts: longer than a key may be
 	// served, so that beliefs go stale.
 	lastMost = 6 * time.Second
@@ -36,6 +36,11 @@
 	calm = 3 * time.Second
 	// stopTime is longer than a box's grace.
 	stopTime = 12 * time.Second
+	// badAnswers are spoiled in a row by one worker.
+	badAnswers = 16
+	// downWithKeys is how long the store is down while keys are taken away:
+	// longer than a key may be served.
+	downWithKeys = site.KeyAge + 2*time.Second
 	// slowStore is how late the store's answers are, in ms.
 	slowStore = 400
 )
@@ -136,7 +141,7 @@
 			return nil
 		}
 	}
-	switch s.random.IntN(22) {
+	switch s.random.IntN(26) {
 	case 0, 1:
 		p.name, p.last, p.do = "kill "+box.Name, short, func(last time.Duration) error { return s.kill(box, last) }
 	case 2:
@@ -175,9 +180,17 @@
 		}
 	case 19:
 		p.name, p.do = "reset a worker's connections: "+service, at(func(w *site.Worker) error { w.Link.Cut(0); return nil })
-	case 20:
+	case 20, 21, 22:
 		faults := s.faults()
 		p.name, p.do = fmt.Sprint("bad answers of ", service, ": ", faults), at(func(w *site.Worker) error { w.Next(faults...); return nil })
+	case 23:
+		p.name, p.last, p.do = "the store is down, and keys are taken away", downWithKeys, func(last time.Duration) error {
+			s.site.Platform.Fault(wire.Fault{Part: platform.Table, Mode: wire.FaultModeDown})
+			s.site.Revoke("council")
+			time.Sleep(last)
+			s.site.Platform.Fault(wire.Fault{Part: platform.Table, Mode: wire.FaultModeNone})
+			return nil
+		}
 	default:
 		organisation := []string{"council", "firm"}[number%2]
 		p.name, p.do = "keys taken away from "+organisation, func(time.Duration) error { s.site.Revoke(organisation); return nil }
@@ -200,7 +213,7 @@
 		worker.Full, worker.Failure, worker.Reset, worker.Cut, worker.Unsealed, worker.Foreign, worker.Extra, worker.Unframed,
 		worker.NotHTTP, worker.LostReply, worker.Busy,
 	}
-	faults := make([]worker.Fault, 3)
+	faults := make([]worker.Fault, badAnswers)
 	for i := range faults {
 		faults[i] = all[s.random.IntN(len(all))]
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -200,6 +200,7 @@
 		w.stream(out, r, id, fault)
 		return
 	}
+	time.Sleep(w.pace) // it works on a whole answer as long as on an event
 	w.whole(out, id, fault)
 }
 
