--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -26,74 +26,77 @@
 	return fleet.Departure{ID: id, Version: version}
 }
 
-// TestStates holds what is learned of one upstream, in order, against what may
-// be sent to it in the end.
+var now = time.Now()
+
+// steps are what is learned of one upstream, in order, and its state in the end.
+var steps = map[string]struct {
+	learn []func(f *fleet.Fleet)
+	want  fleet.State
+}{
+	"listed": {[]func(*fleet.Fleet){}, fleet.Open},
+	"says that it drains": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Leaving, 6)) }}, fleet.Leaving},
+	"says that it drains, no newer entry brings it back": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Leaving, 6)) },
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) },
+		func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 8)) }}, fleet.Leaving},
+	"its report says that it drains": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Leaves(now, said("u"), "report") },
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) }}, fleet.Leaving},
+	"an older entry told late does not bring it back": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 5)) }}, fleet.Leaving},
+	"nor does an older listing": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
+		func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("u", fleet.Open, 5)}, 5, false) }}, fleet.Leaving},
+	"its row goes without a word": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) }}, fleet.Leaving},
+	"its row went while it was cut off, and is back": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) },
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 9)) }}, fleet.Open},
+	"it is back, older news of its going is told late": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) },
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 9)) },
+		func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
+		func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Leaving, 6)) },
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) }}, fleet.Open},
+	"it is back, a hub tells": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
+		func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 9)) }}, fleet.Open},
+	"its row lapses in an outage": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) }}, fleet.Missing},
+	"it is back after the outage": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) }}, fleet.Open},
+	"it is not back in time": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
+		func(f *fleet.Fleet) { f.Tick(now.Add(grace)) }}, fleet.Leaving},
+	"it is back, but late": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
+		func(f *fleet.Fleet) { f.Tick(now.Add(grace)) },
+		func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) }}, fleet.Open},
+	"missing from a listing": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("v", fleet.Open, 2)}, 6, false) }}, fleet.Leaving},
+	"missing from a listing that is older than its entry": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("v", fleet.Open, 2)}, 4, false) }}, fleet.Open},
+	"missing from a listing after an outage": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("v", fleet.Open, 2)}, 6, true) }}, fleet.Missing},
+	"a hub knows that it leaves": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Leaving, 6)) }}, fleet.Leaving},
+	"a hub that lags does not bring it back": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
+		func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 5)) }}, fleet.Leaving},
+	"a hub has it back": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
+		func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 7)) }}, fleet.Open},
+	"a hub's grace for it is over": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
+		func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Leaving, 6)) }}, fleet.Leaving},
+}
+
+// TestStates holds what is learned of one upstream against what may be sent to
+// it in the end.
 func TestStates(t *testing.T) {
-	now := time.Now()
-	steps := map[string]struct {
-		learn []func(f *fleet.Fleet)
-		want  fleet.State
-	}{
-		"listed": {[]func(*fleet.Fleet){}, fleet.Open},
-		"says that it drains": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Leaving, 6)) }}, fleet.Leaving},
-		"says that it drains, no newer entry brings it back": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Leaving, 6)) },
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) },
-			func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 8)) }}, fleet.Leaving},
-		"its report says that it drains": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Leaves(now, said("u"), "report") },
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) }}, fleet.Leaving},
-		"an older entry told late does not bring it back": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 5)) }}, fleet.Leaving},
-		"nor does an older listing": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
-			func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("u", fleet.Open, 5)}, 5, false) }}, fleet.Leaving},
-		"its row goes without a word": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) }}, fleet.Leaving},
-		"its row went while it was cut off, and is back": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) },
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 9)) }}, fleet.Open},
-		"it is back, older news of its going is told late": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) },
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 9)) },
-			func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
-			func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Leaving, 6)) },
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) }}, fleet.Open},
-		"it is back, a hub tells": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
-			func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 9)) }}, fleet.Open},
-		"its row lapses in an outage": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) }}, fleet.Missing},
-		"it is back after the outage": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) }}, fleet.Open},
-		"it is not back in time": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
-			func(f *fleet.Fleet) { f.Tick(now.Add(grace)) }}, fleet.Leaving},
-		"it is back, but late": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
-			func(f *fleet.Fleet) { f.Tick(now.Add(grace)) },
-			func(f *fleet.Fleet) { f.Put(now, up("u", fleet.Open, 7)) }}, fleet.Open},
-		"missing from a listing": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("v", fleet.Open, 2)}, 6, false) }}, fleet.Leaving},
-		"missing from a listing that is older than its entry": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("v", fleet.Open, 2)}, 4, false) }}, fleet.Open},
-		"missing from a listing after an outage": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{up("v", fleet.Open, 2)}, 6, true) }}, fleet.Missing},
-		"a hub knows that it leaves": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Leaving, 6)) }}, fleet.Leaving},
-		"a hub that lags does not bring it back": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Leaves(now, gone("u", 6), "peer") },
-			func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 5)) }}, fleet.Leaving},
-		"a hub has it back": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
-			func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Open, 7)) }}, fleet.Open},
-		"a hub's grace for it is over": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) },
-			func(f *fleet.Fleet) { f.Told(now, up("u", fleet.Leaving, 6)) }}, fleet.Leaving},
-	}
 	for name, tt := range steps {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -124,78 +124,94 @@
 	}
 }
 
+// drawn is what is random about a strike.
+type drawn struct {
+	box     *site.Box
+	service string
+	number  int
+	way     relay.Way
+	last    time.Duration
+	short   time.Duration // the same, for what is not to last long
+	faults  []worker.Fault
+}
+
+// at does something to a worker of the service that was drawn.
+func (s *Strikes) at(d drawn, do func(w *site.Worker) error) func(time.Duration) error {
+	return func(time.Duration) error {
+		if w := s.site.Pick(d.service, d.number); w != nil {
+			return do(w)
+		}
+		return nil
+	}
+}
+
 // draw returns the next strike. All that is random is drawn here, so that a
 // seed's strikes are the same on each run.
 func (s *Strikes) draw() plan {
-	box := s.site.Boxes[s.random.IntN(len(s.site.Boxes))]
-	service := []string{"llm", "llm", "plain"}[s.random.IntN(3)]
-	number, way := s.random.IntN(1000), relay.Way(s.random.IntN(3))
-	last := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(lastMost)))
-	short := min(last, 2*time.Second)
-	p := plan{last: last}
-	at := func(do func(w *site.Worker) error) func(time.Duration) error {
-		return func(time.Duration) error {
-			if w := s.site.Pick(service, number); w != nil {
-				return do(w)
-			}
-			return nil
-		}
+	d := drawn{
+		box: s.site.Boxes[s.random.IntN(len(s.site.Boxes))], service: []string{"llm", "llm", "plain"}[s.random.IntN(3)],
+		number: s.random.IntN(1000), way: relay.Way(s.random.IntN(3)),
+		last: 300*time.Millisecond + time.Duration(s.random.Int64N(int64(lastMost))), faults: s.faults(),
 	}
-	switch s.random.IntN(26) {
-	case 0, 1:
-		p.name, p.last, p.do = "kill "+box.Name, short, func(last time.Duration) error { return s.kill(box, last) }
-	case 2:
-		p.name, p.do = "pause "+box.Name, func(last time.Duration) error { return s.pause(box, last) }
-	case 3, 4:
-		p.name, p.do = "stop "+box.Name, func(time.Duration) error { return s.stop(box) }
-	case 5:
-		p.name, p.do = "reload "+box.Name, func(time.Duration) error { box.Signal(syscall.SIGHUP); return nil }
-	case 6:
-		p.name, p.do = "reset callers of "+box.Name, func(time.Duration) error { box.Link.Cut(0); return nil }
-	case 7:
-		p.name, p.do = "cut the store from "+box.Name, linked(box.Store.Cut)
-	case 8:
-		p.name, p.do = fmt.Sprint("silence the store of ", box.Name, " way ", way), linked(func(last time.Duration) { box.Store.Silence(way, last) })
-	case 9:
-		p.name, p.do = "the store is down", s.store(wire.Fault{Part: platform.Table, Mode: wire.FaultModeDown})
-	case 10:
-		p.name, p.do = "the store is slow", s.store(wire.Fault{Part: platform.Table, Mode: wire.FaultModeSlow, DelayMs: slowStore})
-	case 11:
-		p.name, p.do = "the store loses answers", s.store(wire.Fault{Part: platform.TableWrites, Mode: wire.FaultModeLoseReply})
-	case 12:
-		p.name, p.do = "the store forgets", func(time.Duration) error { s.site.Platform.Forget(); return nil }
-	case 13, 14:
-		p.name, p.do = "a worker leaves: "+service, at(func(w *site.Worker) error { return s.site.Leave(w, true) })
-	case 15:
-		p.name, p.do = "a worker leaves without a word: "+service, at(func(w *site.Worker) error { return s.site.Leave(w, false) })
-	case 16:
-		p.name, p.do = "a worker crashes: "+service, at(s.site.Crash)
-	case 17:
-		p.name, p.last, p.do = "a worker's row lapses: "+service, short, func(last time.Duration) error {
-			return at(func(w *site.Worker) error { s.site.Lapse(w, last); return nil })(last)
-		}
-	case 18:
-		p.name, p.last, p.do = fmt.Sprint("silence a worker of ", service, " way ", way), short, func(last time.Duration) error {
-			return at(func(w *site.Worker) error { w.Link.Silence(way, last); time.Sleep(last); return nil })(last)
-		}
-	case 19:
-		p.name, p.do = "reset a worker's connections: "+service, at(func(w *site.Worker) error { w.Link.Cut(0); return nil })
-	case 20, 21, 22:
-		faults := s.faults()
-		p.name, p.do = fmt.Sprint("bad answers of ", service, ": ", faults), at(func(w *site.Worker) error { w.Next(faults...); return nil })
-	case 23:
-		p.name, p.last, p.do = "the store is down, and keys are taken away", downWithKeys, func(last time.Duration) error {
+	d.short = min(d.last, 2*time.Second)
+	var all []plan
+	for _, group := range [][]plan{s.onBox(d), s.onStore(d), s.onWorker(d)} {
+		all = append(all, group...)
+	}
+	return all[s.random.IntN(len(all))]
+}
+
+// onBox returns strikes at a process and its links.
+func (s *Strikes) onBox(d drawn) []plan {
+	b := d.box
+	kill := plan{"kill " + b.Name, d.short, func(last time.Duration) error { return s.kill(b, last) }}
+	stop := plan{"stop " + b.Name, d.last, func(time.Duration) error { return s.stop(b) }}
+	return []plan{
+		kill, kill, stop, stop,
+		{"pause " + b.Name, d.last, func(last time.Duration) error { return s.pause(b, last) }},
+		{"reload " + b.Name, 0, func(time.Duration) error { b.Signal(syscall.SIGHUP); return nil }},
+		{"reset callers of " + b.Name, 0, func(time.Duration) error { b.Link.Cut(0); return nil }},
+		{"cut the store from " + b.Name, d.last, linked(b.Store.Cut)},
+		{fmt.Sprint("silence the store of ", b.Name, " way ", d.way), d.last, linked(func(last time.Duration) { b.Store.Silence(d.way, last) })},
+	}
+}
+
+// onStore returns strikes at the store and at what the operator keeps there.
+func (s *Strikes) onStore(d drawn) []plan {
+	organisation := []string{"council", "firm"}[d.number%2]
+	revoke := plan{"keys taken away from " + organisation, 0, func(time.Duration) error { s.site.Revoke(organisation); return nil }}
+	return []plan{
+		revoke, revoke,
+		{"the store is down", d.last, s.store(wire.Fault{Part: platform.Table, Mode: wire.FaultModeDown})},
+		{"the store is slow", d.last, s.store(wire.Fault{Part: platform.Table, Mode: wire.FaultModeSlow, DelayMs: slowStore})},
+		{"the store loses answers", d.last, s.store(wire.Fault{Part: platform.TableWrites, Mode: wire.FaultModeLoseReply})},
+		{"the store forgets", 0, func(time.Duration) error { s.site.Platform.Forget(); return nil }},
+		{"the store is down, and keys are taken away", downWithKeys, func(last time.Duration) error {
 			s.site.Platform.Fault(wire.Fault{Part: platform.Table, Mode: wire.FaultModeDown})
-			s.site.Revoke("council")
+			s.site.Revoke(organisation)
 			time.Sleep(last)
 			s.site.Platform.Fault(wire.Fault{Part: platform.Table, Mode: wire.FaultModeNone})
 			return nil
-		}
-	default:
-		organisation := []string{"council", "firm"}[number%2]
-		p.name, p.do = "keys taken away from "+organisation, func(time.Duration) error { s.site.Revoke(organisation); return nil }
+		}},
+	}
+}
+
+// onWorker returns strikes at a worker and its link.
+func (s *Strikes) onWorker(d drawn) []plan {
+	leaves := plan{"a worker leaves: " + d.service, site.Notice, s.at(d, func(w *site.Worker) error { return s.site.Leave(w, true) })}
+	spoils := plan{fmt.Sprint("bad answers of ", d.service, ": ", d.faults), 0, s.at(d, func(w *site.Worker) error { w.Next(d.faults...); return nil })}
+	return []plan{
+		leaves, leaves, spoils, spoils, spoils,
+		{"a worker leaves without a word: " + d.service, site.Notice, s.at(d, func(w *site.Worker) error { return s.site.Leave(w, false) })},
+		{"a worker crashes: " + d.service, site.Notice, s.at(d, s.site.Crash)},
+		{"a worker's row lapses: " + d.service, d.short, s.at(d, func(w *site.Worker) error { s.site.Lapse(w, d.short); return nil })},
+		{fmt.Sprint("silence a worker of ", d.service, " way ", d.way), d.short, s.at(d, func(w *site.Worker) error {
+			w.Link.Silence(d.way, d.short)
+			time.Sleep(d.short)
+			return nil
+		})},
+		{"reset a worker's connections: " + d.service, 0, s.at(d, func(w *site.Worker) error { w.Link.Cut(0); return nil })},
 	}
-	return p
 }
 
 // linked lasts as long as what it does to a link.
--- a/soak/verdict/verdict_test.go
+++ b/soak/verdict/verdict_test.go
@@ -16,29 +16,34 @@
 	return "id: 0\ndata: " + id + " 0\n\nid: 1\ndata: " + id + " 1\n\n"
 }
 
-// TestCheck shows that each broken promise is seen, and nothing else is.
-func TestCheck(t *testing.T) {
-	now := time.Now()
-	attempt := func(kind verdict.Kind, change func(*verdict.Attempt)) verdict.Attempt {
-		a := verdict.Attempt{
-			ID: "r", Kind: kind, Box: "b", Organisation: "council", Target: "/x", Sent: now, Ended: now.Add(time.Second),
-			Status: 200, Sealed: true, Complete: true, Answer: "answer to r by w",
-		}
-		if kind.Streams() {
-			a.Answer = whole("r")
-		}
-		if change != nil {
-			change(&a)
-		}
-		return a
+var now = time.Now()
+
+// attempt is a request that is served, changed by change.
+func attempt(kind verdict.Kind, change func(*verdict.Attempt)) verdict.Attempt {
+	a := verdict.Attempt{
+		ID: "r", Kind: kind, Box: "b", Organisation: "council", Target: "/x", Sent: now, Ended: now.Add(time.Second),
+		Status: 200, Sealed: true, Complete: true, Answer: "answer to r by w",
 	}
-	run := func(change func(*verdict.Ran)) verdict.Ran {
-		r := verdict.Ran{Worker: "w", Run: worker.Run{ID: "r", Organisation: "council", Target: "/x", At: now}}
-		if change != nil {
-			change(&r)
-		}
-		return r
+	if kind.Streams() {
+		a.Answer = whole("r")
 	}
+	if change != nil {
+		change(&a)
+	}
+	return a
+}
+
+// run is its run, changed by change.
+func run(change func(*verdict.Ran)) verdict.Ran {
+	r := verdict.Ran{Worker: "w", Run: worker.Run{ID: "r", Organisation: "council", Target: "/x", At: now}}
+	if change != nil {
+		change(&r)
+	}
+	return r
+}
+
+// TestCheck shows that each broken promise is seen, and nothing else is.
+func TestCheck(t *testing.T) {
 	once := []verdict.Ran{run(nil)}
 	again := []verdict.Ran{run(nil), run(func(r *verdict.Ran) { r.Worker = "v" })}
 	moved := []verdict.Ran{run(nil), run(func(r *verdict.Ran) { r.From = "10.0.0.1:1/copy" })}
