--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -269,8 +269,8 @@
 	}
 }
 
-// Pick returns a live worker of a service, by a number; nil if there is none.
-func (s *Site) Pick(service string, n int) *Worker {
+// Live returns the live workers of a service, the oldest first.
+func (s *Site) Live(service string) []*Worker {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []*Worker
@@ -279,6 +279,12 @@
 			list = append(list, w)
 		}
 	}
+	return list
+}
+
+// Pick returns a live worker of a service, by a number; nil if there is none.
+func (s *Site) Pick(service string, n int) *Worker {
+	list := s.Live(service)
 	if len(list) == 0 {
 		return nil
 	}
--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -36,8 +36,9 @@
 	calm = 3 * time.Second
 	// stopTime is longer than a box's grace.
 	stopTime = 12 * time.Second
-	// badAnswers are spoiled in a row by one worker.
-	badAnswers = 16
+	// badAnswers are spoiled in a row by each worker of a service; one alone is
+	// passed by after its first.
+	badAnswers = 6
 	// downWithKeys is how long the store is down while keys are taken away:
 	// longer than a key may be served.
 	downWithKeys = site.KeyAge + 2*time.Second
@@ -199,7 +200,12 @@
 // onWorker returns strikes at a worker and its link.
 func (s *Strikes) onWorker(d drawn) []plan {
 	leaves := plan{"a worker leaves: " + d.service, site.Notice, s.at(d, func(w *site.Worker) error { return s.site.Leave(w, true) })}
-	spoils := plan{fmt.Sprint("bad answers of ", d.service, ": ", d.faults), 0, s.at(d, func(w *site.Worker) error { w.Next(d.faults...); return nil })}
+	spoils := plan{fmt.Sprint("bad answers of ", d.service, ": ", d.faults), 0, func(time.Duration) error {
+		for _, w := range s.site.Live(d.service) {
+			w.Next(d.faults...)
+		}
+		return nil
+	}}
 	return []plan{
 		leaves, leaves, spoils, spoils, spoils,
 		{"a worker leaves without a word: " + d.service, site.Notice, s.at(d, func(w *site.Worker) error { return s.site.Leave(w, false) })},
