--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -327,6 +327,43 @@
 	}
 }
 
+// TestHubLost kills the hub of ten boxes: the others learn of a configuration and
+// of a worker that came since, from the box that reads in its place.
+func TestHubLost(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 10)
+	s.worker("p1", "plain", 0)
+	var lost *box
+	until(t, "all know each other, and one reads", func() bool {
+		hubs := 0
+		for _, b := range s.boxes {
+			if !b.Known() || b.Count() != len(s.boxes) {
+				return false
+			}
+			if b.IsHub() {
+				lost, hubs = b, hubs+1
+			}
+		}
+		return hubs == 1
+	})
+	lost.cancel()
+	<-lost.done
+	s.configure("newer")
+	s.worker("p2", "plain", 0)
+	s.say("p1", "plain", "draining")
+	for _, b := range s.boxes {
+		if b == lost {
+			continue
+		}
+		until(t, "the newer key and worker are used", func() bool {
+			status, body := b.ask(t, "GET", "/look/a", "r", "newer")
+			return status == 200 && strings.HasSuffix(body, "by p2")
+		})
+		status, _ := b.ask(t, "GET", "/look/a", "r", "key")
+		is.Equal(status, 401)
+	}
+}
+
 // TestStop stops a box under work: it is not ready at once, and what is in
 // flight ends whole.
 func TestStop(t *testing.T) {
