--- /dev/null
+++ b/edge/join.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"petrelstep/wire"
+)
+
+const (
+	// joinTime bounds a call for the table of boxes; a slow store takes 0.3 s.
+	joinTime = 1500 * time.Millisecond
+	// joinEvery is the wait after a call that failed.
+	joinEvery = time.Second
+	// settleTime is how long after its start a box that knows few others reads
+	// the table again: all start within 0.3 s, and their programs within 1 s.
+	settleTime = 2 * time.Second
+)
+
+// join puts this box into the table of boxes and reads who else is there. A box
+// that starts later finds this one, and tells it of itself. All boxes may start
+// at once: one that finds few reads again once all must have joined, as it would
+// take itself for a hub; at a cold start nothing else is read before.
+func (e *Edge) join(ctx context.Context) {
+	write := func(ctx context.Context) error { return e.boxes.Join(ctx, e.record) }
+	if !e.insist(ctx, write) || !e.insist(ctx, e.readBoxes) {
+		return
+	}
+	if !e.config.Edge.ColdStart {
+		e.joined.Store(true)
+	}
+	e.timer.Sleep(ctx, settleTime)
+	defer e.joined.Store(true)
+	if e.members.Few() {
+		e.insist(ctx, e.readBoxes)
+	}
+}
+
+// insist makes a call until it succeeds; it reports false if ctx ended first.
+func (e *Edge) insist(ctx context.Context, call func(context.Context) error) bool {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, joinTime)
+		err := call(limited)
+		cancel()
+		if err == nil {
+			return true
+		}
+		e.log.WithError(err).Warn("boxes_not_read")
+		e.timer.Sleep(ctx, joinEvery)
+	}
+	return false
+}
+
+func (e *Edge) readBoxes(ctx context.Context) error {
+	list, err := e.boxes.List(ctx)
+	if err == nil {
+		e.listed(list)
+	}
+	return err
+}
+
+func (e *Edge) listed(list []wire.BoxRecord) {
+	known := make([]wire.Member, 0, len(list))
+	for _, r := range list {
+		known = append(known, wire.Member{Box: r.Box, Hall: r.Hall, Address: r.Address, State: wire.MemberStateLive, Strong: r.Strong})
+	}
+	e.members.Listed(time.Now(), known)
+	e.log.WithField("boxes", len(known)).Info("boxes_listed")
+}
+
+// Known implements reading.Boxes.
+func (e *Edge) Known() bool { return e.joined.Load() }
+
+// IsHub implements reading.Boxes: it tells whether this box knows for others.
+func (e *Edge) IsHub() bool {
+	for _, b := range e.members.Hubs(time.Now()) {
+		if b.Name == e.config.Box {
+			return true
+		}
+	}
+	return false
+}
+
+// Count implements reading.Boxes.
+func (e *Edge) Count() int { return len(e.members.All(time.Now())) }
+
+// AllHubs implements reading.Boxes.
+func (e *Edge) AllHubs() bool { return e.members.Few() }
+
+// HubHeard implements reading.Boxes.
+func (e *Edge) HubHeard() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hubHeard
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,28 +7,15 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/config"
-	"petrelstep/evacuate"
 	"petrelstep/fleet"
 	"petrelstep/members"
 	"petrelstep/peer"
-	"petrelstep/turns"
 	"petrelstep/wire"
 )
 
 const (
-	joinTime = 1500 * time.Millisecond
-	// settleTime is how long after its start a box that knows few others reads
-	// the table again: all start within 0.3 s, and their programs within 1 s.
-	settleTime = 2 * time.Second
-	// heardWithin is how recently a box was heard that keeps turns: three of its
-	// periods of gossip.
-	heardWithin = 800 * time.Millisecond
 	// catchTime bounds the call for a configuration of some 100 KB.
 	catchTime = time.Second
-	// turnBackTime bounds the call that gives a turn back; it lapses anyway.
-	turnBackTime = 500 * time.Millisecond
-	// turnSlack is for the way to the keeper of the turns and back.
-	turnSlack = 50 * time.Millisecond
 	// oldFleet is the age from which a hub's knowledge of the upstreams is not
 	// taken: two of its calls to the store, and some.
 	oldFleet = 3500 * time.Millisecond
@@ -38,92 +25,12 @@
 	neverAge = time.Hour
 )
 
-// join puts this box into the table of boxes and reads who else is there. A box
-// that starts later finds this one, and tells it of itself. All boxes may start
-// at once: one that finds few reads again once all must have joined, as it
-// would take itself for a hub.
-func (e *Edge) join(ctx context.Context) {
-	write := func(ctx context.Context) error { return e.boxes.Join(ctx, e.record) }
-	if !e.insist(ctx, write) || !e.insist(ctx, e.readBoxes) {
-		return
-	}
-	if !e.config.Edge.ColdStart {
-		e.joined.Store(true)
-	}
-	e.timer.Sleep(ctx, settleTime)
-	defer e.joined.Store(true)
-	if e.members.Few() {
-		e.insist(ctx, e.readBoxes)
-	}
-}
-
-// insist makes a call until it succeeds; it reports false if ctx ended first.
-func (e *Edge) insist(ctx context.Context, call func(context.Context) error) bool {
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, joinTime)
-		err := call(limited)
-		cancel()
-		if err == nil {
-			return true
-		}
-		e.log.WithError(err).Warn("boxes_not_read")
-		e.timer.Sleep(ctx, joinEvery)
-	}
-	return false
-}
-
-func (e *Edge) readBoxes(ctx context.Context) error {
-	list, err := e.boxes.List(ctx)
-	if err == nil {
-		e.listed(list)
-	}
-	return err
-}
-
-func (e *Edge) listed(list []wire.BoxRecord) {
-	known := make([]wire.Member, 0, len(list))
-	for _, r := range list {
-		known = append(known, wire.Member{Box: r.Box, Hall: r.Hall, Address: r.Address, State: wire.MemberStateLive, Strong: r.Strong})
-	}
-	e.members.Listed(time.Now(), known)
-	e.log.WithField("boxes", len(known)).Info("boxes_listed")
-}
-
 // mark is how far a hub's fleet is known here.
 type mark struct {
 	incarnation int
 	change      int
 }
 
-// isHub tells whether this box knows for others.
-func (e *Edge) isHub() bool {
-	for _, b := range e.members.Hubs(time.Now()) {
-		if b.Name == e.config.Box {
-			return true
-		}
-	}
-	return false
-}
-
-// Known implements reading.Boxes.
-func (e *Edge) Known() bool { return e.joined.Load() }
-
-// IsHub implements reading.Boxes.
-func (e *Edge) IsHub() bool { return e.isHub() }
-
-// Count implements reading.Boxes.
-func (e *Edge) Count() int { return len(e.members.All(time.Now())) }
-
-// AllHubs implements reading.Boxes.
-func (e *Edge) AllHubs() bool { return e.members.Few() }
-
-// HubHeard implements reading.Boxes.
-func (e *Edge) HubHeard() time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.hubHeard
-}
-
 // Say implements gossip.Box.
 func (e *Edge) Say(hub members.Box) wire.Gossip {
 	version := 0
@@ -134,7 +41,7 @@
 	m := e.known[hub.Name]
 	e.mu.Unlock()
 	return wire.Gossip{
-		Sender: e.record, Leaving: e.draining.Load(), Hub: e.isHub(), Version: version, Tallies: e.tally.Own(),
+		Sender: e.record, Leaving: e.draining.Load(), Hub: e.IsHub(), Version: version, Tallies: e.tally.Own(),
 		Failures:  e.reliability.Own(time.Now()),
 		Departing: e.departing(time.Now()), FleetOf: m.incarnation, FleetAfter: m.change,
 	}
@@ -155,7 +62,7 @@
 	if table != nil && table.Version() == a.Version {
 		e.belief.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
 	}
-	if e.isHub() {
+	if e.IsHub() {
 		e.tally.Told(now, a.Sender.Box, a.Tallies)
 		e.reliability.Told(now, a.Sender.Box, a.Failures)
 	} else {
@@ -311,60 +218,3 @@
 	}
 	return records
 }
-
-// Take implements evacuate.Turns: one box keeps the turns of all upstreams of a
-// service, the first in the service's rendezvous order, so that it knows all
-// links that are in use. One that is not heard is done without.
-func (e *Edge) Take(ctx context.Context, ask evacuate.Ask) (target string, giveBack func()) {
-	alone := func() {}
-	if e.config.Edge.Moves != wire.EdgeMovesTurns {
-		return ask.Targets[0], alone
-	}
-	keeper, ok := e.members.Keeper(time.Now(), "turns/"+ask.Source.Service)
-	if !ok || keeper.Name == e.config.Box {
-		own := turns.Ask{Box: e.config.Box, Source: ask.Source.ID, Targets: ask.Targets, Tokens: ask.Tokens}
-		target, ok := e.turns.Take(ctx, own)
-		if !ok {
-			return ask.Targets[0], alone
-		}
-		return target, func() { e.turns.GiveBack(ask.Source.ID, e.config.Box) }
-	}
-	if !e.hears(keeper.Name) {
-		e.log.WithField("keeper", keeper.Name).Info("turn_without_keeper")
-		return ask.Targets[0], alone
-	}
-	return e.askTurn(ctx, keeper, ask)
-}
-
-// askTurn asks another box for a turn.
-func (e *Edge) askTurn(ctx context.Context, keeper members.Box, ask evacuate.Ask) (target string, giveBack func()) {
-	until, _ := ctx.Deadline()
-	call := wire.TurnAsk{
-		Upstream: ask.Source.ID, Box: e.config.Box, Targets: ask.Targets, Tokens: ask.Tokens,
-		WaitMs: int(max(time.Until(until)-turnSlack, 0).Milliseconds()),
-	}
-	var answer wire.TurnAnswer
-	if err := e.peers.Call(ctx, keeper.Address, peer.Turn, call, &answer); err != nil {
-		e.log.WithError(err).WithField("keeper", keeper.Name).Warn("turn_not_asked")
-		return ask.Targets[0], func() {}
-	}
-	if !answer.Granted {
-		return ask.Targets[0], func() {}
-	}
-	return answer.Target, func() { e.turnBack(keeper, call) }
-}
-
-func (e *Edge) turnBack(keeper members.Box, ask wire.TurnAsk) {
-	ctx, cancel := context.WithTimeout(context.Background(), turnBackTime)
-	defer cancel()
-	var answer wire.Nothing
-	if err := e.peers.Call(ctx, keeper.Address, peer.TurnBack, ask, &answer); err != nil {
-		e.log.WithError(err).WithField("keeper", keeper.Name).Warn("turn_not_given_back")
-	}
-}
-
-func (e *Edge) hears(box string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return time.Since(e.heard[box]) < heardWithin
-}
--- a/edge/run.go
+++ b/edge/run.go
@@ -22,7 +22,6 @@
 
 const (
 	tickEvery  = 100 * time.Millisecond
-	joinEvery  = time.Second
 	headerTime = 10 * time.Second
 	// idleTime lies above every bound on idle connections that callers reckon with.
 	idleTime    = 90 * time.Second
