tasks, gossip: one keeper of peers' tasks; a lost hub is said once, and regained

A hub that does not answer twice is passed by, its task ends, and a new one begins 3 s later with nothing in mind. Change: what is lost is kept beside the tasks. The connection is made anew when a hub is passed by; it was at the third silent call, which only came because a call that was broken off with its task counted as silent.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -12,6 +12,7 @@
 
 	"petrelstep/members"
 	"petrelstep/peer"
+	"petrelstep/tasks"
 	"petrelstep/wire"
 )
 
@@ -22,11 +23,10 @@
 	// callTime bounds a call: a link loses a packet now and then, and it is sent
 	// again within 0.3 s.
 	callTime = 500 * time.Millisecond
-	// forgetAfter so many calls without an answer the connection is made anew.
-	forgetAfter = 3
 	// lookEvery is how often it is looked for new boxes.
 	lookEvery = 250 * time.Millisecond
-	// failAfter so many calls without an answer another hub is looked for.
+	// failAfter so many calls without an answer another hub is looked for, and
+	// the connection is made anew.
 	failAfter = 2
 )
 
@@ -44,58 +44,40 @@
 	Forget(address string)
 }
 
-// Timer calls a function each period.
-type Timer interface {
-	Every(ctx context.Context, name string, period time.Duration, f func(now time.Time))
-}
-
 // Gossip is one box's.
 type Gossip struct {
 	members *members.Members
 	peers   Peers
 	box     Box
-	timer   Timer
+	timer   tasks.Timer
 	log     *logrus.Entry
+
+	mu   sync.Mutex
+	lost map[string]bool // hubs that do not answer, by name
 }
 
 // New returns gossip that Run passes on.
-func New(m *members.Members, p Peers, box Box, t Timer, log *logrus.Entry) *Gossip {
-	return &Gossip{members: m, peers: p, box: box, timer: t, log: log}
+func New(m *members.Members, p Peers, box Box, t tasks.Timer, log *logrus.Entry) *Gossip {
+	return &Gossip{members: m, peers: p, box: box, timer: t, log: log, lost: map[string]bool{}}
 }
 
-// Run starts and stops the tasks of peers as boxes come and go, until ctx ends.
+// Run talks to hubs, by a task for each, until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
-	tasks := map[string]context.CancelFunc{}
-	var all sync.WaitGroup
-	g.timer.Every(ctx, "peers", lookEvery, func(now time.Time) {
-		known := map[string]members.Box{}
-		for _, b := range g.members.Hubs(now) {
-			if b.Name != g.members.Self().Name {
-				known[b.Address] = b
-			}
-		}
-		for address, stop := range tasks {
-			if _, ok := known[address]; !ok {
-				stop()
-				delete(tasks, address)
-			}
-		}
-		for address, b := range known {
-			if _, ok := tasks[address]; ok {
-				continue
-			}
-			task, stop := context.WithCancel(ctx)
-			tasks[address] = stop
-			all.Go(func() { g.with(task, b) })
+	tasks.New(g.timer, lookEvery, g.hubs, g.with).Run(ctx)
+}
+
+// hubs returns the other hubs by address.
+func (g *Gossip) hubs(now time.Time) map[string]members.Box {
+	hubs := map[string]members.Box{}
+	for _, b := range g.members.Hubs(now) {
+		if b.Name != g.members.Self().Name {
+			hubs[b.Address] = b
 		}
-	})
-	for _, stop := range tasks {
-		stop()
 	}
-	all.Wait()
+	return hubs
 }
 
-// with is the task of one peer.
+// with is the task of one hub.
 func (g *Gossip) with(ctx context.Context, b members.Box) {
 	silent := 0
 	g.timer.Every(ctx, b.Name, period, func(time.Time) {
@@ -105,22 +87,40 @@
 		sent := time.Now()
 		err := g.peers.Call(call, b.Address, peer.Gossip, g.box.Say(b), &answer)
 		if err == nil {
-			if silent >= forgetAfter {
-				g.log.WithField("peer", b.Name).Info("peer_regained")
-			}
 			silent = 0
+			g.heard(b)
 			g.box.Hear(answer, sent)
 			return
 		}
-		silent++
-		if ctx.Err() == nil && (peer.Refused(err) || silent >= failAfter) {
-			g.members.Failed(time.Now(), b.Name)
+		if ctx.Err() != nil {
+			return
 		}
-		if silent%forgetAfter == 0 {
+		silent++
+		if peer.Refused(err) || silent >= failAfter {
 			g.peers.Forget(b.Address)
-		}
-		if silent == failAfter && ctx.Err() == nil {
-			g.log.WithError(err).WithField("peer", b.Name).Warn("peer_lost")
+			g.members.Failed(time.Now(), b.Name)
+			g.missed(b, err)
 		}
 	})
 }
+
+// missed notes that a hub does not answer. Its task ends, as it is passed by,
+// and begins anew some seconds later.
+func (g *Gossip) missed(b members.Box, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.lost[b.Name] {
+		g.lost[b.Name] = true
+		g.log.WithError(err).WithField("peer", b.Name).Warn("peer_lost")
+	}
+}
+
+// heard notes that a hub answers.
+func (g *Gossip) heard(b members.Box) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lost[b.Name] {
+		delete(g.lost, b.Name)
+		g.log.WithField("peer", b.Name).Info("peer_regained")
+	}
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -74,6 +75,30 @@
 	return count
 }
 
+// lines is a log.
+type lines struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (l *lines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, string(line))
+	return len(line), nil
+}
+
+// count returns how many lines tell of an event at a peer.
+func (l *lines) count(event, peer string) int {
+	count := 0
+	for _, line := range l.all {
+		if strings.Contains(line, event) && strings.Contains(line, "peer="+peer) {
+			count++
+		}
+	}
+	return count
+}
+
 type box struct {
 	mu    sync.Mutex
 	heard map[string]time.Time
@@ -134,11 +159,12 @@
 	m := fleet(50)
 	n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
 	b := &box{heard: map[string]time.Time{}}
+	var log lines
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+		gossip.New(m, n, b, timer.New(), logs.New(&log, "info", "self")).Run(ctx)
 	}()
 	time.Sleep(3 * time.Second)
 	hubs := m.Hubs(time.Now())
@@ -156,6 +182,13 @@
 	is.True(b.last() <= 300*time.Millisecond)
 	cancel()
 	<-done
+	for _, hub := range hubs {
+		is.True(n.forgot[hub.Address] >= 1) // the old connection may never answer
+		// Its task ends and begins anew all the while; that it is lost and regained
+		// is said once.
+		is.Equal(log.count("event=peer_lost ", hub.Name), 1)
+		is.Equal(log.count("event=peer_regained ", hub.Name), 1)
+	}
 }
 
 func TestHubsAreReplaced(t *testing.T) {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"sort"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +14,7 @@
 
 	"petrelstep/members"
 	"petrelstep/peer"
+	"petrelstep/tasks"
 	"petrelstep/wire"
 )
 
@@ -35,11 +35,6 @@
 	Answered(ctx context.Context, b members.Box, a wire.HeartbeatAnswer)
 }
 
-// Timer calls a function each period.
-type Timer interface {
-	Every(ctx context.Context, name string, period time.Duration, f func(now time.Time))
-}
-
 // Peers calls other boxes.
 type Peers interface {
 	Call(ctx context.Context, address, method string, args, reply any) error
@@ -50,40 +45,19 @@
 	members *members.Members
 	peers   Peers
 	box     Box
-	timer   Timer
+	timer   tasks.Timer
 	log     *logrus.Entry
 }
 
 // New returns heartbeats that Run sends.
-func New(m *members.Members, p Peers, box Box, t Timer, log *logrus.Entry) *Heartbeat {
+func New(m *members.Members, p Peers, box Box, t tasks.Timer, log *logrus.Entry) *Heartbeat {
 	return &Heartbeat{members: m, peers: p, box: box, timer: t, log: log}
 }
 
-// Run starts and stops the tasks of peers as boxes come and go, until ctx ends.
+// Run sends heartbeats, by a task for each peer, until ctx ends.
 func (h *Heartbeat) Run(ctx context.Context) {
-	tasks := map[string]context.CancelFunc{}
-	var all sync.WaitGroup
-	h.timer.Every(ctx, "peers", Period/2, func(now time.Time) {
-		chosen := Choose(h.members.Self(), h.members.Peers(now))
-		for address, stop := range tasks {
-			if _, ok := chosen[address]; !ok {
-				stop()
-				delete(tasks, address)
-			}
-		}
-		for address, b := range chosen {
-			if _, ok := tasks[address]; ok {
-				continue
-			}
-			task, stop := context.WithCancel(ctx)
-			tasks[address] = stop
-			all.Go(func() { h.beatTo(task, b) })
-		}
-	})
-	for _, stop := range tasks {
-		stop()
-	}
-	all.Wait()
+	choose := func(now time.Time) map[string]members.Box { return Choose(h.members.Self(), h.members.Peers(now)) }
+	tasks.New(h.timer, Period/2, choose, h.beatTo).Run(ctx)
 }
 
 // Choose returns the peers to beat to, by address: the whole hall, and of each
