relay: a stopping box takes drafts whose guess fits into its grace

A stopping box refused every draft, as its limit of 39 s passes the grace of 8 s; most boxes were stopping, and the caller's one retry, told to come after 50 ms, met another of them. Change: in the first 2.5 s of a stop a stream is taken if 1.3 times what its caller guesses fits into what is left (0.5 s and 35 ms an event); the users' rule for planned stops excuses what is still at work at the end of the grace only for requests up to 3 s after the notice. Where most boxes are being stopped, a refusal says to come back after 3 s. Ruled out: how fast boxes are back (0.05 s after their start).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -140,7 +140,7 @@
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
 		Budget: retry.NewBudget(budgetPart*s.RetryRatio, max(budgetPart*float64(s.RetrySlack)/boxesGuess, 1)),
-		Runs:   e.runs, Metrics: e.metrics, Leaving: e.leaving, Log: e.log,
+		Runs:   e.runs, Metrics: e.metrics, Stopping: e.stopping, Log: e.log,
 	})
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Parts{
@@ -166,13 +166,22 @@
 	return table.Service(name)
 }
 
-// leaving tells whether this box is being stopped, and how long it still has.
-func (e *Edge) leaving() (left time.Duration, leaving bool) {
+// stopping tells how far this box's planned stop is; false if it is not stopped.
+func (e *Edge) stopping() (relay.Stop, bool) {
 	gone := e.gone.Load()
 	if gone == nil {
-		return 0, false
+		return relay.Stop{}, false
 	}
-	return time.Until(*gone), true
+	now := time.Now()
+	left := gone.Sub(now)
+	all := e.members.All(now)
+	leaving := 0
+	for _, b := range all {
+		if b.State == members.Leaving {
+			leaving++
+		}
+	}
+	return relay.Stop{Since: config.Millis(e.config.DrainMs) - left, Left: left, Most: 2*leaving >= len(all)}, true
 }
 
 // ready tells whether callers are to be sent here.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,6 +31,19 @@
 	// stopSlack is how long before a stopping box is gone all its requests must
 	// have ended.
 	stopSlack = 500 * time.Millisecond
+	// stopTakes is how long after its notice a stopping box takes streams that
+	// may last longer than it does; the users' rule for planned stops holds their
+	// loss against it from 3 s on.
+	stopTakes = 2500 * time.Millisecond
+	// stopMargin is how many times a stream's expected time must fit into what is
+	// left: callers' guesses are right at the median only.
+	stopMargin = 1.3
+	// firstTime and eventTime are what a first event and each after it take in calm.
+	firstTime = 500 * time.Millisecond
+	eventTime = 35 * time.Millisecond
+	// comeRestarted is when to come back where most boxes are being stopped: one
+	// that has stopped is back within its grace of 8 s, most well before.
+	comeRestarted = 3 * time.Second
 	// leastLeft is the least time that is worth a send: a round trip between
 	// halls and the shortest work.
 	leastLeft = 5 * time.Millisecond
@@ -56,10 +69,17 @@
 	Budget      *retry.Budget
 	Runs        *runs.Runs
 	Metrics     *metrics.Metrics
-	Leaving     func() (left time.Duration, leaving bool) // this box is being stopped, and is gone then
+	Stopping    func() (Stop, bool) // false unless this box is being stopped
 	Log         *logrus.Entry
 }
 
+// Stop is a planned stop that is under way.
+type Stop struct {
+	Since time.Duration // its notice
+	Left  time.Duration // until the box is gone
+	Most  bool          // most boxes are being stopped
+}
+
 // Relay is safe for use by several goroutines.
 type Relay struct{ Parts }
 
@@ -131,12 +151,42 @@
 	if !ok {
 		return nil, refusal.New(refusal.UnknownService, rt.Name).WithRetryAfter(comeLater)
 	}
-	if left, leaving := r.Leaving(); leaving && j.deadline.Sub(req.Arrived) > left-stopSlack {
-		return nil, refusal.New(refusal.Draining, "this box is gone before it would end").WithRetryAfter(comeAgain)
+	if stop, stopping := r.Stopping(); stopping && !j.fits(stop) {
+		return nil, refusal.New(refusal.Draining, "this box may be gone before it would end").WithRetryAfter(stop.comeBack())
 	}
 	return j, nil
 }
 
+// fits tells whether a request ends before a stopping box is gone: surely, or,
+// for a stream early in the stop, as far as its caller can guess.
+func (j *job) fits(stop Stop) bool {
+	if j.deadline.Sub(j.req.Arrived) <= stop.Left-stopSlack {
+		return true
+	}
+	if !j.route.Streams || stop.Since > stopTakes || j.req.Answer() == 0 {
+		return false
+	}
+	expected := firstTime + time.Duration(j.req.Answer()/j.eventTokens())*eventTime
+	return time.Duration(stopMargin*float64(expected)) <= stop.Left-stopSlack
+}
+
+// eventTokens returns how many tokens one event of the job's stream holds.
+func (j *job) eventTokens() int {
+	if j.service.Engine == nil {
+		return 1
+	}
+	return max(j.service.Engine.EventTokens, 1)
+}
+
+// comeBack tells when to come back: another box serves at once, unless most of
+// them are being stopped too.
+func (s Stop) comeBack() time.Duration {
+	if s.Most {
+		return comeRestarted
+	}
+	return comeAgain
+}
+
 // serviceOf picks one of the route's services by their weights, the same for
 // each try of a request; one without upstreams gives way to the others.
 func (r *Relay) serviceOf(j *job) (route.Service, bool) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -71,7 +71,7 @@
 			r.Reliability.Record(time.Now(), s.upstream.ID, false)
 			r.Budget.Succeeded()
 			f.sent = s
-			f.run = runs.NewRun(j.req, s.upstream, r.eventTokens(j), s.began)
+			f.run = runs.NewRun(j.req, s.upstream, j.eventTokens(), s.began)
 			return nil
 		}
 		if err == nil && s.answer.Status == http.StatusOK {
@@ -109,13 +109,6 @@
 	return nil
 }
 
-func (r *Relay) eventTokens(j *job) int {
-	if j.service.Engine == nil {
-		return 1
-	}
-	return j.service.Engine.EventTokens
-}
-
 // pass passes events on until the stream is whole; it goes on elsewhere where
 // the run was moved, or may be resumed.
 func (r *Relay) pass(ctx context.Context, f *flow) error {
