--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,8 +36,11 @@
 	// loss against it from 3 s on.
 	stopTakes = 2500 * time.Millisecond
 	// stopMargin is how many times a stream's expected time must fit into what is
-	// left: callers' guesses are right at the median only.
-	stopMargin = 1.3
+	// left: callers' guesses are right at the median only, and another box would
+	// serve it with more than half of its worth. Where most boxes are being
+	// stopped there may be no other: stopMarginMost.
+	stopMargin     = 2.0
+	stopMarginMost = 1.2
 	// firstTime and eventTime are what a first event and each after it take in calm.
 	firstTime = 500 * time.Millisecond
 	eventTime = 35 * time.Millisecond
@@ -167,7 +170,11 @@
 		return false
 	}
 	expected := firstTime + time.Duration(j.req.Answer()/j.eventTokens())*eventTime
-	return time.Duration(stopMargin*float64(expected)) <= stop.Left-stopSlack
+	margin := stopMargin
+	if stop.Most {
+		margin = stopMarginMost
+	}
+	return time.Duration(margin*float64(expected)) <= stop.Left-stopSlack
 }
 
 // eventTokens returns how many tokens one event of the job's stream holds.
