--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -104,8 +104,8 @@
 func New(parts Parts) *Evacuator { return &Evacuator{parts} }
 
 // Leaves moves what this box has at an upstream that leaves, until nothing is
-// left there, the upstream is gone, or it turns out to stay. Requests that are not answered yet are
-// waited for: they can be moved once they run.
+// left there, the upstream is gone, or it turns out to stay. Requests that are
+// not answered yet are waited for: they can be moved once they run.
 func (e *Evacuator) Leaves(ctx context.Context, u fleet.Upstream) {
 	service, ok := e.Services(u.Service)
 	if !ok || service.Engine == nil || !service.Engine.Moves {
