--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -25,12 +26,16 @@
 	struck map[string]string // how: refused or silent
 	calls  map[string][]time.Time
 	forgot map[string]int
+	random *rand.Rand // draws which calls are lost of those that are struck lossy
 }
 
 func (n *network) Call(ctx context.Context, address, method string, _, reply any) error {
 	n.mu.Lock()
 	n.calls[address] = append(n.calls[address], time.Now())
 	how := n.struck[address]
+	if how == "lossy" && n.random.IntN(3) == 0 {
+		how = "silent"
+	}
 	n.mu.Unlock()
 	switch how {
 	case "refused":
@@ -199,6 +204,31 @@
 	}
 }
 
+// TestLoss loses a third of all calls: a box is never long without a hub's word,
+// and a hub that is passed by is asked again.
+func TestLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := fleet(50)
+		n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}, random: rand.New(rand.NewPCG(1, 1))}
+		n.strikeAll(m.Peers(time.Now()), "lossy")
+		b := &box{heard: map[string]time.Time{}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+		}()
+		time.Sleep(3 * time.Second)
+		for began := time.Now(); time.Since(began) < 50*time.Second; time.Sleep(20 * time.Millisecond) {
+			is.True(b.last() <= time.Second)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // TestFewTellAll shows that few boxes call each other, and often.
 func TestFewTellAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
