soak: count from when the store has taken a key away, once

Revoke noted the time twice, before and after the store's change, and told the two apart by a second.

--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -182,23 +182,20 @@
 func (s *Site) Revoke(organisation string) {
 	s.mu.Lock()
 	s.born++
+	var gone string
 	for key, of := range s.keys {
 		if of == organisation {
-			delete(s.keys, key)
-			s.old[organisation] = key
-			s.revoked[key] = time.Now() // before the store has it: later by the bound is surely late
+			gone = key
 		}
 	}
+	delete(s.keys, gone)
+	s.old[organisation] = gone
 	s.keys[fmt.Sprint("key-", s.born)] = organisation
 	s.mu.Unlock()
 	s.declare()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, at := range s.revoked {
-		if time.Since(at) < time.Second {
-			s.revoked[key] = time.Now() // the store has it since
-		}
-	}
+	s.revoked[gone] = time.Now() // counted from when the store has it
 }
 
 // Key returns an organisation's key in force.
