standin, soak: the callers' and operator's protocol lives in the stand-ins

Cause: soak/load named the platform's headers and soak/site its rows, where only platform/ and the stand-ins may know them. Change: standin/caller asks one request as a caller does; the stand-in platform declares manifests and announces workers from types of its own. The soak keeps what it decides: whom to ask, when to ask again, what to check. Ruled out: leaning on platform/callers, which is the server's side.

--- a/soak/load/load.go
+++ b/soak/load/load.go
@@ -4,18 +4,16 @@
 package load
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"petrelstep/soak/site"
 	"petrelstep/soak/verdict"
+	"petrelstep/standin/caller"
 )
 
 const (
@@ -68,17 +66,17 @@
 	all.Wait()
 }
 
-// caller is one task: a connection to each box, kept open.
+// caller is one task: a connection to each of its boxes, kept open.
 func (l *Load) caller(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(l.seed, uint64(number)))
-	transport := &http.Transport{DisableCompression: true}
-	defer transport.CloseIdleConnections()
+	client := caller.New()
+	defer client.Close()
 	for n := 0; ctx.Err() == nil; n++ {
 		kind := kinds[random.IntN(len(kinds))]
 		for again := range againMost + 1 {
 			id := fmt.Sprintf("%s-%d-%d-%d", kind, number, n, again)
 			box := l.site.Boxes[(number+random.IntN(boxesMost))%len(l.site.Boxes)]
-			wait, more := l.ask(transport, random, box, kind, id)
+			wait, more := l.ask(client, random, box, kind, id)
 			if !more || ctx.Err() != nil {
 				break
 			}
@@ -89,7 +87,7 @@
 }
 
 // ask sends one request, and returns whether it may be asked again, and when.
-func (l *Load) ask(transport *http.Transport, random *rand.Rand, box *site.Box, kind verdict.Kind, id string) (wait time.Duration, again bool) {
+func (l *Load) ask(client *caller.Caller, random *rand.Rand, box *site.Box, kind verdict.Kind, id string) (wait time.Duration, again bool) {
 	organisation := []string{"council", "firm"}[random.IntN(2)]
 	key := l.site.Key(organisation)
 	if old := l.site.OldKey(organisation); old != "" && random.IntN(oldKeyShare) == 0 {
@@ -105,7 +103,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	header := l.exchange(ctx, transport, box.Link.Address(), key, &a)
+	answer := client.Ask(ctx, box.Link.Address(), caller.Request{
+		ID: id, Host: site.Host(), Target: a.Target, Body: a.Body, Key: key, Wait: patience, Tokens: "900,240",
+	})
+	a.Status, a.Sealed, a.Answer, a.Complete = answer.Status, answer.Sealed, answer.Body, answer.Complete
 	a.Ended = time.Now()
 	a.GaveUp = ctx.Err() != nil
 	a.Revoked = l.site.Revoked(key)
@@ -115,39 +116,10 @@
 	if a.GaveUp || a.Complete && a.Status == http.StatusOK {
 		return 0, false
 	}
-	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
-	wait = time.Duration(seconds * float64(time.Second))
-	if err != nil {
-		wait = againWait // it named none
+	wait = answer.RetryAfter
+	if wait == 0 {
+		wait = againWait
 	}
 	promised := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
 	return wait, promised || kind.Repeatable()
 }
-
-// exchange fills in what came of a request, and returns the answer's head.
-func (l *Load) exchange(ctx context.Context, transport *http.Transport, address, key string, a *verdict.Attempt) http.Header {
-	method := http.MethodGet
-	if a.Body != "" {
-		method = http.MethodPost
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+a.Target, bytes.NewReader([]byte(a.Body)))
-	if err != nil {
-		return nil
-	}
-	req.Host = site.Host()
-	req.GetBody = nil // the transport repeats nothing by itself
-	for name, value := range map[string]string{
-		"Request-Id": a.ID, "Api-Key": key, "Deadline-Ms": strconv.FormatInt(patience.Milliseconds(), 10), "Token-Count": "900,240",
-	} {
-		req.Header.Set(name, value)
-	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return nil // no answer: a.Status stays 0
-	}
-	defer resp.Body.Close()
-	a.Status, a.Sealed = resp.StatusCode, resp.Header.Get("Response-Seal") != ""
-	body, err := io.ReadAll(resp.Body)
-	a.Answer, a.Complete = string(body), err == nil
-	return resp.Header
-}
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -4,7 +4,6 @@
 package site
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,7 +12,6 @@
 	"sync"
 	"time"
 
-	"petrelstep/platform/store"
 	"petrelstep/soak/verdict"
 	"petrelstep/standin/platform"
 	"petrelstep/standin/relay"
@@ -134,14 +132,6 @@
 	return listener.Addr().String(), server, nil
 }
 
-// route is one of the manifest's routes.
-func route(kind verdict.Kind, wire, service string, attempts int) map[string]any {
-	return map[string]any{
-		"name": string(kind), "host": host, "path_prefix": "/" + prefix(kind) + "/", "kind": wire, "service": service, "max_attempts": attempts,
-		"timeout_ms": 20000, "latency_goal_ms": 1000, "gap_aim_ms": 180, "resumable": kind == verdict.Check,
-	}
-}
-
 // prefix of a kind's paths; the stand-in worker streams below /stream/.
 func prefix(kind verdict.Kind) string {
 	if kind.Streams() {
@@ -150,32 +140,28 @@
 	return string(kind)
 }
 
+func route(kind verdict.Kind, service string, attempts int) platform.Route {
+	return platform.Route{
+		Name: string(kind), Host: host, Prefix: "/" + prefix(kind) + "/", Service: service, Attempts: attempts,
+		Streams: kind.Streams(), Repeatable: kind.Repeatable(),
+	}
+}
+
 // declare writes the next version of the manifest.
 func (s *Site) declare() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += 2
-	keys := map[string][]string{"council": {}, "firm": {}}
+	keys := map[string][]string{}
 	for key, organisation := range s.keys {
 		keys[organisation] = append(keys[organisation], key)
 	}
-	raw, err := json.Marshal(map[string]any{
-		"version": s.version,
-		"routes": []map[string]any{
-			route(verdict.Draft, "streaming", "llm", 1), route(verdict.Check, "streaming", "llm", 2),
-			route(verdict.Once, "unsafe", "plain", 2), route(verdict.Look, "safe", "plain", 2),
-		},
-		"services": []map[string]any{
-			{"name": "llm", "engine": map[string]any{"slots": 24, "kv_capacity_tokens": 30000, "moves": true, "stride": 4}},
-			{"name": "plain"},
+	s.Platform.Declare(platform.Manifest{
+		Version: s.version, Keys: keys,
+		Routes: []platform.Route{
+			route(verdict.Draft, "llm", 1), route(verdict.Check, "llm", 2), route(verdict.Once, "plain", 2), route(verdict.Look, "plain", 2),
 		},
-		"limits":  map[string]any{"max_body_bytes": 65536},
-		"tenants": []map[string]any{{"name": "council", "api_keys": keys["council"]}, {"name": "firm", "api_keys": keys["firm"]}},
 	})
-	if err != nil {
-		panic(err) // plain values
-	}
-	s.Platform.Put(store.Row{Table: "op", Key: "config", Value: raw})
 }
 
 // Revoke takes an organisation's key away and gives it another.
@@ -244,25 +230,24 @@
 	s.workers[w.ID] = w
 	s.all = append(s.all, w)
 	s.mu.Unlock()
-	s.say(w, "ready")
+	s.say(w, false)
 	return nil
 }
 
-func (s *Site) say(w *Worker, state string) {
-	s.Platform.Put(store.Row{Table: "servers", Key: w.ID, Value: fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"slots":24,"state":%q}`, w.Service, w.Link.Address(), w.Hall, state)})
+func (s *Site) say(w *Worker, leaving bool) {
+	s.Platform.Announce(platform.Worker{ID: w.ID, Service: w.Service, Address: w.Link.Address(), Hall: w.Hall, Leaving: leaving})
 }
 
 // Lapse lets a live worker's row go for a while, as one that is cut off from the
 // store loses it.
 func (s *Site) Lapse(w *Worker, last time.Duration) {
-	s.Platform.Remove(store.Row{Table: "servers", Key: w.ID})
+	s.Platform.Withdraw(w.ID)
 	time.Sleep(last)
 	s.mu.Lock()
 	lives := s.workers[w.ID] != nil
 	s.mu.Unlock()
 	if lives {
-		s.say(w, "ready")
+		s.say(w, false)
 	}
 }
 
@@ -299,12 +284,12 @@
 	s.mu.Unlock()
 	if says {
 		w.Worker.Leave()
-		s.say(w, "draining")
+		s.say(w, true)
 	} else {
-		s.Platform.Remove(store.Row{Table: "servers", Key: w.ID})
+		s.Platform.Withdraw(w.ID)
 	}
 	time.Sleep(Notice)
-	s.Platform.Remove(store.Row{Table: "servers", Key: w.ID})
+	s.Platform.Withdraw(w.ID)
 	w.end()
 	return nil
 }
@@ -319,7 +304,7 @@
 		return err
 	}
 	time.Sleep(Notice)
-	s.Platform.Remove(store.Row{Table: "servers", Key: w.ID})
+	s.Platform.Withdraw(w.ID)
 	return nil
 }
 
--- /dev/null
+++ b/standin/platform/operator.go
@@ -0,0 +1,86 @@
+package platform
+
+import (
+	"encoding/json"
+
+	"petrelstep/platform/store"
+)
+
+// Route is one route of a manifest.
+type Route struct {
+	Name       string
+	Host       string
+	Prefix     string
+	Service    string
+	Streams    bool
+	Repeatable bool // a stream may be resumed, another request run again
+	Attempts   int
+}
+
+// Manifest is what the operator declares. Services are "llm", whose workers are
+// engines, and any others that routes name.
+type Manifest struct {
+	Version int
+	Routes  []Route
+	Keys    map[string][]string // by organisation
+}
+
+// Declare writes a manifest as the operator does.
+func (p *Platform) Declare(m Manifest) {
+	routes := []map[string]any{}
+	services := []map[string]any{{"name": "llm", "engine": map[string]any{"slots": 24, "kv_capacity_tokens": 30000, "moves": true, "stride": 4}}}
+	seen := map[string]bool{"llm": true}
+	for _, r := range m.Routes {
+		kind := "unsafe"
+		switch {
+		case r.Streams:
+			kind = "streaming"
+		case r.Repeatable:
+			kind = "safe"
+		}
+		routes = append(routes, map[string]any{
+			"name": r.Name, "host": r.Host, "path_prefix": r.Prefix, "kind": kind, "service": r.Service, "max_attempts": r.Attempts,
+			"timeout_ms": 20000, "latency_goal_ms": 1000, "gap_aim_ms": 180, "resumable": r.Streams && r.Repeatable,
+		})
+		if !seen[r.Service] {
+			seen[r.Service] = true
+			services = append(services, map[string]any{"name": r.Service})
+		}
+	}
+	tenants := []map[string]any{}
+	for organisation, keys := range m.Keys {
+		tenants = append(tenants, map[string]any{"name": organisation, "api_keys": keys})
+	}
+	p.put("op", "config", map[string]any{
+		"version": m.Version, "routes": routes, "services": services, "limits": map[string]any{"max_body_bytes": 65536}, "tenants": tenants,
+	})
+}
+
+// Worker is a worker's own row.
+type Worker struct {
+	ID      string
+	Service string
+	Address string
+	Hall    string
+	Leaving bool
+}
+
+// Announce writes a worker's row as the worker does.
+func (p *Platform) Announce(w Worker) {
+	state := "ready"
+	if w.Leaving {
+		state = "draining"
+	}
+	p.put("servers", w.ID, map[string]any{"service": w.Service, "address": w.Address, "zone": w.Hall, "slots": 24, "state": state})
+}
+
+// Withdraw removes a worker's row.
+func (p *Platform) Withdraw(id string) { p.Remove(store.Row{Table: "servers", Key: id}) }
+
+func (p *Platform) put(table, key string, value map[string]any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // plain values
+	}
+	p.Put(store.Row{Table: table, Key: key, Value: raw})
+}
