evacuate, edge: wait for turns as long as their keeper answers

Change: boxes wait for their turn as long as the keeper answers; it is asked anew each 0.4 s, so that one that has died since costs no more than that. Ruled out: the wait for the first turn (1 ms), full targets.

--- a/edge/turns.go
+++ b/edge/turns.go
@@ -17,6 +17,9 @@
 	heardWithin = 800 * time.Millisecond
 	// turnBackTime bounds the call that gives a turn back; it lapses anyway.
 	turnBackTime = 500 * time.Millisecond
+	// turnWait is how long a keeper may hold an ask back: one that has died since
+	// costs so much of the notice of 1.5 s.
+	turnWait = 400 * time.Millisecond
 	// turnSlack is for the way to the keeper of the turns and back.
 	turnSlack = 50 * time.Millisecond
 )
@@ -45,22 +48,30 @@
 	return e.askTurn(ctx, keeper, ask)
 }
 
-// askTurn asks another box for a turn.
+// askTurn asks another box for a turn, again and again while it answers that
+// there is none yet: one that does not answer is done without.
 func (e *Edge) askTurn(ctx context.Context, keeper members.Box, ask evacuate.Ask) (target string, giveBack func()) {
-	until, _ := ctx.Deadline()
 	call := wire.TurnAsk{
-		Upstream: ask.Source.ID, Box: e.config.Box, Targets: ask.Targets, Tokens: ask.Tokens,
-		WaitMs: int(max(time.Until(until)-turnSlack, 0).Milliseconds()),
+		Upstream: ask.Source.ID, Box: e.config.Box, Targets: ask.Targets, Tokens: ask.Tokens, WaitMs: int(turnWait.Milliseconds()),
 	}
-	var answer wire.TurnAnswer
-	if err := e.peers.Call(ctx, keeper.Address, peer.Turn, call, &answer); err != nil {
-		e.log.WithError(err).WithField("keeper", keeper.Name).Warn("turn_not_asked")
-		return ask.Targets[0], func() {}
-	}
-	if !answer.Granted {
-		return ask.Targets[0], func() {}
+	for ctx.Err() == nil {
+		answer, err := e.askOnce(ctx, keeper, call)
+		if err != nil {
+			e.log.WithError(err).WithField("keeper", keeper.Name).Warn("turn_not_asked")
+			break
+		}
+		if answer.Granted {
+			return answer.Target, func() { e.turnBack(keeper, call) }
+		}
 	}
-	return answer.Target, func() { e.turnBack(keeper, call) }
+	return ask.Targets[0], func() {}
+}
+
+func (e *Edge) askOnce(ctx context.Context, keeper members.Box, call wire.TurnAsk) (answer wire.TurnAnswer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, turnWait+turnSlack)
+	defer cancel()
+	err = e.peers.Call(ctx, keeper.Address, peer.Turn, call, &answer)
+	return answer, err
 }
 
 func (e *Edge) turnBack(keeper members.Box, ask wire.TurnAsk) {
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -23,9 +23,6 @@
 	// evacuateFor bounds the work at one upstream: most are gone after 2 s, some
 	// serve on for many.
 	evacuateFor = 12 * time.Second
-	// turnsFor is how long boxes wait for turns: soon after, the upstream is
-	// gone, and a late move is better than none.
-	turnsFor = 1300 * time.Millisecond
 	// copyTime bounds one copy; it takes 0.1 to 0.5 s alone on its link.
 	copyTime = 3 * time.Second
 	// stopTime bounds the stop with the last of a copy; 25 ms alone, and up to
@@ -77,7 +74,7 @@
 type Turns interface {
 	// Take waits for a turn, and returns which of the targets it is for; it is
 	// given back by the returned function. A box that cannot reach the keeper of
-	// the turns, or waits in vain, goes alone, to the first target.
+	// the turns, or waits in vain until ctx ends, goes alone, to the first target.
 	Take(ctx context.Context, ask Ask) (target string, giveBack func())
 }
 
@@ -111,7 +108,6 @@
 	if !ok || service.Engine == nil || !service.Engine.Moves {
 		return
 	}
-	turns := time.Now().Add(turnsFor)
 	ctx, cancel := context.WithTimeout(ctx, evacuateFor)
 	defer cancel()
 	gaveUp := map[*runs.Run]bool{}
@@ -121,7 +117,7 @@
 			sleep(ctx, again)
 			continue
 		}
-		if e.move(ctx, turns, run, u, service) {
+		if e.move(ctx, run, u, service) {
 			gaveUp[run] = true
 			continue
 		}
@@ -147,9 +143,9 @@
 	return last
 }
 
-// move moves one run when it is this box's turn; it waits for turns only until
-// a time. It reports false if that may be tried again.
-func (e *Evacuator) move(ctx context.Context, until time.Time, run *runs.Run, u fleet.Upstream, service route.Service) (done bool) {
+// move moves one run when it is this box's turn. It reports false if that may be
+// tried again.
+func (e *Evacuator) move(ctx context.Context, run *runs.Run, u fleet.Upstream, service route.Service) (done bool) {
 	began := time.Now()
 	log := e.Log.WithFields(logrus.Fields{"request": run.Request.ID, "from": u.ID, "tokens": run.Tokens(), "events": run.Events()})
 	avoid := []string{u.ID}
@@ -159,7 +155,7 @@
 		if len(ranked) == 0 {
 			break
 		}
-		target, giveBack := e.take(ctx, until, run, u, ranked[:min(len(ranked), targetsNamed)])
+		target, giveBack := e.take(ctx, run, u, ranked[:min(len(ranked), targetsNamed)])
 		avoid = append(avoid, target.Upstream.ID)
 		log = log.WithFields(logrus.Fields{"to": target.Upstream.ID, "load": target.Load, "waited_ms": time.Since(began).Milliseconds()})
 		err = e.moveTo(ctx, run, u, target.Upstream)
@@ -187,14 +183,12 @@
 }
 
 // take waits for the turn to move a run to one of some targets.
-func (e *Evacuator) take(ctx context.Context, until time.Time, run *runs.Run, u fleet.Upstream, ranked []choose.Choice) (target choose.Choice, giveBack func()) {
+func (e *Evacuator) take(ctx context.Context, run *runs.Run, u fleet.Upstream, ranked []choose.Choice) (target choose.Choice, giveBack func()) {
 	ask := Ask{Source: u, Tokens: run.Tokens()}
 	for _, c := range ranked {
 		ask.Targets = append(ask.Targets, c.Upstream.ID)
 	}
-	waiting, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	id, giveBack := e.Turns.Take(waiting, ask)
+	id, giveBack := e.Turns.Take(ctx, ask)
 	return ranked[max(slices.Index(ask.Targets, id), 0)], giveBack
 }
 
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -190,11 +190,12 @@
 
 // inTime moves runs, each at a box of its own, off upstreams that leave
 // together, and returns how many were moved and how many of their streams paused
-// no longer than one in time may.
-func inTime(t *testing.T, from []fleet.Upstream, boxes int, turnsOf func(name string) evacuate.Turns) (moved, count int) {
+// no longer than one in time may. The upstreams serve on for a while.
+func inTime(t *testing.T, from []fleet.Upstream, boxes int, serves time.Duration, turnsOf func(name string) evacuate.Turns) (moved, count int) {
 	const pauseMost = 180 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
 		l := newLinks()
+		l.dies = time.Now().Add(serves)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		var all sync.WaitGroup
@@ -230,21 +231,24 @@
 		return func(name string) evacuate.Turns { return byTurns{keeper, name} }
 	}
 	alone := func(string) evacuate.Turns { return alone{} }
-	// The copies take 1.5 s of the 1.7 s that there are: at the end the last
-	// boxes go without turns, and hold each other up.
-	moved, good := inTime(t, one, 7, byTurns())
+	// The copies take 1.5 s of the 1.7 s that there are.
+	moved, good := inTime(t, one, 7, notice, byTurns())
 	is.Equal(moved, 7)
 	is.True(good >= 5)
-	moved, good = inTime(t, one, 7, alone)
+	moved, good = inTime(t, one, 7, notice, alone)
 	is.Equal(moved, 7)
 	is.True(good <= 2)
 	// All see the same targets in the same order: alone, copies of both upstreams
 	// meet at the first, whose link has no time for all.
-	moved, good = inTime(t, two, 8, byTurns())
+	moved, good = inTime(t, two, 8, notice, byTurns())
 	is.Equal(moved, 8)
 	is.Equal(good, 8)
-	_, good = inTime(t, two, 8, alone)
+	_, good = inTime(t, two, 8, notice, alone)
 	is.True(good <= 4)
+	// One that serves on for longer: nobody goes without a turn meanwhile.
+	moved, good = inTime(t, one, 12, 4*time.Second, byTurns())
+	is.Equal(moved, 12)
+	is.Equal(good, 12)
 }
 
 // TestStays shows that nothing is moved from an upstream that is back.
