members: hubs are named anew when boxes change, not at each call

Cause: Hubs sorted all boxes, with two hashes in each comparison, under the lock of membership. Every box calls it for each thing said and heard, each look of reading, and each hub for each answer: some hundred times a second.

Now the value is kept until a box changes or a failure lapses. With a box heard before each call: 0.12, 0.13, 0.17 and 0.22 us, no allocation. Count and Leaving no longer sort all boxes either.

TestHubsKept fails without (27 allocations), TestHubsFollow holds that all changes are followed at once.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -206,16 +206,9 @@
 	if gone == nil {
 		return relay.Stop{}, false
 	}
-	now := time.Now()
-	left := gone.Sub(now)
-	all := e.members.All(now)
-	leaving := 0
-	for _, b := range all {
-		if b.State == members.Leaving {
-			leaving++
-		}
-	}
-	return relay.Stop{Since: config.Millis(e.config.DrainMs) - left, Left: left, Most: 2*leaving >= len(all)}, true
+	left := time.Until(*gone)
+	most := 2*e.members.Leaving() >= e.members.Count()
+	return relay.Stop{Since: config.Millis(e.config.DrainMs) - left, Left: left, Most: most}, true
 }
 
 // ready tells whether callers are to be sent here.
--- a/edge/join.go
+++ b/edge/join.go
@@ -82,12 +82,11 @@
 }
 
 // Count implements reading.Boxes.
-func (e *Edge) Count() int { return len(e.members.All(time.Now())) }
+func (e *Edge) Count() int { return e.members.Count() }
 
 // AllHubs implements reading.Boxes.
 func (e *Edge) AllHubs() bool {
-	now := time.Now()
-	return len(e.members.Hubs(now)) == len(e.members.All(now))
+	return len(e.members.Hubs(time.Now())) == e.members.Count()
 }
 
 // HubHeard implements reading.Boxes.
--- a/members/members.go
+++ b/members/members.go
@@ -47,6 +47,7 @@
 
 type record struct {
 	box    Box
+	weight uint64 // as a hub
 	listed bool
 	heard  time.Time
 	failed time.Time
@@ -58,11 +59,19 @@
 	mu    sync.Mutex
 	self  Box
 	boxes map[string]*record
+
+	// hubs are those of today's boxes; nil until they are asked for. A box asks
+	// some hundred times a second, while boxes change a few times a minute.
+	hubs      []Box
+	hubsUntil time.Time // a failure lapses then; zero if there is none
 }
 
 // New returns a membership that knows only this box.
 func New(self Box) *Members { return &Members{self: self, boxes: map[string]*record{}} }
 
+// changed notes that other boxes may be hubs now.
+func (m *Members) changed() { m.hubs = nil }
+
 // Self returns this box.
 func (m *Members) Self() Box {
 	m.mu.Lock()
@@ -82,6 +91,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self.State = Leaving
+	m.changed()
 }
 
 // Listed takes the platform's list. A box missing from it is dropped only
@@ -89,6 +99,7 @@
 func (m *Members) Listed(now time.Time, list []wire.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.changed()
 	for _, r := range m.boxes {
 		r.listed = false
 	}
@@ -132,8 +143,19 @@
 	if b.Hall == "" {
 		b.Hall, b.Address = r.box.Hall, r.box.Address
 	}
+	if r.box.alike(b) && r.failed.IsZero() {
+		r.box, r.heard = b, now
+		return
+	}
 	r.box = b
 	r.heard, r.failed = now, time.Time{}
+	m.changed()
+}
+
+// alike tells whether a box is as fit to be a hub as it was.
+func (b Box) alike(o Box) bool {
+	b.Revision = o.Revision
+	return b == o
 }
 
 // Failed notes that a box refused a connection, so that it is passed by at once.
@@ -142,6 +164,7 @@
 	defer m.mu.Unlock()
 	if r, ok := m.boxes[name]; ok {
 		r.failed = now
+		m.changed()
 	}
 }
 
@@ -157,11 +180,35 @@
 	return all
 }
 
+// Count returns how many boxes there are, this one included.
+func (m *Members) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.boxes) + 1
+}
+
+// Leaving returns how many of the boxes leave.
+func (m *Members) Leaving() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leaving := 0
+	if m.self.State == Leaving {
+		leaving++
+	}
+	for _, r := range m.boxes {
+		if r.box.State == Leaving {
+			leaving++
+		}
+	}
+	return leaving
+}
+
 // Peers returns the other boxes that have an address.
 func (m *Members) Peers(now time.Time) []Box {
+	self := m.Self().Name
 	var peers []Box
 	for _, b := range m.All(now) {
-		if b.Name != m.Self().Name && b.Address != "" {
+		if b.Name != self && b.Address != "" {
 			peers = append(peers, b)
 		}
 	}
@@ -237,43 +284,77 @@
 // others are told on without a pause.
 const hubsLeast = 2
 
+// hubsKey is the key of the rendezvous order of hubs.
+const hubsKey = "hubs"
+
 // Hubs returns the boxes that know for all others: of each hall the first fit
 // one in rendezvous order that has not failed of late, and the next ones where
 // halls are fewer than hubs have to be. Each call to the store is paid for, so
 // that no more boxes read than can stand in for each other. A box that was never
-// heard may be one: it is asked, and fails if it is not there.
+// heard may be one: it is asked, and fails if it is not there. The value is
+// shared and not to be changed.
+//
+// It is worked out anew when a box changes or a failure lapses, and costs the
+// same however many boxes there are in between: 0.2 us with 350 of them, where
+// sorting 195 boxes each time took 262 us and 100 KB (BenchmarkHubs).
 func (m *Members) Hubs(now time.Time) []Box {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	candidates := []Box{}
+	if m.hubs == nil || !m.hubsUntil.IsZero() && !now.Before(m.hubsUntil) {
+		m.hubs = m.chooseHubs(now)
+	}
+	return m.hubs
+}
+
+// candidate is a box that may be a hub.
+type candidate struct {
+	box    Box
+	weight uint64
+}
+
+func (m *Members) chooseHubs(now time.Time) []Box {
+	hubs, others := []Box{}, []Box{}
+	halls := map[string]bool{}
+	for _, c := range m.candidates(now) {
+		if halls[c.box.Hall] {
+			others = append(others, c.box)
+			continue
+		}
+		halls[c.box.Hall] = true
+		hubs = append(hubs, c.box)
+	}
+	missing := min(max(hubsLeast-len(hubs), 0), len(others))
+	return slices.Clip(append(hubs, others[:missing]...))
+}
+
+// candidates returns the boxes that may be hubs, the fittest first, and notes
+// until when that holds.
+func (m *Members) candidates(now time.Time) []candidate {
+	m.hubsUntil = time.Time{}
+	list := make([]candidate, 0, len(m.boxes)+1)
 	if m.self.State != Leaving {
-		candidates = append(candidates, m.self)
+		list = append(list, candidate{m.self, weight(hubsKey, m.self.Name)})
 	}
 	for _, r := range m.boxes {
-		failed := !r.failed.IsZero() && now.Sub(r.failed) < failedFor
-		if r.box.Address != "" && r.box.State != Leaving && !failed {
-			candidates = append(candidates, r.box)
+		lapses := r.failed.Add(failedFor)
+		switch {
+		case r.box.Address == "" || r.box.State == Leaving:
+		case r.failed.IsZero() || !now.Before(lapses):
+			list = append(list, candidate{r.box, r.weight})
+		case m.hubsUntil.IsZero() || lapses.Before(m.hubsUntil):
+			m.hubsUntil = lapses
 		}
 	}
-	sort.Slice(candidates, func(i, j int) bool {
-		a, b := candidates[i], candidates[j]
-		if a.Strong != b.Strong {
-			return a.Strong
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.box.Strong != b.box.Strong {
+			if a.box.Strong {
+				return -1
+			}
+			return 1
 		}
-		return weight("hubs", a.Name) > weight("hubs", b.Name)
+		return cmp.Compare(b.weight, a.weight)
 	})
-	var hubs, others []Box
-	halls := map[string]bool{}
-	for _, b := range candidates {
-		if halls[b.Hall] {
-			others = append(others, b)
-			continue
-		}
-		halls[b.Hall] = true
-		hubs = append(hubs, b)
-	}
-	missing := min(max(hubsLeast-len(hubs), 0), len(others))
-	return append(hubs, others[:missing]...)
+	return list
 }
 
 // Keeper returns the hub that is first in the rendezvous order of a key.
@@ -293,6 +374,7 @@
 	r := m.record(now, b.Name)
 	if b.Incarnation > r.box.Incarnation {
 		r.box = b
+		m.changed()
 	}
 }
 
@@ -301,8 +383,9 @@
 func (m *Members) record(now time.Time, name string) *record {
 	r, ok := m.boxes[name]
 	if !ok {
-		r = &record{box: Box{Name: name, State: Live}, first: now}
+		r = &record{box: Box{Name: name, State: Live}, weight: weight(hubsKey, name), first: now}
 		m.boxes[name] = r
+		m.changed()
 	}
 	return r
 }
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -185,6 +186,100 @@
 	}
 }
 
+// crowd returns the membership of a box among n in six halls, all heard.
+func crowd(n int) *members.Members {
+	m := members.New(members.Box{Name: "self", Hall: "hall0", Address: "self:1", Incarnation: 1, State: members.Live})
+	for i := range n - 1 {
+		m.Heard(start, inHall(i, members.Live))
+	}
+	return m
+}
+
+func inHall(i int, state members.State) members.Box {
+	return members.Box{Name: fmt.Sprint("box", i), Hall: fmt.Sprint("hall", i%6), Address: fmt.Sprint(i), Incarnation: 1, State: state, Strong: i%10 == 0}
+}
+
+// BenchmarkHubs is who is a hub, asked while boxes are heard that do not change.
+func BenchmarkHubs(b *testing.B) {
+	for _, n := range []int{7, 66, 195, 350} {
+		b.Run(fmt.Sprint(n, " boxes"), func(b *testing.B) {
+			m := crowd(n)
+			same := inHall(1, members.Live)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Heard(start, same)
+				m.Hubs(start)
+			}
+		})
+	}
+}
+
+// TestHubsKept holds that naming the hubs takes no memory while boxes are only
+// heard again, however many there are.
+func TestHubsKept(t *testing.T) {
+	is := is.New(t)
+	m := crowd(350)
+	m.Hubs(start)
+	same := inHall(1, members.Live)
+	is.Equal(testing.AllocsPerRun(100, func() {
+		m.Heard(start, same)
+		m.Hubs(start)
+	}), 0.0)
+}
+
+// TestHubsFollow holds that hubs are named anew at once when what they are
+// chosen by changes.
+func TestHubsFollow(t *testing.T) {
+	tests := map[string]struct {
+		strike func(m *members.Members, first members.Box)
+		after  time.Duration
+		stays  bool // the hub does
+	}{
+		"nothing":        {strike: func(*members.Members, members.Box) {}, stays: true},
+		"it fails":       {strike: func(m *members.Members, b members.Box) { m.Failed(start, b.Name) }},
+		"it just failed": {strike: func(m *members.Members, b members.Box) { m.Failed(start, b.Name) }, after: 2999 * time.Millisecond},
+		"its failure has lapsed": {strike: func(m *members.Members, b members.Box) {
+			m.Failed(start, b.Name)
+			m.Hubs(start)
+		}, after: 3 * time.Second, stays: true},
+		"it fails and is heard": {strike: func(m *members.Members, b members.Box) {
+			m.Failed(start, b.Name)
+			m.Hubs(start)
+			m.Heard(start, b)
+		}, stays: true},
+		"it leaves": {strike: func(m *members.Members, b members.Box) { b.State = members.Leaving; m.Heard(start, b) }},
+		"it turns weak": {strike: func(m *members.Members, b members.Box) {
+			b.Incarnation, b.Strong = 2, false
+			m.Heard(start, b)
+		}},
+		"its hall was taken for another": {strike: func(m *members.Members, b members.Box) {
+			b.Incarnation, b.Hall = 2, "elsewhere"
+			m.Introduce(start, b)
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := crowd(195)
+			before := m.Hubs(start)
+			first := before[slices.IndexFunc(before, func(b members.Box) bool { return b.Hall == "hall2" })]
+			tt.strike(m, first)
+			stays := slices.ContainsFunc(m.Hubs(start.Add(tt.after)), func(b members.Box) bool { return b.Name == first.Name && b.Hall == first.Hall })
+			is.Equal(stays, tt.stays)
+		})
+	}
+}
+
+// TestLeavingCount counts boxes that leave among all.
+func TestLeavingCount(t *testing.T) {
+	is := is.New(t)
+	m := crowd(10)
+	m.Heard(start, inHall(3, members.Leaving))
+	is.Equal([2]int{m.Leaving(), m.Count()}, [2]int{1, 10})
+	m.Leave()
+	is.Equal([2]int{m.Leaving(), m.Count()}, [2]int{2, 10})
+}
+
 func TestHubs(t *testing.T) {
 	now := time.Now()
 	spread := func(boxes, halls int, strong func(i int) bool) *members.Members {
