told: sums are kept as words come and lapse

Cause: a hub added all boxes' words anew for each answer it gave, and a keeper for each upstream of each choice: boxes x upstreams x answers, the third power of the fleet. What all but one told of 65 upstreams took 11, 54, 143 and 267 us at 7, 66, 195 and 350 boxes, one upstream's sum 0.3, 1.6, 7.9 and 9.0 us (busy machine).

Now both are flat: 12.2, 12.9, 12.7, 12.7 us and 0.07 us. Words lapse as exactly as before: the book looks at all of them only when the oldest may have lapsed. What rounding leaves of counts that are no whole numbers goes when the last box's word of an upstream does.

TestSums holds the sums against adding up, over 3,000 words that come, shrink, lapse and return.

--- a/reliability/reliability.go
+++ b/reliability/reliability.go
@@ -35,6 +35,9 @@
 // Plus returns the sum of both.
 func (c Count) Plus(o Count) Count { return Count{Failed: c.Failed + o.Failed, All: c.All + o.All} }
 
+// Minus returns the count without another.
+func (c Count) Minus(o Count) Count { return Count{Failed: c.Failed - o.Failed, All: c.All - o.All} }
+
 type record struct {
 	at time.Time
 	Count
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -51,9 +51,11 @@
 	return time.Duration(l.PaceUs/max(l.Paced, 1)) * time.Microsecond
 }
 
-func (l Load) negative() Load {
+// Minus returns the load without another.
+func (l Load) Minus(o Load) Load {
 	return Load{
-		Requests: -l.Requests, Tokens: -l.Tokens, Coming: -l.Coming, Prefill: -l.Prefill, Paced: -l.Paced, PaceUs: -l.PaceUs,
+		Requests: l.Requests - o.Requests, Tokens: l.Tokens - o.Tokens, Coming: l.Coming - o.Coming, Prefill: l.Prefill - o.Prefill,
+		Paced: l.Paced - o.Paced, PaceUs: l.PaceUs - o.PaceUs,
 	}
 }
 
@@ -128,8 +130,8 @@
 func (e *Entry) End() { e.take(e.left) }
 
 func (e *Entry) take(l Load) {
-	e.left = e.left.Plus(l.negative())
-	e.tally.add(e.upstream, l.negative())
+	e.left = e.left.Minus(l)
+	e.tally.add(e.upstream, Load{}.Minus(l))
 }
 
 func (t *Tally) add(upstream string, l Load) {
--- a/told/told.go
+++ b/told/told.go
@@ -15,6 +15,8 @@
 type Sum[T any] interface {
 	// Plus returns the sum of both.
 	Plus(other T) T
+	// Minus returns the sum without the other.
+	Minus(other T) T
 }
 
 type word[T any] struct {
@@ -24,21 +26,72 @@
 
 func (w word[T]) fresh(now time.Time) bool { return now.Sub(w.at) <= freshFor }
 
-// Book is safe for use by several goroutines.
+// total is the sum of what boxes told of one upstream.
+type total[T any] struct {
+	sum   T
+	boxes int // that told of it
+}
+
+// Book is safe for use by several goroutines. It keeps the sum of all words as
+// they come and lapse: with 195 boxes that tell of 13 upstreams each, what all
+// but one told costs 13 us in place of 143, and one upstream's sum 0.07 us in
+// place of 8 (BenchmarkWithout, BenchmarkOf); 350 boxes cost the same.
 type Book[T Sum[T]] struct {
 	mu     sync.Mutex
 	others map[string]word[T]
-	sum    word[T] // of all other boxes, as a hub tells it
+	totals map[string]total[T] // of others, by upstream
+	oldest time.Time           // no word of others is older
+	sum    word[T]             // of all other boxes, as a hub tells it
 }
 
 // New returns an empty book.
-func New[T Sum[T]]() *Book[T] { return &Book[T]{others: map[string]word[T]{}} }
+func New[T Sum[T]]() *Book[T] {
+	return &Book[T]{others: map[string]word[T]{}, totals: map[string]total[T]{}}
+}
 
 // Told takes another box's word.
 func (b *Book[T]) Told(now time.Time, box string, list map[string]T) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.drop(box)
+	if len(b.others) == 0 || now.Before(b.oldest) {
+		b.oldest = now
+	}
 	b.others[box] = word[T]{now, list}
+	for upstream, v := range list {
+		t := b.totals[upstream]
+		b.totals[upstream] = total[T]{t.sum.Plus(v), t.boxes + 1}
+	}
+}
+
+// drop takes a box's word off the totals.
+func (b *Book[T]) drop(box string) {
+	for upstream, v := range b.others[box].list {
+		t := b.totals[upstream]
+		if t.boxes == 1 {
+			delete(b.totals, upstream) // and what rounding has left
+			continue
+		}
+		b.totals[upstream] = total[T]{t.sum.Minus(v), t.boxes - 1}
+	}
+	delete(b.others, box)
+}
+
+// lapse drops the words that are no longer fresh. It looks at all of them only
+// when one may have lapsed.
+func (b *Book[T]) lapse(now time.Time) {
+	if now.Sub(b.oldest) <= freshFor {
+		return
+	}
+	b.oldest = now
+	for box, o := range b.others {
+		switch {
+		case !o.fresh(now):
+			b.drop(box)
+		case o.at.Before(b.oldest):
+			b.oldest = o.at
+		}
+	}
 }
 
 // ToldSum takes a hub's word of what all other boxes have.
@@ -50,32 +103,29 @@
 
 // Of returns what the others have at an upstream: by the sum that a hub tells,
 // or by what they tell themselves.
-func (b *Book[T]) Of(now time.Time, upstream string) (sum T) {
+func (b *Book[T]) Of(now time.Time, upstream string) T {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.sum.fresh(now) {
 		return b.sum.list[upstream]
 	}
-	for box, o := range b.others {
-		if !o.fresh(now) {
-			delete(b.others, box)
-			continue
-		}
-		sum = sum.Plus(o.list[upstream])
-	}
-	return sum
+	b.lapse(now)
+	return b.totals[upstream].sum
 }
 
 // Without adds what all boxes but one told to a list, for that one.
 func (b *Book[T]) Without(now time.Time, box string, list map[string]T) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, o := range b.others {
-		if name == box || !o.fresh(now) {
-			continue
-		}
-		for upstream, v := range o.list {
-			list[upstream] = list[upstream].Plus(v)
+	b.lapse(now)
+	own := b.others[box].list
+	for upstream, t := range b.totals {
+		v, told := own[upstream]
+		switch {
+		case !told:
+			list[upstream] = list[upstream].Plus(t.sum)
+		case t.boxes > 1:
+			list[upstream] = list[upstream].Plus(t.sum.Minus(v))
 		}
 	}
 }
--- a/told/told_test.go
+++ b/told/told_test.go
@@ -1,6 +1,8 @@
 package told_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -13,6 +15,8 @@
 
 func (c count) Plus(o count) count { return c + o }
 
+func (c count) Minus(o count) count { return c - o }
+
 func words(n count) map[string]count { return map[string]count{"u": n} }
 
 // TestOf shows whose word counts: a hub's sum before what boxes told, and none
@@ -68,3 +72,74 @@
 	b.Without(now, "b", list)
 	is.Equal(list, words(11))
 }
+
+// TestSums holds the sums against adding all fresh words up, as boxes tell, tell
+// less, fall silent and come back.
+func TestSums(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	now := time.Now()
+	b := told.New[count]()
+	type word struct {
+		at   time.Time
+		list map[string]count
+	}
+	said := map[string]word{}
+	for range 3000 {
+		now = now.Add(time.Duration(random.Int64N(int64(100 * time.Millisecond))))
+		box := fmt.Sprint("b", random.IntN(40))
+		list := map[string]count{}
+		for range random.IntN(4) {
+			list[fmt.Sprint("u", random.IntN(6))] = count(random.IntN(9))
+		}
+		b.Told(now, box, list)
+		said[box] = word{now, list}
+		now = now.Add(time.Duration(random.Int64N(int64(100 * time.Millisecond))))
+		asker := fmt.Sprint("b", random.IntN(40))
+		got, want, all := map[string]count{}, map[string]count{}, map[string]count{}
+		b.Without(now, asker, got)
+		for name, w := range said {
+			for u, v := range w.list {
+				if now.Sub(w.at) > 3*time.Second {
+					continue
+				}
+				all[u] += v
+				if name != asker {
+					want[u] += v
+				}
+			}
+		}
+		is.Equal(got, want)
+		for _, u := range []string{"u0", "u3"} {
+			is.Equal(b.Of(now, u), all[u])
+		}
+	}
+}
+
+// BenchmarkWithout is a hub's answer to one box, by boxes that each tell of 13
+// of 65 upstreams; BenchmarkOf the sum at one upstream.
+func BenchmarkWithout(b *testing.B) {
+	bench(b, func(book *told.Book[count], now time.Time) { book.Without(now, "b1", map[string]count{}) })
+}
+
+func BenchmarkOf(b *testing.B) {
+	bench(b, func(book *told.Book[count], now time.Time) { book.Of(now, "u3") })
+}
+
+func bench(b *testing.B, f func(book *told.Book[count], now time.Time)) {
+	for _, boxes := range []int{7, 66, 195, 350} {
+		b.Run(fmt.Sprint(boxes, " boxes"), func(b *testing.B) {
+			book, now := told.New[count](), time.Now()
+			for i := range boxes {
+				list := map[string]count{}
+				for j := range 13 {
+					list[fmt.Sprint("u", (i*7+j*5)%65)] = 1
+				}
+				book.Told(now, fmt.Sprint("b", i), list)
+			}
+			for b.Loop() {
+				f(book, now)
+			}
+		})
+	}
+}
