watch, edge: engines are looked at once the store answers nobody; stops end in time

A box looked at engines itself only when a call of its own had failed, and boxes that are no hubs make none until what they are told is 2.9 to 3.7 s old: it knew some 5 s after the store had fallen silent, while engines are gone 1.5 to 2.1 s after their notice.

Hubs now tell how long ago the store last answered anyone, by any call, and a box looks when that is 0.6 s: within 0.9 s of the silence. The age of knowledge could not tell that soon: a call that waits for changes confirms as of when it was sent.

A box drained until the very moment at which it is ended by force; it now keeps 0.3 s to close connections and write its lines.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -61,6 +61,10 @@
 	// otherDescriptors are kept for files, peers, the store and calls of our own.
 	requestDescriptors = 2
 	otherDescriptors   = 400
+	// closeTime is what a stopping box keeps of its time to close connections and
+	// write its last lines, some 0.2 s at most: what it still has in flight then is
+	// cut off in order, so that callers and engines learn it, and not by force.
+	closeTime = 300 * time.Millisecond
 	// boxesGuess is among how many boxes the slack is shared out before it is known
 	// how many there are.
 	boxesGuess = 8
@@ -102,7 +106,7 @@
 
 	serving   atomic.Int64
 	draining  atomic.Bool
-	gone      atomic.Pointer[time.Time] // when a stopping box is gone, on the steady clock
+	stop      atomic.Pointer[stop] // nil unless this box is being stopped
 	drain     chan struct{}
 	drainOnce sync.Once
 
@@ -110,8 +114,9 @@
 	heard map[string]time.Time // when boxes were last heard, by name
 	known map[string]mark      // how far the fleets of hubs are known, by name
 
-	hubHeard time.Time // when a hub last answered
-	wasStale bool      // the belief was too old at the last tick
+	hubHeard   time.Time // when a hub last answered
+	storeHeard time.Time // when the store last answered this box or a hub
+	wasStale   bool      // the belief was too old at the last tick
 }
 
 // New puts a box together; nothing runs and no port is open before Run.
@@ -200,15 +205,26 @@
 	return table.Service(name)
 }
 
+// stop is a planned stop, on the steady clock.
+type stop struct {
+	began time.Time
+	until time.Time // what is in flight then is cut off
+}
+
+// newStop returns the stop of a box that is ended by force after a time.
+func newStop(now time.Time, drain time.Duration) *stop {
+	return &stop{began: now, until: now.Add(max(drain-closeTime, 0))}
+}
+
 // stopping tells how far this box's planned stop is; false if it is not stopped.
 func (e *Edge) stopping() (relay.Stop, bool) {
-	gone := e.gone.Load()
-	if gone == nil {
+	s := e.stop.Load()
+	if s == nil {
 		return relay.Stop{}, false
 	}
-	left := time.Until(*gone)
+	now := time.Now()
 	most := 2*e.members.Leaving() >= e.members.Count()
-	return relay.Stop{Since: config.Millis(e.config.DrainMs) - left, Left: left, Most: most}, true
+	return relay.Stop{Since: now.Sub(s.began), Left: s.until.Sub(now), Most: most}, true
 }
 
 // ready tells whether callers are to be sent here.
--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -129,3 +129,19 @@
 	is.Equal(fmt.Sprint(say.Departing), fmt.Sprint([]wire.UpstreamDeparture{{Upstream: "u1", Version: 2}}))
 	is.Equal(say.FleetAfter, 1) // the rest is told again once it is young
 }
+
+// TestStoreSilent shows that the youngest answer of the store counts that any hub
+// tells of, with the time that its word was under way.
+func TestStoreSilent(t *testing.T) {
+	is := is.New(t)
+	e := alone(t, "b1", "leith", false)
+	is.Equal(e.Heard(wire.Gossip{}).StoreSilentMs, int(time.Hour.Milliseconds())) // never heard of
+	tells := func(hub string, ms int, ago time.Duration) {
+		e.Hear(wire.GossipAnswer{Sender: record(hub, "leith", true), StoreSilentMs: ms}, time.Now().Add(-ago))
+	}
+	tells("lost", 900000, 0)
+	tells("far", 60000, time.Minute)
+	tells("near", 100000, 0)
+	silent := e.Heard(wire.Gossip{}).StoreSilentMs
+	is.True(silent > 99000 && silent < 119000) // the near one's word, not the far one's 120 s
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -95,6 +95,7 @@
 		e.reliability.ToldSum(now, a.Failures)
 	}
 	e.hearFleet(now, a, sent)
+	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
 }
 
 // answered notes that a hub has taken what it was told. One that has started
@@ -183,7 +184,7 @@
 	e.tally.Told(now, from.Sender.Box, from.Tallies)
 	e.reliability.Told(now, from.Sender.Box, from.Failures)
 	e.hearDeparting(now, from.Departing)
-	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: from.Wants}
+	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: from.Wants, StoreSilentMs: e.storeAge(now)}
 	switch from.Wants {
 	case wire.GossipScopeOwn:
 		a.Tallies, a.Failures, a.Hubs = e.tally.Own(), e.reliability.Own(now), e.hubRecords(now)
@@ -196,6 +197,17 @@
 	return a
 }
 
+// storeAge returns how many milliseconds ago the store answered anyone that this
+// box hears of, neverAge where it never did.
+func (e *Edge) storeAge(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.storeHeard.IsZero() {
+		return int(neverAge.Milliseconds())
+	}
+	return int(now.Sub(e.storeHeard).Milliseconds()) + 1
+}
+
 func (e *Edge) answerConfiguration(now time.Time, a *wire.GossipAnswer) {
 	table, age, _ := e.belief.Now(now)
 	if table == nil {
--- a/edge/run.go
+++ b/edge/run.go
@@ -141,12 +141,12 @@
 // start starts the tasks that are not bound to a caller.
 func (e *Edge) start(ctx context.Context, all *sync.WaitGroup) {
 	workers := manifest.NewWorkers(e.store, e.fleet, e.log)
-	configuration := follow.New("configuration", e.configuration, e.belief.Confirm, e.reading(e.belief.Age), e.log)
+	configuration := follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading(e.belief.Age), e.log)
 	all.Go(func() { configuration.Run(ctx) })
-	upstreams := follow.New("upstreams", workers, e.fleet.Confirm, e.reading(e.fleet.Age), e.log)
+	upstreams := follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading(e.fleet.Age), e.log)
 	all.Go(func() { upstreams.Run(ctx) })
 	all.Go(func() { e.timer.Every(ctx, "tick", tickEvery, e.tick) })
-	look := watch.New(e.fleet, upstreams.Lost, e.runs, e.upstreams, e.log)
+	look := watch.New(e.fleet, e.storeSilent, e.runs, e.upstreams, e.log)
 	all.Go(func() {
 		e.timer.Every(ctx, "watch", watch.Period, func(now time.Time) { look.Look(ctx, now) })
 	})
@@ -154,6 +154,37 @@
 	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
 }
 
+// heard takes the store's answers on one table.
+type heard struct {
+	confirm, answered func(at time.Time)
+}
+
+// Confirm implements follow.Heard.
+func (h heard) Confirm(sent time.Time) { h.confirm(sent) }
+
+// Answered implements follow.Heard.
+func (h heard) Answered(at time.Time) { h.answered(at) }
+
+// storeAnswered notes that the store answered this box or a hub at a time.
+func (e *Edge) storeAnswered(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at.After(e.storeHeard) {
+		e.storeHeard = at
+	}
+}
+
+// storeSilent returns for how long the store has answered nobody that this box
+// hears of. Before its first answer nothing runs here that could be lost.
+func (e *Edge) storeSilent(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.storeHeard.IsZero() {
+		return 0
+	}
+	return now.Sub(e.storeHeard)
+}
+
 // tick lets what is known age.
 func (e *Edge) tick(now time.Time) {
 	e.fleet.Tick(now)
@@ -182,16 +213,13 @@
 // is waited for.
 func (e *Edge) drainAll(ctx context.Context, servers []*http.Server) {
 	e.log.WithField("in_flight", e.serving.Load()).Info("draining")
-	began := time.Now()
-	until := began.Add(config.Millis(e.config.DrainMs))
-	e.gone.Store(&until)
+	s := newStop(time.Now(), config.Millis(e.config.DrainMs))
+	e.stop.Store(s)
 	e.draining.Store(true)
 	e.members.Leave()
-	for _, s := range servers[:1] {
-		s.SetKeepAlivesEnabled(false)
-	}
-	for time.Now().Before(until) && ctx.Err() == nil {
-		if e.serving.Load() == 0 && time.Since(began) > leaveNotice {
+	servers[0].SetKeepAlivesEnabled(false) // the callers'
+	for time.Now().Before(s.until) && ctx.Err() == nil {
+		if e.serving.Load() == 0 && time.Since(s.began) > leaveNotice {
 			break
 		}
 		e.timer.Sleep(ctx, drainLook)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,31 +57,34 @@
 	Pace() Pace
 }
 
+// Heard takes the store's answers.
+type Heard interface {
+	// Confirm takes that a call sent at a time has brought all changes until then.
+	Confirm(sent time.Time)
+	// Answered takes that the store answered at a time.
+	Answered(at time.Time)
+}
+
 // Follower runs on one goroutine.
 type Follower struct {
-	source  Source
-	confirm func(at time.Time)
-	need    Need
-	log     *logrus.Entry
-	now     func() time.Time
+	source Source
+	heard  Heard
+	need   Need
+	log    *logrus.Entry
+	now    func() time.Time
 
 	trouble time.Time // of the last failed call
-	lost    atomic.Bool
+	lost    bool
 	sent    time.Time
 }
 
-// New returns a follower; confirm is called after each answer with the time
-// when its call was sent. While it is not needed, because others tell,
-// no calls are made; when it is needed again, it lists.
-func New(name string, source Source, confirm func(at time.Time), need Need, log *logrus.Entry) *Follower {
-	return &Follower{
-		source: source, confirm: confirm, need: need, log: log.WithField("table", name), now: time.Now,
-	}
+// New returns a follower, which tells heard of each answer. While it is not
+// needed, because others tell, no calls are made; when it is needed again, it
+// lists.
+func New(name string, source Source, heard Heard, need Need, log *logrus.Entry) *Follower {
+	return &Follower{source: source, heard: heard, need: need, log: log.WithField("table", name), now: time.Now}
 }
 
-// Lost tells whether the last call failed. It may be called from any goroutine.
-func (f *Follower) Lost() bool { return f.lost.Load() }
-
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	mark, listed := int64(0), false
@@ -144,16 +146,20 @@
 
 func (f *Follower) failed(err error) {
 	f.trouble = f.now()
-	if !f.lost.Swap(true) {
+	if !f.lost {
+		f.lost = true
 		f.log.WithError(err).Warn("store_lost")
 	}
 }
 
 func (f *Follower) worked() {
-	if f.lost.Swap(false) {
-		f.log.WithField("away_ms", f.now().Sub(f.trouble).Milliseconds()).Info("store_regained")
+	now := f.now()
+	if f.lost {
+		f.lost = false
+		f.log.WithField("away_ms", now.Sub(f.trouble).Milliseconds()).Info("store_regained")
 	}
-	f.confirm(f.sent)
+	f.heard.Confirm(f.sent)
+	f.heard.Answered(now)
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -1,6 +1,6 @@
-// Package watch looks at upstreams themselves while the store tells nothing: a
-// box that is cut off from it still reaches engines, and their own reports are
-// the only news that they leave.
+// Package watch looks at upstreams themselves while the store tells nothing: boxes
+// still reach engines then, and their own reports are the only news that they
+// leave.
 package watch
 
 import (
@@ -17,9 +17,14 @@
 	// Period is the time between looks; a report is half a second old, and an
 	// upstream is gone within 1.5 to 2 s of its notice.
 	Period = 250 * time.Millisecond
-	// silence is how long nobody, the store or a peer, has confirmed the list of
-	// upstreams when a box that has lost the store begins to look.
-	silence = 1500 * time.Millisecond
+	// silence is how long the store has answered nobody that this box hears of when
+	// it begins to look. A hub has two calls at the store, each answered once in 0.7
+	// to 1.2 s, and tells of it within 0.25 s, so that in calm one of three hubs
+	// has an answer within half a second. A report is half a second old and an
+	// upstream is gone 1.5 to 2 s after its notice: what is seen within 0.9 s
+	// of a store's silence still leaves half a second to move runs. A look too
+	// many costs one report of each engine that this box has runs at.
+	silence = 600 * time.Millisecond
 	// reportTime bounds a report.
 	reportTime = 400 * time.Millisecond
 )
@@ -37,21 +42,21 @@
 // Watch is one box's.
 type Watch struct {
 	fleet   *fleet.Fleet
-	lost    func() bool
+	silent  func(now time.Time) time.Duration
 	runs    Runs
 	reports Reports
 	log     *logrus.Entry
 }
 
-// New returns a watch; Look is to be called each Period. lost tells whether
-// this box has lost the store.
-func New(f *fleet.Fleet, lost func() bool, runs Runs, reports Reports, log *logrus.Entry) *Watch {
-	return &Watch{fleet: f, lost: lost, runs: runs, reports: reports, log: log}
+// New returns a watch; Look is to be called each Period. silent tells for how
+// long the store has answered nobody that this box hears of.
+func New(f *fleet.Fleet, silent func(now time.Time) time.Duration, runs Runs, reports Reports, log *logrus.Entry) *Watch {
+	return &Watch{fleet: f, silent: silent, runs: runs, reports: reports, log: log}
 }
 
 // Look reads the reports of the upstreams that matter, if the store is silent.
 func (w *Watch) Look(ctx context.Context, now time.Time) {
-	if age, known := w.fleet.Age(now); !known || age < silence || !w.lost() {
+	if w.silent(now) < silence {
 		return
 	}
 	var all sync.WaitGroup
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1610,6 +1610,9 @@
 	// Sender corresponds to the JSON schema field "sender".
 	Sender BoxRecord `json:"sender"`
 
+	// Since the store answered anyone that the hub hears of.
+	StoreSilentMs int `json:"store_silent_ms"`
+
 	// What the boxes have running that the answer tells of.
 	Tallies []UpstreamTally `json:"tallies,omitempty,omitzero"`
 
@@ -1641,6 +1644,9 @@
 	if _, ok := raw["sender"]; raw != nil && !ok {
 		return fmt.Errorf("field sender in GossipAnswer: required")
 	}
+	if _, ok := raw["store_silent_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field store_silent_ms in GossipAnswer: required")
+	}
 	if _, ok := raw["tells"]; raw != nil && !ok {
 		return fmt.Errorf("field tells in GossipAnswer: required")
 	}
