config, deploy: bounds need not be whole numbers; the stop is in seconds

The template also made milliseconds of the grace by writing three zeros behind it, so that a grace of 7.5 s would have become 7.5 ms.

The bounds that a platform fills in may now be any number (key_age_ms, leave_ms, retry_slack, memory_mb), and edge.stop_s is the grace in seconds; drain_ms holds where it is not set.

--- a/cmd/petrelstepd/main.go
+++ b/cmd/petrelstepd/main.go
@@ -86,7 +86,7 @@
 	if c.Edge == nil {
 		return daemon.New(ctx, c, log, counts)
 	}
-	debug.SetMemoryLimit(int64(memoryPart * float64(c.Edge.MemoryMb) * megabyte))
+	debug.SetMemoryLimit(int64(memoryPart * c.Edge.MemoryMb * megabyte))
 	return edge.New(c, log, counts), nil
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -87,7 +87,17 @@
 }
 
 // Millis turns a setting into a duration.
-func Millis(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+func Millis[N int | float64](ms N) time.Duration {
+	return time.Duration(float64(ms) * float64(time.Millisecond))
+}
+
+// StopTime returns how long a planned stop of this box may take.
+func (c Config) StopTime() time.Duration {
+	if c.Edge != nil && c.Edge.StopS > 0 {
+		return Millis(c.Edge.StopS * 1000)
+	}
+	return Millis(c.DrainMs)
+}
 
 // SharedKey returns the secret that all boxes share; empty where the settings
 // need none.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,14 +21,15 @@
 		in     string
 		places []string
 	}{
-		"right":         {right + "}", nil},
-		"limits given":  {right + `,"limits":{"streams":5}}`, nil},
-		"unknown field": {right + `,"colour":"red"}`, []string{"colour"}},
-		"many mistakes": {`{"box":"B!","hall":7}`, []string{"/box", "/hall", "listen", "platform", "request_key"}},
-		"same address":  {strings.Replace(right, "127.0.0.1:2", "127.0.0.1:1", 1) + "}", []string{"/listen"}},
-		"short lease":   {right + `,"lease_ms":3000}`, []string{"/lease_ms"}},
-		"half of TLS":   {right + `,"tls":{"certificate":"/nowhere"}}`, []string{"/tls: certificate and key", "/tls: stat"}},
-		"not JSON":      {`{"box"`, []string{"not JSON"}},
+		"right":                            {right + "}", nil},
+		"limits given":                     {right + `,"limits":{"streams":5}}`, nil},
+		"bounds that are no whole numbers": {right + `,"edge":{"ready":"127.0.0.1:5","key_age_ms":4500.5,"stop_s":7.5,"leave_ms":1999.9,"retry_slack":35.8,"memory_mb":88.5}}`, nil},
+		"unknown field":                    {right + `,"colour":"red"}`, []string{"colour"}},
+		"many mistakes":                    {`{"box":"B!","hall":7}`, []string{"/box", "/hall", "listen", "platform", "request_key"}},
+		"same address":                     {strings.Replace(right, "127.0.0.1:2", "127.0.0.1:1", 1) + "}", []string{"/listen"}},
+		"short lease":                      {right + `,"lease_ms":3000}`, []string{"/lease_ms"}},
+		"half of TLS":                      {right + `,"tls":{"certificate":"/nowhere"}}`, []string{"/tls: certificate and key", "/tls: stat"}},
+		"not JSON":                         {`{"box"`, []string{"not JSON"}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -49,3 +51,26 @@
 		})
 	}
 }
+
+// TestStopTime shows which setting says how long a planned stop may take.
+func TestStopTime(t *testing.T) {
+	tests := map[string]struct {
+		more string
+		want time.Duration
+	}{
+		"no section":      {``, 9 * time.Second},
+		"not in seconds":  {`,"edge":{"ready":"127.0.0.1:5"}`, 9 * time.Second},
+		"in seconds":      {`,"edge":{"ready":"127.0.0.1:5","stop_s":8}`, 8 * time.Second},
+		"parts of second": {`,"edge":{"ready":"127.0.0.1:5","stop_s":7.25}`, 7250 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), "settings.json")
+			is.NoErr(os.WriteFile(file, []byte(right+`,"drain_ms":9000`+tt.more+"}"), 0o600))
+			c, err := config.New(file)
+			is.NoErr(err)
+			is.Equal(c.StopTime(), tt.want)
+		})
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -177,14 +177,14 @@
 
 // slack is a box's share of the repeats beyond those that come with requests.
 func (e *Edge) slack(boxes int) float64 {
-	return max(slackPart*float64(e.config.Edge.RetrySlack)/float64(max(boxes, 1)), 1)
+	return max(slackPart*e.config.Edge.RetrySlack/float64(max(boxes, 1)), 1)
 }
 
 // full tells whether this box holds as many requests as its memory and its
 // descriptors allow: one more would end it, and all that it holds with it.
 func (e *Edge) full() bool {
 	s := e.config.Edge
-	most := min(s.MemoryMb*1024*requestsPart/100/requestKB, (s.Descriptors-otherDescriptors)/requestDescriptors)
+	most := min(int(s.MemoryMb*1024*requestsPart/100/requestKB), (s.Descriptors-otherDescriptors)/requestDescriptors)
 	return e.serving.Load() > int64(max(most, 1))
 }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -11,7 +11,6 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 
-	"petrelstep/config"
 	"petrelstep/follow"
 	"petrelstep/gossip"
 	"petrelstep/peer/edgepoint"
@@ -213,7 +212,7 @@
 // is waited for.
 func (e *Edge) drainAll(ctx context.Context, servers []*http.Server) {
 	e.log.WithField("in_flight", e.serving.Load()).Info("draining")
-	s := newStop(time.Now(), config.Millis(e.config.DrainMs))
+	s := newStop(time.Now(), e.config.StopTime())
 	e.stop.Store(s)
 	e.draining.Store(true)
 	e.members.Leave()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -730,16 +730,16 @@
 	Descriptors int `json:"descriptors,omitempty,omitzero"`
 
 	// A key taken away is served no longer than this.
-	KeyAgeMs int `json:"key_age_ms,omitempty,omitzero"`
+	KeyAgeMs float64 `json:"key_age_ms,omitempty,omitzero"`
 
 	// An upstream heard to leave gets no work after this.
-	LeaveMs int `json:"leave_ms,omitempty,omitzero"`
+	LeaveMs float64 `json:"leave_ms,omitempty,omitzero"`
 
 	// Megabits a second of the box's link.
 	LinkMbit float64 `json:"link_mbit,omitempty,omitzero"`
 
 	// Memory of the box.
-	MemoryMb int `json:"memory_mb,omitempty,omitzero"`
+	MemoryMb float64 `json:"memory_mb,omitempty,omitzero"`
 
 	// How generations leave an upstream that leaves: not at all, each box by itself,
 	// or one at a time.
@@ -755,11 +755,15 @@
 	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero"`
 
 	// Repeats beyond the ratio in one window.
-	RetrySlack int `json:"retry_slack,omitempty,omitzero"`
+	RetrySlack float64 `json:"retry_slack,omitempty,omitzero"`
 
 	// Serve known keys on known routes when the configuration was confirmed longer
 	// than key_age_ms ago: a key taken away meanwhile is served on.
 	ServeStale bool `json:"serve_stale,omitempty,omitzero"`
+
+	// Seconds after which a box that is being stopped is ended by force; drain_ms
+	// holds where it is 0.
+	StopS float64 `json:"stop_s,omitempty,omitzero"`
 }
 
 type EdgeMoves string
@@ -818,13 +822,13 @@
 		return fmt.Errorf("field %s: must be >= %v", "descriptors", 64)
 	}
 	if v, ok := raw["key_age_ms"]; !ok || v == nil {
-		plain.KeyAgeMs = 5000
+		plain.KeyAgeMs = 5000.0
 	}
 	if 500 > plain.KeyAgeMs {
 		return fmt.Errorf("field %s: must be >= %v", "key_age_ms", 500)
 	}
 	if v, ok := raw["leave_ms"]; !ok || v == nil {
-		plain.LeaveMs = 2000
+		plain.LeaveMs = 2000.0
 	}
 	if 100 > plain.LeaveMs {
 		return fmt.Errorf("field %s: must be >= %v", "leave_ms", 100)
@@ -836,7 +840,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "link_mbit", 0)
 	}
 	if v, ok := raw["memory_mb"]; !ok || v == nil {
-		plain.MemoryMb = 256
+		plain.MemoryMb = 256.0
 	}
 	if 32 > plain.MemoryMb {
 		return fmt.Errorf("field %s: must be >= %v", "memory_mb", 32)
@@ -863,7 +867,7 @@
 		return fmt.Errorf("field %s: must be >= %v", "retry_ratio", 0)
 	}
 	if v, ok := raw["retry_slack"]; !ok || v == nil {
-		plain.RetrySlack = 50
+		plain.RetrySlack = 50.0
 	}
 	if 0 > plain.RetrySlack {
 		return fmt.Errorf("field %s: must be >= %v", "retry_slack", 0)
@@ -871,6 +875,12 @@
 	if v, ok := raw["serve_stale"]; !ok || v == nil {
 		plain.ServeStale = false
 	}
+	if v, ok := raw["stop_s"]; !ok || v == nil {
+		plain.StopS = 0.0
+	}
+	if 0 > plain.StopS {
+		return fmt.Errorf("field %s: must be >= %v", "stop_s", 0)
+	}
 	*j = Edge(plain)
 	return nil
 }
