--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -145,3 +145,28 @@
 	silent := e.Heard(wire.Gossip{}).StoreSilentMs
 	is.True(silent > 99000 && silent < 119000) // the near one's word, not the far one's 120 s
 }
+
+// BenchmarkHeard is a hub's answer to one box among many, by what it wants; each
+// box runs two requests at some of 65 engines.
+func BenchmarkHeard(b *testing.B) {
+	for _, wants := range []wire.GossipScope{wire.GossipScopeNone, wire.GossipScopeOwn, wire.GossipScopeAll} {
+		for _, boxes := range []int{7, 66, 195, 350} {
+			b.Run(fmt.Sprint(wants, " ", boxes, " boxes"), func(b *testing.B) {
+				e := alone(b, "hub", "hall0", true)
+				say := make([]wire.Gossip, boxes)
+				for i := range say {
+					say[i] = wire.Gossip{Sender: record(fmt.Sprint("b", i), fmt.Sprint("hall", i%6), i%10 == 0), Wants: wants, Tallies: []wire.UpstreamTally{
+						{Upstream: fmt.Sprint("u", i%65), Requests: 1, Tokens: 3000}, {Upstream: fmt.Sprint("u", i*7%65), Requests: 1, Tokens: 3000},
+					}}
+					e.Heard(say[i])
+				}
+				i := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					e.Heard(say[i%boxes])
+					i++
+				}
+			})
+		}
+	}
+}
