store, soak: connections that fall silent for good; stops that do not end

A call to the store that timed out closed its own connection and left the idle ones, each of which then cost the next call its whole time, up to 1.8 s of a bound of 5. Calls between boxes already drop theirs after two calls of 0.5 s; a connection to an engine serves one request.

--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -34,8 +34,9 @@
 	// calm is how long nothing may have been wrong before a planned stop that is
 	// to cut nothing: longer than any answer takes.
 	calm = 3 * time.Second
-	// stopTime is longer than a box's grace.
-	stopTime = 12 * time.Second
+	// stopTime is a box's grace of 8 s, and what a busy machine takes to end a
+	// process: one that is still there then is ended by force.
+	stopTime = 8500 * time.Millisecond
 	// badAnswers are spoiled in a row by each worker of a service; one alone is
 	// passed by after its first.
 	badAnswers = 6
@@ -46,6 +47,12 @@
 	slowStore = 400
 )
 
+// StopError says that a box did not end within the time of its planned stop.
+type StopError struct{ Box string }
+
+// Error implements error.
+func (e *StopError) Error() string { return "stop of " + e.Box + ": not ended in " + stopTime.String() }
+
 // Strikes is a seed's.
 type Strikes struct {
 	site   *site.Site
@@ -172,6 +179,7 @@
 		{"pause " + b.Name, d.last, func(last time.Duration) error { return s.pause(b, last) }},
 		{"reload " + b.Name, 0, func(time.Duration) error { b.Signal(syscall.SIGHUP); return nil }},
 		{"reset callers of " + b.Name, 0, func(time.Duration) error { b.Link.Cut(0); return nil }},
+		{"silence the connections of " + b.Name + " to the store for good", 0, func(time.Duration) error { b.Store.Mute(); return nil }},
 		{"cut the store from " + b.Name, d.last, linked(b.Store.Cut)},
 		{fmt.Sprint("silence the store of ", b.Name, " way ", d.way), d.last, linked(func(last time.Duration) { b.Store.Silence(d.way, last) })},
 	}
@@ -282,7 +290,7 @@
 	case <-time.After(stopTime):
 		b.Signal(syscall.SIGKILL)
 		<-b.Ended()
-		quiet = false
+		return &StopError{Box: b.Name}
 	}
 	if quiet && s.quietSince(signal.Add(-calm)) {
 		s.mu.Lock()
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -33,9 +33,9 @@
 	target   string
 	listener net.Listener
 	mu       sync.Mutex
-	open     map[net.Conn]bool
-	until    time.Time // until when new connections are refused
-	holds    [2]hold   // by way
+	open     map[net.Conn]bool // true where it has fallen silent
+	until    time.Time         // until when new connections are refused
+	holds    [2]hold           // by way
 	closed   chan struct{}
 	all      sync.WaitGroup
 }
@@ -76,6 +76,16 @@
 	r.hold(way, func(h *hold) { h.until = time.Now().Add(last) })
 }
 
+// Mute lets all connections of today fall silent for good, without an end: what
+// comes on them is lost. New ones work.
+func (r *Relay) Mute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		r.open[c] = true
+	}
+}
+
 // Delay makes bytes late for a while.
 func (r *Relay) Delay(way Way, by, last time.Duration) {
 	r.hold(way, func(h *hold) { h.delay, h.ends = by, time.Now().Add(last) })
@@ -128,7 +138,7 @@
 		return false
 	}
 	for _, c := range conns {
-		r.open[c] = true
+		r.open[c] = false
 	}
 	return true
 }
@@ -138,13 +148,16 @@
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && r.wait(way) {
+		if n > 0 && r.wait(way) && !r.muted(from) {
 			_, err = to.Write(buf[:n])
 		}
 		if err != nil {
 			break // io.EOF, or a cut, which is no error here
 		}
 	}
+	if r.muted(from) {
+		<-r.closed // the other end hears of no end either
+	}
 	_ = from.Close()
 	_ = to.Close()
 	r.mu.Lock()
@@ -153,6 +166,12 @@
 	delete(r.open, to)
 }
 
+func (r *Relay) muted(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open[c]
+}
+
 // wait holds bytes of one way back; it reports false once the relay is closed.
 func (r *Relay) wait(way Way) bool {
 	for {
