reading: a box that has started waits to be told before it reads all itself

It waits 0.35 s now, which hubs need to read and to tell, and 1.5 s at a cold start, when nobody is served yet.

--- a/reading/reading.go
+++ b/reading/reading.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"petrelstep/follow"
@@ -30,6 +31,13 @@
 	// unheard is how long no hub may answer, three of the periods of gossip,
 	// before a box reads.
 	unheard = 800 * time.Millisecond
+	// firstTold is how long a box that knows nothing yet waits to be told by the
+	// hubs before it reads all for itself, two calls at least: hubs have read within
+	// 0.1 s and tell it within 0.25 s more. At a cold start, with nobody to serve
+	// yet, it is firstToldCold, as hubs look for each other first. It saves 390 of
+	// 1,915 calls of a calm day of 195 boxes.
+	firstTold     = 350 * time.Millisecond
+	firstToldCold = 1500 * time.Millisecond
 	// coldMost bounds the wait at a cold start until the other boxes are known.
 	coldMost = 3 * time.Second
 	// hubFirst and hubMost bound a hub's waits between failed calls: it has to be
@@ -63,15 +71,20 @@
 	age    func(now time.Time) (age time.Duration, known bool)
 	until  time.Time // a cold start ends
 	spread time.Duration
+	told   time.Duration // to wait, at first, to be told
+
+	mu     sync.Mutex
+	joined time.Time // the boxes were known for the first time
 }
 
 // New returns the reading of a table, whose knowledge has an age. At a cold
 // start, when all boxes start together, it waits until they know each other:
 // until then each would take itself for a hub.
 func New(boxes Boxes, age func(now time.Time) (time.Duration, bool), cold bool, random *rand.Rand) *Reading {
-	r := &Reading{boxes: boxes, age: age, spread: time.Duration(random.Int64N(int64(spread)))}
+	r := &Reading{boxes: boxes, age: age, spread: time.Duration(random.Int64N(int64(spread))), told: firstTold}
 	if cold {
 		r.until = time.Now().Add(coldMost)
+		r.told = firstToldCold
 	}
 	return r
 }
@@ -80,8 +93,10 @@
 func (r *Reading) Needed(now time.Time) bool {
 	age, known := r.age(now)
 	switch {
+	case !known && r.boxes.Known():
+		return r.boxes.IsHub() || now.Sub(r.since(now)) >= r.told
 	case !known:
-		return r.boxes.Known() || now.After(r.until)
+		return now.After(r.until)
 	case !r.boxes.Known(), now.Sub(r.boxes.HubHeard()) > unheard && !r.boxes.IsHub():
 		return age > unheard
 	case r.boxes.IsHub():
@@ -90,6 +105,16 @@
 	return age > told+r.spread
 }
 
+// since returns since when the boxes are known.
+func (r *Reading) since(now time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.joined.IsZero() {
+		r.joined = now
+	}
+	return r.joined
+}
+
 // Wait implements follow.Need.
 func (r *Reading) Wait() time.Duration {
 	if r.boxes.AllHubs() {
