peer, edge: a reset connection is no lost hub; sums come only from who has them

The next box of the hall was taken for a hub meanwhile and answered what all boxes run by what it had been told itself, which is nothing: engines looked empty to those who asked it, and two boxes held themselves to keep one queue.

Calls that may run twice, as all between boxes before the platform may, are made once more by a new connection where an open one broke. A box tells the sum of all only if it is a hub and three quarters of the boxes have told it, or it has been one for 1.25 s; who has had no sum for 0.6 s asks every hub.

What is left are drafts whose own connection was reset: their engines drop them. Tests: peer.TestRepeat, edge.TestTells and TestWants (the rows that are new fail without).

--- a/edge/admit.go
+++ b/edge/admit.go
@@ -87,7 +87,7 @@
 	call, cancel := context.WithTimeout(ctx, admitWait+admitSlack)
 	defer cancel()
 	var answer wire.AdmitAnswer
-	err = e.peers.Call(call, keeper.Address, peer.Admit, wire.AdmitAsk{
+	err = e.peers.Repeat(call, keeper.Address, peer.Admit, wire.AdmitAsk{
 		Request: ask.Request, Box: ask.Box, Hall: ask.Hall, Service: ask.Service.Name, Urgency: ask.Urgency,
 		Prompt: ask.Prompt, Answer: ask.Answer, AimMs: int(ask.Aim.Milliseconds()), WaitedMs: int(time.Since(ask.Arrived).Milliseconds()),
 		DeadlineMs: int(ask.Deadline.Milliseconds()), PatienceMs: int(ask.Patience.Milliseconds()), Mark: strconv.FormatUint(ask.Mark, 36), Avoid: ask.Avoid, WaitMs: int(admitWait.Milliseconds()),
--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -43,25 +44,46 @@
 	}
 }
 
-// TestTells shows whose loads a hub tells of, by what it is asked for.
+// TestTells shows whose loads a box tells of, by what it is asked for and by
+// whether it can know them.
 func TestTells(t *testing.T) {
+	all, own, none := wire.GossipScopeAll, wire.GossipScopeOwn, wire.GossipScopeNone
 	tests := map[string]struct {
-		wants wire.GossipScope
-		want  []wire.UpstreamTally
+		weak   bool
+		silent int // boxes that it knows of and that have told nothing
+		after  time.Duration
+		wants  wire.GossipScope
+		want   wire.GossipScope
 	}{
-		"a box that has it from another hub": {wire.GossipScopeNone, nil},
-		"a hub":                              {wire.GossipScopeOwn, []wire.UpstreamTally{}},
-		"a box":                              {wire.GossipScopeAll, []wire.UpstreamTally{{Upstream: "u1", Requests: 2, Tokens: 500}}},
+		"a box that has them from another hub":       {wants: none, want: none},
+		"a hub asks":                                 {wants: own, want: own},
+		"a box asks":                                 {wants: all, want: all},
+		"a box asks one that is no hub":              {weak: true, wants: all, want: none},
+		"most have told nothing yet":                 {silent: 10, wants: all, want: none},
+		"most have told nothing for long: cut off":   {silent: 10, after: 1300 * time.Millisecond, wants: all, want: all},
+		"a hub asks one that most have told nothing": {silent: 10, wants: own, want: own},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			e := alone(t, "hub", "leith", true)
-			e.Heard(wire.Gossip{Sender: record("b1", "leith", false), Tallies: []wire.UpstreamTally{{Upstream: "u1", Requests: 2, Tokens: 500}}})
-			a := e.Heard(wire.Gossip{Sender: record("b2", "leith", false), Wants: tt.wants, Tallies: []wire.UpstreamTally{{Upstream: "u1", Requests: 9}}})
-			is.Equal(a.Tells, tt.wants)
-			is.Equal(a.Tallies, tt.want)
-			is.Equal(len(a.Hubs) > 0, tt.wants != wire.GossipScopeNone)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := alone(t, "hub", "leith", !tt.weak)
+				if tt.weak {
+					e.Heard(wire.Gossip{Sender: record("strong", "leith", true)})
+					e.Heard(wire.Gossip{Sender: record("strong too", "leith", true)})
+				}
+				for i := range tt.silent {
+					e.Hear(wire.GossipAnswer{Sender: record(fmt.Sprint("s", i), "leith", false)}, time.Now())
+				}
+				e.Heard(wire.Gossip{Sender: record("b1", "leith", false), Tallies: []wire.UpstreamTally{{Upstream: "u1", Requests: 2, Tokens: 500}}})
+				e.IsHub() // as it looks all the while
+				time.Sleep(tt.after)
+				a := e.Heard(wire.Gossip{Sender: record("b2", "leith", false), Wants: tt.wants, Tallies: []wire.UpstreamTally{{Upstream: "u1", Requests: 9}}})
+				is.Equal(a.Tells, tt.want)
+				wantTallies := map[wire.GossipScope][]wire.UpstreamTally{own: {}, all: {{Upstream: "u1", Requests: 2, Tokens: 500}}}
+				is.Equal(a.Tallies, wantTallies[tt.want])
+				is.Equal(len(a.Hubs) > 0, tt.want != none)
+			})
 		})
 	}
 }
@@ -75,21 +97,27 @@
 		strong bool
 		hub    wire.BoxRecord
 		hubs   []wire.BoxRecord
+		told   time.Duration // ago, by the nearest
 		want   wire.GossipScope
 	}{
-		"of its own hall":     {"leith", false, near, []wire.BoxRecord{near, far}, wire.GossipScopeAll},
-		"of another hall":     {"leith", false, far, []wire.BoxRecord{near, far}, wire.GossipScopeNone},
-		"the own hall's gone": {"leith", false, far, []wire.BoxRecord{far}, wire.GossipScopeOwn}, // it is its hall's own hub then
-		"a hub itself":        {"leith", true, far, []wire.BoxRecord{far}, wire.GossipScopeOwn},
+		"of its own hall":          {"leith", false, near, []wire.BoxRecord{near, far}, 0, wire.GossipScopeAll},
+		"of another hall":          {"leith", false, far, []wire.BoxRecord{near, far}, 500 * time.Millisecond, wire.GossipScopeNone},
+		"the own hall's is silent": {"leith", false, far, []wire.BoxRecord{near, far}, 700 * time.Millisecond, wire.GossipScopeAll},
+		"the own hall's is gone":   {"leith", false, far, []wire.BoxRecord{far}, 0, wire.GossipScopeOwn}, // it is its hall's own hub then
+		"a hub itself":             {"leith", true, far, []wire.BoxRecord{far}, 0, wire.GossipScopeOwn},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			e := alone(t, "b1", tt.hall, tt.strong)
-			for _, b := range tt.hubs {
-				e.Heard(wire.Gossip{Sender: b})
-			}
-			hub := members.Box{Name: tt.hub.Box, Hall: tt.hub.Hall}
-			is.New(t).Equal(e.Say(hub).Wants, tt.want)
+			synctest.Test(t, func(t *testing.T) {
+				e := alone(t, "b1", tt.hall, tt.strong)
+				for _, b := range tt.hubs {
+					e.Heard(wire.Gossip{Sender: b})
+				}
+				e.Hear(wire.GossipAnswer{Sender: tt.hubs[0], Tells: wire.GossipScopeAll}, time.Now())
+				time.Sleep(tt.told)
+				hub := members.Box{Name: tt.hub.Box, Hall: tt.hub.Hall}
+				is.New(t).Equal(e.Say(hub).Wants, tt.want)
+			})
 		})
 	}
 }
--- a/edge/join.go
+++ b/edge/join.go
@@ -74,12 +74,8 @@
 
 // IsHub tells whether this box knows for others.
 func (e *Edge) IsHub() bool {
-	for _, b := range e.members.Hubs(time.Now()) {
-		if b.Name == e.config.Box {
-			return true
-		}
-	}
-	return false
+	_, is := e.members.IsHub(time.Now())
+	return is
 }
 
 // Reads implements reading.Boxes.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -21,6 +21,15 @@
 	oldFleet = 3500 * time.Millisecond
 	// departingFor is how long an upstream that leaves is news to peers.
 	departingFor = 10 * time.Second
+	// sumOld is the age of all boxes' loads from which any hub is asked for them: the
+	// nearest has missed two calls, or has them not yet.
+	sumOld = 600 * time.Millisecond
+	// hubKnows is how long after it has become a hub a box has been told by all
+	// others that reach it: they find out by two calls of 0.5 s that the one before
+	// is gone. Until then, and until so many of them as hubTold have told, its sums
+	// would make full engines look empty.
+	hubKnows = 1250 * time.Millisecond
+	hubTold  = 0.75
 	// neverAge is told where there is no knowledge: older than all that counts.
 	neverAge = time.Hour
 )
@@ -60,14 +69,14 @@
 }
 
 // wants returns what a hub is to tell of boxes' loads. All boxes' loads come from
-// one hub, the nearest: from each of six they were nine tenths of what a hub of
+// one hub, the nearest, as long as that tells them: from each of six they were nine tenths of what a hub of
 // 195 boxes sent: an answer has 2.8 KB with them and 0.1 KB without
 // (BenchmarkMessages).
 func (e *Edge) wants(now time.Time, hub members.Box) wire.GossipScope {
 	switch {
 	case e.IsHub():
 		return wire.GossipScopeOwn
-	case e.members.Nearest(now).Name == hub.Name:
+	case e.members.Nearest(now).Name == hub.Name, e.tally.SumAge(now) > sumOld:
 		return wire.GossipScopeAll
 	}
 	return wire.GossipScopeNone
@@ -184,8 +193,8 @@
 	e.tally.Told(now, from.Sender.Box, from.Tallies)
 	e.reliability.Told(now, from.Sender.Box, from.Failures)
 	e.hearDeparting(now, from.Departing)
-	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: from.Wants, StoreSilentMs: e.storeAge(now)}
-	switch from.Wants {
+	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
+	switch a.Tells {
 	case wire.GossipScopeOwn:
 		a.Tallies, a.Failures, a.Hubs = e.tally.Own(), e.reliability.Own(now), e.hubRecords(now)
 	case wire.GossipScopeAll:
@@ -197,6 +206,21 @@
 	return a
 }
 
+// tells returns what a box tells of loads that is asked for them: of all boxes
+// only if it hears of all.
+func (e *Edge) tells(now time.Time, wanted wire.GossipScope) wire.GossipScope {
+	if wanted != wire.GossipScopeAll {
+		return wanted
+	}
+	others := e.members.Count() - e.members.Leaving() - 1
+	told := float64(e.tally.Boxes(now)) >= hubTold*float64(others)
+	since, hub := e.members.IsHub(now)
+	if hub && (told || since >= hubKnows) {
+		return wire.GossipScopeAll
+	}
+	return wire.GossipScopeNone
+}
+
 // storeAge returns how many milliseconds ago the store answered anyone that this
 // box hears of, neverAge where it never did.
 func (e *Edge) storeAge(now time.Time) int {
@@ -237,7 +261,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), catchTime)
 		defer cancel()
 		var answer wire.Configuration
-		err := e.peers.Call(ctx, hub.Address, peer.Configuration, wire.Nothing{}, &answer)
+		err := e.peers.Repeat(ctx, hub.Address, peer.Configuration, wire.Nothing{}, &answer)
 		if err == nil && answer.Version > 0 {
 			err = e.configuration.Take([]byte(answer.Encoded), hub.Box)
 		}
--- a/edge/turns.go
+++ b/edge/turns.go
@@ -70,7 +70,7 @@
 func (e *Edge) askOnce(ctx context.Context, keeper members.Box, call wire.TurnAsk) (answer wire.TurnAnswer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, turnWait+turnSlack)
 	defer cancel()
-	err = e.peers.Call(ctx, keeper.Address, peer.Turn, call, &answer)
+	err = e.peers.Repeat(ctx, keeper.Address, peer.Turn, call, &answer)
 	return answer, err
 }
 
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), turnBackTime)
 	defer cancel()
 	var answer wire.Nothing
-	if err := e.peers.Call(ctx, keeper.Address, peer.TurnBack, ask, &answer); err != nil {
+	if err := e.peers.Repeat(ctx, keeper.Address, peer.TurnBack, ask, &answer); err != nil {
 		e.log.WithError(err).WithField("keeper", keeper.Name).Warn("turn_not_given_back")
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -40,7 +40,8 @@
 
 // Peers calls other boxes.
 type Peers interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
+	// Repeat calls a method that may run twice.
+	Repeat(ctx context.Context, address, method string, args, reply any) error
 	Forget(address string)
 }
 
@@ -85,7 +86,7 @@
 		defer cancel()
 		var answer wire.GossipAnswer
 		sent := time.Now()
-		err := g.peers.Call(call, b.Address, peer.Gossip, g.box.Say(b), &answer)
+		err := g.peers.Repeat(call, b.Address, peer.Gossip, g.box.Say(b), &answer)
 		if err == nil {
 			silent = 0
 			g.heard(b)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -29,7 +29,7 @@
 	random *rand.Rand // draws which calls are lost of those that are struck lossy
 }
 
-func (n *network) Call(ctx context.Context, address, method string, _, reply any) error {
+func (n *network) Repeat(ctx context.Context, address, method string, _, reply any) error {
 	n.mu.Lock()
 	n.calls[address] = append(n.calls[address], time.Now())
 	how := n.struck[address]
--- a/members/members.go
+++ b/members/members.go
@@ -64,6 +64,7 @@
 	// some hundred times a second, while boxes change a few times a minute.
 	hubs      []Box
 	hubsUntil time.Time // a failure lapses then; zero if there is none
+	hubSince  time.Time // this box is one of them; zero if it is not
 }
 
 // New returns a membership that knows only this box.
@@ -306,6 +307,17 @@
 	return m.hubs
 }
 
+// IsHub tells whether this box is a hub, and for how long.
+func (m *Members) IsHub(now time.Time) (since time.Duration, is bool) {
+	m.Hubs(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hubSince.IsZero() {
+		return 0, false
+	}
+	return now.Sub(m.hubSince), true
+}
+
 // candidate is a box that may be a hub.
 type candidate struct {
 	box    Box
@@ -324,7 +336,14 @@
 		hubs = append(hubs, c.box)
 	}
 	missing := min(max(hubsLeast-len(hubs), 0), len(others))
-	return slices.Clip(append(hubs, others[:missing]...))
+	hubs = slices.Clip(append(hubs, others[:missing]...))
+	switch {
+	case !slices.ContainsFunc(hubs, func(b Box) bool { return b.Name == m.self.Name }):
+		m.hubSince = time.Time{}
+	case m.hubSince.IsZero():
+		m.hubSince = now
+	}
+	return hubs
 }
 
 // candidates returns the boxes that may be hubs, the fittest first, and notes
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -34,6 +34,7 @@
 	Address string
 	Method  string
 	Refused bool // the connection could not be made, or broke
+	Broke   bool // it was open, and broke
 	Err     error
 }
 
@@ -83,7 +84,18 @@
 		return &Error{Address: address, Method: method, Err: call.Error}
 	}
 	p.drop(address, client)
-	return &Error{Address: address, Method: method, Refused: true, Err: call.Error}
+	return &Error{Address: address, Method: method, Refused: true, Broke: true, Err: call.Error}
+}
+
+// Repeat is Call for a method that may run twice: where an open connection broke,
+// it calls once more by a new one. A reset says nothing of the box behind it.
+func (p *Peers) Repeat(ctx context.Context, address, method string, args, reply any) error {
+	err := p.Call(ctx, address, method, args, reply)
+	var e *Error
+	if errors.As(err, &e) && e.Broke && ctx.Err() == nil {
+		return p.Call(ctx, address, method, args, reply)
+	}
+	return err
 }
 
 // Forget drops the connection to an address: one that a partition holds up
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -17,6 +17,7 @@
 	"petrelstep/length"
 	"petrelstep/peer"
 	"petrelstep/peer/endpoint"
+	"petrelstep/standin/relay"
 	"petrelstep/wire"
 )
 
@@ -205,3 +206,35 @@
 		})
 	}
 }
+
+// TestRepeat resets the open connection to a box: a call that may run twice is
+// answered all the same, and any other is not made again.
+func TestRepeat(t *testing.T) {
+	tests := map[string]struct {
+		call     func(p *peer.Peers) func(ctx context.Context, address, method string, args, reply any) error
+		answered bool
+	}{
+		"may run twice": {func(p *peer.Peers) func(context.Context, string, string, any, any) error { return p.Repeat }, true},
+		"may not":       {func(p *peer.Peers) func(context.Context, string, string, any, any) error { return p.Call }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := serve(t)
+			link, err := relay.New(address)
+			is.NoErr(err)
+			defer link.Close()
+			p := peer.New(nil)
+			defer p.Close()
+			call := tt.call(p)
+			var answer wire.HeartbeatAnswer
+			is.NoErr(call(t.Context(), link.Address(), peer.Heartbeat, wire.Heartbeat{Revision: 3}, &answer))
+			link.Mute() // so that the next call is under way when its connection is reset
+			time.AfterFunc(10*time.Millisecond, func() { link.Cut(0) })
+			err = call(t.Context(), link.Address(), peer.Heartbeat, wire.Heartbeat{Revision: 4}, &answer)
+			is.Equal(err == nil, tt.answered)
+			is.Equal(answer.Revision == 4, tt.answered)
+			is.Equal(peer.Refused(err), !tt.answered)
+		})
+	}
+}
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -215,6 +215,12 @@
 	t.others.ToldSum(now, loadsOf(list))
 }
 
+// SumAge returns how long ago a hub last told what all other boxes have running.
+func (t *Tally) SumAge(now time.Time) time.Duration { return t.others.SumAge(now) }
+
+// Boxes returns how many other boxes have told this one of late what they run.
+func (t *Tally) Boxes(now time.Time) int { return t.others.Boxes(now) }
+
 // Pace returns the mean time between events of this box's streams; 0 while it has
 // none.
 func (t *Tally) Pace() time.Duration {
--- a/told/told.go
+++ b/told/told.go
@@ -101,6 +101,21 @@
 	b.sum = word[T]{now, list}
 }
 
+// SumAge returns how long ago a hub last told the sum.
+func (b *Book[T]) SumAge(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.sum.at)
+}
+
+// Boxes returns how many other boxes have told of late.
+func (b *Book[T]) Boxes(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lapse(now)
+	return len(b.others)
+}
+
 // Of returns what the others have at an upstream: by the sum that a hub tells,
 // or by what they tell themselves.
 func (b *Book[T]) Of(now time.Time, upstream string) T {
