--- a/edge/edge.go
+++ b/edge/edge.go
@@ -114,9 +114,10 @@
 	heard map[string]time.Time // when boxes were last heard, by name
 	known map[string]mark      // how far the fleets of hubs are known, by name
 
-	hubHeard   time.Time // when a hub last answered
-	storeHeard time.Time // when the store last answered this box or a hub
-	wasStale   bool      // the belief was too old at the last tick
+	hubHeard   time.Time     // when a hub last answered
+	storeHeard time.Time     // when the store last answered this box or a hub
+	wasStale   bool          // the belief was too old at the last tick
+	role       logrus.Fields // what this box was to the others at the last tick
 }
 
 // New puts a box together; nothing runs and no port is open before Run.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"petrelstep/client"
 	"petrelstep/config"
 	"petrelstep/edge"
 	"petrelstep/logs"
@@ -402,6 +403,32 @@
 	}
 }
 
+// TestView shows what boxes tell operators of themselves: one of two keeps the
+// queue, both are hubs, and what they know is some seconds old at most.
+func TestView(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	s.worker("e1", "llm", 10)
+	var views []wire.BoxView
+	until(t, "both know each other and the engine", func() bool {
+		views = nil
+		for _, b := range s.boxes {
+			var v wire.BoxView
+			is.NoErr(client.New([]string{"http://" + b.admin}, "").Call(t.Context(), http.MethodGet, "/v1/view", nil, &v))
+			views = append(views, v)
+		}
+		return views[0].Boxes == 2 && views[1].Boxes == 2 && views[0].Upstreams == 1 && views[1].Upstreams == 1 && slices.Equal(views[0].Hubs, views[1].Hubs)
+	})
+	is.Equal(len(views[0].Keeps)+len(views[1].Keeps), 1)
+	for _, v := range views {
+		is.True(v.Hub && v.Reads && !v.Stopping)
+		is.True(v.Version > 0)
+		for _, age := range []int{v.ConfigurationAgeMs, v.UpstreamsAgeMs, v.StoreSilentMs} {
+			is.True(age >= 0 && age < int(waitMost.Milliseconds()))
+		}
+	}
+}
+
 // TestStop stops a box under work: it is not ready at once, and what is in
 // flight ends whole.
 func TestStop(t *testing.T) {
--- a/edge/run.go
+++ b/edge/run.go
@@ -134,6 +134,7 @@
 func (e *Edge) admin() http.Handler {
 	r := mux.NewRouter()
 	r.Handle("/metrics", e.metrics.Handler())
+	r.HandleFunc("/v1/view", e.serveView).Methods(http.MethodGet)
 	return r
 }
 
@@ -189,6 +190,7 @@
 	e.fleet.Tick(now)
 	if e.joined.Load() {
 		e.budget.Resize(e.slack(e.Count()))
+		e.noteRole()
 	}
 	table, age, stale := e.belief.Now(now)
 	if table == nil || stale == e.wasStale {
--- /dev/null
+++ b/edge/view.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/wire"
+)
+
+// unknownAge is the age of what is not known at all.
+const unknownAge = -1
+
+// View returns what this box is to the others, and how old what it knows is.
+func (e *Edge) View() wire.BoxView {
+	now := time.Now()
+	v := wire.BoxView{
+		Box: e.config.Box, Hall: e.config.Hall, Hub: e.IsHub(), Reads: e.Reads(), Keeps: e.keeps(), Hubs: []string{},
+		Nearest: e.members.Nearest(now).Name, Boxes: e.members.Count(), Leaving: e.members.Leaving(), Told: e.tally.Boxes(now),
+		ConfigurationAgeMs: unknownAge, UpstreamsAgeMs: unknownAge, StoreSilentMs: unknownAge, LoadsAgeMs: unknownAge,
+		Upstreams: e.fleet.Open(), Waiting: e.admission.Waiting(), Serving: int(e.serving.Load()), Stopping: e.draining.Load(),
+	}
+	for _, b := range e.members.Hubs(now) {
+		v.Hubs = append(v.Hubs, b.Name)
+	}
+	if table, age, _ := e.belief.Now(now); table != nil {
+		v.Version, v.ConfigurationAgeMs = table.Version(), int(age.Milliseconds())
+	}
+	if age, known := e.fleet.Age(now); known {
+		v.UpstreamsAgeMs = int(age.Milliseconds())
+	}
+	if age := e.storeAge(now); age < int(neverAge.Milliseconds()) {
+		v.StoreSilentMs = age
+	}
+	if age := e.tally.SumAge(now); age < neverAge {
+		v.LoadsAgeMs = int(age.Milliseconds())
+	}
+	return v
+}
+
+// keeps returns the services whose queue this box keeps, as it sees it.
+func (e *Edge) keeps() []string {
+	keeps := []string{}
+	table, _, _ := e.belief.Now(time.Now())
+	if table == nil {
+		return keeps
+	}
+	for _, service := range table.Engines() {
+		if e.Keeps(service) == e.config.Box {
+			keeps = append(keeps, service)
+		}
+	}
+	return keeps
+}
+
+// serveView answers operators with this box's view.
+func (e *Edge) serveView(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(e.View()); err != nil {
+		e.log.WithError(err).Info("view_not_sent")
+	}
+}
+
+// noteRole logs what this box is to the others where that has changed.
+func (e *Edge) noteRole() {
+	role := logrus.Fields{"hub": e.IsHub(), "reads": e.Reads(), "keeps": strings.Join(e.keeps(), ",")}
+	if e.role != nil && e.role["hub"] == role["hub"] && e.role["reads"] == role["reads"] && e.role["keeps"] == role["keeps"] {
+		return
+	}
+	e.role = role
+	e.log.WithFields(role).WithField("boxes", e.members.Count()).Info("role")
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -294,6 +294,19 @@
 	return f.list(func(e *entry) bool { return e.upstream.Service == service && e.upstream.State != Leaving })
 }
 
+// Open returns how many upstreams take new work.
+func (f *Fleet) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	open := 0
+	for _, e := range f.all {
+		if e.upstream.State != Leaving {
+			open++
+		}
+	}
+	return open
+}
+
 // Departing returns the upstreams that leave and may still be listed elsewhere,
 // as far as that became known after a change, and the number of the last change.
 func (f *Fleet) Departing(now time.Time, within time.Duration, after int) (list []Departure, last int) {
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -284,34 +284,41 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			box := func(i int) members.Box {
-				return members.Box{Name: fmt.Sprint("box", i), Hall: fmt.Sprint("hall", i%tt.halls), Address: fmt.Sprint(i), Incarnation: 1, State: members.Live, Strong: true}
-			}
-			views := map[string]*members.Members{}
-			for i := range 24 {
-				m := members.New(box(i))
-				for j := range 24 {
-					m.Heard(start, box(j))
-				}
-				views[box(i).Name] = m
-			}
+			views := spreadOver(24, tt.halls)
 			failed := views["box0"].Hubs(start)[:tt.fail]
+			for _, b := range failed {
+				delete(views, b.Name)
+			}
 			reads := 0
-			for name, m := range views {
+			for _, m := range views {
 				for _, b := range failed {
 					m.Failed(start, b.Name)
 				}
-				lost := slices.ContainsFunc(failed, func(b members.Box) bool { return b.Name == name })
-				if !lost && m.Reads(start) {
+				if m.Reads(start) {
 					reads++
 				}
 			}
-			is.Equal(reads, tt.want)
+			is.New(t).Equal(reads, tt.want)
 		})
 	}
 }
 
+// spreadOver returns what each of some boxes in some halls knows, all heard.
+func spreadOver(boxes, halls int) map[string]*members.Members {
+	box := func(i int) members.Box {
+		return members.Box{Name: fmt.Sprint("box", i), Hall: fmt.Sprint("hall", i%halls), Address: fmt.Sprint(i), Incarnation: 1, State: members.Live, Strong: true}
+	}
+	views := map[string]*members.Members{}
+	for i := range boxes {
+		m := members.New(box(i))
+		for j := range boxes {
+			m.Heard(start, box(j))
+		}
+		views[box(i).Name] = m
+	}
+	return views
+}
+
 // TestNearest shows which hub tells a box of all others.
 func TestNearest(t *testing.T) {
 	is := is.New(t)
--- a/route/route.go
+++ b/route/route.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -118,6 +119,18 @@
 	return s, ok
 }
 
+// Engines returns the names of the services that engines answer.
+func (t *Table) Engines() []string {
+	var names []string
+	for name, s := range t.services {
+		if s.Engine != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Organisation returns the organisation that holds a key.
 func (t *Table) Organisation(key string) (Organisation, bool) {
 	o, ok := t.organisations[key]
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -427,6 +427,139 @@
 	return nil
 }
 
+// What a box before the users' platform is to the others, and how old what it
+// knows is; ages are in ms, and -1 where nothing is known.
+type BoxView struct {
+	// Box corresponds to the JSON schema field "box".
+	Box string `json:"box"`
+
+	// Boxes that it knows, itself included.
+	Boxes int `json:"boxes"`
+
+	// ConfigurationAgeMs corresponds to the JSON schema field "configuration_age_ms".
+	ConfigurationAgeMs int `json:"configuration_age_ms"`
+
+	// Hall corresponds to the JSON schema field "hall".
+	Hall string `json:"hall"`
+
+	// It tells others what it knows.
+	Hub bool `json:"hub"`
+
+	// Boxes that it holds to be hubs.
+	Hubs []string `json:"hubs"`
+
+	// Services whose queue it keeps.
+	Keeps []string `json:"keeps"`
+
+	// Of them, those that are being stopped.
+	Leaving int `json:"leaving"`
+
+	// Since a hub told it all boxes' loads.
+	LoadsAgeMs int `json:"loads_age_ms"`
+
+	// The hub that tells it of all boxes' loads.
+	Nearest string `json:"nearest"`
+
+	// It follows the store for all.
+	Reads bool `json:"reads"`
+
+	// Requests that it holds.
+	Serving int `json:"serving"`
+
+	// Stopping corresponds to the JSON schema field "stopping".
+	Stopping bool `json:"stopping"`
+
+	// Since the store answered anyone that it hears of.
+	StoreSilentMs int `json:"store_silent_ms"`
+
+	// Boxes that told it their loads in the last 3 s.
+	Told int `json:"told"`
+
+	// Upstreams that take new work.
+	Upstreams int `json:"upstreams"`
+
+	// UpstreamsAgeMs corresponds to the JSON schema field "upstreams_age_ms".
+	UpstreamsAgeMs int `json:"upstreams_age_ms"`
+
+	// Configuration in force; 0 for none.
+	Version int `json:"version"`
+
+	// Requests in the queues that it keeps.
+	Waiting int `json:"waiting"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *BoxView) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["box"]; raw != nil && !ok {
+		return fmt.Errorf("field box in BoxView: required")
+	}
+	if _, ok := raw["boxes"]; raw != nil && !ok {
+		return fmt.Errorf("field boxes in BoxView: required")
+	}
+	if _, ok := raw["configuration_age_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field configuration_age_ms in BoxView: required")
+	}
+	if _, ok := raw["hall"]; raw != nil && !ok {
+		return fmt.Errorf("field hall in BoxView: required")
+	}
+	if _, ok := raw["hub"]; raw != nil && !ok {
+		return fmt.Errorf("field hub in BoxView: required")
+	}
+	if _, ok := raw["hubs"]; raw != nil && !ok {
+		return fmt.Errorf("field hubs in BoxView: required")
+	}
+	if _, ok := raw["keeps"]; raw != nil && !ok {
+		return fmt.Errorf("field keeps in BoxView: required")
+	}
+	if _, ok := raw["leaving"]; raw != nil && !ok {
+		return fmt.Errorf("field leaving in BoxView: required")
+	}
+	if _, ok := raw["loads_age_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field loads_age_ms in BoxView: required")
+	}
+	if _, ok := raw["nearest"]; raw != nil && !ok {
+		return fmt.Errorf("field nearest in BoxView: required")
+	}
+	if _, ok := raw["reads"]; raw != nil && !ok {
+		return fmt.Errorf("field reads in BoxView: required")
+	}
+	if _, ok := raw["serving"]; raw != nil && !ok {
+		return fmt.Errorf("field serving in BoxView: required")
+	}
+	if _, ok := raw["stopping"]; raw != nil && !ok {
+		return fmt.Errorf("field stopping in BoxView: required")
+	}
+	if _, ok := raw["store_silent_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field store_silent_ms in BoxView: required")
+	}
+	if _, ok := raw["told"]; raw != nil && !ok {
+		return fmt.Errorf("field told in BoxView: required")
+	}
+	if _, ok := raw["upstreams"]; raw != nil && !ok {
+		return fmt.Errorf("field upstreams in BoxView: required")
+	}
+	if _, ok := raw["upstreams_age_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field upstreams_age_ms in BoxView: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in BoxView: required")
+	}
+	if _, ok := raw["waiting"]; raw != nil && !ok {
+		return fmt.Errorf("field waiting in BoxView: required")
+	}
+	type Plain BoxView
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = BoxView(plain)
+	return nil
+}
+
 // A change of an engine's prefix cache.
 type CacheEvent struct {
 	// Hashes of the chain, hexadecimal.
