fleet, choose: lists are kept between changes, scores sorted in place of choices

Cause: each choice, and each request twice more, copied and sorted all upstreams of a service, and the choice sorted whole records. A keeper ranks all of them for each ask: 242 us at 170 engines, 4.7 ms at 2,200; a sample of five took 80 us and 1.2 ms, nearly all of it the list.

Test: fleet.TestServingFollows; what is chosen is the same but for the draw.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -89,7 +89,6 @@
 	Upstream fleet.Upstream
 	Running  tally.Load
 	Load     float64
-	score    float64
 }
 
 // Choose returns the upstream with the most room, and its load as a share of
@@ -114,28 +113,57 @@
 		loads[i] = c.tally.Load(now, u.ID)
 	}
 	usual := usualPace(loads)
-	ranked := make([]Choice, len(list))
+	order := make([]scored, len(list))
 	for i, u := range list {
 		load := c.load(w, u, loads[i])
-		ranked[i] = Choice{Upstream: u, Running: loads[i], Load: load, score: load + slowness(loads[i].Pace(), usual) + c.penalty(now, w, u)}
+		order[i] = scored{at: i, load: load, score: load + slowness(loads[i].Pace(), usual) + c.penalty(now, w, u)}
+	}
+	slices.SortFunc(order, func(a, b scored) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.at, b.at)) })
+	ranked := make([]Choice, len(list))
+	for i, s := range order {
+		ranked[i] = Choice{Upstream: list[s.at], Running: loads[s.at], Load: s.load}
 	}
-	slices.SortStableFunc(ranked, func(a, b Choice) int { return cmp.Compare(a.score, b.score) })
 	return ranked
 }
 
+// scored is an upstream's place in a list and its score; sorting these in place
+// of whole choices takes a fifth of the time.
+type scored struct {
+	at          int
+	load, score float64
+}
+
 // candidates returns the upstreams to weigh.
 func (c *Chooser) candidates(w Want) []fleet.Upstream {
-	list := slices.DeleteFunc(c.fleet.Serving(w.Service.Name), func(u fleet.Upstream) bool { return slices.Contains(w.Avoid, u.ID) })
+	list := c.fleet.Serving(w.Service.Name)
+	if len(w.Avoid) > 0 {
+		list = slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return slices.Contains(w.Avoid, u.ID) })
+	}
 	if w.All || len(list) < sampleOf {
 		return list
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	if w.Moves {
+		list = slices.Clone(list)
+		c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		return mostlyNear(list, w.Hall)
 	}
-	return list[:sampled]
+	return c.sample(list)
+}
+
+// sample draws some of a list.
+func (c *Chooser) sample(list []fleet.Upstream) []fleet.Upstream {
+	drawn := make([]fleet.Upstream, 0, sampled)
+	taken := make([]int, 0, sampled)
+	for len(drawn) < sampled {
+		at := c.random.IntN(len(list))
+		if !slices.Contains(taken, at) {
+			taken = append(taken, at)
+			drawn = append(drawn, list[at])
+		}
+	}
+	return drawn
 }
 
 // mostlyNear returns the sample of a shuffled list for a run that moves.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,6 +61,7 @@
 	mu        sync.Mutex
 	grace     time.Duration
 	all       map[string]*entry
+	serving   map[string][]Upstream // those that take new work by service, as far as asked for since the last change
 	listeners []Listener
 	changes   int
 	confirmed time.Time
@@ -68,7 +69,9 @@
 
 // New returns an empty fleet. An upstream that is missing from a listing after
 // the store was away has grace to come back.
-func New(grace time.Duration) *Fleet { return &Fleet{grace: grace, all: map[string]*entry{}} }
+func New(grace time.Duration) *Fleet {
+	return &Fleet{grace: grace, all: map[string]*entry{}, serving: map[string][]Upstream{}}
+}
 
 // Subscribe calls l, on a goroutine of its own, for each upstream that leaves or
 // is back.
@@ -84,6 +87,7 @@
 func (f *Fleet) Replace(now time.Time, list []Upstream, version int64, outage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.serving)
 	listed := map[string]bool{}
 	for _, u := range list {
 		listed[u.ID] = true
@@ -102,6 +106,7 @@
 func (f *Fleet) Put(now time.Time, u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.serving)
 	f.put(now, u)
 }
 
@@ -146,6 +151,7 @@
 func (f *Fleet) Remove(now time.Time, id string, version int64, outage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.serving)
 	if e, ok := f.all[id]; ok && version >= e.upstream.Version {
 		e.upstream.Version = version
 		f.unlist(now, e, outage, "removed")
@@ -169,6 +175,7 @@
 func (f *Fleet) Leaves(now time.Time, d Departure, source string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.serving)
 	e, ok := f.all[d.ID]
 	if !ok || !d.Said && d.Version < e.upstream.Version {
 		return
@@ -185,6 +192,7 @@
 	if e.upstream.State == Leaving {
 		return
 	}
+	clear(f.serving)
 	e.upstream.State, e.since = Leaving, now
 	f.change(e)
 	f.tell(e, source)
@@ -205,7 +213,7 @@
 		case e.upstream.State == Missing && now.Sub(e.since) >= f.grace:
 			f.leave(now, e, "missing")
 		case e.upstream.State == Leaving && !e.listed && now.Sub(e.since) >= keptFor:
-			delete(f.all, id)
+			delete(f.all, id) // which took no new work
 		}
 	}
 }
@@ -228,10 +236,9 @@
 
 // Since returns what changed after a change, and the number of the last one.
 func (f *Fleet) Since(change int) (changed []Upstream, last int) {
-	changed = f.list(func(e *entry) bool { return e.changed > change })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return changed, f.changes
+	return f.list(func(e *entry) bool { return e.changed > change }), f.changes
 }
 
 // Told takes another box's knowledge of an upstream, unless what is known here
@@ -239,6 +246,7 @@
 func (f *Fleet) Told(now time.Time, u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.serving)
 	e, ok := f.all[u.ID]
 	if !ok {
 		if u.State == Leaving {
@@ -289,9 +297,18 @@
 	return !ok || u.State == Leaving
 }
 
-// Serving returns the upstreams of a service that take new work, by id.
+// Serving returns the upstreams of a service that take new work, by id. The list
+// is shared and not to be changed: it is made anew when an upstream changes, some
+// times a second, and asked for with each request (sorting 2,200 of them took 1 ms).
 func (f *Fleet) Serving(service string) []Upstream {
-	return f.list(func(e *entry) bool { return e.upstream.Service == service && e.upstream.State != Leaving })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list, ok := f.serving[service]
+	if !ok {
+		list = f.list(func(e *entry) bool { return e.upstream.Service == service && e.upstream.State != Leaving })
+		f.serving[service] = list
+	}
+	return list
 }
 
 // Open returns how many upstreams take new work.
@@ -322,8 +339,6 @@
 }
 
 func (f *Fleet) list(want func(*entry) bool) []Upstream {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var list []Upstream
 	for _, e := range f.all {
 		if want(e) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -169,3 +169,48 @@
 	_, ok = f.Get("v")
 	is.True(!ok)
 }
+
+// TestServingFollows holds that the list of upstreams that take new work follows
+// each kind of news at once, though it is kept in between.
+func TestServingFollows(t *testing.T) {
+	now := time.Now()
+	open := func(id string, version int64) fleet.Upstream {
+		return fleet.Upstream{ID: id, Service: "s", Address: id + ":1", Slots: 4, State: fleet.Open, Version: version}
+	}
+	leaving := func(id string, version int64) fleet.Upstream {
+		u := open(id, version)
+		u.State = fleet.Leaving
+		return u
+	}
+	tests := map[string]struct {
+		news func(f *fleet.Fleet)
+		want []string
+	}{
+		"none":                    {func(*fleet.Fleet) {}, []string{"a", "b"}},
+		"an entry":                {func(f *fleet.Fleet) { f.Put(now, open("c", 2)) }, []string{"a", "b", "c"}},
+		"an entry that leaves":    {func(f *fleet.Fleet) { f.Put(now, leaving("a", 2)) }, []string{"b"}},
+		"an entry is gone":        {func(f *fleet.Fleet) { f.Remove(now, "a", 2, false) }, []string{"b"}},
+		"a listing":               {func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{open("c", 2)}, 2, false) }, []string{"c"}},
+		"a hub's word":            {func(f *fleet.Fleet) { f.Told(now, leaving("b", 2)) }, []string{"a"}},
+		"a hub's word of another": {func(f *fleet.Fleet) { f.Told(now, open("c", 2)) }, []string{"a", "b", "c"}},
+		"a peer's word":           {func(f *fleet.Fleet) { f.Leaves(now, fleet.Departure{ID: "a", Said: true}, "peer") }, []string{"b"}},
+		"it stays missing": {func(f *fleet.Fleet) {
+			f.Remove(now, "a", 2, true)
+			f.Serving("s")
+			f.Tick(now.Add(time.Minute))
+		}, []string{"b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := fleet.New(time.Second)
+			f.Replace(now, []fleet.Upstream{open("a", 1), open("b", 1)}, 1, false)
+			f.Serving("s")
+			tt.news(f)
+			var ids []string
+			for _, u := range f.Serving("s") {
+				ids = append(ids, u.ID)
+			}
+			is.New(t).Equal(ids, tt.want)
+		})
+	}
+}
