--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -168,8 +168,8 @@
 		e.Hear(wire.GossipAnswer{Sender: record(hub, "leith", true), StoreSilentMs: ms}, time.Now().Add(-ago))
 	}
 	tells("lost", 900000, 0)
-	tells("far", 60000, time.Minute)
 	tells("near", 100000, 0)
+	tells("far", 60000, time.Minute)
 	silent := e.Heard(wire.Gossip{}).StoreSilentMs
 	is.True(silent > 99000 && silent < 119000) // the near one's word, not the far one's 120 s
 }
