--- /dev/null
+++ b/edge/answers.go
@@ -0,0 +1,113 @@
+package edge
+
+import (
+	"time"
+
+	"petrelstep/wire"
+)
+
+const (
+	// hubKnows is how long after it has become a hub a box has been told by all
+	// others that reach it: they find out by two calls of 0.5 s that the one before
+	// is gone. Until then, and until so many of them as hubTold have told, its sums
+	// would make full engines look empty.
+	hubKnows = 1250 * time.Millisecond
+	hubTold  = 0.75
+	// neverAge is told where there is no knowledge: older than all that counts.
+	neverAge = time.Hour
+)
+
+// Heard implements edgepoint.Box: it answers as a hub does, as the asker holds
+// this box to be one.
+func (e *Edge) Heard(from wire.Gossip) wire.GossipAnswer {
+	now := time.Now()
+	e.heardBox(now, from.Sender, from.Leaving)
+	e.tally.Told(now, from.Sender.Box, from.Tallies)
+	e.reliability.Told(now, from.Sender.Box, from.Failures)
+	e.hearDeparting(now, from.Departing)
+	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
+	switch a.Tells {
+	case wire.GossipScopeOwn:
+		a.Tallies, a.Failures, a.Hubs = e.tally.Own(), e.reliability.Own(now), e.hubRecords(now)
+	case wire.GossipScopeAll:
+		a.Tallies, a.Failures = e.tally.Without(now, from.Sender.Box), e.reliability.Without(now, from.Sender.Box)
+		a.Hubs = e.hubRecords(now)
+	}
+	e.answerConfiguration(now, &a)
+	e.answerFleet(now, from, &a)
+	return a
+}
+
+// tells returns what a box tells of loads that is asked for them: of all boxes
+// only if it hears of all.
+func (e *Edge) tells(now time.Time, wanted wire.GossipScope) wire.GossipScope {
+	if wanted != wire.GossipScopeAll {
+		return wanted
+	}
+	others := e.members.Count() - e.members.Leaving() - 1
+	told := float64(e.tally.Boxes(now)) >= hubTold*float64(others)
+	since, hub := e.members.IsHub(now)
+	if hub && (told || since >= hubKnows) {
+		return wire.GossipScopeAll
+	}
+	return wire.GossipScopeNone
+}
+
+// storeAge returns how many milliseconds ago the store answered anyone that this
+// box hears of, neverAge where it never did.
+func (e *Edge) storeAge(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.storeHeard.IsZero() {
+		return int(neverAge.Milliseconds())
+	}
+	return int(now.Sub(e.storeHeard).Milliseconds()) + 1
+}
+
+func (e *Edge) answerConfiguration(now time.Time, a *wire.GossipAnswer) {
+	table, age, _ := e.belief.Now(now)
+	if table == nil {
+		return
+	}
+	a.Version, a.VersionAgeMs = table.Version(), int(age.Milliseconds())+1
+}
+
+// Configuration implements edgepoint.Box.
+func (e *Edge) Configuration() wire.Configuration {
+	table, _, _ := e.belief.Now(time.Now())
+	if table == nil {
+		return wire.Configuration{}
+	}
+	return wire.Configuration{Version: table.Version(), Encoded: string(e.configuration.Newest())}
+}
+
+func (e *Edge) answerFleet(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
+	age, known := e.fleet.Age(now)
+	a.FleetAgeMs = int(age.Milliseconds()) + 1
+	if !known {
+		a.FleetAgeMs = int(neverAge.Milliseconds())
+		return
+	}
+	after := from.FleetAfter
+	if from.FleetOf != e.record.Incarnation {
+		after = 0
+	}
+	changed, at := e.fleet.Since(after)
+	a.FleetAt = at
+	for _, u := range changed {
+		a.Upstreams = append(a.Upstreams, wire.UpstreamRecord{
+			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, SlowMs: int(u.Slow.Milliseconds()),
+			State: string(u.State), Version: int(u.Version), Said: u.Said,
+		})
+	}
+}
+
+func (e *Edge) hubRecords(now time.Time) []wire.BoxRecord {
+	var records []wire.BoxRecord
+	for _, b := range e.members.Hubs(now) {
+		records = append(records, wire.BoxRecord{
+			Box: b.Name, Hall: b.Hall, Address: b.Address, Incarnation: b.Incarnation, Strong: b.Strong,
+		})
+	}
+	return records
+}
