edge, reading: a hub that knows nothing yet says that it tells later

After all boxes were killed, hubs did not know the fleet themselves for some 0.4 s, said nothing of it, and the other boxes read 3,000 rows each.

Such a hub says now that it tells later, and a box waits for that, 6 s at most. Tests: edge.TestFleetTold and reading.TestFirstRead (new rows), two guards.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -93,8 +93,8 @@
 func (e *Edge) answerFleet(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
 	age, known := e.fleet.Age(now)
 	a.FleetAgeMs = int(age.Milliseconds()) + 1
-	if !known {
-		a.FleetAgeMs = int(neverAge.Milliseconds())
+	if !known { // it is a hub, or about to be one, and will know soon
+		a.FleetAgeMs, a.FleetLater = int(neverAge.Milliseconds()), from.WholeFleet
 		return
 	}
 	after := from.FleetAfter
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -20,12 +20,15 @@
 		later, fromNow bool
 	}
 	tests := map[string]struct {
-		before int // others asked for the whole in the same moment
+		blank  bool // the hub knows nothing yet
+		before int  // others asked for the whole in the same moment
 		pause  time.Duration
 		from   wire.Gossip
 		want   answer
 	}{
 		"it wants the whole":                 {from: wire.Gossip{WholeFleet: true}, want: answer{rows: 2}},
+		"the hub has just started":           {blank: true, from: wire.Gossip{WholeFleet: true}, want: answer{later: true}},
+		"it has, and does not ask":           {blank: true},
 		"it has it from another hub":         {want: answer{fromNow: true}},
 		"it has a mark":                      {from: wire.Gossip{FleetOf: 1, FleetAfter: 1}, want: answer{rows: 1}},
 		"it has a mark of an earlier life":   {from: wire.Gossip{FleetOf: 99, FleetAfter: 1, WholeFleet: true}, want: answer{rows: 2}},
@@ -38,7 +41,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				e := alone(t, "hub", "leith", true)
-				e.Hear(wire.GossipAnswer{Sender: record("far", "gorgie", true), FleetAt: 1, Upstreams: rows("open", 1)}, time.Now())
+				if !tt.blank {
+					e.Hear(wire.GossipAnswer{Sender: record("far", "gorgie", true), FleetAt: 1, Upstreams: rows("open", 1)}, time.Now())
+				}
 				for range tt.before {
 					e.Heard(wire.Gossip{Sender: record("other", "leith", false), WholeFleet: true})
 				}
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -38,6 +38,9 @@
 	// 1,915 calls of a calm day of 195 boxes.
 	firstTold     = 350 * time.Millisecond
 	firstToldCold = 1500 * time.Millisecond
+	// promisedMost bounds the wait to be told where hubs say that they tell all
+	// later: 300 boxes that start at once before 3,000 upstreams are told within 4 s.
+	promisedMost = 6 * time.Second
 	// coldMost bounds the wait at a cold start until the other boxes are known.
 	coldMost = 3 * time.Second
 	// hubFirst and hubMost bound a hub's waits between failed calls: it has to be
@@ -96,7 +99,9 @@
 	age, known := r.age(now)
 	switch {
 	case !known && r.boxes.Known():
-		return r.boxes.Reads() || now.Sub(r.since(now)) >= r.told && now.Sub(r.boxes.Promised()) > unheard
+		waited := now.Sub(r.since(now))
+		promised := now.Sub(r.boxes.Promised()) <= unheard && waited < promisedMost
+		return r.boxes.Reads() || waited >= r.told && !promised
 	case !known:
 		return now.After(r.until)
 	case !r.boxes.Known(), now.Sub(r.boxes.HubHeard()) > unheard && !r.boxes.Reads():
--- a/reading/reading_test.go
+++ b/reading/reading_test.go
@@ -81,6 +81,7 @@
 		"told soon":                  {after: 300 * time.Millisecond},
 		"not told":                   {after: 400 * time.Millisecond, want: true},
 		"not told, but promised":     {after: 5 * time.Second, promised: true},
+		"promised for too long":      {after: 6 * time.Second, promised: true, want: true},
 		"a cold start":               {cold: true, after: 1400 * time.Millisecond},
 		"a cold start, and not told": {cold: true, after: 1600 * time.Millisecond, want: true},
 	}
