halls, fleet: nothing new goes to an evacuated hall

What is new: the package halls keeps the newest word of each hall, by the store's versions; the platform's source feeds it from listings and changes, hubs tell it with the configuration, and the fleet leaves upstreams of such halls out of all choices (grants, the way without a keeper, plain calls, second tries, resumed streams, targets of moves). Who waits for a service that has no other upstreams is told at once. A copy whose target's hall is evacuated meanwhile is freed; a run under way to one may arrive for 2 s. Log lines, a counter, petrelstep view.

Ruled out: a state of each upstream in place of the hall's, as entries and hubs' words of upstreams would then have to be told apart from the operator's.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -155,7 +155,7 @@
 func (a *Admission) enter(now time.Time, w *waiter) {
 	r := rankings{}
 	if len(a.ranked(now, r, w.ask)) == 0 {
-		w.settled <- outcome{err: refusal.New(refusal.NoUpstream, "no upstream of "+w.ask.Service.Name).WithRetryAfter(comeLeast)}
+		w.settled <- outcome{err: noUpstream(w.ask)}
 		return
 	}
 	w.returns = a.returns.has(w.ask.Mark)
@@ -175,6 +175,12 @@
 	}
 }
 
+// noUpstream refuses a request that no upstream can serve: all left, or their
+// halls were evacuated.
+func noUpstream(ask Ask) error {
+	return refusal.New(refusal.NoUpstream, "no upstream of "+ask.Service.Name).WithRetryAfter(comeLeast)
+}
+
 func (a *Admission) drop(w *waiter) {
 	a.waiting = slices.DeleteFunc(a.waiting, func(o *waiter) bool { return o == w })
 }
@@ -201,7 +207,13 @@
 	looks := 0
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
 		if looks < looksMost {
-			if g, ok := a.room(now, a.ranked(now, r, w.ask), w.ask); ok {
+			ranked := a.ranked(now, r, w.ask)
+			if len(ranked) == 0 {
+				a.line(now, w).Info("no_upstream")
+				w.settled <- outcome{err: noUpstream(w.ask)}
+				return true
+			}
+			if g, ok := a.room(now, ranked, w.ask); ok {
 				a.give(now, w, g)
 				clear(r)
 				return true
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -37,6 +37,7 @@
 	*admission.Admission
 	tally *tally.Tally
 	mu    sync.Mutex
+	fleet *fleet.Fleet
 	order []string // in which requests had room
 	back  map[string]time.Duration
 }
@@ -48,7 +49,7 @@
 		list = append(list, fleet.Upstream{ID: fmt.Sprint("e", i), Service: "llm", Hall: "leith", Slots: slots, State: fleet.Open})
 	}
 	f.Replace(time.Now(), list, 1, false)
-	w := &world{tally: tally.New(), back: map[string]time.Duration{}}
+	w := &world{fleet: f, tally: tally.New(), back: map[string]time.Duration{}}
 	chooser := choose.New(f, w.tally, reliability.New(), prefill.New(), "leith", rand.New(rand.NewPCG(1, 1)))
 	w.Admission = admission.New(chooser, w.tally, prefill.New(), rand.New(rand.NewPCG(1, 2)), logs.New(io.Discard, "info", "b"))
 	return w
@@ -257,6 +258,23 @@
 	is.True(refused.RetryAfter() > 0)
 }
 
+// TestEvacuated shows that who waits is told at once when the last upstream of
+// its service takes nothing new.
+func TestEvacuated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1)
+		w.fill("e0", 9, 90)
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { w.fleet.CloseHall(time.Now(), "leith") })
+		var refused refusal.Refusal
+		is.True(errors.As(w.ask(t.Context(), draft("a")), &refused))
+		is.Equal(refused.Reason(), refusal.NoUpstream)
+		is.True(refused.RetryAfter() > 0)
+		is.True(time.Since(began) < 150*time.Millisecond)
+	})
+}
+
 // TestLeaves shows that a caller who leaves takes its request along.
 func TestLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/commands/view.go
+++ b/commands/view.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -35,7 +36,9 @@
 func (*view) Usage() string {
 	return `view [-boxes ADDRESS,...] [-o table|json]: ask each box before the users' platform, at its operators'
 address, whether it is a hub, follows the store or keeps a queue, and how old what it
-knows is. Exits 1 if a box does not answer or boxes name different hubs.
+knows is. EVACUATED names the halls whose upstreams get nothing new, and for how long
+the box has known it. Exits 1 if a box does not answer, boxes name different hubs, or
+one has not heard that a hall is evacuated or taken back.
 
   petrelstep view -boxes 10.1.0.19:7135,10.1.0.20:7135
 `
@@ -62,10 +65,14 @@
 		}
 		views = append(views, v)
 	}
-	if hubs := differing(views); len(hubs) > 1 {
+	if hubs := differ(views, hubs); len(hubs) > 1 {
 		fmt.Fprintln(os.Stderr, "boxes name different hubs: "+strings.Join(hubs, "; "))
 		code = exitFailed
 	}
+	if lists := differ(views, evacuated); len(lists) > 1 {
+		fmt.Fprintln(os.Stderr, "boxes name different evacuated halls: "+strings.Join(lists, "; "))
+		code = exitFailed
+	}
 	if printed := c.print(views, func(w io.Writer) { viewTable(w, views) }); printed != exitDone {
 		return printed
 	}
@@ -80,12 +87,36 @@
 	return v, boxes.Call(ctx, http.MethodGet, "/v1/view", nil, &v)
 }
 
-// differing returns the lists of hubs that boxes name, each once.
-func differing(views []wire.BoxView) []string {
+func hubs(v wire.BoxView) string { return strings.Join(v.Hubs, " ") }
+
+// evacuated names the evacuated halls, by name; none as a dash.
+func evacuated(v wire.BoxView) string {
+	var names []string
+	for _, h := range v.Halls {
+		if h.Evacuated {
+			names = append(names, h.Hall)
+		}
+	}
+	return cmp.Or(strings.Join(names, " "), "-")
+}
+
+// evacuatedSince names them with how long the box has known it.
+func evacuatedSince(v wire.BoxView) string {
+	var names []string
+	for _, h := range v.Halls {
+		if h.Evacuated {
+			names = append(names, h.Hall+" "+age(h.SinceMs))
+		}
+	}
+	return cmp.Or(strings.Join(names, ","), "-")
+}
+
+// differ returns what boxes say, each once.
+func differ(views []wire.BoxView, says func(wire.BoxView) string) []string {
 	var lists []string
 	seen := map[string]bool{}
 	for _, v := range views {
-		if list := strings.Join(v.Hubs, " "); !seen[list] {
+		if list := says(v); !seen[list] {
 			seen[list] = true
 			lists = append(lists, list)
 		}
@@ -95,15 +126,15 @@
 
 func viewTable(w io.Writer, views []wire.BoxView) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "BOX\tHALL\tHUB\tREADS\tKEEPS\tNEAREST\tBOXES\tTOLD\tVERSION\tITS AGE\tUPSTREAMS\tTHEIR AGE\tLOADS' AGE\tSTORE SILENT\tWAITING\tSERVING\tSTATE")
+	fmt.Fprintln(t, "BOX\tHALL\tHUB\tREADS\tKEEPS\tNEAREST\tBOXES\tTOLD\tVERSION\tITS AGE\tUPSTREAMS\tTHEIR AGE\tLOADS' AGE\tSTORE SILENT\tEVACUATED\tWAITING\tSERVING\tSTATE")
 	for _, v := range views {
 		state := "serves"
 		if v.Stopping {
 			state = "stops"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%t\t%t\t%s\t%s\t%d\t%d\t%d\t%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\n", v.Box, v.Hall, v.Hub, v.Reads,
+		fmt.Fprintf(t, "%s\t%s\t%t\t%t\t%s\t%s\t%d\t%d\t%d\t%s\t%d\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", v.Box, v.Hall, v.Hub, v.Reads,
 			strings.Join(v.Keeps, ","), v.Nearest, v.Boxes, v.Told, v.Version, age(v.ConfigurationAgeMs), v.Upstreams, age(v.UpstreamsAgeMs),
-			age(v.LoadsAgeMs), age(v.StoreSilentMs), v.Waiting, v.Serving, state)
+			age(v.LoadsAgeMs), age(v.StoreSilentMs), evacuatedSince(v), v.Waiting, v.Serving, state)
 	}
 	_ = t.Flush()
 }
--- a/edge/admit.go
+++ b/edge/admit.go
@@ -23,7 +23,7 @@
 	// admitSlack is for the way to the keeper and back.
 	admitSlack = 100 * time.Millisecond
 	// admitTries bounds how often the keeper is asked anew because it named an
-	// upstream that this box does not know or that leaves.
+	// upstream that this box does not know, that leaves or whose hall is evacuated.
 	admitTries = 3
 )
 
@@ -36,8 +36,7 @@
 		if err != nil {
 			return admission.Grant{}, err
 		}
-		u, ok := e.fleet.Get(g.Upstream.ID)
-		if ok && u.State != fleet.Leaving {
+		if u, ok := e.fleet.Get(g.Upstream.ID); ok && e.fleet.Takes(u.ID) {
 			g.Upstream = u
 			return g, nil
 		}
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -77,6 +77,18 @@
 		return
 	}
 	a.Version, a.VersionAgeMs = table.Version(), int(age.Milliseconds())+1
+	a.Halls = e.hallWords(now)
+}
+
+// hallWords returns what this box knows of the evacuation of halls.
+func (e *Edge) hallWords(now time.Time) []wire.HallWord {
+	list := []wire.HallWord{}
+	for _, w := range e.halls.All() {
+		list = append(list, wire.HallWord{
+			Hall: w.Hall, Evacuated: w.Evacuated, Version: int(w.Version), SinceMs: int(now.Sub(w.Since).Milliseconds()),
+		})
+	}
+	return list
 }
 
 // Configuration implements edgepoint.Box.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -18,6 +18,7 @@
 	"petrelstep/config"
 	"petrelstep/evacuate"
 	"petrelstep/fleet"
+	"petrelstep/halls"
 	"petrelstep/length"
 	"petrelstep/members"
 	"petrelstep/metrics"
@@ -88,6 +89,7 @@
 	boxes       *manifest.Boxes
 	belief      *belief.Belief
 	fleet       *fleet.Fleet
+	halls       *halls.Halls
 	tally       *tally.Tally
 	reliability *reliability.Reliability
 	runs        *runs.Runs
@@ -153,7 +155,8 @@
 		known:       map[string]mark{},
 	}
 	e.boxes = manifest.NewBoxes(e.store)
-	e.configuration = manifest.NewConfiguration(e.store, e.belief, log)
+	e.halls = halls.New(e.hallChanged)
+	e.configuration = manifest.NewConfiguration(e.store, e.belief, e.halls, log)
 	e.members = members.New(members.Box{
 		Name: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: e.record.Incarnation, State: members.Live,
 		Strong: e.record.Strong,
@@ -177,7 +180,7 @@
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Parts{
 		Runs: e.runs, Chooser: chooser, Mover: e.upstreams, Turns: e, Services: e.service, Tally: e.tally,
-		Moved: e.metrics.Moved, Log: e.log, Leaving: e.fleet.Leaving,
+		Moved: e.metrics.Moved, Log: e.log, Leaving: e.fleet.Leaving, Takes: e.fleet.Takes,
 	})
 }
 
@@ -264,3 +267,22 @@
 		}
 	}
 }
+
+// hallChanged takes the news that a hall is evacuated, or that this is taken back.
+func (e *Edge) hallChanged(w halls.Word, source string) {
+	if w.Evacuated {
+		e.fleet.CloseHall(w.Since, w.Hall)
+	} else {
+		e.fleet.OpenHall(w.Hall)
+	}
+	e.metrics.HallChanged(w.Evacuated)
+	log := e.log.WithFields(logrus.Fields{"hall": w.Hall, "version": w.Version, "source": source})
+	if !w.Evacuated {
+		log.Info("hall_taken_back")
+		return
+	}
+	if !e.fleet.Knows(w.Hall) {
+		log = log.WithField("upstreams", 0) // maybe a name that was mistyped
+	}
+	log.Warn("hall_evacuated")
+}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -100,9 +100,12 @@
 	s.say(id, service, "ready")
 }
 
-func (s *site) say(id, service, state string) {
+func (s *site) say(id, service, state string) { s.sayIn("leith", id, service, state) }
+
+// sayIn puts the row of a worker of a hall into the store.
+func (s *site) sayIn(hall, id, service, state string) {
 	s.platform.Put(store.Row{Table: "servers", Key: id, Value: fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"leith","slots":%d,"state":%q}`, service, strings.TrimPrefix(s.servers[id].URL, "http://"), s.slots, state)})
+		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q}`, service, strings.TrimPrefix(s.servers[id].URL, "http://"), hall, s.slots, state)})
 }
 
 func free(t testing.TB) string {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -8,6 +8,7 @@
 
 	"petrelstep/config"
 	"petrelstep/fleet"
+	"petrelstep/halls"
 	"petrelstep/members"
 	"petrelstep/peer"
 	"petrelstep/wire"
@@ -100,6 +101,9 @@
 	for _, r := range a.Hubs {
 		e.introduce(now, r)
 	}
+	for _, w := range a.Halls { // before the configuration, with which they are known
+		e.halls.Take(now, halls.Word{Hall: w.Hall, Evacuated: w.Evacuated, Version: int64(w.Version)}, a.Sender.Box)
+	}
 	e.catchUp(now, a.Sender, a.Version)
 	table, _, _ := e.belief.Now(now)
 	if table != nil && table.Version() == a.Version {
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -92,6 +92,7 @@
 	Tally    *tally.Tally                             // counts copies at their targets
 	Moved    func(outcome string, took time.Duration) // counts moves
 	Leaving  func(upstream string) bool               // false once it is back
+	Takes    func(upstream string) bool               // it takes new work
 	Log      *logrus.Entry
 }
 
@@ -203,6 +204,10 @@
 	if err != nil {
 		return err
 	}
+	if !e.Takes(target.ID) { // its hall was evacuated meanwhile, or it leaves too
+		e.release(first.Copy)
+		return ErrNoRoom
+	}
 	handoff := runs.Handoff{Copy: first.Copy, Target: target, Source: source, OK: true}
 	run.Copied(handoff)
 	if !run.Stopping() {
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -152,7 +152,8 @@
 type box struct {
 	runs  *runs.Runs
 	tally *tally.Tally
-	stays bool // the upstream is back
+	stays bool            // the upstream is back
+	full  map[string]bool // targets that take nothing new
 	*evacuate.Evacuator
 }
 
@@ -173,6 +174,7 @@
 		Services: func(string) (route.Service, bool) { return service, true },
 		Moved:    func(string, time.Duration) {}, Log: logs.New(io.Discard, "info", "b"),
 		Leaving: func(string) bool { return !b.stays },
+		Takes:   func(id string) bool { return !b.full[id] },
 	})
 	return b
 }
@@ -287,6 +289,38 @@
 	})
 }
 
+// TestTargetCloses evacuates a target's hall while a run is copied there: the run
+// goes on elsewhere, and the copy is freed.
+func TestTargetCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLinks()
+		l.tokens["r"] = 3000
+		b := newBox(l, alone{}, 3)
+		b.full = map[string]bool{}
+		l.fail = func(_, target string, last bool) error {
+			if len(b.full) == 0 && !last {
+				b.full["new"+target[len("10.0.1."):len("10.0.1.")+1]] = true
+			}
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		r, end := b.run(leaving, "r", 3000, 900, 10)
+		var all sync.WaitGroup
+		var result sync.Map
+		all.Go(func() { b.Leaves(ctx, leaving) })
+		all.Go(func() { relay(ctx, l, r, end, &result) })
+		all.Wait()
+		is.Equal(len(b.full), 1)
+		is.Equal(len(l.released), 1)
+		for id := range b.full {
+			is.True(r.Upstream().ID != id)
+		}
+		is.True(l.moved["r"] != "")
+	})
+}
+
 // TestLeaves moves one run under what may happen on the way.
 func TestLeaves(t *testing.T) {
 	once := func(err error, on func(target string, last bool) bool) func(string, string, bool) error {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,4 +1,5 @@
-// Package fleet knows the upstreams: which there are, and which of them leave.
+// Package fleet knows the upstreams: which there are, which of them leave, and
+// which take no new work as their hall is evacuated.
 // One lifetime of an upstream has one id; once it has said that it leaves, it
 // leaves. One whose entry only went is back if a newer entry comes: it was cut
 // off from the store. Versions tell what is newer, as news comes from several
@@ -62,6 +63,7 @@
 	grace     time.Duration
 	all       map[string]*entry
 	serving   map[string][]Upstream // those that take new work by service, as far as asked for since the last change
+	closed    map[string]time.Time  // halls whose upstreams take no new work, since when
 	listeners []Listener
 	changes   int
 	confirmed time.Time
@@ -70,7 +72,7 @@
 // New returns an empty fleet. An upstream that is missing from a listing after
 // the store was away has grace to come back.
 func New(grace time.Duration) *Fleet {
-	return &Fleet{grace: grace, all: map[string]*entry{}, serving: map[string][]Upstream{}}
+	return &Fleet{grace: grace, all: map[string]*entry{}, serving: map[string][]Upstream{}, closed: map[string]time.Time{}}
 }
 
 // Subscribe calls l, on a goroutine of its own, for each upstream that leaves or
@@ -297,6 +299,57 @@
 	return !ok || u.State == Leaving
 }
 
+// CloseHall notes that the upstreams of a hall take no new work. What runs there
+// goes on.
+func (f *Fleet) CloseHall(now time.Time, hall string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.serving)
+	f.closed[hall] = now
+}
+
+// OpenHall notes that the upstreams of a hall take new work again.
+func (f *Fleet) OpenHall(hall string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.serving)
+	delete(f.closed, hall)
+}
+
+// Closed returns since when a hall is known to be closed; false if it is not.
+func (f *Fleet) Closed(hall string) (since time.Time, closed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since, closed = f.closed[hall]
+	return since, closed
+}
+
+// Knows tells whether any upstream of a hall is known.
+func (f *Fleet) Knows(hall string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.all {
+		if e.upstream.Hall == hall {
+			return true
+		}
+	}
+	return false
+}
+
+// takes tells whether an upstream takes new work.
+func (f *Fleet) takes(u Upstream) bool {
+	_, closed := f.closed[u.Hall]
+	return u.State != Leaving && !closed
+}
+
+// Takes tells whether an upstream is known and takes new work.
+func (f *Fleet) Takes(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.all[id]
+	return ok && f.takes(e.upstream)
+}
+
 // Serving returns the upstreams of a service that take new work, by id. The list
 // is shared and not to be changed: it is made anew when an upstream changes, some
 // times a second, and asked for with each request (sorting 2,200 of them took 1 ms).
@@ -305,7 +358,7 @@
 	defer f.mu.Unlock()
 	list, ok := f.serving[service]
 	if !ok {
-		list = f.list(func(e *entry) bool { return e.upstream.Service == service && e.upstream.State != Leaving })
+		list = f.list(func(e *entry) bool { return e.upstream.Service == service && f.takes(e.upstream) })
 		f.serving[service] = list
 	}
 	return list
@@ -317,7 +370,7 @@
 	defer f.mu.Unlock()
 	open := 0
 	for _, e := range f.all {
-		if e.upstream.State != Leaving {
+		if f.takes(e.upstream) {
 			open++
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -175,7 +175,7 @@
 func TestServingFollows(t *testing.T) {
 	now := time.Now()
 	open := func(id string, version int64) fleet.Upstream {
-		return fleet.Upstream{ID: id, Service: "s", Address: id + ":1", Slots: 4, State: fleet.Open, Version: version}
+		return fleet.Upstream{ID: id, Service: "s", Address: id + ":1", Hall: "leith", Slots: 4, State: fleet.Open, Version: version}
 	}
 	leaving := func(id string, version int64) fleet.Upstream {
 		u := open(id, version)
@@ -186,14 +186,23 @@
 		news func(f *fleet.Fleet)
 		want []string
 	}{
-		"none":                    {func(*fleet.Fleet) {}, []string{"a", "b"}},
-		"an entry":                {func(f *fleet.Fleet) { f.Put(now, open("c", 2)) }, []string{"a", "b", "c"}},
-		"an entry that leaves":    {func(f *fleet.Fleet) { f.Put(now, leaving("a", 2)) }, []string{"b"}},
-		"an entry is gone":        {func(f *fleet.Fleet) { f.Remove(now, "a", 2, false) }, []string{"b"}},
-		"a listing":               {func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{open("c", 2)}, 2, false) }, []string{"c"}},
-		"a hub's word":            {func(f *fleet.Fleet) { f.Told(now, leaving("b", 2)) }, []string{"a"}},
-		"a hub's word of another": {func(f *fleet.Fleet) { f.Told(now, open("c", 2)) }, []string{"a", "b", "c"}},
-		"a peer's word":           {func(f *fleet.Fleet) { f.Leaves(now, fleet.Departure{ID: "a", Said: true}, "peer") }, []string{"b"}},
+		"none":                      {func(*fleet.Fleet) {}, []string{"a", "b"}},
+		"an entry":                  {func(f *fleet.Fleet) { f.Put(now, open("c", 2)) }, []string{"a", "b", "c"}},
+		"an entry that leaves":      {func(f *fleet.Fleet) { f.Put(now, leaving("a", 2)) }, []string{"b"}},
+		"an entry is gone":          {func(f *fleet.Fleet) { f.Remove(now, "a", 2, false) }, []string{"b"}},
+		"a listing":                 {func(f *fleet.Fleet) { f.Replace(now, []fleet.Upstream{open("c", 2)}, 2, false) }, []string{"c"}},
+		"a hub's word":              {func(f *fleet.Fleet) { f.Told(now, leaving("b", 2)) }, []string{"a"}},
+		"a hub's word of another":   {func(f *fleet.Fleet) { f.Told(now, open("c", 2)) }, []string{"a", "b", "c"}},
+		"a peer's word":             {func(f *fleet.Fleet) { f.Leaves(now, fleet.Departure{ID: "a", Said: true}, "peer") }, []string{"b"}},
+		"its hall is closed":        {func(f *fleet.Fleet) { f.CloseHall(now, "leith") }, nil},
+		"another hall is closed":    {func(f *fleet.Fleet) { f.CloseHall(now, "gorgie") }, []string{"a", "b"}},
+		"its hall is open again":    {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.OpenHall("leith") }, []string{"a", "b"}},
+		"an entry in a closed hall": {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.Put(now, open("c", 2)) }, nil},
+		"a hub's word of one there": {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.Told(now, open("c", 2)) }, nil},
+		"a listing of a closed hall": {func(f *fleet.Fleet) {
+			f.CloseHall(now, "leith")
+			f.Replace(now, []fleet.Upstream{open("a", 2)}, 2, false)
+		}, nil},
 		"it stays missing": {func(f *fleet.Fleet) {
 			f.Remove(now, "a", 2, true)
 			f.Serving("s")
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,12 @@
 	RetryMoved        = "moved"
 )
 
+// Changes of a hall.
+const (
+	hallEvacuated = "evacuated"
+	hallTakenBack = "taken_back"
+)
+
 // RetryReasons lists every reason for a retry.
 func RetryReasons() []string {
 	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved}
@@ -46,6 +52,7 @@
 	store    metric.Float64Histogram
 	moves    metric.Float64Histogram
 	dropped  metric.Int64Counter
+	halls    metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -70,6 +77,7 @@
 	m.store = b.histogram("petrelstep_store_call", "Time of a call to the platform's store, by call and outcome.")
 	m.moves = b.histogram("petrelstep_move", "Time of a generation's move to another upstream, by outcome.")
 	m.dropped = b.counter("petrelstep_log_lines_dropped", "Log lines dropped because nobody read them.")
+	m.halls = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -85,6 +93,9 @@
 	for _, r := range RetryReasons() {
 		m.retries.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
+	for _, change := range []string{hallEvacuated, hallTakenBack} {
+		m.halls.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
+	}
 }
 
 // Refused counts a refusal.
@@ -128,6 +139,15 @@
 // LinesDropped counts log lines that were dropped.
 func (m *Metrics) LinesDropped(n int) { m.dropped.Add(context.Background(), int64(n)) }
 
+// HallChanged counts a hall that is heard to be evacuated, or taken back.
+func (m *Metrics) HallChanged(evacuated bool) {
+	change := hallTakenBack
+	if evacuated {
+		change = hallEvacuated
+	}
+	m.halls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -457,7 +457,8 @@
 	next   []reply
 	body   string
 	abort  bool
-	asked  []string // upstreams that were asked to go on
+	asked  []string      // upstreams that were asked to go on
+	closed time.Duration // the target's hall was evacuated so long before
 }
 
 func (m move) check(t *testing.T, from exchange.Copy) {
@@ -471,6 +472,9 @@
 		}
 	}}
 	w = newWorld(t, append([]reply{first}, m.next...)...)
+	if m.closed > 0 {
+		w.fleet.CloseHall(time.Now().Add(-m.closed), "leith")
+	}
 	c := w.serve(t.Context(), "/draft/")
 	time.Sleep(time.Second) // the stop is answered
 	is.Equal(c.body.String(), m.body)
@@ -487,8 +491,8 @@
 
 // TestMoved moves a stream while it is passed on.
 func TestMoved(t *testing.T) {
-	source := fleet.Upstream{ID: "llm0", Service: "llm", Address: "llm0:1"}
-	target := fleet.Upstream{ID: "llm3", Service: "llm", Address: "llm3:1"}
+	source := fleet.Upstream{ID: "llm0", Service: "llm", Address: "llm0:1", Hall: "gorgie"}
+	target := fleet.Upstream{ID: "llm3", Service: "llm", Address: "llm3:1", Hall: "leith"}
 	handoff := runs.Handoff{Copy: exchange.Copy{Holder: source.Address, ID: "c1"}, Target: target, Source: source, OK: true}
 	stop := func(h runs.Handoff) func(*runs.Run) {
 		return func(r *runs.Run) {
@@ -500,15 +504,17 @@
 		}
 	}
 	tests := map[string]move{
-		"goes on at the target":                        {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
-		"an end without a length":                      {during: stop(handoff), frame: true, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
-		"it ended by itself":                           {during: stop(runs.Handoff{}), body: "0;1;"},
-		"the target refuses, it goes on at the source": {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{status: 503, notRun: true}, {events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3", "llm0"}},
-		"both refuse":                                  {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{status: 503, notRun: true}}, body: "0;1;", abort: true, asked: []string{"llm3", "llm0"}},
-		"lost after its first copy":                    {during: func(r *runs.Run) { r.Copied(handoff) }, ends: errReset, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3"}},
-		"the stop failed, it is lost":                  {during: stop(runs.Handoff{}), ends: errReset, body: "0;1;", abort: true},
-		"the target repeats an event":                  {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{1, 2}}}, body: "0;1;2;", asked: []string{"llm3"}},
-		"the target leaves a gap":                      {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{3}}}, body: "0;1;", abort: true, asked: []string{"llm3"}},
+		"goes on at the target":                         {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
+		"an end without a length":                       {during: stop(handoff), frame: true, next: []reply{{events: []int{2, 3}}}, body: "0;1;2;3;", asked: []string{"llm3"}},
+		"it ended by itself":                            {during: stop(runs.Handoff{}), body: "0;1;"},
+		"the target refuses, it goes on at the source":  {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{status: 503, notRun: true}, {events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3", "llm0"}},
+		"both refuse":                                   {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{status: 503, notRun: true}}, body: "0;1;", abort: true, asked: []string{"llm3", "llm0"}},
+		"lost after its first copy":                     {during: func(r *runs.Run) { r.Copied(handoff) }, ends: errReset, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3"}},
+		"the stop failed, it is lost":                   {during: stop(runs.Handoff{}), ends: errReset, body: "0;1;", abort: true},
+		"the target's hall was evacuated just now":      {during: stop(handoff), closed: time.Second, ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3"}},
+		"the target's hall was evacuated some time ago": {during: stop(handoff), closed: 3 * time.Second, ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm0"}},
+		"the target repeats an event":                   {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{1, 2}}}, body: "0;1;2;", asked: []string{"llm3"}},
+		"the target leaves a gap":                       {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{3}}}, body: "0;1;", abort: true, asked: []string{"llm3"}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,8 +15,14 @@
 	"petrelstep/runs"
 )
 
-// goOnTries bounds how often a stream that was moved is asked for.
-const goOnTries = 2
+const (
+	// goOnTries bounds how often a stream that was moved is asked for.
+	goOnTries = 2
+	// closedSlack is how long a run that was on its way to a hall may still go on
+	// there once that is known to be evacuated: it is lost otherwise. Halls have 5 s
+	// to receive their last request; a box knows of an evacuation 1.5 s late.
+	closedSlack = 2 * time.Second
+)
 
 // OrderError says that an upstream's events do not follow on each other.
 type OrderError struct{ Last, Got int }
@@ -240,6 +246,11 @@
 	began := time.Now()
 	at := h.Target
 	for range goOnTries {
+		if since, closed := r.Fleet.Closed(at.Hall); closed && time.Since(since) > closedSlack {
+			f.job.log.WithFields(logrus.Fields{"upstream": at.ID, "hall": at.Hall}).Warn("not_gone_on_evacuated")
+			at = h.Source
+			continue
+		}
 		s, err := r.sendTo(ctx, f.job, at, f.last, &h.Copy)
 		log := f.job.log.WithFields(logrus.Fields{"upstream": at.ID, "after": f.last, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds()})
 		if err == nil && s.answer.Status == http.StatusOK {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -442,6 +442,9 @@
 	// Hall corresponds to the JSON schema field "hall".
 	Hall string `json:"hall"`
 
+	// Halls that are evacuated or were.
+	Halls []HallWord `json:"halls,omitempty,omitzero"`
+
 	// It tells others what it knows.
 	Hub bool `json:"hub"`
 
@@ -556,6 +559,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["halls"]; !ok || v == nil {
+		plain.Halls = []HallWord{}
+	}
 	*j = BoxView(plain)
 	return nil
 }
@@ -1755,6 +1761,9 @@
 	// The whole fleet follows in another answer: many boxes ask for it at once.
 	FleetLater bool `json:"fleet_later,omitempty,omitzero"`
 
+	// Halls that are evacuated or were, as known with the configuration.
+	Halls []HallWord `json:"halls,omitempty,omitzero"`
+
 	// Boxes that the hub holds to be hubs; with the word of all boxes.
 	Hubs []BoxRecord `json:"hubs,omitempty,omitzero"`
 
@@ -1821,6 +1830,9 @@
 	if v, ok := raw["fleet_later"]; !ok || v == nil {
 		plain.FleetLater = false
 	}
+	if v, ok := raw["halls"]; !ok || v == nil {
+		plain.Halls = []HallWord{}
+	}
 	if v, ok := raw["hubs"]; !ok || v == nil {
 		plain.Hubs = []BoxRecord{}
 	}
@@ -1998,6 +2010,49 @@
 	return nil
 }
 
+// The newest that is known of a hall's evacuation; a hall without one is not
+// evacuated.
+type HallWord struct {
+	// Nothing new goes to its upstreams.
+	Evacuated bool `json:"evacuated"`
+
+	// Hall corresponds to the JSON schema field "hall".
+	Hall string `json:"hall"`
+
+	// For how long the box has known it.
+	SinceMs int `json:"since_ms,omitempty,omitzero"`
+
+	// Of the change of the platform's table that said so.
+	Version int `json:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HallWord) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["evacuated"]; raw != nil && !ok {
+		return fmt.Errorf("field evacuated in HallWord: required")
+	}
+	if _, ok := raw["hall"]; raw != nil && !ok {
+		return fmt.Errorf("field hall in HallWord: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in HallWord: required")
+	}
+	type Plain HallWord
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["since_ms"]; !ok || v == nil {
+		plain.SinceMs = 0
+	}
+	*j = HallWord(plain)
+	return nil
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Hall) UnmarshalJSON(value []byte) error {
 	var raw map[string]interface{}
