--- a/admission/admission.go
+++ b/admission/admission.go
@@ -84,8 +84,6 @@
 	ask     Ask
 	returns bool // it was refused before, and came back
 	settled chan outcome
-
-	expected time.Duration // wait, when it was let wait; 0 if it had room at once
 }
 
 type outcome struct {
@@ -165,9 +163,7 @@
 		return
 	}
 	w.returns = a.returns.has(w.ask.Mark)
-	let, decided := a.forecast.waited(w.ask.Request)
-	w.expected = let.expected
-	fresh := !decided && !w.returns && float64(now.Sub(w.ask.Arrived)) <= decidePart*float64(w.ask.Aim)
+	fresh := !w.returns && float64(now.Sub(w.ask.Arrived)) <= decidePart*float64(w.ask.Aim)
 	if fresh {
 		a.demand.passed(now, w.ask.Prompt)
 	}
@@ -177,10 +173,10 @@
 		return
 	}
 	leaves := a.leaves(w.ask, a.ranked(now, r, w.ask))
-	w.expected = a.forecast.expects(now, a.rank(w.ask), a.ahead(now, w)+w.ask.Prompt, leaves)
-	if !a.forecast.lets(now, w.ask.Request, w.expected, a.left(now, w.ask)) {
+	expected := a.forecast.expects(now, a.rank(w.ask), a.ahead(now, w)+w.ask.Prompt, leaves)
+	if expected > a.left(now, w.ask) {
 		a.drop(w)
-		a.sendOff(now, w, leaves)
+		a.sendOff(now, w, expected, leaves)
 	}
 }
 
@@ -247,7 +243,6 @@
 func (a *Admission) give(now time.Time, w *waiter, g Grant) {
 	a.returns.came(w.ask.Mark)
 	a.forecast.gave(now, a.rank(w.ask), w.ask.Prompt)
-	a.forecast.ended(w.ask.Request, a.left(now, w.ask) >= 0)
 	a.loads.Promise(now, w.ask.Box, g.Upstream.ID, loadOf(w.ask))
 	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load}).Info("admitted")
 	w.settled <- outcome{grant: g}
@@ -264,8 +259,7 @@
 		return false
 	}
 	if !w.returns {
-		a.forecast.ended(w.ask.Request, false)
-		a.sendOff(now, w, a.leaves(w.ask, a.ranked(now, r, w.ask)))
+		a.sendOff(now, w, 0, a.leaves(w.ask, a.ranked(now, r, w.ask)))
 		return true
 	}
 	patience := time.Duration(patiencePart * float64(w.ask.Patience))
@@ -316,6 +310,6 @@
 	return a.log.WithFields(logrus.Fields{
 		"request": w.ask.Request, "for": w.ask.Box, "urgency": w.ask.Urgency, "prompt": w.ask.Prompt, "answer": w.ask.Answer,
 		"waited_ms": now.Sub(w.ask.Arrived).Milliseconds(), "left_ms": a.left(now, w.ask).Milliseconds(), "returns": w.returns,
-		"waiting": len(a.waiting), "expected_ms": w.expected.Milliseconds(), "horizon": a.forecast.horizon, "read_ms": a.reading.Time(w.ask.Prompt).Milliseconds(),
+		"waiting": len(a.waiting), "read_ms": a.reading.Time(w.ask.Prompt).Milliseconds(),
 	})
 }
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -61,12 +61,13 @@
 	}
 }
 
-// sendOff refuses a request and remembers it.
-func (a *Admission) sendOff(now time.Time, w *waiter, leaves float64) {
+// sendOff refuses a request and remembers it. expected is its wait by the forecast;
+// 0 if its time went by while it waited.
+func (a *Admission) sendOff(now time.Time, w *waiter, expected time.Duration, leaves float64) {
 	a.returns.forget(now)
 	after := a.comeBack(now, w.ask, leaves)
 	a.line(now, w).WithFields(logrus.Fields{
-		"given": int(a.forecast.rate(now, a.rank(w.ask))), "leaves": int(leaves), "demand": int(a.demand.rate(now)), "returning": len(a.returns),
+		"expected_ms": expected.Milliseconds(), "given": int(a.forecast.rate(now, a.rank(w.ask))), "leaves": int(leaves), "demand": int(a.demand.rate(now)), "returning": len(a.returns),
 		"back_ms": after.Milliseconds(),
 	}).Info("sent_off")
 	a.returns[w.ask.Mark] = sentOff{back: now.Add(after), tokens: w.ask.Prompt + w.ask.Answer}
