warmup, choose: cold upstreams get no more than they bear, from all boxes together

An upstream's entry says until when it is cold; hubs tell it; one of a hall that is taken back counts as cold until its entry says otherwise. A box draws for each second how many requests it may send to a cold upstream: its part of half of what that bears, all of it where it keeps the service's queue. Ruled out: tokens that add up while nothing is sent, as 64 boxes with one each may spend them together, and 300 boxes with whole numbers, which round to none. Not held: runs that move, of which turns give an engine one at a time.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -66,6 +66,8 @@
 // ranking lists the upstreams of a service, the best first.
 type ranking interface {
 	Ranked(now time.Time, w choose.Want) []choose.Choice
+	// Sent notes that a request goes to an upstream.
+	Sent(now time.Time, s route.Service, u fleet.Upstream)
 	// Leaving returns what runs at the upstreams of a service that leave.
 	Leaving(now time.Time, service string) tally.Load
 }
@@ -243,6 +245,7 @@
 func (a *Admission) give(now time.Time, w *waiter, g Grant) {
 	a.returns.came(w.ask.Mark)
 	a.forecast.gave(now, a.rank(w.ask), w.ask.Prompt)
+	a.ranking.Sent(now, w.ask.Service, g.Upstream)
 	a.loads.Promise(now, w.ask.Box, g.Upstream.ID, loadOf(w.ask))
 	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load}).Info("admitted")
 	w.settled <- outcome{grant: g}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -22,6 +22,7 @@
 	"petrelstep/reliability"
 	"petrelstep/route"
 	"petrelstep/tally"
+	"petrelstep/warmup"
 )
 
 const (
@@ -35,11 +36,12 @@
 // world is one keeper before some engines.
 type world struct {
 	*admission.Admission
-	tally *tally.Tally
-	mu    sync.Mutex
-	fleet *fleet.Fleet
-	order []string // in which requests had room
-	back  map[string]time.Duration
+	tally   *tally.Tally
+	mu      sync.Mutex
+	fleet   *fleet.Fleet
+	chooser *choose.Chooser
+	order   []string // in which requests had room
+	back    map[string]time.Duration
 }
 
 func newWorld(engines int) *world {
@@ -50,7 +52,8 @@
 	}
 	f.Replace(time.Now(), list, 1, false)
 	w := &world{fleet: f, tally: tally.New(), back: map[string]time.Duration{}}
-	chooser := choose.New(f, w.tally, reliability.New(), prefill.New(), "leith", rand.New(rand.NewPCG(1, 1)))
+	chooser := choose.New(choose.Parts{Fleet: f, Tally: w.tally, Reliability: reliability.New(), Reading: prefill.New(), Hall: "leith", Random: rand.New(rand.NewPCG(1, 1))})
+	w.chooser = chooser
 	w.Admission = admission.New(chooser, w.tally, prefill.New(), rand.New(rand.NewPCG(1, 2)), logs.New(io.Discard, "info", "b"))
 	return w
 }
@@ -369,3 +372,29 @@
 		is.Equal(w.tally.Load(time.Now(), "e0").Requests, 8) // nothing was promised for it
 	})
 }
+
+// TestCold shows that who waits is let to a cold engine only as fast as it bears: ten
+// in a second, of which the rest waits.
+func TestCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1)
+		w.chooser.Warmup = warmup.New(rand.New(rand.NewPCG(1, 1)))
+		w.chooser.Part = func(route.Service) float64 { return 1 }
+		u := w.fleet.Serving("llm")[0]
+		u.Version, u.Cold = 2, time.Now().Add(10*time.Second)
+		w.fleet.Put(time.Now(), u)
+		ask := check("a")
+		ask.Service.ColdPerSecond = 4
+		var at []time.Duration
+		for began := time.Now(); len(at) < 6; {
+			ask.Arrived = time.Now()
+			_, ok, err := w.Take(t.Context(), ask)
+			is.NoErr(err)
+			is.True(ok)
+			at = append(at, time.Since(began))
+			w.tally.Kept("b", u.ID) // and it has ended
+		}
+		is.True(at[5]-at[1] >= time.Second) // two in a slot
+	})
+}
--- a/admission/crowd_test.go
+++ b/admission/crowd_test.go
@@ -157,7 +157,9 @@
 	reading := prefill.New()
 	for i := range crowdBoxes {
 		c.tallies = append(c.tallies, tally.New())
-		c.choosers = append(c.choosers, choose.New(f, c.tallies[i], reliability.New(), reading, "leith", rand.New(rand.NewPCG(7, uint64(i)))))
+		c.choosers = append(c.choosers, choose.New(choose.Parts{
+			Fleet: f, Tally: c.tallies[i], Reliability: reliability.New(), Reading: reading, Hall: "leith", Random: rand.New(rand.NewPCG(7, uint64(i))),
+		}))
 	}
 	c.keeper = admission.New(c.choosers[0], c.tallies[0], reading, rand.New(rand.NewPCG(7, 99)), logs.New(io.Discard, "info", "b0"))
 	return c
@@ -224,7 +226,7 @@
 		hall := fmt.Sprint("hall", i%parts)
 		c.fleet.CloseHall(time.Now(), hall)
 		time.Sleep(awayFor)
-		c.fleet.OpenHall(hall)
+		c.fleet.OpenHall(hall, time.Time{})
 	}
 }
 
--- a/admission/room.go
+++ b/admission/room.go
@@ -41,7 +41,7 @@
 	}
 	best, least := -1, 0
 	for i, c := range ranked {
-		if !a.fits(now, ask, c.Running, c.Upstream.Slots) {
+		if c.Held || !a.fits(now, ask, c.Running, c.Upstream.Slots) {
 			continue
 		}
 		if !short {
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -12,6 +12,7 @@
 	"petrelstep/reliability"
 	"petrelstep/route"
 	"petrelstep/tally"
+	"petrelstep/warmup"
 )
 
 // Weights of a score, in shares of an upstream's capacity.
@@ -58,21 +59,26 @@
 
 // Chooser is safe for use by several goroutines.
 type Chooser struct {
-	fleet       *fleet.Fleet
-	tally       *tally.Tally
-	reliability *reliability.Reliability
-	reading     reading
-	hall        string
+	Parts
 
-	mu     sync.Mutex
-	random *rand.Rand
+	mu sync.Mutex // guards Random
 }
 
-// New returns a chooser of a box in a hall.
-func New(f *fleet.Fleet, t *tally.Tally, r *reliability.Reliability, p reading, hall string, random *rand.Rand) *Chooser {
-	return &Chooser{fleet: f, tally: t, reliability: r, reading: p, hall: hall, random: random}
+// Parts are what a chooser works with.
+type Parts struct {
+	Fleet       *fleet.Fleet
+	Tally       *tally.Tally
+	Reliability *reliability.Reliability
+	Reading     reading
+	Hall        string // of the box
+	Random      *rand.Rand
+	Warmup      *warmup.Warmup                // nil: cold upstreams are not spared
+	Part        func(s route.Service) float64 // of what a cold upstream bears that this box may send
 }
 
+// New returns a chooser of a box in a hall.
+func New(parts Parts) *Chooser { return &Chooser{Parts: parts} }
+
 // reading tells how long engines take to read prompts.
 type reading interface {
 	Time(tokens int) time.Duration
@@ -93,28 +99,48 @@
 	Upstream fleet.Upstream
 	Running  tally.Load
 	Load     float64
+	Held     bool // it is cold, and may get no more for now
 }
 
 // Choose returns the upstream with the most room, and its load as a share of
 // its capacity. It reports false if there is none.
 func (c *Chooser) Choose(now time.Time, w Want) (best fleet.Upstream, load float64, found bool) {
-	ranked := c.Ranked(now, w)
-	if len(ranked) == 0 {
-		return fleet.Upstream{}, 0, false
+	for _, r := range c.Ranked(now, w) {
+		if !r.Held {
+			return r.Upstream, r.Load, true
+		}
 	}
-	return ranked[0].Upstream, ranked[0].Load, true
+	return fleet.Upstream{}, 0, false
+}
+
+// Sent notes that a request goes to an upstream.
+func (c *Chooser) Sent(now time.Time, s route.Service, u fleet.Upstream) {
+	if c.Warmup != nil && now.Before(u.Cold) {
+		c.Warmup.Sent(now, u.ID, c.limit(s))
+	}
+}
+
+// held tells whether an upstream is cold and may get no more for now. A run that
+// moves there is not held: turns give an upstream one copy at a time, and the run
+// would be lost.
+func (c *Chooser) held(now time.Time, w Want, u fleet.Upstream) bool {
+	return c.Warmup != nil && now.Before(u.Cold) && !w.Moves && !c.Warmup.May(now, u.ID, c.limit(w.Service))
+}
+
+func (c *Chooser) limit(s route.Service) warmup.Limit {
+	return warmup.Limit{PerSecond: s.ColdPerSecond, Part: c.Part(s)}
 }
 
 // Ranked returns the upstreams that were weighed, the one with the most room
 // first.
 func (c *Chooser) Ranked(now time.Time, w Want) []Choice {
 	if w.Hall == "" {
-		w.Hall = c.hall
+		w.Hall = c.Hall
 	}
 	list := c.candidates(w)
 	loads := make([]tally.Load, len(list))
 	for i, u := range list {
-		loads[i] = c.tally.Load(now, u.ID)
+		loads[i] = c.Tally.Load(now, u.ID)
 	}
 	usual := usualPace(loads)
 	order := make([]scored, len(list))
@@ -125,7 +151,8 @@
 	slices.SortFunc(order, func(a, b scored) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.at, b.at)) })
 	ranked := make([]Choice, len(list))
 	for i, s := range order {
-		ranked[i] = Choice{Upstream: list[s.at], Running: loads[s.at], Load: s.load}
+		u := list[s.at]
+		ranked[i] = Choice{Upstream: u, Running: loads[s.at], Load: s.load, Held: c.held(now, w, u)}
 	}
 	return ranked
 }
@@ -133,8 +160,8 @@
 // Leaving returns what runs at the upstreams of a service that leave.
 func (c *Chooser) Leaving(now time.Time, service string) tally.Load {
 	var sum tally.Load
-	for _, u := range c.fleet.Leavers(now, service, leavingFor) {
-		sum = sum.Plus(c.tally.Load(now, u.ID))
+	for _, u := range c.Fleet.Leavers(now, service, leavingFor) {
+		sum = sum.Plus(c.Tally.Load(now, u.ID))
 	}
 	return sum
 }
@@ -148,7 +175,7 @@
 
 // candidates returns the upstreams to weigh.
 func (c *Chooser) candidates(w Want) []fleet.Upstream {
-	list := c.fleet.Serving(w.Service.Name)
+	list := c.Fleet.Serving(w.Service.Name)
 	if len(w.Avoid) > 0 {
 		list = slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return slices.Contains(w.Avoid, u.ID) })
 	}
@@ -159,7 +186,7 @@
 	defer c.mu.Unlock()
 	if w.Moves {
 		list = slices.Clone(list)
-		c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		c.Random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		return mostlyNear(list, w.Hall)
 	}
 	return c.sample(list)
@@ -170,7 +197,7 @@
 	drawn := make([]fleet.Upstream, 0, sampled)
 	taken := make([]int, 0, sampled)
 	for len(drawn) < sampled {
-		at := c.random.IntN(len(list))
+		at := c.Random.IntN(len(list))
 		if !slices.Contains(taken, at) {
 			taken = append(taken, at)
 			drawn = append(drawn, list[at])
@@ -194,7 +221,7 @@
 	if e == nil || e.Memory == 0 {
 		return places
 	}
-	return float64(l.Tokens+l.Coming+w.Tokens)/float64(e.Memory) + slots*places + waiting*c.reading.Time(l.Prefill).Seconds()
+	return float64(l.Tokens+l.Coming+w.Tokens)/float64(e.Memory) + slots*places + waiting*c.Reading.Time(l.Prefill).Seconds()
 }
 
 // usualPace returns the middle time between events at upstreams; 0 if none is known.
@@ -222,7 +249,7 @@
 }
 
 func (c *Chooser) penalty(now time.Time, w Want, u fleet.Upstream) float64 {
-	p := failing*c.reliability.Failing(now, u.ID) + noise*c.draw()
+	p := failing*c.Reliability.Failing(now, u.ID) + noise*c.draw()
 	if u.Hall != w.Hall {
 		p += far
 		if w.Moves {
@@ -238,5 +265,5 @@
 func (c *Chooser) draw() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.random.Float64()
+	return c.Random.Float64()
 }
--- a/choose/choose_test.go
+++ b/choose/choose_test.go
@@ -15,6 +15,7 @@
 	"petrelstep/reliability"
 	"petrelstep/route"
 	"petrelstep/tally"
+	"petrelstep/warmup"
 	"petrelstep/wire"
 )
 
@@ -41,7 +42,7 @@
 	}
 	f.Replace(time.Now(), list, 1, false)
 	running := tally.New()
-	return choose.New(f, running, reliability.New(), prefill.New(), "leith", rand.New(rand.NewPCG(1, 1))), running
+	return choose.New(choose.Parts{Fleet: f, Tally: running, Reliability: reliability.New(), Reading: prefill.New(), Hall: "leith", Random: rand.New(rand.NewPCG(1, 1))}), running
 }
 
 // spread returns n upstreams, every fourth of them in Leith.
@@ -145,3 +146,59 @@
 		})
 	}
 }
+
+// TestCold shows which upstreams are passed by as they are cold and may get no more
+// for now.
+func TestCold(t *testing.T) {
+	service := service
+	service.ColdPerSecond = 20
+	tests := map[string]struct {
+		cold  int     // of two upstreams, the first so many
+		part  float64 // of what they bear that this box may send
+		moves bool
+		want  string // empty: none
+	}{
+		"none is cold":                  {0, 0, false, "e0"},
+		"one may get no more":           {1, 0, false, "e1"},
+		"one may get more":              {1, 1, false, "e0"},
+		"a run that moves is not held":  {1, 0, true, "e0"},
+		"both are cold, none gets more": {2, 0, false, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			c, running := chooserOf([]string{"leith", "leith"})
+			running.Begin("e1", tally.Load{Requests: 1, Tokens: 9000})
+			c.Warmup = warmup.New(rand.New(rand.NewPCG(1, 1)))
+			c.Part = func(route.Service) float64 { return tt.part }
+			for i := range tt.cold {
+				u, _ := c.Fleet.Get(fmt.Sprint("e", i))
+				u.Version, u.Cold = 2, now.Add(time.Second)
+				c.Fleet.Put(now, u)
+			}
+			u, _, ok := c.Choose(now, choose.Want{Service: service, Tokens: 100, Moves: tt.moves})
+			is.Equal(ok, tt.want != "")
+			is.Equal(u.ID, tt.want)
+			warm, _, ok := c.Choose(now.Add(time.Second), choose.Want{Service: service, Tokens: 100})
+			is.True(ok)
+			is.Equal(warm.ID, "e0")
+		})
+	}
+	// What was sent counts: a second holds ten.
+	is := is.New(t)
+	now := time.Now()
+	c, _ := chooserOf([]string{"leith"})
+	c.Warmup, c.Part = warmup.New(rand.New(rand.NewPCG(1, 1))), func(route.Service) float64 { return 1 }
+	u := c.Fleet.Serving("llm")[0]
+	u.Version, u.Cold = 2, now.Add(time.Second)
+	c.Fleet.Put(now, u)
+	sent := 0
+	for ; sent < 100; sent++ {
+		if _, _, ok := c.Choose(now, choose.Want{Service: service}); !ok {
+			break
+		}
+		c.Sent(now, service, u)
+	}
+	is.Equal(sent, 10)
+}
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"petrelstep/fleet"
 	"petrelstep/wire"
 )
 
@@ -125,12 +126,20 @@
 	}
 	for _, u := range changed {
 		a.Upstreams = append(a.Upstreams, wire.UpstreamRecord{
-			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, SlowMs: int(u.Slow.Milliseconds()),
+			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, ColdMs: coldMs(now, u),
 			State: string(u.State), Version: int(u.Version), Said: u.Said,
 		})
 	}
 }
 
+// coldMs returns for how much longer an upstream is cold, in ms.
+func coldMs(now time.Time, u fleet.Upstream) int {
+	if u.Cold.IsZero() {
+		return 0
+	}
+	return int(max(u.Cold.Sub(now), 0).Milliseconds())
+}
+
 // pacer lets things through one after the other, each taking its time at a rate.
 // It is safe for use by several goroutines.
 type pacer struct {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -36,6 +36,7 @@
 	"petrelstep/tally"
 	"petrelstep/timer"
 	"petrelstep/turns"
+	"petrelstep/warmup"
 	"petrelstep/wire"
 )
 
@@ -66,6 +67,9 @@
 	// write its last lines, some 0.2 s at most: what it still has in flight then is
 	// cut off in order, so that callers and engines learn it, and not by force.
 	closeTime = 300 * time.Millisecond
+	// coldNews is how long an upstream's word that it is warm may take to come: its
+	// next entry is up to 1.2 s away, and is read some 0.8 s later.
+	coldNews = 2 * time.Second
 	// boxesGuess is among how many boxes the slack is shared out before it is known
 	// how many there are.
 	boxesGuess = 8
@@ -170,7 +174,11 @@
 	s := e.config.Edge
 	e.budget = retry.NewBudget(budgetPart*s.RetryRatio, e.slack(boxesGuess))
 	reading := prefill.New()
-	chooser := choose.New(e.fleet, e.tally, e.reliability, reading, e.config.Hall, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)))
+	chooser := choose.New(choose.Parts{
+		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall,
+		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part,
+		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
+	})
 	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
@@ -184,6 +192,28 @@
 	})
 }
 
+// part is the part of what a cold upstream of a service bears that this box may
+// send there: all of it where this box gives room to the requests of all.
+func (e *Edge) part(service route.Service) float64 {
+	if service.Engine != nil && e.Keeps(service.Name) == e.config.Box {
+		return 1
+	}
+	boxes := boxesGuess
+	if e.joined.Load() {
+		boxes = e.members.Count()
+	}
+	return 1 / float64(max(boxes, 1))
+}
+
+// coldFor is the longest that an upstream of any service is cold after its start.
+func (e *Edge) coldFor() time.Duration {
+	table, _, _ := e.belief.Now(time.Now())
+	if table == nil {
+		return 0
+	}
+	return table.ColdFor()
+}
+
 // slack is a box's share of the repeats beyond those that come with requests.
 func (e *Edge) slack(boxes int) float64 {
 	return max(slackPart*e.config.Edge.RetrySlack/float64(max(boxes, 1)), 1)
@@ -273,7 +303,7 @@
 	if w.Evacuated {
 		e.fleet.CloseHall(w.Since, w.Hall)
 	} else {
-		e.fleet.OpenHall(w.Hall)
+		e.fleet.OpenHall(w.Hall, w.Since.Add(e.coldFor()+coldNews))
 	}
 	e.metrics.HallChanged(w.Evacuated)
 	log := e.log.WithFields(logrus.Fields{"hall": w.Hall, "version": w.Version, "source": source})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		e.fleet.Told(now, fleet.Upstream{
-			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, Slow: config.Millis(u.SlowMs),
+			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, Cold: coldUntil(now, u.ColdMs),
 			State: fleet.State(u.State), Version: int64(u.Version), Said: u.Said,
 		})
 	}
@@ -170,6 +170,14 @@
 	}
 }
 
+// coldUntil returns until when an upstream is cold that is so for some ms more.
+func coldUntil(now time.Time, ms int) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return now.Add(config.Millis(ms))
+}
+
 func (e *Edge) hearDeparting(now time.Time, list []wire.UpstreamDeparture) {
 	for _, d := range list {
 		e.fleet.Leaves(now, fleet.Departure{ID: d.Upstream, Version: int64(d.Version), Said: d.Said}, "peer")
--- a/evacuate/evacuate_test.go
+++ b/evacuate/evacuate_test.go
@@ -167,7 +167,7 @@
 	}
 	f.Replace(time.Now(), list, 1, false)
 	b := &box{runs: runs.New(), tally: tally.New()}
-	chooser := choose.New(f, b.tally, reliability.New(), prefill.New(), "leith", rand.New(rand.NewPCG(1, 1)))
+	chooser := choose.New(choose.Parts{Fleet: f, Tally: b.tally, Reliability: reliability.New(), Reading: prefill.New(), Hall: "leith", Random: rand.New(rand.NewPCG(1, 1))})
 	service := route.Service{Name: "llm", Engine: &route.Engine{Slots: 48, Memory: 34000, Moves: true, EventTokens: 4}}
 	b.Evacuator = evacuate.New(evacuate.Parts{
 		Runs: b.runs, Chooser: chooser, Mover: mover, Turns: t, Tally: b.tally,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,7 +33,7 @@
 	Address string
 	Hall    string
 	Slots   int
-	Slow    time.Duration // it is slow for so long after it was listed
+	Cold    time.Time // until then it bears few requests a second; zero if it is warm
 	State   State
 	Version int64 // of the table's last change that is known of it
 	Said    bool  // it said itself that it leaves
@@ -142,7 +142,7 @@
 	if old.State == Leaving && u.State == Open {
 		f.tell(e, "entry")
 	}
-	if u.State != old.State || u.Address != old.Address {
+	if u.State != old.State || u.Address != old.Address || !u.Cold.Equal(old.Cold) {
 		f.change(e)
 	}
 }
@@ -262,6 +262,10 @@
 		return
 	}
 	newer := u.Version > e.upstream.Version
+	if newer && !u.Cold.Equal(e.upstream.Cold) {
+		e.upstream.Cold = u.Cold
+		f.change(e)
+	}
 	e.upstream.Version = max(e.upstream.Version, u.Version)
 	e.upstream.Said = e.upstream.Said || u.Said
 	switch {
@@ -308,12 +312,18 @@
 	f.closed[hall] = now
 }
 
-// OpenHall notes that the upstreams of a hall take new work again.
-func (f *Fleet) OpenHall(hall string) {
+// OpenHall notes that the upstreams of a hall take new work again, and counts them
+// as cold until a time, unless they say otherwise.
+func (f *Fleet) OpenHall(hall string, cold time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.serving)
 	delete(f.closed, hall)
+	for _, e := range f.all {
+		if e.upstream.Hall == hall && e.upstream.Cold.Before(cold) {
+			e.upstream.Cold = cold
+		}
+	}
 }
 
 // Closed returns since when a hall is known to be closed; false if it is not.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -196,7 +196,7 @@
 		"a peer's word":             {func(f *fleet.Fleet) { f.Leaves(now, fleet.Departure{ID: "a", Said: true}, "peer") }, []string{"b"}},
 		"its hall is closed":        {func(f *fleet.Fleet) { f.CloseHall(now, "leith") }, nil},
 		"another hall is closed":    {func(f *fleet.Fleet) { f.CloseHall(now, "gorgie") }, []string{"a", "b"}},
-		"its hall is open again":    {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.OpenHall("leith") }, []string{"a", "b"}},
+		"its hall is open again":    {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.OpenHall("leith", now) }, []string{"a", "b"}},
 		"an entry in a closed hall": {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.Put(now, open("c", 2)) }, nil},
 		"a hub's word of one there": {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.Told(now, open("c", 2)) }, nil},
 		"a listing of a closed hall": {func(f *fleet.Fleet) {
@@ -223,3 +223,41 @@
 		})
 	}
 }
+
+// TestCold shows until when an upstream counts as cold, by what is learned of it.
+func TestCold(t *testing.T) {
+	later, latest := now.Add(time.Second), now.Add(3*time.Second)
+	cold := func(version int64, until time.Time) fleet.Upstream {
+		u := up("u", fleet.Open, version)
+		u.Hall, u.Cold = "leith", until
+		return u
+	}
+	tests := map[string]struct {
+		learn func(f *fleet.Fleet)
+		want  time.Time
+	}{
+		"it never said so":             {func(*fleet.Fleet) {}, time.Time{}},
+		"its entry says so":            {func(f *fleet.Fleet) { f.Put(now, cold(6, later)) }, later},
+		"an entry that is told late":   {func(f *fleet.Fleet) { f.Put(now, cold(4, later)) }, time.Time{}},
+		"a hub says so":                {func(f *fleet.Fleet) { f.Told(now, cold(6, later)) }, later},
+		"a hub that knows less":        {func(f *fleet.Fleet) { f.Told(now, cold(4, later)) }, time.Time{}},
+		"it says that it is warm":      {func(f *fleet.Fleet) { f.Put(now, cold(6, later)); f.Put(now, cold(7, time.Time{})) }, time.Time{}},
+		"its hall is taken back":       {func(f *fleet.Fleet) { f.CloseHall(now, "leith"); f.OpenHall("leith", latest) }, latest},
+		"and it says that it is warm":  {func(f *fleet.Fleet) { f.OpenHall("leith", latest); f.Put(now, cold(6, time.Time{})) }, time.Time{}},
+		"another hall is taken back":   {func(f *fleet.Fleet) { f.OpenHall("gorgie", latest) }, time.Time{}},
+		"taken back, and cold as told": {func(f *fleet.Fleet) { f.Put(now, cold(6, latest)); f.OpenHall("leith", later) }, latest},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := fleet.New(grace)
+			f.Put(now, cold(5, time.Time{}))
+			_, at := f.Since(0)
+			tt.learn(f)
+			u, _ := f.Get("u")
+			is.True(u.Cold.Equal(tt.want))
+			changed, _ := f.Since(at)
+			is.True(len(changed) == 1 || u.Cold.IsZero() || u.Cold.Equal(latest)) // told on, but for halls, which all hear of
+		})
+	}
+}
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -27,6 +27,7 @@
 	WaitTooLong        Reason = "wait_too_long"
 	Deadline           Reason = "deadline"
 	NoUpstream         Reason = "no_upstream"
+	UpstreamCold       Reason = "upstream_cold"
 	UpstreamLost       Reason = "upstream_lost"
 	GenerationLost     Reason = "generation_lost"
 	GenerationCancel   Reason = "generation_cancelled"
@@ -83,6 +84,7 @@
 	WaitTooLong:        {NotRun, http.StatusServiceUnavailable},
 	Deadline:           {NotRun, http.StatusServiceUnavailable},
 	NoUpstream:         {NotRun, http.StatusServiceUnavailable},
+	UpstreamCold:       {NotRun, http.StatusServiceUnavailable},
 	UpstreamLost:       {Failed, http.StatusBadGateway},
 	GenerationLost:     {Failed, http.StatusGone},
 	GenerationCancel:   {Failed, http.StatusGone},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -275,10 +275,14 @@
 		return g.Upstream, g.Load, err
 	}
 	u, load, ok := r.Chooser.Choose(time.Now(), choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: avoid})
-	if !ok {
-		return u, 0, refusal.New(refusal.NoUpstream, "no upstream of "+j.service.Name).WithRetryAfter(comeLater)
+	switch {
+	case ok:
+		r.Chooser.Sent(time.Now(), j.service, u)
+		return u, load, nil
+	case len(r.Fleet.Serving(j.service.Name)) > len(avoid):
+		return u, 0, refusal.New(refusal.UpstreamCold, "upstreams of "+j.service.Name+" are cold").WithRetryAfter(comeLater)
 	}
-	return u, load, nil
+	return u, 0, refusal.New(refusal.NoUpstream, "no upstream of "+j.service.Name).WithRetryAfter(comeLater)
 }
 
 // mark is what a request's tries have in common: who asks for what.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,6 +30,7 @@
 	"petrelstep/route"
 	"petrelstep/runs"
 	"petrelstep/tally"
+	"petrelstep/warmup"
 )
 
 // reply is what one send meets.
@@ -180,7 +181,7 @@
 	{Name: "check", Host: "h", Prefix: "/check/", Streams: true, Resumable: true, Attempts: 2, Timeout: 6 * time.Second, Aim: time.Second, Split: split("llm")},
 	{Name: "nowhere", Host: "h", Prefix: "/nowhere/", Attempts: 1, Timeout: time.Second, Aim: time.Second, Split: split("empty")},
 }, []route.Service{
-	{Name: "plain"}, {Name: "empty"},
+	{Name: "plain", ColdPerSecond: 20}, {Name: "empty"},
 	{Name: "llm", Engine: &route.Engine{Slots: 8, Memory: 30000, EventTokens: 4, Moves: true}},
 }, []route.Organisation{{Name: "council", Keys: []string{"key"}}}, route.Limits{})
 
@@ -209,7 +210,7 @@
 	w.failed = reliability.New()
 	w.relay = relay.New(relay.Parts{
 		Belief: w.belief, Fleet: w.fleet, Tally: w.tally, Reliability: w.failed, Sender: w.sender, Lengths: length.New(), Prefill: prefill.New(), Budget: retry.NewBudget(0.1, 3),
-		Chooser: choose.New(w.fleet, w.tally, w.failed, prefill.New(), "leith", rand.New(rand.NewPCG(1, 1))), Runs: w.runs, Metrics: counts,
+		Chooser: choose.New(choose.Parts{Fleet: w.fleet, Tally: w.tally, Reliability: w.failed, Reading: prefill.New(), Hall: "leith", Random: rand.New(rand.NewPCG(1, 1))}), Runs: w.runs, Metrics: counts,
 		Full: func() bool { return w.full },
 		Stopping: func() (relay.Stop, bool) {
 			return relay.Stop{Since: grace - w.leaves, Left: w.leaves, Most: w.most}, w.leaves > 0
@@ -615,3 +616,24 @@
 		})
 	}
 }
+
+// TestCold shows that a request is refused at once where every upstream is cold and
+// may get no more for now.
+func TestCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, reply{body: "b"})
+		w.relay.Chooser.Warmup = warmup.New(rand.New(rand.NewPCG(1, 1)))
+		w.relay.Chooser.Part = func(route.Service) float64 { return 0 }
+		for _, u := range w.fleet.Serving("plain") {
+			u.Version, u.Cold = 2, time.Now().Add(2*time.Second)
+			w.fleet.Put(time.Now(), u)
+		}
+		c := w.serve(t.Context(), "/public/")
+		is.Equal(c.refused.Reason(), refusal.UpstreamCold)
+		is.True(c.refused.RetryAfter() > 0)
+		is.Equal(len(w.sender.sends), 0)
+		time.Sleep(2 * time.Second)
+		is.Equal(w.serve(t.Context(), "/public/").body.String(), "b")
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -251,6 +251,7 @@
 			at = h.Source
 			continue
 		}
+		r.Chooser.Sent(time.Now(), f.job.service, at)
 		s, err := r.sendTo(ctx, f.job, at, f.last, &h.Copy)
 		log := f.job.log.WithFields(logrus.Fields{"upstream": at.ID, "after": f.last, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds()})
 		if err == nil && s.answer.Status == http.StatusOK {
--- a/route/route.go
+++ b/route/route.go
@@ -47,6 +47,9 @@
 type Service struct {
 	Name   string
 	Engine *Engine // nil for a plain service
+
+	ColdFor       time.Duration // an upstream is cold for so long after its start
+	ColdPerSecond float64       // requests that a cold upstream bears; 0 for any
 }
 
 // Organisation is one that sends requests.
@@ -119,6 +122,15 @@
 	return s, ok
 }
 
+// ColdFor returns the longest that an upstream of any service is cold after its start.
+func (t *Table) ColdFor() time.Duration {
+	longest := time.Duration(0)
+	for _, s := range t.services {
+		longest = max(longest, s.ColdFor)
+	}
+	return longest
+}
+
 // Engines returns the names of the services that engines answer.
 func (t *Table) Engines() []string {
 	var names []string
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4003,6 +4003,9 @@
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// For how much longer it is cold.
+	ColdMs int `json:"cold_ms,omitempty,omitzero"`
+
 	// Hall corresponds to the JSON schema field "hall".
 	Hall string `json:"hall"`
 
@@ -4018,9 +4021,6 @@
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots"`
 
-	// SlowMs corresponds to the JSON schema field "slow_ms".
-	SlowMs int `json:"slow_ms,omitempty,omitzero"`
-
 	// State corresponds to the JSON schema field "state".
 	State string `json:"state"`
 
@@ -4057,12 +4057,12 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["cold_ms"]; !ok || v == nil {
+		plain.ColdMs = 0
+	}
 	if v, ok := raw["said"]; !ok || v == nil {
 		plain.Said = false
 	}
-	if v, ok := raw["slow_ms"]; !ok || v == nil {
-		plain.SlowMs = 0
-	}
 	if v, ok := raw["version"]; !ok || v == nil {
 		plain.Version = 0
 	}
