route, choose: routes and organisations that name regions are served nowhere else

Cause: allowed_regions of the platform's configuration was read nowhere. A deployment of one region cannot break it; one of several could, by any choice.

The settings give each hall's region; a request's regions are those that both its route and its organisation allow, and go with it to the queue's keeper and to moves. None in common, or no upstream there: refused at once, not run. Bodies never went to other boxes, so that no box's region matters.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -55,6 +55,7 @@
 	Patience time.Duration // the caller leaves so long after the request arrived; 0 if it does not
 	Mark     uint64        // what the tries of one request have in common
 	Avoid    []string
+	Regions  []string // the only ones that it may go to; none for any
 }
 
 // Grant is room at an upstream.
@@ -200,11 +201,11 @@
 type rankings map[string][]choose.Choice
 
 func (a *Admission) ranked(now time.Time, r rankings, ask Ask) []choose.Choice {
-	key := strings.Join(append([]string{ask.Service.Name, ask.Hall}, ask.Avoid...), "/")
+	key := strings.Join(append([]string{ask.Service.Name, ask.Hall, strings.Join(ask.Regions, ",")}, ask.Avoid...), "/")
 	list, ok := r[key]
 	if !ok {
 		list = a.ranking.Ranked(now, choose.Want{
-			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Avoid: ask.Avoid, All: true,
+			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Avoid: ask.Avoid, Regions: ask.Regions, All: true,
 		})
 		r[key] = list
 	}
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -72,6 +72,7 @@
 	Reading     reading
 	Hall        string // of the box
 	Random      *rand.Rand
+	Regions     map[string]string             // of halls
 	Warmup      *warmup.Warmup                // nil: cold upstreams are not spared
 	Part        func(s route.Service) float64 // of what a cold upstream bears that this box may send
 }
@@ -91,7 +92,8 @@
 	Hall    string // to be near; the box's own where empty
 	Moves   bool   // it is for a run that moves there
 	Avoid   []string
-	All     bool // all are weighed: what others send there meanwhile is known
+	Regions []string // the only ones that may be chosen; none for any
+	All     bool     // all are weighed: what others send there meanwhile is known
 }
 
 // Choice is an upstream, what runs there, and that as a share of its capacity.
@@ -179,6 +181,9 @@
 	if len(w.Avoid) > 0 {
 		list = slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return slices.Contains(w.Avoid, u.ID) })
 	}
+	if len(w.Regions) > 0 {
+		list = slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return !slices.Contains(w.Regions, c.Regions[u.Hall]) })
+	}
 	if w.All || len(list) < sampleOf {
 		return list
 	}
--- a/choose/choose_test.go
+++ b/choose/choose_test.go
@@ -202,3 +202,31 @@
 	}
 	is.Equal(sent, 10)
 }
+
+// TestRegions shows that a request that is confined to regions goes nowhere else, also
+// where nothing is left for it.
+func TestRegions(t *testing.T) {
+	tests := map[string]struct {
+		halls   []string
+		regions []string
+		want    string // empty: none
+	}{
+		"not confined":              {[]string{"leith", "parnu"}, nil, "e0"},
+		"confined to another":       {[]string{"leith", "parnu"}, []string{"north"}, "e1"},
+		"confined to two":           {[]string{"leith", "parnu"}, []string{"north", "edinburgh"}, "e0"},
+		"none there":                {[]string{"leith", "gorgie"}, []string{"north"}, ""},
+		"a hall of no known region": {[]string{"elsewhere"}, []string{"north"}, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, _ := chooserOf(tt.halls)
+			c.Regions = map[string]string{"leith": "edinburgh", "gorgie": "edinburgh", "parnu": "north"}
+			for _, moves := range []bool{false, true} {
+				u, _, ok := c.Choose(time.Now(), choose.Want{Service: service, Regions: tt.regions, Moves: moves})
+				is.Equal(ok, tt.want != "")
+				is.Equal(u.ID, tt.want)
+			}
+		})
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -176,7 +176,7 @@
 	reading := prefill.New()
 	chooser := choose.New(choose.Parts{
 		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall,
-		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part,
+		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
 	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -141,8 +141,10 @@
 	}
 	log = log.WithField("route", rt.Name)
 	j := &job{req: req, route: rt, table: table, log: log, lengths: r.Lengths, urgency: rt.Priority, deadline: req.Arrived.Add(min(req.Wait, rt.Timeout))}
+	var o route.Organisation
 	if table.Keyed() {
-		o, known := table.Organisation(req.Key)
+		var known bool
+		o, known = table.Organisation(req.Key)
 		switch {
 		case known:
 			j.organisation = o.Name
@@ -157,6 +159,9 @@
 		}
 	}
 	j.urgency = min(max(j.urgency, 0), urgencyMost)
+	if err := j.confine(o.Regions); err != nil {
+		return nil, err
+	}
 	j.service, ok = r.serviceOf(j)
 	if !ok {
 		return nil, refusal.New(refusal.UnknownService, rt.Name).WithRetryAfter(comeLater)
@@ -167,6 +172,18 @@
 	return j, nil
 }
 
+// confine notes where the request may be served, by its route and its organisation.
+func (j *job) confine(organisation []string) error {
+	regions, ok := route.Within(j.route.Regions, organisation)
+	if !ok {
+		return refusal.New(refusal.NoUpstream, "no region serves both the route and the organisation").WithRetryAfter(comeLater)
+	}
+	confined := *j.req
+	confined.Regions = regions
+	j.req = &confined
+	return nil
+}
+
 // orStale returns why a request is refused: what a stale belief does not know may
 // have been added since, so that another box may serve it.
 func orStale(stale bool, tooOld, unknown refusal.Refusal) refusal.Refusal {
@@ -270,16 +287,17 @@
 		g, err := r.Admitter.Admit(ctx, admission.Ask{
 			Request: j.req.ID, Service: j.service, Urgency: j.urgency, Prompt: j.req.Prompt, Answer: j.left(0), Arrived: j.req.Arrived,
 			Aim: j.route.Aim, Deadline: j.deadline.Sub(j.req.Arrived), Patience: min(j.route.Patience, j.deadline.Sub(j.req.Arrived)),
-			Mark: j.mark(), Avoid: avoid,
+			Mark: j.mark(), Avoid: avoid, Regions: j.req.Regions,
 		})
 		return g.Upstream, g.Load, err
 	}
-	u, load, ok := r.Chooser.Choose(time.Now(), choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: avoid})
+	want := choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: avoid, Regions: j.req.Regions}
+	u, load, ok := r.Chooser.Choose(time.Now(), want)
 	switch {
 	case ok:
 		r.Chooser.Sent(time.Now(), j.service, u)
 		return u, load, nil
-	case len(r.Fleet.Serving(j.service.Name)) > len(avoid):
+	case len(r.Chooser.Ranked(time.Now(), want)) > 0: // all are held
 		return u, 0, refusal.New(refusal.UpstreamCold, "upstreams of "+j.service.Name+" are cold").WithRetryAfter(comeLater)
 	}
 	return u, 0, refusal.New(refusal.NoUpstream, "no upstream of "+j.service.Name).WithRetryAfter(comeLater)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -637,3 +637,37 @@
 		is.Equal(w.serve(t.Context(), "/public/").body.String(), "b")
 	})
 }
+
+// TestConfined shows where a request goes whose route or organisation is confined to
+// regions: both bind.
+func TestConfined(t *testing.T) {
+	tests := map[string]struct {
+		route, organisation []string
+		served              bool
+	}{
+		"neither":                 {nil, nil, true},
+		"the route, here":         {[]string{"edinburgh"}, nil, true},
+		"the route, elsewhere":    {[]string{"north"}, nil, false},
+		"the organisation":        {nil, []string{"north"}, false},
+		"both, one is here":       {[]string{"north", "edinburgh"}, []string{"edinburgh"}, true},
+		"both, none in common":    {[]string{"north"}, []string{"edinburgh"}, false},
+		"both, in common is away": {[]string{"north", "edinburgh"}, []string{"north"}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, reply{body: "b"})
+				w.relay.Chooser.Regions = map[string]string{"": "edinburgh"}
+				w.belief.Take(route.New(8, []route.Route{
+					{Name: "safe", Host: "h", Prefix: "/safe/", Repeatable: true, Attempts: 2, Timeout: time.Second, Aim: time.Second, Split: split("plain"), Regions: tt.route},
+				}, []route.Service{{Name: "plain"}}, []route.Organisation{{Name: "council", Keys: []string{"key"}, Regions: tt.organisation}}, route.Limits{}))
+				w.belief.Confirm(time.Now())
+				c := w.serve(t.Context(), "/safe/")
+				is.Equal(c.body.String() == "b", tt.served)
+				is.Equal(len(w.sender.sends) > 0, tt.served)
+				is.True(tt.served || c.refused.Reason() == refusal.NoUpstream)
+			})
+		})
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -29,12 +29,28 @@
 	Patience   time.Duration // callers leave a stream after so long a pause, also before its first event
 	Priority   int           // 0 goes first
 	Public     bool          // needs no key
+	Regions    []string      // requests are served nowhere else; none for anywhere
 	Split      []Share
 }
 
 // Idempotent tells whether a request may run more than once.
 func (r Route) Idempotent() bool { return r.Repeatable || r.Resumable }
 
+// Within returns the regions where a request is served that both its route and its
+// organisation may confine: none for anywhere. It reports false if there is none
+// that both allow.
+func Within(route, organisation []string) (regions []string, ok bool) {
+	if len(route) == 0 || len(organisation) == 0 {
+		return append(slices.Clone(route), organisation...), true
+	}
+	for _, r := range route {
+		if slices.Contains(organisation, r) {
+			regions = append(regions, r)
+		}
+	}
+	return regions, len(regions) > 0
+}
+
 // Engine is what a service's model engines offer.
 type Engine struct {
 	Slots       int
@@ -56,7 +72,8 @@
 type Organisation struct {
 	Name     string
 	Keys     []string
-	Priority *int // goes before the route's
+	Priority *int     // goes before the route's
+	Regions  []string // its requests are served nowhere else; none for anywhere
 }
 
 // Limits bound what a caller may send.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -122,6 +122,9 @@
 	// Tokens.
 	Prompt int `json:"prompt,omitempty,omitzero"`
 
+	// The only regions that it may go to; none for any.
+	Regions []string `json:"regions,omitempty,omitzero"`
+
 	// Request corresponds to the JSON schema field "request".
 	Request string `json:"request"`
 
@@ -182,6 +185,9 @@
 	if v, ok := raw["prompt"]; !ok || v == nil {
 		plain.Prompt = 0
 	}
+	if v, ok := raw["regions"]; !ok || v == nil {
+		plain.Regions = []string{}
+	}
 	if v, ok := raw["urgency"]; !ok || v == nil {
 		plain.Urgency = 0
 	}
@@ -890,6 +896,10 @@
 	// Address asked by the balancer.
 	Ready string `json:"ready"`
 
+	// Region of each hall. A route or an organisation that names regions is served in
+	// no other hall than these tell.
+	Regions EdgeRegions `json:"regions,omitempty,omitzero"`
+
 	// Repeats for each request that all boxes together may make.
 	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero"`
 
@@ -937,6 +947,10 @@
 	return nil
 }
 
+// Region of each hall. A route or an organisation that names regions is served in
+// no other hall than these tell.
+type EdgeRegions map[string]string
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Edge) UnmarshalJSON(value []byte) error {
 	var raw map[string]interface{}
