--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -251,6 +251,9 @@
 	}
 }
 
+// Halls returns the names of all halls.
+func Halls() []string { return halls }
+
 // Live returns the live workers of a service, the oldest first.
 func (s *Site) Live(service string) []*Worker {
 	s.mu.Lock()
@@ -320,7 +323,7 @@
 	var ran []verdict.Ran
 	for _, w := range s.all {
 		for _, r := range w.Runs() {
-			ran = append(ran, verdict.Ran{Worker: w.ID, Run: r})
+			ran = append(ran, verdict.Ran{Worker: w.ID, Hall: w.Hall, Run: r})
 		}
 	}
 	return ran
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -20,6 +20,9 @@
 	readyTime = 60 * time.Second
 	// keySlack is for the way of a request through the links and a busy machine.
 	keySlack = 500 * time.Millisecond
+	// hallTime is how long an evacuated hall may get runs in calm: two calls to the
+	// store, a hub's word, a busy machine.
+	hallTime = 3 * time.Second
 	look     = 100 * time.Millisecond
 )
 
@@ -51,13 +54,14 @@
 	Requests, Served, Refused, Broken int
 	Runs, Moved                       int
 	Stops                             int // planned, with nothing else wrong
+	Evacuations                       int // likewise
 	Breaks                            []verdict.Break
 }
 
 // String returns the closing line.
 func (t Tally) String() string {
-	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d promises_broken=%d",
-		t.Requests, t.Served, t.Refused, t.Broken, t.Runs, t.Moved, t.Stops, len(t.Breaks))
+	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d calm_evacuations=%d promises_broken=%d",
+		t.Requests, t.Served, t.Refused, t.Broken, t.Runs, t.Moved, t.Stops, t.Evacuations, len(t.Breaks))
 }
 
 // Soak is one run.
@@ -94,7 +98,7 @@
 	}
 	stop()
 	<-done
-	return s.check(callers.Attempts(), at.Ran(), strikes.Stops()), err
+	return s.check(callers.Attempts(), at.Ran(), strikes), err
 }
 
 func ready(at *site.Site) error {
@@ -137,8 +141,9 @@
 	return false
 }
 
-func (s *Soak) check(attempts []verdict.Attempt, ran []verdict.Ran, stops []verdict.Stop) Tally {
-	t := Tally{Requests: len(attempts), Runs: len(ran), Stops: len(stops)}
+func (s *Soak) check(attempts []verdict.Attempt, ran []verdict.Ran, strikes *strike.Strikes) Tally {
+	stops, evacuations := strikes.Stops(), strikes.Evacuations()
+	t := Tally{Requests: len(attempts), Runs: len(ran), Stops: len(stops), Evacuations: len(evacuations)}
 	for _, a := range attempts {
 		switch {
 		case a.Status == http.StatusOK && a.Complete:
@@ -154,6 +159,6 @@
 			t.Moved++
 		}
 	}
-	t.Breaks = verdict.New(site.Events, site.KeyAge+keySlack).Check(attempts, ran, stops)
+	t.Breaks = verdict.New(site.Events, site.KeyAge+keySlack, hallTime).Check(attempts, ran, stops, evacuations)
 	return t
 }
--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -43,6 +43,8 @@
 	// downWithKeys is how long the store is down while keys are taken away:
 	// longer than a key may be served.
 	downWithKeys = site.KeyAge + 2*time.Second
+	// evacuated is how long a hall is evacuated.
+	evacuated = 5 * time.Second
 	// slowStore is how late the store's answers are, in ms.
 	slowStore = 400
 )
@@ -57,6 +59,7 @@
 type Strikes struct {
 	site   *site.Site
 	random *rand.Rand
+	halls  *rand.Rand // which are evacuated
 	out    io.Writer
 
 	mu      sync.Mutex
@@ -64,11 +67,13 @@
 	ended   time.Time // of the last strike
 	stops   []verdict.Stop
 	failure error
+
+	evacuations []verdict.Evacuation
 }
 
 // New returns strikes at a site; out is told of each.
 func New(s *site.Site, seed uint64, out io.Writer) *Strikes {
-	return &Strikes{site: s, random: rand.New(rand.NewPCG(seed, 0)), out: out}
+	return &Strikes{site: s, random: rand.New(rand.NewPCG(seed, 0)), halls: rand.New(rand.NewPCG(seed, 1)), out: out}
 }
 
 // plan is one strike, drawn.
@@ -87,6 +92,7 @@
 		if s.random.IntN(calmly) == 0 {
 			all.Wait()
 			s.stopCalmly(ctx, s.site.Boxes[s.random.IntN(len(s.site.Boxes))], began)
+			s.evacuateCalmly(ctx, site.Halls()[s.halls.IntN(len(site.Halls()))], began)
 			continue
 		}
 		p := s.draw()
@@ -115,6 +121,35 @@
 	s.strike(plan{do: func(time.Duration) error { return s.stop(b) }})
 }
 
+// evacuateCalmly evacuates a hall once nothing has been wrong for a while, and takes
+// that back.
+func (s *Strikes) evacuateCalmly(ctx context.Context, hall string, began time.Time) {
+	select {
+	case <-time.After(calm + pauseMost):
+	case <-ctx.Done():
+		return
+	}
+	fmt.Fprintf(s.out, "%6.2f evacuate %s in calm\n", time.Since(began).Seconds(), hall)
+	s.strike(plan{do: func(time.Duration) error { return s.evacuate(hall) }})
+}
+
+// evacuate is judged where nothing else is wrong.
+func (s *Strikes) evacuate(hall string) error {
+	from := time.Now()
+	s.site.Platform.Evacuate(hall)
+	time.Sleep(evacuated)
+	if s.quietSince(from.Add(-calm)) {
+		s.mu.Lock()
+		s.evacuations = append(s.evacuations, verdict.Evacuation{Hall: hall, From: from, Until: time.Now()})
+		s.mu.Unlock()
+	}
+	s.site.Platform.TakeBack(hall)
+	return nil
+}
+
+// Evacuations returns those with nothing else wrong.
+func (s *Strikes) Evacuations() []verdict.Evacuation { return s.evacuations }
+
 // Stops returns the planned stops with nothing else wrong.
 func (s *Strikes) Stops() []verdict.Stop { return s.stops }
 
--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -49,6 +49,7 @@
 // Ran is one run at a worker.
 type Ran struct {
 	Worker string
+	Hall   string
 	worker.Run
 }
 
@@ -60,6 +61,13 @@
 	Until  time.Time
 }
 
+// Evacuation is that of a hall with nothing else wrong.
+type Evacuation struct {
+	Hall  string
+	From  time.Time // the store has it
+	Until time.Time // it is taken back
+}
+
 // Promises are those that are checked.
 const (
 	Mixed   = "MIXED"   // an answer that is not the worker's, or of another request
@@ -69,6 +77,7 @@
 	Refused = "REFUSED" // told that it was not run, and it ran
 	Revoked = "REVOKED" // served by a key that was taken away
 	Cut     = "CUT"     // a planned stop broke it off
+	Closed  = "CLOSED"  // a run begun in an evacuated hall
 )
 
 // Break is one broken promise.
@@ -85,18 +94,34 @@
 type Verdict struct {
 	events int           // in a stream
 	key    time.Duration // that a key may be served after it was taken away
+	hall   time.Duration // that a hall may get runs after it was evacuated
 }
 
 // New returns a verdict over streams of so many events.
-func New(events int, key time.Duration) *Verdict { return &Verdict{events: events, key: key} }
+func New(events int, key, hall time.Duration) *Verdict {
+	return &Verdict{events: events, key: key, hall: hall}
+}
+
+// closed returns the runs that began in a hall while it was evacuated.
+func (v *Verdict) closed(ran []Ran, evacuations []Evacuation) []Break {
+	var broken []Break
+	for _, r := range ran {
+		for _, e := range evacuations {
+			if late := r.At.Sub(e.From); r.Hall == e.Hall && late > v.hall && r.At.Before(e.Until) {
+				broken = append(broken, Break{Closed, r.ID, fmt.Sprintf("begun in %s %v after its evacuation", r.Hall, late)})
+			}
+		}
+	}
+	return broken
+}
 
 // Check returns what is broken.
-func (v *Verdict) Check(attempts []Attempt, ran []Ran, stops []Stop) []Break {
+func (v *Verdict) Check(attempts []Attempt, ran []Ran, stops []Stop, evacuations []Evacuation) []Break {
 	runs := map[string][]Ran{}
 	for _, r := range ran {
 		runs[r.ID] = append(runs[r.ID], r)
 	}
-	var broken []Break
+	broken := v.closed(ran, evacuations)
 	asked := map[string]bool{}
 	for _, a := range attempts {
 		asked[a.ID] = true
--- a/soak/verdict/verdict_test.go
+++ b/soak/verdict/verdict_test.go
@@ -78,7 +78,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			broken := verdict.New(events, 5*time.Second).Check([]verdict.Attempt{tt.attempt}, tt.runs, tt.stops)
+			broken := verdict.New(events, 5*time.Second, 3*time.Second).Check([]verdict.Attempt{tt.attempt}, tt.runs, tt.stops, nil)
 			if tt.want == "" {
 				is.Equal(len(broken), 0)
 				return
@@ -88,3 +88,28 @@
 		})
 	}
 }
+
+// TestClosed shows which runs break the promise of an evacuated hall.
+func TestClosed(t *testing.T) {
+	evacuated := []verdict.Evacuation{{Hall: "leith", From: now, Until: now.Add(10 * time.Second)}}
+	tests := map[string]struct {
+		hall string
+		at   time.Duration
+		want int
+	}{
+		"before":              {"leith", -time.Second, 0},
+		"within its time":     {"leith", 2 * time.Second, 0},
+		"later":               {"leith", 4 * time.Second, 1},
+		"once it is back":     {"leith", 11 * time.Second, 0},
+		"later, another hall": {"gorgie", 4 * time.Second, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ran := run(func(r *verdict.Ran) { r.Hall, r.At = tt.hall, now.Add(tt.at) })
+			broken := verdict.New(events, 5*time.Second, 3*time.Second).Check([]verdict.Attempt{attempt(verdict.Once, nil)}, []verdict.Ran{ran}, nil, evacuated)
+			is := is.New(t)
+			is.Equal(len(broken), tt.want)
+			is.True(len(broken) == 0 || broken[0].Promise == verdict.Closed)
+		})
+	}
+}
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -77,6 +77,14 @@
 // Withdraw removes a worker's row.
 func (p *Platform) Withdraw(id string) { p.Remove(store.Row{Table: "servers", Key: id}) }
 
+// Evacuate says that a hall's workers are to get nothing new, as the operator does.
+func (p *Platform) Evacuate(hall string) { p.put("op", "evacuate/"+hall, map[string]any{}) }
+
+// TakeBack takes an evacuation back.
+func (p *Platform) TakeBack(hall string) {
+	p.Remove(store.Row{Table: "op", Key: "evacuate/" + hall})
+}
+
 func (p *Platform) put(table, key string, value map[string]any) {
 	raw, err := json.Marshal(value)
 	if err != nil {
