admission: what leaves is looked up once a round, and kept room for only where runs move

Cause: found in reading the diff. The reserve for runs at engines that leave walked all upstreams for each request that waits, a hundred times a second (3,000 upstreams: some 5% of a core, reckoned, not measured), and held newcomers back also before engines whose runs end where they are.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -104,7 +104,7 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	waiting []*waiter
-	round   *time.Timer
+	next    *time.Timer // the next round; nil while nobody waits
 	returns returns
 	demand  flow // of newcomers
 	// forecast decides who is let wait.
@@ -160,7 +160,7 @@
 // enter takes a request in. One that has come just now, finds no room, and cannot be
 // expected to be in time is refused at once.
 func (a *Admission) enter(now time.Time, w *waiter) {
-	r := rankings{}
+	r := newRound()
 	if len(a.ranked(now, r, w.ask)) == 0 {
 		w.settled <- outcome{err: noUpstream(w.ask)}
 		return
@@ -196,49 +196,69 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(o *waiter) bool { return o == w })
 }
 
-// rankings are the upstreams in their order, by whom they are for; they hold until
-// room is given.
-type rankings map[string][]choose.Choice
+// round is what is looked up once for all that wait; it holds until room is given.
+type round struct {
+	ranked  map[string][]choose.Choice // upstreams in their order, by whom they are for
+	leaving map[string]int             // tokens that run at those that leave, by service
+}
+
+func newRound() round {
+	return round{ranked: map[string][]choose.Choice{}, leaving: map[string]int{}}
+}
+
+func (r round) clear() {
+	clear(r.ranked)
+	clear(r.leaving)
+}
+
+// leaving returns the tokens that run at the upstreams of a service that leave.
+func (a *Admission) leaving(now time.Time, r round, service string) int {
+	tokens, ok := r.leaving[service]
+	if !ok {
+		tokens = a.ranking.Leaving(now, service).Tokens
+		r.leaving[service] = tokens
+	}
+	return tokens
+}
 
-func (a *Admission) ranked(now time.Time, r rankings, ask Ask) []choose.Choice {
+func (a *Admission) ranked(now time.Time, r round, ask Ask) []choose.Choice {
 	key := strings.Join(append([]string{ask.Service.Name, ask.Hall, strings.Join(ask.Regions, ",")}, ask.Avoid...), "/")
-	list, ok := r[key]
+	list, ok := r.ranked[key]
 	if !ok {
 		list = a.ranking.Ranked(now, choose.Want{
 			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Avoid: ask.Avoid, Regions: ask.Regions, All: true,
 		})
-		r[key] = list
+		r.ranked[key] = list
 	}
 	return list
 }
 
 // grant gives room to those who wait, in their order, as far as there is any.
-func (a *Admission) grant(now time.Time, r rankings) {
+func (a *Admission) grant(now time.Time, r round) {
 	slices.SortStableFunc(a.waiting, func(x, y *waiter) int { return a.compare(now, x, y) })
 	looks := 0
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
 		if looks < looksMost {
-			ranked := a.ranked(now, r, w.ask)
-			if len(ranked) == 0 {
+			if len(a.ranked(now, r, w.ask)) == 0 {
 				a.line(now, w).Info("no_upstream")
 				w.settled <- outcome{err: noUpstream(w.ask)}
 				return true
 			}
-			if g, ok := a.room(now, ranked, w.ask); ok {
+			if g, ok := a.room(now, r, w.ask); ok {
 				a.give(now, w, g)
-				clear(r)
+				r.clear()
 				return true
 			}
 			looks++
 		}
 		return a.endure(now, r, w)
 	})
-	if len(a.waiting) > 0 && a.round == nil {
-		a.round = time.AfterFunc(roundEvery, func() {
+	if len(a.waiting) > 0 && a.next == nil {
+		a.next = time.AfterFunc(roundEvery, func() {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			a.round = nil
-			a.grant(time.Now(), rankings{})
+			a.next = nil
+			a.grant(time.Now(), newRound())
 		})
 	}
 }
@@ -258,7 +278,7 @@
 
 // endure ends the wait of a request that can no longer be in time: it is told to
 // come back, or, where it has done so already, waits on as long as its caller.
-func (a *Admission) endure(now time.Time, r rankings, w *waiter) (ended bool) {
+func (a *Admission) endure(now time.Time, r round, w *waiter) (ended bool) {
 	if a.left(now, w.ask) >= 0 {
 		return false
 	}
--- a/admission/room.go
+++ b/admission/room.go
@@ -34,9 +34,9 @@
 // of such requests then use what is too small for any draft, and engines that have
 // just come are filled by drafts: 0.03 of a day's worth under a lasting shortage,
 // nothing elsewhere.
-func (a *Admission) room(now time.Time, ranked []choose.Choice, ask Ask) (Grant, bool) {
-	short := a.short(ask)
-	if !short && !a.spare(now, ranked, ask) {
+func (a *Admission) room(now time.Time, r round, ask Ask) (Grant, bool) {
+	ranked, short := a.ranked(now, r, ask), a.short(ask)
+	if !short && !a.spare(ranked, ask, a.leaving(now, r, ask.Service.Name)) {
 		return Grant{}, false
 	}
 	best, least := -1, 0
@@ -57,14 +57,13 @@
 	return grantOf(ask, ranked[best]), true
 }
 
-// spare tells whether the upstreams together have room for a request beside all
-// that runs at those that leave. Where a sixth of the engines leaves at once, their
+// spare tells whether the upstreams together have room for a request beside the
+// tokens that run at those that leave and move. Where a sixth of the engines leaves at once, their
 // runs need more than what is free; newcomers that took it would have them, or each
 // other, preempted, which costs a second of silence and a prompt read anew. They
 // wait for the engines that come: 0.02 to 0.04 of a day's worth there.
-func (a *Admission) spare(now time.Time, ranked []choose.Choice, ask Ask) bool {
-	leaving := a.ranking.Leaving(now, ask.Service.Name).Tokens
-	if leaving == 0 {
+func (a *Admission) spare(ranked []choose.Choice, ask Ask, leaving int) bool {
+	if leaving == 0 || !ask.Service.Engine.Moves {
 		return true
 	}
 	free := 0
