--- a/admission/admission.go
+++ b/admission/admission.go
@@ -11,7 +11,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -107,13 +106,12 @@
 	next    *time.Timer // the next round; nil while nobody waits
 	returns returns
 	demand  flow // of newcomers
-	// forecast decides who is let wait.
-	forecast *forecast
+	wait    *forecast
 }
 
 // New returns an empty queue.
 func New(r ranking, l loads, p reading, random *rand.Rand, log *logrus.Entry) *Admission {
-	return &Admission{ranking: r, loads: l, reading: p, random: random, log: log, returns: returns{}, demand: flow{span: demandSpan}, forecast: newForecast()}
+	return &Admission{ranking: r, loads: l, reading: p, random: random, log: log, returns: returns{}, demand: flow{span: demandSpan}, wait: newForecast()}
 }
 
 // left is how long a request may still wait to be in time.
@@ -176,7 +174,7 @@
 		return
 	}
 	leaves := a.leaves(w.ask, a.ranked(now, r, w.ask))
-	expected := a.forecast.expects(now, a.rank(w.ask), a.ahead(now, w)+w.ask.Prompt, leaves)
+	expected := a.wait.expects(now, a.rank(w.ask), a.ahead(now, w)+w.ask.Prompt, leaves)
 	if expected > a.left(now, w.ask) {
 		a.drop(w)
 		a.sendOff(now, w, expected, leaves)
@@ -196,43 +194,6 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(o *waiter) bool { return o == w })
 }
 
-// round is what is looked up once for all that wait; it holds until room is given.
-type round struct {
-	ranked  map[string][]choose.Choice // upstreams in their order, by whom they are for
-	leaving map[string]int             // tokens that run at those that leave, by service
-}
-
-func newRound() round {
-	return round{ranked: map[string][]choose.Choice{}, leaving: map[string]int{}}
-}
-
-func (r round) clear() {
-	clear(r.ranked)
-	clear(r.leaving)
-}
-
-// leaving returns the tokens that run at the upstreams of a service that leave.
-func (a *Admission) leaving(now time.Time, r round, service string) int {
-	tokens, ok := r.leaving[service]
-	if !ok {
-		tokens = a.ranking.Leaving(now, service).Tokens
-		r.leaving[service] = tokens
-	}
-	return tokens
-}
-
-func (a *Admission) ranked(now time.Time, r round, ask Ask) []choose.Choice {
-	key := strings.Join(append([]string{ask.Service.Name, ask.Hall, strings.Join(ask.Regions, ",")}, ask.Avoid...), "/")
-	list, ok := r.ranked[key]
-	if !ok {
-		list = a.ranking.Ranked(now, choose.Want{
-			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Avoid: ask.Avoid, Regions: ask.Regions, All: true,
-		})
-		r.ranked[key] = list
-	}
-	return list
-}
-
 // grant gives room to those who wait, in their order, as far as there is any.
 func (a *Admission) grant(now time.Time, r round) {
 	slices.SortStableFunc(a.waiting, func(x, y *waiter) int { return a.compare(now, x, y) })
@@ -265,7 +226,7 @@
 
 func (a *Admission) give(now time.Time, w *waiter, g Grant) {
 	a.returns.came(w.ask.Mark)
-	a.forecast.gave(now, a.rank(w.ask), w.ask.Prompt)
+	a.wait.gave(now, a.rank(w.ask), w.ask.Prompt)
 	a.ranking.Sent(now, w.ask.Service, g.Upstream)
 	a.loads.Promise(now, w.ask.Box, g.Upstream.ID, loadOf(w.ask))
 	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load}).Info("admitted")
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -67,7 +67,7 @@
 	a.returns.forget(now)
 	after := a.comeBack(now, w.ask, leaves)
 	a.line(now, w).WithFields(logrus.Fields{
-		"expected_ms": expected.Milliseconds(), "given": int(a.forecast.rate(now, a.rank(w.ask))), "leaves": int(leaves), "demand": int(a.demand.rate(now)), "returning": len(a.returns),
+		"expected_ms": expected.Milliseconds(), "given": int(a.wait.rate(now, a.rank(w.ask))), "leaves": int(leaves), "demand": int(a.demand.rate(now)), "returning": len(a.returns),
 		"back_ms": after.Milliseconds(),
 	}).Info("sent_off")
 	a.returns[w.ask.Mark] = sentOff{back: now.Add(after), tokens: w.ask.Prompt + w.ask.Answer}
