--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -5,8 +5,8 @@
 const (
 	// briefSpan and longSpan are over what the room that was given is averaged; the
 	// higher rate counts. The brief one follows a crowd that has just come, the long
-	// one spans the seconds in which engines are away by turns: by the brief one
-	// alone, which dips in between, half of those sent off would have had room.
+	// one spans the 3 to 4 s in which engines are away by turns, where the brief one
+	// dips.
 	briefSpan = time.Second
 	longSpan  = 4 * time.Second
 )
@@ -26,14 +26,12 @@
 
 // forecast tells how long a request will wait: what goes before it, by the rate
 // at which room is given to its rank and those behind it, as whatever is more
-// urgent goes on coming. It finds out by itself how far it may be trusted: its
-// horizon is the part of the time that a request has left within which its wait
-// must be expected to end, and follows what became of those that were let wait.
+// urgent goes on coming.
 //
 // By the pieces of room that engines have, and the time to read what is in line
-// there, as many as a fifth of all drafts were told to come back while others
-// waited 0.3 s: under a lasting shortage this forecast earns 0.05 to 0.1 of a
-// day's worth.
+// there, a fifth of all drafts of a day of lasting shortage were told to come back
+// while those that were let wait had room within 0.2 s: this forecast earns 0.05 to
+// 0.1 of such a day's worth (six days, by what callers received).
 type forecast struct {
 	given map[rank]*given
 	began time.Time // room was given for the first time
--- a/admission/room.go
+++ b/admission/room.go
@@ -62,10 +62,10 @@
 }
 
 // spare tells whether the upstreams together have room for a request beside the
-// tokens that run at those that leave and move. Where a sixth of the engines leaves at once, their
-// runs need more than what is free; newcomers that took it would have them, or each
-// other, preempted, which costs a second of silence and a prompt read anew. They
-// wait for the engines that come: 0.02 to 0.04 of a day's worth there.
+// tokens that run at those that leave and move. Where a sixth of the engines leaves
+// at once, their runs need more than what is free; newcomers that took it would have
+// them, or each other, preempted, which costs a second of silence and a prompt read
+// anew. They wait for the engines that come: 0.02 to 0.04 of a day's worth there.
 func (a *Admission) spare(ranked []choose.Choice, ask Ask, leaving int) bool {
 	if leaving == 0 || !ask.Service.Engine.Moves {
 		return true
@@ -109,7 +109,8 @@
 // prompt may be read while the next is there already, so that no engine waits;
 // what takes but a moment may have more before it, as engines read it first. One
 // that can still be in time goes only where it is: it would hold memory for an
-// answer that is late (33 of 1,094 drafts of a crowded day, 0.02 of its worth).
+// answer that is late (36 of 1,094 drafts of a crowded day were late by their first
+// event; 0.016 of the worth of three such days).
 func (a *Admission) readable(now time.Time, ask Ask, l tally.Load) bool {
 	left := a.left(now, ask)
 	if left < 0 {
