--- a/wire/wire.go
+++ b/wire/wire.go
@@ -116,6 +116,9 @@
 	// What the tries of a request have in common.
 	Mark string `json:"mark,omitempty,omitzero"`
 
+	// Whose request it is; empty where the route is open to all.
+	Organisation string `json:"organisation,omitempty,omitzero"`
+
 	// The caller leaves so long after the request arrived.
 	PatienceMs int `json:"patience_ms,omitempty,omitzero"`
 
@@ -179,6 +182,9 @@
 	if v, ok := raw["mark"]; !ok || v == nil {
 		plain.Mark = ""
 	}
+	if v, ok := raw["organisation"]; !ok || v == nil {
+		plain.Organisation = ""
+	}
 	if v, ok := raw["patience_ms"]; !ok || v == nil {
 		plain.PatienceMs = 0
 	}
@@ -867,6 +873,11 @@
 // Serve the callers of the users' platform: configuration, upstreams and boxes are
 // read from its store.
 type Edge struct {
+	// Decisions under load that are on: by how fast upstreams are, by the shares of
+	// organisations, by the places of plain upstreams, by what is held for callers
+	// that read slowly.
+	Balance []EdgeBalanceElem `json:"balance,omitempty,omitzero"`
+
 	// All boxes start for the first time, together: this one waits until it knows the
 	// others before it reads the store.
 	ColdStart bool `json:"cold_start,omitempty,omitzero"`
@@ -915,6 +926,40 @@
 	StopS float64 `json:"stop_s,omitempty,omitzero"`
 }
 
+type EdgeBalanceElem string
+
+const EdgeBalanceElemBuffers EdgeBalanceElem = "buffers"
+const EdgeBalanceElemPlaces EdgeBalanceElem = "places"
+const EdgeBalanceElemShares EdgeBalanceElem = "shares"
+const EdgeBalanceElemSpeeds EdgeBalanceElem = "speeds"
+
+var enumValues_EdgeBalanceElem = []interface{}{
+	"speeds",
+	"shares",
+	"places",
+	"buffers",
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *EdgeBalanceElem) UnmarshalJSON(value []byte) error {
+	var v string
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	var ok bool
+	for _, expected := range enumValues_EdgeBalanceElem {
+		if reflect.DeepEqual(v, expected) {
+			ok = true
+			break
+		}
+	}
+	if !ok {
+		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_EdgeBalanceElem, v)
+	}
+	*j = EdgeBalanceElem(v)
+	return nil
+}
+
 type EdgeMoves string
 
 const EdgeMovesAlone EdgeMoves = "alone"
@@ -965,6 +1010,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["balance"]; !ok || v == nil {
+		plain.Balance = []EdgeBalanceElem{}
+	}
 	if v, ok := raw["cold_start"]; !ok || v == nil {
 		plain.ColdStart = false
 	}
@@ -3942,6 +3990,10 @@
 
 // The news that an upstream leaves.
 type UpstreamDeparture struct {
+	// When this incarnation of the upstream started, in Unix milliseconds; 0 where it
+	// is not known.
+	Born int `json:"born,omitempty,omitzero"`
+
 	// The upstream itself said so.
 	Said bool `json:"said"`
 
@@ -3972,6 +4024,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["born"]; !ok || v == nil {
+		plain.Born = 0
+	}
 	*j = UpstreamDeparture(plain)
 	return nil
 }
@@ -4017,6 +4072,10 @@
 	// Address corresponds to the JSON schema field "address".
 	Address string `json:"address"`
 
+	// When this incarnation of the upstream started, in Unix milliseconds; 0 where it
+	// is not known.
+	Born int `json:"born,omitempty,omitzero"`
+
 	// For how much longer it is cold.
 	ColdMs int `json:"cold_ms,omitempty,omitzero"`
 
@@ -4071,6 +4130,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["born"]; !ok || v == nil {
+		plain.Born = 0
+	}
 	if v, ok := raw["cold_ms"]; !ok || v == nil {
 		plain.ColdMs = 0
 	}
@@ -4116,6 +4178,10 @@
 
 // What one box has running at an upstream.
 type UpstreamTally struct {
+	// When this incarnation of the upstream started, in Unix milliseconds; 0 where it
+	// is not known.
+	Born int `json:"born,omitempty,omitzero"`
+
 	// Tokens of memory that what runs is expected to take yet.
 	Coming int `json:"coming,omitempty,omitzero"`
 
@@ -4158,6 +4224,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["born"]; !ok || v == nil {
+		plain.Born = 0
+	}
 	if v, ok := raw["coming"]; !ok || v == nil {
 		plain.Coming = 0
 	}
