fleet, edge: tell incarnations of an upstream apart

An upstream may start again under its id. The fleet took it for the same one: it stayed leaving, and loads, failures, copies and runs of the one before held. Now a newer born replaces all that was known, an older word is dropped, and what was at the old incarnation is cut off at once and goes on as after any lost connection. born travels in hubs' records, departures, loads and failures, and is read from reports while the store is silent (it is not read from entries yet).

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -30,15 +30,16 @@
 func (e *Edge) Heard(from wire.Gossip) wire.GossipAnswer {
 	now := time.Now()
 	e.heardBox(now, from.Sender, from.Leaving)
-	e.tally.Told(now, from.Sender.Box, from.Tallies)
-	e.reliability.Told(now, from.Sender.Box, from.Failures)
 	e.hearDeparting(now, from.Departing)
+	e.tally.Told(now, from.Sender.Box, e.currentLoads(from.Tallies))
+	e.reliability.Told(now, from.Sender.Box, e.currentFailures(from.Failures))
 	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		a.Tallies, a.Failures, a.Hubs = e.tally.Own(), e.reliability.Own(now), e.hubRecords(now)
+		a.Tallies, a.Failures, a.Hubs = e.bornLoads(e.tally.Own()), e.bornFailures(e.reliability.Own(now)), e.hubRecords(now)
 	case wire.GossipScopeAll:
-		a.Tallies, a.Failures = e.tally.Without(now, from.Sender.Box), e.reliability.Without(now, from.Sender.Box)
+		a.Tallies = e.bornLoads(e.tally.Without(now, from.Sender.Box))
+		a.Failures = e.bornFailures(e.reliability.Without(now, from.Sender.Box))
 		a.Hubs = e.hubRecords(now)
 	}
 	e.answerConfiguration(now, &a)
@@ -127,7 +128,7 @@
 	for _, u := range changed {
 		a.Upstreams = append(a.Upstreams, wire.UpstreamRecord{
 			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, ColdMs: coldMs(now, u),
-			State: string(u.State), Version: int(u.Version), Said: u.Said,
+			State: string(u.State), Version: int(u.Version), Said: u.Said, Born: int(u.Born),
 		})
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -174,9 +174,11 @@
 	s := e.config.Edge
 	e.budget = retry.NewBudget(budgetPart*s.RetryRatio, e.slack(boxesGuess))
 	reading := prefill.New()
+	warm := warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5)))
+	e.fleet.OnRestart(e.restarted(warm))
 	chooser := choose.New(choose.Parts{
 		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall,
-		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part, Regions: s.Regions,
+		Warmup: warm, Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
 	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
@@ -298,6 +300,22 @@
 	}
 }
 
+// restarted takes the news that an upstream has started again: what was known of its
+// last incarnation goes before the new one gets work.
+func (e *Edge) restarted(warm *warmup.Warmup) fleet.Listener {
+	return func(u fleet.Upstream, source string) {
+		e.tally.Forget(u.ID)
+		e.reliability.Forget(u.ID)
+		warm.Forget(u.ID)
+		e.turns.Forget(u.ID)
+		cut, copies := e.runs.Restarted(u)
+		e.metrics.Restarted()
+		e.log.WithFields(logrus.Fields{
+			"upstream": u.ID, "service": u.Service, "born": u.Born, "state": u.State, "source": source, "cut": cut, "copies": copies,
+		}).Warn("upstream_restarted")
+	}
+}
+
 // hallChanged takes the news that a hall is evacuated, or that this is taken back.
 func (e *Edge) hallChanged(w halls.Word, source string) {
 	if w.Evacuated {
--- /dev/null
+++ b/edge/incarnations_test.go
@@ -0,0 +1,80 @@
+package edge_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/wire"
+)
+
+// TestIncarnationsTold shows what counts of what a box is told of two upstreams, the
+// first of which is known in incarnation 100.
+func TestIncarnationsTold(t *testing.T) {
+	type counts struct{ requests, failures int }
+	tests := map[string]struct {
+		born int // as it is told
+		want counts
+	}{
+		"the known one": {100, counts{requests: 2, failures: 300}},
+		"none is named": {0, counts{requests: 2, failures: 300}},
+		"a newer one":   {200, counts{requests: 2, failures: 300}},
+		"an older one":  {50, counts{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := alone(t, "hub", "leith", true)
+				list := rows("open", 1)
+				list[0].Born = 100
+				e.Hear(wire.GossipAnswer{Sender: record("far", "gorgie", true), FleetAt: 1, Upstreams: list}, time.Now())
+				e.IsHub() // as it looks all the while
+				time.Sleep(2 * time.Second)
+				e.Heard(wire.Gossip{
+					Sender:   record("b1", "leith", false),
+					Tallies:  []wire.UpstreamTally{{Upstream: "u1", Requests: 2, Born: tt.born}},
+					Failures: []wire.UpstreamFailures{{Upstream: "u1", Failed: 300, All: 300, Born: tt.born}},
+				})
+				a := e.Heard(wire.Gossip{Sender: record("b2", "leith", false), Wants: wire.GossipScopeAll, WholeFleet: true})
+				var got counts
+				for _, l := range a.Tallies {
+					got.requests += l.Requests
+					is.Equal(l.Born, 100) // told on with the incarnation that this box knows
+				}
+				for _, f := range a.Failures {
+					got.failures += f.Failed
+				}
+				is.Equal(got, tt.want)
+				is.Equal(a.Upstreams[0].Born, 100)
+			})
+		})
+	}
+}
+
+// TestRestartForgets holds that a hub which hears of a restart tells nothing more of
+// what was told of the incarnation before.
+func TestRestartForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := alone(t, "hub", "leith", true)
+		list := rows("open", 1)
+		list[0].Born = 100
+		far := record("far", "gorgie", true)
+		e.Hear(wire.GossipAnswer{Sender: far, FleetAt: 1, Upstreams: list}, time.Now())
+		e.IsHub() // as it looks all the while
+		time.Sleep(2 * time.Second)
+		e.Heard(wire.Gossip{
+			Sender:   record("b1", "leith", false),
+			Tallies:  []wire.UpstreamTally{{Upstream: "u1", Requests: 2, Born: 100}, {Upstream: "u2", Requests: 1}},
+			Failures: []wire.UpstreamFailures{{Upstream: "u1", Failed: 300, All: 300, Born: 100}},
+		})
+		list[0].Born, list[0].State = 200, "open"
+		e.Hear(wire.GossipAnswer{Sender: far, FleetAt: 2, Upstreams: list}, time.Now())
+		a := e.Heard(wire.Gossip{Sender: record("b2", "leith", false), Wants: wire.GossipScopeAll})
+		is.Equal(a.Tallies, []wire.UpstreamTally{{Upstream: "u2", Requests: 1}})
+		is.Equal(len(a.Failures), 0)
+	})
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -47,8 +47,8 @@
 	departing, last := e.departing(now, m.told)
 	e.telling(hub.Name, last)
 	return wire.Gossip{
-		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.tally.Own(),
-		Failures: e.reliability.Own(now), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
+		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.bornLoads(e.tally.Own()),
+		Failures: e.bornFailures(e.reliability.Own(now)), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
 	}
 }
 
@@ -109,15 +109,15 @@
 	if table != nil && table.Version() == a.Version {
 		e.belief.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
 	}
+	e.hearFleet(now, a, sent) // which incarnations there are, before what is told of them
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		e.tally.Told(now, a.Sender.Box, a.Tallies)
-		e.reliability.Told(now, a.Sender.Box, a.Failures)
+		e.tally.Told(now, a.Sender.Box, e.currentLoads(a.Tallies))
+		e.reliability.Told(now, a.Sender.Box, e.currentFailures(a.Failures))
 	case wire.GossipScopeAll:
-		e.tally.ToldSum(now, a.Tallies)
-		e.reliability.ToldSum(now, a.Failures)
+		e.tally.ToldSum(now, e.currentLoads(a.Tallies))
+		e.reliability.ToldSum(now, e.currentFailures(a.Failures))
 	}
-	e.hearFleet(now, a, sent)
 	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
 }
 
@@ -153,7 +153,7 @@
 		}
 		e.fleet.Told(now, fleet.Upstream{
 			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, Cold: coldUntil(now, u.ColdMs),
-			State: fleet.State(u.State), Version: int64(u.Version), Said: u.Said,
+			State: fleet.State(u.State), Version: int64(u.Version), Said: u.Said, Born: int64(u.Born),
 		})
 	}
 	if old && !a.FleetFromNow {
@@ -180,7 +180,7 @@
 
 func (e *Edge) hearDeparting(now time.Time, list []wire.UpstreamDeparture) {
 	for _, d := range list {
-		e.fleet.Leaves(now, fleet.Departure{ID: d.Upstream, Version: int64(d.Version), Said: d.Said}, "peer")
+		e.fleet.Leaves(now, fleet.Departure{ID: d.Upstream, Version: int64(d.Version), Said: d.Said, Born: int64(d.Born)}, "peer")
 	}
 }
 
@@ -189,7 +189,7 @@
 func (e *Edge) departing(now time.Time, after int) (list []wire.UpstreamDeparture, last int) {
 	departures, last := e.fleet.Departing(now, departingFor, after)
 	for _, d := range departures {
-		list = append(list, wire.UpstreamDeparture{Upstream: d.ID, Version: int(d.Version), Said: d.Said})
+		list = append(list, wire.UpstreamDeparture{Upstream: d.ID, Version: int(d.Version), Said: d.Said, Born: int(d.Born)})
 	}
 	return list, last
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,9 +1,10 @@
 // Package fleet knows the upstreams: which there are, which of them leave, and
 // which take no new work as their hall is evacuated.
-// One lifetime of an upstream has one id; once it has said that it leaves, it
-// leaves. One whose entry only went is back if a newer entry comes: it was cut
-// off from the store. Versions tell what is newer, as news comes from several
-// sides and late.
+// One incarnation of an upstream, once it has said that it leaves, leaves. One whose
+// entry only went is back if a newer entry comes: it was cut off from the store.
+// Versions tell what is newer, as news comes from several sides and late. An
+// upstream may start again under its id; what is known of the incarnation before
+// does not hold for it then.
 package fleet
 
 import (
@@ -26,7 +27,7 @@
 // for some seconds, and an old entry told late must not bring it back.
 const keptFor = 60 * time.Second
 
-// Upstream is one lifetime of a worker. Values are immutable.
+// Upstream is one incarnation of a worker. Values are immutable.
 type Upstream struct {
 	ID      string
 	Service string
@@ -37,6 +38,7 @@
 	State   State
 	Version int64 // of the table's last change that is known of it
 	Said    bool  // it said itself that it leaves
+	Born    int64 // when it started, in Unix ms by its own clock; 0 where it is not known
 }
 
 // Departure is the news that an upstream leaves. Values are immutable.
@@ -44,6 +46,7 @@
 	ID      string
 	Version int64 // of the change; 0 where it is not known
 	Said    bool  // the upstream itself said so
+	Born    int64 // of the incarnation that leaves; 0 where it is not known
 }
 
 type entry struct {
@@ -65,6 +68,7 @@
 	serving   map[string][]Upstream // those that take new work by service, as far as asked for since the last change
 	closed    map[string]time.Time  // halls whose upstreams take no new work, since when
 	listeners []Listener
+	restarted []Listener
 	changes   int
 	confirmed time.Time
 }
@@ -83,6 +87,15 @@
 	f.listeners = append(f.listeners, l)
 }
 
+// OnRestart calls l for each upstream that has started again under its id, before
+// any of its new incarnation is told to others: l forgets what it knew of the one
+// before. It may not call the fleet.
+func (f *Fleet) OnRestart(l Listener) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restarted = append(f.restarted, l)
+}
+
 // Replace takes a whole listing as of a version. After an outage of the store,
 // entries that lapsed meanwhile may come back; what is missing has the grace to
 // do so. What is known to be newer than the listing stays.
@@ -121,6 +134,11 @@
 		e.upstream.State = Open
 		f.all[u.ID] = e
 		f.change(e)
+	case e.older(u.Born):
+		return
+	case e.newer(u.Born):
+		f.restart(now, e, u, "entry")
+		return
 	case u.Version <= e.upstream.Version && !u.Said && e.upstream.State == Leaving, u.Version < e.upstream.Version:
 		return // told late
 	default:
@@ -134,7 +152,7 @@
 // renew takes a newer entry. One that has said that it leaves stays so.
 func (f *Fleet) renew(now time.Time, e *entry, u Upstream) {
 	old := e.upstream
-	u.State, u.Said = old.State, old.Said || u.Said
+	u.State, u.Said, u.Born = old.State, old.Said || u.Said, max(old.Born, u.Born)
 	if !u.Said && old.State != Open {
 		u.State, e.since = Open, now
 	}
@@ -142,11 +160,57 @@
 	if old.State == Leaving && u.State == Open {
 		f.tell(e, "entry")
 	}
-	if u.State != old.State || u.Address != old.Address || !u.Cold.Equal(old.Cold) {
+	if u.State != old.State || u.Address != old.Address || !u.Cold.Equal(old.Cold) || u.Born != old.Born {
 		f.change(e)
 	}
 }
 
+// older tells whether a word is of an incarnation before the known one.
+func (e *entry) older(born int64) bool { return born > 0 && born < e.upstream.Born }
+
+// newer tells whether a word is of an incarnation after the known one.
+func (e *entry) newer(born int64) bool { return e.upstream.Born > 0 && born > e.upstream.Born }
+
+// restart takes the first word of a newer incarnation: nothing of the one before
+// holds, nor does the order of its versions.
+func (f *Fleet) restart(now time.Time, e *entry, u Upstream, source string) {
+	clear(f.serving)
+	leaves := u.State == Leaving
+	if leaves {
+		u.State = Open
+	}
+	e.upstream, e.since, e.listed = u, now, true
+	f.change(e)
+	for _, l := range f.restarted {
+		l(u, source)
+	}
+	if leaves {
+		f.leave(now, e, source)
+	}
+}
+
+// Started takes an upstream's own word, from elsewhere than its entry, of which
+// incarnation it is.
+func (f *Fleet) Started(now time.Time, id string, born int64, source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.all[id]
+	if !ok || !e.newer(born) {
+		return
+	}
+	u := e.upstream
+	u.Born, u.State, u.Said, u.Cold = born, Open, false, time.Time{}
+	f.restart(now, e, u, source)
+}
+
+// Current tells whether an upstream is no older incarnation than the known one.
+func (f *Fleet) Current(u Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.all[u.ID]
+	return !ok || !e.older(u.Born)
+}
+
 // Remove takes the news that an entry is gone, by a change of a version: the
 // upstream leaves, though it may never have said so; after an outage of the
 // store it may only have lapsed.
@@ -179,7 +243,17 @@
 	defer f.mu.Unlock()
 	clear(f.serving)
 	e, ok := f.all[d.ID]
-	if !ok || !d.Said && d.Version < e.upstream.Version {
+	if !ok || e.older(d.Born) {
+		return
+	}
+	if e.newer(d.Born) {
+		u := e.upstream
+		u.Born, u.State, u.Said, u.Cold = d.Born, Leaving, d.Said, time.Time{}
+		u.Version = max(u.Version, d.Version)
+		f.restart(now, e, u, source)
+		return
+	}
+	if !d.Said && d.Version < e.upstream.Version {
 		return
 	}
 	if d.Said && !e.upstream.Said {
@@ -258,9 +332,20 @@
 		f.change(f.all[u.ID])
 		return
 	}
+	if e.older(u.Born) {
+		return
+	}
+	if e.newer(u.Born) {
+		f.restart(now, e, u, "hub")
+		return
+	}
 	if u.Version < e.upstream.Version && !u.Said {
 		return
 	}
+	if u.Born > e.upstream.Born { // it is known only now
+		e.upstream.Born = u.Born
+		f.change(e)
+	}
 	newer := u.Version > e.upstream.Version
 	if newer && !u.Cold.Equal(e.upstream.Cold) {
 		e.upstream.Cold = u.Cold
@@ -404,7 +489,7 @@
 	defer f.mu.Unlock()
 	for id, e := range f.all {
 		if e.upstream.State == Leaving && e.changed > after && now.Sub(e.since) < within {
-			list = append(list, Departure{ID: id, Version: e.upstream.Version, Said: e.upstream.Said})
+			list = append(list, Departure{ID: id, Version: e.upstream.Version, Said: e.upstream.Said, Born: e.upstream.Born})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -53,6 +53,8 @@
 	moves    metric.Float64Histogram
 	dropped  metric.Int64Counter
 	halls    metric.Int64Counter
+	restarts metric.Int64Counter
+	skipped  metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -78,6 +80,8 @@
 	m.moves = b.histogram("petrelstep_move", "Time of a generation's move to another upstream, by outcome.")
 	m.dropped = b.counter("petrelstep_log_lines_dropped", "Log lines dropped because nobody read them.")
 	m.halls = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
+	m.restarts = b.counter("petrelstep_upstream_restarts", "Upstreams heard to have started again under their ids.")
+	m.skipped = b.counter("petrelstep_entries_skipped", "Entries of the store that name no upstream or box to use, by reason.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -148,6 +152,14 @@
 	m.halls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
 }
 
+// Restarted counts an upstream that is heard to have started again.
+func (m *Metrics) Restarted() { m.restarts.Add(context.Background(), 1) }
+
+// Skipped counts an entry that cannot be used.
+func (m *Metrics) Skipped(reason string) {
+	m.skipped.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -325,10 +325,11 @@
 		alone = load.Prefill
 	}
 	entry := r.Tally.Begin(u.ID, load)
-	sending, cancel := context.WithCancel(ctx)
+	sending, cancel := context.WithCancelCause(ctx)
+	leave := r.Runs.Sent(u, func() { cancel(&RestartedError{Upstream: u.ID}) })
 	began := time.Now()
 	hung := time.AfterFunc(hungPart*j.route.Aim, func() {
-		r.Reliability.Record(time.Now(), u.ID, true)
+		r.record(u, true)
 		j.log.WithField("upstream", u.ID).Warn("upstream_hangs")
 	})
 	answer, err := r.Sender.Send(sending, exchange.Send{
@@ -336,22 +337,37 @@
 		Urgency: j.urgency, After: after, From: from,
 	})
 	if err != nil {
-		cancel()
+		leave()
+		cancel(nil)
 		hung.Stop()
 		entry.End()
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			r.Reliability.Record(time.Now(), u.ID, true)
+			r.record(u, true)
 		}
 		return nil, err
 	}
 	return &sent{answer: answer, upstream: u, began: began, entry: entry, alone: alone, hung: hung, close: func() {
+		leave()
 		hung.Stop()
 		answer.Body.Close()
-		cancel()
+		cancel(nil)
 		entry.End()
 	}}, nil
 }
 
+// RestartedError says that an upstream has started again, and lost what it had.
+type RestartedError struct{ Upstream string }
+
+// Error implements error.
+func (e *RestartedError) Error() string { return "upstream " + e.Upstream + " has started again" }
+
+// record notes how an upstream fared, unless it has started again since.
+func (r *Relay) record(u fleet.Upstream, failed bool) {
+	if r.Fleet.Current(u) {
+		r.Reliability.Record(time.Now(), u.ID, failed)
+	}
+}
+
 // refuse ends a request with the system's own answer.
 func (r *Relay) refuse(log *logrus.Entry, req *exchange.Request, c exchange.Caller, err error) {
 	var refused refusal.Refusal
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -48,6 +48,7 @@
 	unframed bool
 	pause    time.Duration // before each event
 	wait     func()        // before the stream ends
+	silent   bool          // nothing comes after the events until the sender gives up
 }
 
 // sender answers the sends of a test, in order; past the script, it is the
@@ -89,6 +90,10 @@
 		if b.reply.wait != nil {
 			b.reply.wait()
 		}
+		if b.reply.silent {
+			<-b.ctx.Done()
+			return exchange.Event{}, b.ctx.Err()
+		}
 		if b.reply.cutAfter != nil {
 			return exchange.Event{}, b.reply.cutAfter
 		}
@@ -671,3 +676,83 @@
 		})
 	}
 }
+
+// restart is one row of TestRestarted.
+type restart struct {
+	path   string
+	script []reply
+	copied string // upstream that has a copy of the run
+	also   string // an upstream that has started again just before
+	born   int64  // what the upstream says once its first answer is under way; it was 100
+	body   string
+	asked  int
+	lost   bool // told at once
+	want   refusal.Reason
+}
+
+func (r restart) check(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, r.script...)
+	w.fleet.OnRestart(func(u fleet.Upstream, _ string) {
+		w.failed.Forget(u.ID)
+		w.tally.Forget(u.ID)
+		w.runs.Restarted(u)
+	})
+	say := func(id string, born int64) {
+		u, _ := w.fleet.Get(id)
+		u.Born, u.Version = born, u.Version+1
+		w.fleet.Put(time.Now(), u)
+	}
+	for _, service := range []string{"plain", "llm"} {
+		for i := range 4 {
+			say(fmt.Sprint(service, i), 100)
+		}
+	}
+	const after = 20 * time.Millisecond
+	time.AfterFunc(after, func() {
+		at := w.sender.sends[0].Upstream
+		for _, run := range w.runs.At(at) {
+			if r.copied != "" {
+				target, _ := w.fleet.Get(r.copied)
+				run.Copied(runs.Handoff{Copy: exchange.Copy{ID: "c1"}, Target: target, OK: true})
+			}
+		}
+		if r.also != "" {
+			say(r.also, 200)
+		}
+		say(at, r.born)
+	})
+	c := w.serve(t.Context(), r.path)
+	is.Equal(c.body.String(), r.body)
+	is.Equal(len(w.sender.sends), r.asked)
+	is.Equal(time.Since(c.began) == after, r.lost)
+	if r.want != "" {
+		is.Equal(c.refused.Reason(), r.want)
+	}
+	is.Equal(len(w.tally.Own()), 0)
+	if r.born > 100 { // what failed at the old one does not count for the new
+		is.Equal(w.failed.Failing(time.Now(), w.sender.sends[0].Upstream), 0.0)
+	}
+}
+
+// TestRestarted lets an upstream start again, behind a silent connection, while it
+// has a request.
+func TestRestarted(t *testing.T) {
+	silent := reply{events: []int{0, 1}, silent: true}
+	tests := map[string]restart{
+		"a draft":                                  {path: "/draft/", script: []reply{silent}, born: 200, body: "0;1;", asked: 1, lost: true},
+		"a draft, not yet answered":                {path: "/draft/", script: []reply{{hang: true}}, born: 200, asked: 1, lost: true, want: refusal.NoAnswer},
+		"a draft with a copy elsewhere":            {path: "/draft/", script: []reply{silent, {events: []int{2}}}, copied: "llm3", born: 200, body: "0;1;2;", asked: 2, lost: true},
+		"a draft with a copy that is gone as well": {path: "/draft/", script: []reply{silent}, copied: "llm3", also: "llm3", born: 200, body: "0;1;", asked: 1, lost: true},
+		"a check is resumed":                       {path: "/check/", script: []reply{silent, {events: []int{2}}}, born: 200, body: "0;1;2;", asked: 2, lost: true},
+		"a safe one is sent again":                 {path: "/safe/", script: []reply{{hang: true}, {body: "ok"}}, born: 200, body: "ok", asked: 2, lost: true},
+		"one that may run once":                    {path: "/once/", script: []reply{{hang: true}}, born: 200, asked: 1, lost: true, want: refusal.NoAnswer},
+		"a word of its own incarnation":            {path: "/draft/", script: []reply{silent}, born: 100, body: "0;1;", asked: 1},
+		"a word of none":                           {path: "/draft/", script: []reply{silent}, born: 0, body: "0;1;", asked: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tt.check(t) })
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -77,7 +77,7 @@
 		s, err := r.send(ctx, j, f.last)
 		o := outcome{sent: s, err: err}
 		if err == nil && s.answer.Status == http.StatusOK && s.answer.Whole {
-			r.Reliability.Record(time.Now(), s.upstream.ID, false)
+			r.record(s.upstream, false)
 			r.Budget.Succeeded()
 			f.sent = s
 			f.run = runs.NewRun(j.req, s.upstream, j.eventTokens(), j.left, s.began)
@@ -88,7 +88,7 @@
 			o = outcome{err: &SealError{}}
 		}
 		if o.err == nil {
-			r.Reliability.Record(time.Now(), s.upstream.ID, true)
+			r.record(s.upstream, true)
 		}
 		if r.again(ctx, j, o) || o.err != nil && j.route.Resumable && r.mayResume(ctx, j) {
 			if o.sent != nil {
@@ -251,6 +251,11 @@
 			at = h.Source
 			continue
 		}
+		if !r.Fleet.Current(at) {
+			f.job.log.WithField("upstream", at.ID).Warn("not_gone_on_restarted")
+			at = h.Source
+			continue
+		}
 		r.Chooser.Sent(time.Now(), f.job.service, at)
 		s, err := r.sendTo(ctx, f.job, at, f.last, &h.Copy)
 		log := f.job.log.WithFields(logrus.Fields{"upstream": at.ID, "after": f.last, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds()})
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -63,7 +63,7 @@
 	s.hung.Stop()
 	bad := err != nil || s.answer.Status == http.StatusOK && !s.answer.Whole
 	failed := bad || s.answer.NotRun || s.answer.Status >= http.StatusInternalServerError
-	r.Reliability.Record(time.Now(), s.upstream.ID, failed)
+	r.record(s.upstream, failed)
 	if bad {
 		s.close()
 		cancel()
--- a/reliability/reliability.go
+++ b/reliability/reliability.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// Forget drops what was met at an upstream, as it has started again.
+func (r *Reliability) Forget(upstream string) {
+	r.others.Forget(upstream)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.records, upstream)
+}
+
 // Failing returns the share of all boxes' sends that failed of late, from 0 to 1.
 func (r *Reliability) Failing(now time.Time, upstream string) float64 {
 	r.mu.Lock()
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -101,15 +103,38 @@
 	return true
 }
 
-// Stopped tells how the stop that Stopping announced went.
+// Stopped tells how the stop that Stopping announced went. The first word counts.
 func (r *Run) Stopped(h Handoff) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.pending != nil {
-		r.pending <- h
+	r.stopped(h)
+}
+
+func (r *Run) stopped(h Handoff) {
+	if r.pending == nil {
+		return
+	}
+	select {
+	case r.pending <- h:
+	default:
 	}
 }
 
+// restarted forgets a copy at an upstream that has started again, and ends a stop
+// that it can no longer answer. It reports whether a copy was forgotten.
+func (r *Run) restarted(u fleet.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.upstream.ID == u.ID && r.upstream.Born < u.Born {
+		r.stopped(Handoff{})
+	}
+	if r.copied == nil || r.copied.Target.ID != u.ID || r.copied.Target.Born >= u.Born {
+		return false
+	}
+	r.copied = nil
+	return true
+}
+
 // GoesOn notes that the stop that Stopping announced came to nothing: the run may
 // be stopped again.
 func (r *Run) GoesOn() {
@@ -163,12 +188,19 @@
 
 // Runs is safe for use by several goroutines.
 type Runs struct {
-	mu  sync.Mutex
-	all map[*Run]struct{}
+	mu   sync.Mutex
+	all  map[*Run]struct{}
+	sent map[*send]struct{}
+}
+
+// send is a request that is at an upstream, answered or not.
+type send struct {
+	upstream fleet.Upstream
+	cut      func()
 }
 
 // New returns an empty registry.
-func New() *Runs { return &Runs{all: map[*Run]struct{}{}} }
+func New() *Runs { return &Runs{all: map[*Run]struct{}{}, sent: map[*send]struct{}{}} }
 
 // Add adds a run; the returned function takes it out.
 func (s *Runs) Add(r *Run) (end func()) {
@@ -185,6 +217,44 @@
 	}
 }
 
+// Sent notes a request at an upstream until end is called; cut breaks it off if that
+// upstream starts again meanwhile.
+func (s *Runs) Sent(u fleet.Upstream, cut func()) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := &send{u, cut}
+	s.sent[at] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.sent, at)
+	}
+}
+
+// Restarted takes the news that an upstream has started again: what was sent to an
+// earlier incarnation is broken off, and copies there are forgotten. It returns how
+// many of each there were.
+func (s *Runs) Restarted(u fleet.Upstream) (cut, copies int) {
+	s.mu.Lock()
+	var lost []*send
+	for at := range s.sent {
+		if at.upstream.ID == u.ID && at.upstream.Born < u.Born {
+			lost = append(lost, at)
+		}
+	}
+	runs := slices.Collect(maps.Keys(s.all))
+	s.mu.Unlock()
+	for _, r := range runs { // before the streams break, which ask for copies then
+		if r.restarted(u) {
+			copies++
+		}
+	}
+	for _, at := range lost {
+		at.cut()
+	}
+	return len(lost), copies
+}
+
 // At returns the runs at an upstream, the one with the least memory first: it
 // leaves the soonest.
 func (s *Runs) At(upstream string) []*Run {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -3,7 +3,6 @@
 package tally
 
 import (
-	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -80,26 +79,34 @@
 // Tally is safe for use by several goroutines.
 type Tally struct {
 	mu       sync.Mutex
-	own      map[string]Load
+	own      map[string]*Load // what entries have begun, by upstream
 	promises []promise
 	others   *told.Book[Load]
 }
 
 // New returns an empty tally.
-func New() *Tally { return &Tally{own: map[string]Load{}, others: told.New[Load]()} }
+func New() *Tally { return &Tally{own: map[string]*Load{}, others: told.New[Load]()} }
 
 // Entry is one request that is counted at an upstream.
 type Entry struct {
 	tally    *Tally
 	upstream string
+	sum      *Load     // of all that count there with it
 	left     Load      // still counted
 	paced    time.Time // the last event
 }
 
 // Begin counts a request at an upstream until its entry ends.
 func (t *Tally) Begin(upstream string, l Load) *Entry {
-	t.add(upstream, l)
-	return &Entry{tally: t, upstream: upstream, left: l}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum, ok := t.own[upstream]
+	if !ok {
+		sum = &Load{}
+		t.own[upstream] = sum
+	}
+	*sum = sum.Plus(l)
+	return &Entry{tally: t, upstream: upstream, sum: sum, left: l}
 }
 
 // Started takes the prompt off what is to be read: the first event has come.
@@ -131,32 +138,54 @@
 
 func (e *Entry) take(l Load) {
 	e.left = e.left.Minus(l)
-	e.tally.add(e.upstream, Load{}.Minus(l))
+	t := e.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	*e.sum = e.sum.Minus(l)
+	if *e.sum == (Load{}) && t.own[e.upstream] == e.sum {
+		delete(t.own, e.upstream)
+	}
 }
 
-func (t *Tally) add(upstream string, l Load) {
+// Forget drops all that is counted at an upstream, as it has started again: what its
+// last incarnation had runs no longer. Entries begun before count nowhere.
+func (t *Tally) Forget(upstream string) {
+	t.settle(func(p promise) bool { return p.upstream == upstream })
+	t.others.Forget(upstream)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := t.own[upstream].Plus(l)
-	if sum == (Load{}) {
-		delete(t.own, upstream)
-		return
+	delete(t.own, upstream)
+}
+
+// ownOf returns what this box has running at an upstream.
+func (t *Tally) ownOf(upstream string) Load {
+	if sum, ok := t.own[upstream]; ok {
+		return *sum
+	}
+	return Load{}
+}
+
+// ownAll returns what this box has running, by upstream.
+func (t *Tally) ownAll() map[string]Load {
+	loads := make(map[string]Load, len(t.own))
+	for id, sum := range t.own {
+		loads[id] = *sum
 	}
-	t.own[upstream] = sum
+	return loads
 }
 
 // Busy tells whether this box has anything at an upstream.
 func (t *Tally) Busy(upstream string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.own[upstream].Requests > 0
+	return t.ownOf(upstream).Requests > 0
 }
 
 // Own returns what this box has running, for its peers.
 func (t *Tally) Own() []wire.UpstreamTally {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return listOf(t.own)
+	return listOf(t.ownAll())
 }
 
 func listOf(loads map[string]Load) []wire.UpstreamTally {
@@ -173,7 +202,7 @@
 // Without returns what all boxes but one have running, for that one.
 func (t *Tally) Without(now time.Time, box string) []wire.UpstreamTally {
 	t.mu.Lock()
-	sum := maps.Clone(t.own)
+	sum := t.ownAll()
 	t.mu.Unlock()
 	t.others.Without(now, box, sum)
 	return listOf(sum)
@@ -228,7 +257,7 @@
 	defer t.mu.Unlock()
 	var sum Load
 	for _, l := range t.own {
-		sum = sum.Plus(l)
+		sum = sum.Plus(*l)
 	}
 	return sum.Pace()
 }
@@ -236,7 +265,7 @@
 // Load returns what runs at an upstream by all that is known.
 func (t *Tally) Load(now time.Time, upstream string) Load {
 	t.mu.Lock()
-	own := t.own[upstream]
+	own := t.ownOf(upstream)
 	for _, p := range t.promises {
 		if p.upstream == upstream && now.Sub(p.at) <= promiseLapses {
 			own = own.Plus(p.load)
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -93,3 +93,31 @@
 	e.End()
 	is.Equal(s.Load(time.Now(), "u"), tally.Load{})
 }
+
+// TestForget holds that nothing of an upstream's last incarnation counts, and that
+// what ends there later takes nothing off the new one.
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := tally.New()
+	load := tally.Load{Requests: 1, Tokens: 900, Prefill: 700}
+	old := s.Begin("u", load)
+	s.Promise(now, "b1", "u", load)
+	s.Told(now, "b1", []wire.UpstreamTally{{Upstream: "u", Requests: 2, Tokens: 20}, {Upstream: "v", Requests: 1}})
+	s.Forget("u")
+	is.Equal(s.Load(now, "u"), tally.Load{})
+	is.Equal(s.Load(now, "v"), tally.Load{Requests: 1})
+	fresh := s.Begin("u", load)
+	old.Started()
+	old.End()
+	is.Equal(s.Load(now, "u"), load)
+	fresh.End()
+	is.Equal(len(s.Own()), 0)
+	s.ToldSum(now, []wire.UpstreamTally{{Upstream: "u", Requests: 2}, {Upstream: "v", Requests: 1}})
+	s.Forget("u")
+	is.Equal(s.Load(now, "u"), tally.Load{})
+	// What a box tells after that counts again.
+	s.Told(now, "b1", []wire.UpstreamTally{{Upstream: "u", Requests: 3}})
+	s.Told(now, "b1", nil)
+	is.Equal(len(s.Without(now, "b2")), 0)
+}
--- a/told/told.go
+++ b/told/told.go
@@ -116,6 +116,17 @@
 	return len(b.others)
 }
 
+// Forget drops what was told of an upstream.
+func (b *Book[T]) Forget(upstream string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range b.others {
+		delete(o.list, upstream)
+	}
+	delete(b.totals, upstream)
+	delete(b.sum.list, upstream)
+}
+
 // Of returns what the others have at an upstream: by the sum that a hub tells,
 // or by what they tell themselves.
 func (b *Book[T]) Of(now time.Time, upstream string) T {
--- a/turns/turns.go
+++ b/turns/turns.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// Forget ends the turns that an upstream has a part in, as it has started again: the
+// copies that they were for are no more.
+func (t *Turns) Forget(upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for source, held := range t.held {
+		if source == upstream || held.target == upstream {
+			held.lapse.Stop()
+			delete(t.held, source)
+		}
+	}
+	t.grant()
+}
+
 // grant gives turns to those who wait, as far as both links are free.
 func (t *Turns) grant() {
 	receiving := map[string]bool{}
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -66,6 +66,13 @@
 	w.allowance(now, upstream, l).left--
 }
 
+// Forget drops what was sent to an upstream, as it has started again.
+func (w *Warmup) Forget(upstream string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.slots, upstream)
+}
+
 // allowance returns that of the slot at a time. Slots begin at random, so that those
 // of boxes that see an upstream at the same moment do not begin together.
 func (w *Warmup) allowance(now time.Time, upstream string, l Limit) *allowance {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -37,9 +37,18 @@
 	reportTime = 400 * time.Millisecond
 )
 
-// Reports reads an upstream's own word on whether it leaves.
+// sourceReport names a report in the log as where news came from.
+const sourceReport = "report"
+
+// Word is what an upstream says of itself. Values are immutable.
+type Word struct {
+	Leaves bool
+	Born   int64 // when it started; 0 where it does not say so
+}
+
+// Reports reads an upstream's own word.
 type Reports interface {
-	Leaves(ctx context.Context, address string) (bool, error)
+	Word(ctx context.Context, address string) (Word, error)
 }
 
 // Runs names the upstreams at which this box has generations.
@@ -86,12 +95,13 @@
 func (w *Watch) look(ctx context.Context, u fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
-	leaves, err := w.reports.Leaves(ctx, u.Address)
+	word, err := w.reports.Word(ctx, u.Address)
 	if err != nil {
 		w.log.WithError(err).WithField("upstream", u.ID).Debug("report_not_read")
 		return
 	}
-	if leaves {
-		w.fleet.Leaves(time.Now(), fleet.Departure{ID: u.ID, Said: true}, "report")
+	w.fleet.Started(time.Now(), u.ID, word.Born, sourceReport)
+	if word.Leaves {
+		w.fleet.Leaves(time.Now(), fleet.Departure{ID: u.ID, Said: true, Born: word.Born}, sourceReport)
 	}
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -17,18 +17,19 @@
 
 type reports struct {
 	leaves bool
+	born   int64
 	err    error
 	hang   bool
 	calls  int
 }
 
-func (r *reports) Leaves(ctx context.Context, _ string) (bool, error) {
+func (r *reports) Word(ctx context.Context, _ string) (watch.Word, error) {
 	r.calls++
 	if r.hang {
 		<-ctx.Done()
-		return false, ctx.Err()
+		return watch.Word{}, ctx.Err()
 	}
-	return r.leaves, r.err
+	return watch.Word{Leaves: r.leaves, Born: r.born}, r.err
 }
 
 type running map[string]fleet.Upstream
@@ -111,3 +112,35 @@
 		})
 	}
 }
+
+// TestReportOfRestart shows what is known of an upstream of incarnation 100 after its
+// report, while the store is silent.
+func TestReportOfRestart(t *testing.T) {
+	tests := map[string]struct {
+		reports reports
+		born    int64
+		want    fleet.State
+	}{
+		"the same":                     {reports{born: 100}, 100, fleet.Open},
+		"it does not say":              {reports{leaves: true}, 100, fleet.Leaving},
+		"it has started again":         {reports{born: 200}, 200, fleet.Open},
+		"it has, and leaves":           {reports{born: 200, leaves: true}, 200, fleet.Leaving},
+		"of an incarnation before":     {reports{born: 50, leaves: true}, 100, fleet.Open},
+		"a report that cannot be read": {reports{born: 200, err: errors.New("reset")}, 100, fleet.Open},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := fleet.New(time.Second)
+				u := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", State: fleet.Open, Born: 100}
+				f.Put(time.Now(), u)
+				w := watch.New(f, func(time.Time) time.Duration { return time.Minute }, running{"u": u}, &tt.reports, logs.New(io.Discard, "info", "b"))
+				w.Look(t.Context(), time.Now())
+				got, _ := f.Get("u")
+				is.Equal(got.Born, tt.born)
+				is.Equal(got.State, tt.want)
+			})
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4036,6 +4036,10 @@
 	// Answers and failures, in hundredths.
 	All int `json:"all"`
 
+	// When this incarnation of the upstream started, in Unix milliseconds; 0 where it
+	// is not known.
+	Born int `json:"born,omitempty,omitzero"`
+
 	// Failures, in hundredths.
 	Failed int `json:"failed"`
 
@@ -4063,6 +4067,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["born"]; !ok || v == nil {
+		plain.Born = 0
+	}
 	*j = UpstreamFailures(plain)
 	return nil
 }
