manifest, store: pass by entries of other writers one at a time

An entry of workers was used as long as it was JSON: without an address, with negative slots or an unknown state it still named an upstream, and a good one that turned unreadable counted as gone in the next listing. One box's row that could not be read failed the listing of all.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -158,7 +158,7 @@
 		heard:       map[string]time.Time{},
 		known:       map[string]mark{},
 	}
-	e.boxes = manifest.NewBoxes(e.store)
+	e.boxes = manifest.NewBoxes(e.store, counts, log)
 	e.halls = halls.New(e.hallChanged)
 	e.configuration = manifest.NewConfiguration(e.store, e.belief, e.halls, log)
 	e.members = members.New(members.Box{
@@ -246,6 +246,12 @@
 	return table.Service(name)
 }
 
+// names tells whether the configuration in force names a service.
+func (e *Edge) names(service string) bool {
+	_, ok := e.service(service)
+	return ok
+}
+
 // stop is a planned stop, on the steady clock.
 type stop struct {
 	began time.Time
--- a/edge/run.go
+++ b/edge/run.go
@@ -140,7 +140,7 @@
 
 // start starts the tasks that are not bound to a caller.
 func (e *Edge) start(ctx context.Context, all *sync.WaitGroup) {
-	workers := manifest.NewWorkers(e.store, e.fleet, e.log)
+	workers := manifest.NewWorkers(e.store, e.fleet, e.names, e.metrics, e.log)
 	configuration := follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading(e.belief.Age), e.log)
 	all.Go(func() { configuration.Run(ctx) })
 	upstreams := follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading(e.fleet.Age), e.log)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,12 +98,16 @@
 
 // Replace takes a whole listing as of a version. After an outage of the store,
 // entries that lapsed meanwhile may come back; what is missing has the grace to
-// do so. What is known to be newer than the listing stays.
-func (f *Fleet) Replace(now time.Time, list []Upstream, version int64, outage bool) {
+// do so. What is known to be newer than the listing stays, and so do spoilt ones:
+// those whose entries stand in it, and say nothing that can be used.
+func (f *Fleet) Replace(now time.Time, list []Upstream, version int64, outage bool, spoilt ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.serving)
 	listed := map[string]bool{}
+	for _, id := range spoilt {
+		listed[id] = true
+	}
 	for _, u := range list {
 		listed[u.ID] = true
 		f.put(now, u)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -268,64 +268,72 @@
 	}
 }
 
-// TestIncarnations shows what is known of an upstream of incarnation 100, version 5,
-// after words of other incarnations.
+// known is what a fleet knows of an upstream's incarnation.
+type known struct {
+	Born  int64
+	State fleet.State
+	Said  bool
+}
+
+func listing(version int64, list ...fleet.Upstream) func(*fleet.Fleet) {
+	return func(f *fleet.Fleet) { f.Replace(now, list, version, false) }
+}
+
+func put(u fleet.Upstream) func(*fleet.Fleet) { return func(f *fleet.Fleet) { f.Put(now, u) } }
+
+// told is a hub's word.
+func told(u fleet.Upstream) func(*fleet.Fleet) {
+	u.Said = u.State == fleet.Leaving
+	return func(f *fleet.Fleet) { f.Told(now, u) }
+}
+
+func leaves(d fleet.Departure) func(*fleet.Fleet) {
+	return func(f *fleet.Fleet) { f.Leaves(now, d, "peer") }
+}
+
+// incarnations are words of one upstream, of incarnation 100 and version 5 before.
+var incarnations = map[string]struct {
+	learn    []func(*fleet.Fleet)
+	want     known
+	restarts int
+}{
+	"the same":      {[]func(*fleet.Fleet){put(born(100, up("u", fleet.Open, 6)))}, known{100, fleet.Open, false}, 0},
+	"a newer entry": {[]func(*fleet.Fleet){put(born(200, up("u", fleet.Open, 6)))}, known{200, fleet.Open, false}, 1},
+	"a newer entry after the old one said that it leaves": {[]func(*fleet.Fleet){
+		put(born(100, up("u", fleet.Leaving, 6))), put(born(200, up("u", fleet.Open, 7)))}, known{200, fleet.Open, false}, 1},
+	"a newer entry after the old one's went": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) }, put(born(200, up("u", fleet.Open, 7)))}, known{200, fleet.Open, false}, 1},
+	"a newer entry after the old one was missing": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) }, put(born(200, up("u", fleet.Open, 7)))}, known{200, fleet.Open, false}, 1},
+	"a newer entry that says that it leaves":  {[]func(*fleet.Fleet){put(born(200, up("u", fleet.Leaving, 6)))}, known{200, fleet.Leaving, true}, 1},
+	"a newer entry of an earlier version":     {[]func(*fleet.Fleet){put(born(200, up("u", fleet.Open, 2)))}, known{200, fleet.Open, false}, 1},
+	"a newer entry in a listing":              {[]func(*fleet.Fleet){listing(9, born(200, up("u", fleet.Open, 9)))}, known{200, fleet.Open, false}, 1},
+	"an older entry in a newer listing":       {[]func(*fleet.Fleet){listing(9, born(50, up("u", fleet.Open, 9)))}, known{100, fleet.Open, false}, 0},
+	"an older entry that says that it leaves": {[]func(*fleet.Fleet){put(born(50, up("u", fleet.Leaving, 9)))}, known{100, fleet.Open, false}, 0},
+	"a hub tells of a newer one": {[]func(*fleet.Fleet){
+		leaves(fleet.Departure{ID: "u", Born: 100, Said: true}), told(born(200, up("u", fleet.Open, 6)))}, known{200, fleet.Open, false}, 1},
+	"a hub tells of a newer one that leaves": {[]func(*fleet.Fleet){told(born(200, up("u", fleet.Leaving, 6)))}, known{200, fleet.Leaving, true}, 1},
+	"a hub that lags tells that the older one leaves": {[]func(*fleet.Fleet){
+		put(born(200, up("u", fleet.Open, 6))), told(born(100, up("u", fleet.Leaving, 9)))}, known{200, fleet.Open, false}, 1},
+	"a peer tells late that the older one leaves": {[]func(*fleet.Fleet){
+		put(born(200, up("u", fleet.Open, 6))), leaves(fleet.Departure{ID: "u", Born: 100, Said: true, Version: 9})}, known{200, fleet.Open, false}, 1},
+	"a peer tells that a newer one leaves": {[]func(*fleet.Fleet){leaves(fleet.Departure{ID: "u", Born: 200, Said: true})}, known{200, fleet.Leaving, true}, 1},
+	"an entry without an incarnation":      {[]func(*fleet.Fleet){put(up("u", fleet.Leaving, 6))}, known{100, fleet.Leaving, true}, 0},
+	"an older one without an incarnation":  {[]func(*fleet.Fleet){put(up("u", fleet.Open, 4))}, known{100, fleet.Open, false}, 0},
+	"news without an incarnation":          {[]func(*fleet.Fleet){leaves(said("u"))}, known{100, fleet.Leaving, true}, 0},
+	"its report tells of a newer one": {[]func(*fleet.Fleet){
+		put(born(100, up("u", fleet.Leaving, 6))), func(f *fleet.Fleet) { f.Started(now, "u", 200, "report") }}, known{200, fleet.Open, false}, 1},
+	"its report is late": {[]func(*fleet.Fleet){
+		put(born(200, up("u", fleet.Leaving, 6))), func(f *fleet.Fleet) { f.Started(now, "u", 100, "report") }}, known{200, fleet.Leaving, true}, 1},
+	"the old one's row goes after its report told": {[]func(*fleet.Fleet){
+		func(f *fleet.Fleet) { f.Started(now, "u", 200, "report") }, put(born(100, up("u", fleet.Leaving, 7))),
+		func(f *fleet.Fleet) { f.Remove(now, "u", 4, false) }}, known{200, fleet.Open, false}, 1},
+}
+
+// TestIncarnations shows what is known of an upstream after words of other
+// incarnations.
 func TestIncarnations(t *testing.T) {
-	type known struct {
-		Born  int64
-		State fleet.State
-		Said  bool
-	}
-	listing := func(version int64, list ...fleet.Upstream) func(*fleet.Fleet) {
-		return func(f *fleet.Fleet) { f.Replace(now, list, version, false) }
-	}
-	put := func(u fleet.Upstream) func(*fleet.Fleet) { return func(f *fleet.Fleet) { f.Put(now, u) } }
-	told := func(u fleet.Upstream) func(*fleet.Fleet) { return func(f *fleet.Fleet) { f.Told(now, u) } }
-	leaves := func(d fleet.Departure) func(*fleet.Fleet) {
-		return func(f *fleet.Fleet) { f.Leaves(now, d, "peer") }
-	}
-	hub := func(u fleet.Upstream) fleet.Upstream {
-		u.Said = u.State == fleet.Leaving
-		return u
-	}
-	tests := map[string]struct {
-		learn    []func(*fleet.Fleet)
-		want     known
-		restarts int
-	}{
-		"the same":      {[]func(*fleet.Fleet){put(born(100, up("u", fleet.Open, 6)))}, known{100, fleet.Open, false}, 0},
-		"a newer entry": {[]func(*fleet.Fleet){put(born(200, up("u", fleet.Open, 6)))}, known{200, fleet.Open, false}, 1},
-		"a newer entry after the old one said that it leaves": {[]func(*fleet.Fleet){
-			put(born(100, up("u", fleet.Leaving, 6))), put(born(200, up("u", fleet.Open, 7)))}, known{200, fleet.Open, false}, 1},
-		"a newer entry after the old one's went": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, false) }, put(born(200, up("u", fleet.Open, 7)))}, known{200, fleet.Open, false}, 1},
-		"a newer entry after the old one was missing": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Remove(now, "u", 6, true) }, put(born(200, up("u", fleet.Open, 7)))}, known{200, fleet.Open, false}, 1},
-		"a newer entry that says that it leaves":  {[]func(*fleet.Fleet){put(born(200, up("u", fleet.Leaving, 6)))}, known{200, fleet.Leaving, true}, 1},
-		"a newer entry of an earlier version":     {[]func(*fleet.Fleet){put(born(200, up("u", fleet.Open, 2)))}, known{200, fleet.Open, false}, 1},
-		"a newer entry in a listing":              {[]func(*fleet.Fleet){listing(9, born(200, up("u", fleet.Open, 9)))}, known{200, fleet.Open, false}, 1},
-		"an older entry in a newer listing":       {[]func(*fleet.Fleet){listing(9, born(50, up("u", fleet.Open, 9)))}, known{100, fleet.Open, false}, 0},
-		"an older entry that says that it leaves": {[]func(*fleet.Fleet){put(born(50, up("u", fleet.Leaving, 9)))}, known{100, fleet.Open, false}, 0},
-		"a hub tells of a newer one": {[]func(*fleet.Fleet){
-			leaves(fleet.Departure{ID: "u", Born: 100, Said: true}), told(born(200, up("u", fleet.Open, 6)))}, known{200, fleet.Open, false}, 1},
-		"a hub tells of a newer one that leaves": {[]func(*fleet.Fleet){told(hub(born(200, up("u", fleet.Leaving, 6))))}, known{200, fleet.Leaving, true}, 1},
-		"a hub that lags tells that the older one leaves": {[]func(*fleet.Fleet){
-			put(born(200, up("u", fleet.Open, 6))), told(hub(born(100, up("u", fleet.Leaving, 9))))}, known{200, fleet.Open, false}, 1},
-		"a peer tells late that the older one leaves": {[]func(*fleet.Fleet){
-			put(born(200, up("u", fleet.Open, 6))), leaves(fleet.Departure{ID: "u", Born: 100, Said: true, Version: 9})}, known{200, fleet.Open, false}, 1},
-		"a peer tells that a newer one leaves": {[]func(*fleet.Fleet){leaves(fleet.Departure{ID: "u", Born: 200, Said: true})}, known{200, fleet.Leaving, true}, 1},
-		"an entry without an incarnation":      {[]func(*fleet.Fleet){put(up("u", fleet.Leaving, 6))}, known{100, fleet.Leaving, true}, 0},
-		"an older one without an incarnation":  {[]func(*fleet.Fleet){put(up("u", fleet.Open, 4))}, known{100, fleet.Open, false}, 0},
-		"news without an incarnation":          {[]func(*fleet.Fleet){leaves(said("u"))}, known{100, fleet.Leaving, true}, 0},
-		"its report tells of a newer one": {[]func(*fleet.Fleet){
-			put(born(100, up("u", fleet.Leaving, 6))), func(f *fleet.Fleet) { f.Started(now, "u", 200, "report") }}, known{200, fleet.Open, false}, 1},
-		"its report is late": {[]func(*fleet.Fleet){
-			put(born(200, up("u", fleet.Leaving, 6))), func(f *fleet.Fleet) { f.Started(now, "u", 100, "report") }}, known{200, fleet.Leaving, true}, 1},
-		"the old one's row goes after its report told": {[]func(*fleet.Fleet){
-			func(f *fleet.Fleet) { f.Started(now, "u", 200, "report") }, put(born(100, up("u", fleet.Leaving, 7))),
-			func(f *fleet.Fleet) { f.Remove(now, "u", 4, false) }}, known{200, fleet.Open, false}, 1},
-	}
-	for name, tt := range tests {
+	for name, tt := range incarnations {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := fleet.New(grace)
