buffers, relay: read upstreams on while callers pause

An event was written to its caller before the next was read, so that a caller that paused held its engine up, and what callers held of a box's memory was counted nowhere. With buffers in edge.balance a stream's events go through a bounded buffer with a task of its own at the caller's end. What all of them hold is bounded for the box: the slowest reader is ended first, and counts against the requests that a box takes. Off until it is switched on in the settings.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"petrelstep/platform/store"
 	"petrelstep/platform/upstream"
 	"petrelstep/prefill"
+	"petrelstep/protect/buffers"
 	"petrelstep/relay"
 	"petrelstep/reliability"
 	"petrelstep/retry"
@@ -59,6 +60,13 @@
 	// ends in one process), of which requests may take requestsPart hundredths.
 	requestKB    = 102
 	requestsPart = 50
+	// heldPart hundredths of a box's memory may be held for callers that read slowly,
+	// with what buffers grow beyond their bytes: a quarter of requestsPart, so that
+	// stalled callers leave most of the room for requests to others.
+	heldPart = 12
+	// heldStream is how many bytes are held for one stream: a long answer with its
+	// events' heads, so that one whole answer waits for its caller and not its engine.
+	heldStream = 128 << 10
 	// requestDescriptors are the caller's connection and the upstream's;
 	// otherDescriptors are kept for files, peers, the store and calls of our own.
 	requestDescriptors = 2
@@ -104,6 +112,7 @@
 	budget      *retry.Budget
 	upstreams   *upstream.Client
 	relay       *relay.Relay
+	buffers     *buffers.Buffers // nil: off
 	callers     *callers.Handler
 	evacuator   *evacuate.Evacuator
 
@@ -173,6 +182,7 @@
 func (e *Edge) serve() {
 	s := e.config.Edge
 	e.budget = retry.NewBudget(budgetPart*s.RetryRatio, e.slack(boxesGuess))
+	e.buffers = e.newBuffers()
 	reading := prefill.New()
 	warm := warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5)))
 	e.fleet.OnRestart(e.restarted(warm))
@@ -185,7 +195,7 @@
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
 		Budget: e.budget,
-		Runs:   e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, ServeStale: s.ServeStale, Log: e.log,
+		Runs:   e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, Buffers: e.buffers, ServeStale: s.ServeStale, Log: e.log,
 	})
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Parts{
@@ -224,9 +234,31 @@
 // full tells whether this box holds as many requests as its memory and its
 // descriptors allow: one more would end it, and all that it holds with it.
 func (e *Edge) full() bool {
-	s := e.config.Edge
-	most := min(int(s.MemoryMb*1024*requestsPart/100/requestKB), (s.Descriptors-otherDescriptors)/requestDescriptors)
-	return e.serving.Load() > int64(max(most, 1))
+	held := 0
+	if e.buffers != nil {
+		held = e.buffers.Held()
+	}
+	return e.serving.Load() > int64(requestsMost(e.config.Edge, held))
+}
+
+// requestsMost returns how many requests a box may hold that holds so many bytes for
+// slow readers.
+func requestsMost(s *wire.Edge, held int) int {
+	memoryKB := s.MemoryMb*1024*requestsPart/100 - float64(held)/1024
+	return max(min(int(memoryKB/requestKB), (s.Descriptors-otherDescriptors)/requestDescriptors), 1)
+}
+
+// newBuffers returns what bounds the bytes held for slow readers; nil where that is
+// off.
+func (e *Edge) newBuffers() *buffers.Buffers {
+	if !e.config.Balances(wire.EdgeBalanceElemBuffers) {
+		return nil
+	}
+	b := buffers.New(buffers.Limits{Stream: heldStream, Box: int(e.config.Edge.MemoryMb * 1024 * 1024 * heldPart / 100)})
+	if err := e.metrics.Holds(b.Held); err != nil {
+		e.log.WithError(err).Warn("held_not_counted")
+	}
+	return b
 }
 
 // bodyMost bounds a request's body by the configuration in force.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -27,6 +27,12 @@
 	RetryMoved        = "moved"
 )
 
+// Reasons to end a stream whose caller reads slowly.
+const (
+	SlowBoxFull = "box_full" // the slowest reader of a box that holds as much as it may
+	SlowStalled = "stalled"  // the caller took nothing for long
+)
+
 // Changes of a hall.
 const (
 	hallEvacuated = "evacuated"
@@ -55,6 +61,9 @@
 	halls    metric.Int64Counter
 	restarts metric.Int64Counter
 	skipped  metric.Int64Counter
+	slow     metric.Int64Counter
+	held     metric.Int64ObservableGauge
+	meter    metric.Meter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -66,7 +75,7 @@
 		return nil, &SetupError{Err: err}
 	}
 	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("petrelstep")
-	m := &Metrics{registry: registry}
+	m := &Metrics{registry: registry, meter: meter}
 	b := builder{meter: meter}
 	m.refusals = b.counter("petrelstep_refusals", "Requests refused, by reason.")
 	m.retries = b.counter("petrelstep_retries", "Retries, by reason.")
@@ -82,6 +91,9 @@
 	m.halls = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
 	m.restarts = b.counter("petrelstep_upstream_restarts", "Upstreams heard to have started again under their ids.")
 	m.skipped = b.counter("petrelstep_entries_skipped", "Entries of the store that name no upstream or box to use, by reason.")
+	m.slow = b.counter("petrelstep_slow_readers_ended", "Streams ended as their callers read too slowly, by reason.")
+	m.held, err = meter.Int64ObservableGauge("petrelstep_held", metric.WithDescription("Bytes held for callers that have not taken them yet."), metric.WithUnit("By"))
+	b.keep(err)
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -97,6 +109,9 @@
 	for _, r := range RetryReasons() {
 		m.retries.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
+	for _, r := range []string{SlowBoxFull, SlowStalled} {
+		m.slow.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
+	}
 	for _, change := range []string{hallEvacuated, hallTakenBack} {
 		m.halls.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
 	}
@@ -160,6 +175,20 @@
 	m.skipped.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// SlowEnded counts a stream that was ended as its caller read too slowly.
+func (m *Metrics) SlowEnded(reason string) {
+	m.slow.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// Holds makes a box's count of the bytes that it holds for callers seen.
+func (m *Metrics) Holds(held func() int) error {
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		o.ObserveInt64(m.held, int64(held()))
+		return nil
+	}, m.held)
+	return err
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"petrelstep/length"
 	"petrelstep/metrics"
 	"petrelstep/prefill"
+	"petrelstep/protect/buffers"
 	"petrelstep/refusal"
 	"petrelstep/reliability"
 	"petrelstep/retry"
@@ -62,6 +63,7 @@
 	Metrics     *metrics.Metrics
 	Stopping    func() (Stop, bool) // false unless this box is being stopped
 	Full        func() bool         // this box holds as much as it can
+	Buffers     *buffers.Buffers    // between upstreams and callers; nil: events are written before the next is read
 	ServeStale  bool                // what a belief allows is served however old that is
 	Log         *logrus.Entry
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"petrelstep/logs"
 	"petrelstep/metrics"
 	"petrelstep/prefill"
+	"petrelstep/protect/buffers"
 	"petrelstep/refusal"
 	"petrelstep/relay"
 	"petrelstep/reliability"
@@ -79,6 +80,13 @@
 	}, nil
 }
 
+// first returns where the first request was sent.
+func (s *sender) first() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sends[0].Upstream
+}
+
 type bodyOf struct {
 	ctx   context.Context
 	reply reply
@@ -408,6 +416,27 @@
 	})
 }
 
+// withBuffers ends the names of tests in which callers are written to by a task of
+// their own.
+const withBuffers = ", buffered"
+
+// twice returns the rows of a table with and without buffers.
+func twice[T any](tests map[string]T) map[string]T {
+	all := map[string]T{}
+	for name, tt := range tests {
+		all[name], all[name+withBuffers] = tt, tt
+	}
+	return all
+}
+
+// buffered returns the buffers of a test by its name.
+func buffered(name string) *buffers.Buffers {
+	if !strings.HasSuffix(name, withBuffers) {
+		return nil
+	}
+	return buffers.New(buffers.Limits{Stream: 1 << 10, Box: 1 << 20})
+}
+
 // TestStream is the fault matrix of streams.
 func TestStream(t *testing.T) {
 	tests := map[string]struct {
@@ -436,11 +465,12 @@
 		"a check breaks twice":                {"/check/", []reply{{events: []int{0}, cutAfter: errReset}, {events: []int{1}, cutAfter: errReset}, {events: []int{2}}}, 2, "0;1;", true, ""},
 		"a check resumed at one that is full": {"/check/", []reply{{events: []int{0}, cutAfter: errReset}, {status: 503, notRun: true}}, 2, "0;", true, ""},
 	}
-	for name, tt := range tests {
+	for name, tt := range twice(tests) {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newWorld(t, tt.script...)
+				w.relay.Buffers = buffered(name)
 				c := w.serve(t.Context(), tt.path)
 				is.Equal(len(w.sender.sends), tt.sends)
 				is.Equal(c.body.String(), tt.body)
@@ -467,7 +497,7 @@
 	closed time.Duration // the target's hall was evacuated so long before
 }
 
-func (m move) check(t *testing.T, from exchange.Copy) {
+func (m move) check(t *testing.T, name string, from exchange.Copy) {
 	is := is.New(t)
 	var w *world
 	first := reply{events: []int{0, 1}, cutAfter: m.ends, unframed: m.frame, wait: func() {
@@ -478,6 +508,7 @@
 		}
 	}}
 	w = newWorld(t, append([]reply{first}, m.next...)...)
+	w.relay.Buffers = buffered(name)
 	if m.closed > 0 {
 		w.fleet.CloseHall(time.Now().Add(-m.closed), "leith")
 	}
@@ -522,9 +553,9 @@
 		"the target repeats an event":                   {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{1, 2}}}, body: "0;1;2;", asked: []string{"llm3"}},
 		"the target leaves a gap":                       {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{3}}}, body: "0;1;", abort: true, asked: []string{"llm3"}},
 	}
-	for name, tt := range tests {
+	for name, tt := range twice(tests) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { tt.check(t, handoff.Copy) })
+			synctest.Test(t, func(t *testing.T) { tt.check(t, name, handoff.Copy) })
 		})
 	}
 }
@@ -690,9 +721,10 @@
 	want   refusal.Reason
 }
 
-func (r restart) check(t *testing.T) {
+func (r restart) check(t *testing.T, name string) {
 	is := is.New(t)
 	w := newWorld(t, r.script...)
+	w.relay.Buffers = buffered(name)
 	w.fleet.OnRestart(func(u fleet.Upstream, _ string) {
 		w.failed.Forget(u.ID)
 		w.tally.Forget(u.ID)
@@ -710,7 +742,7 @@
 	}
 	const after = 20 * time.Millisecond
 	time.AfterFunc(after, func() {
-		at := w.sender.sends[0].Upstream
+		at := w.sender.first()
 		for _, run := range w.runs.At(at) {
 			if r.copied != "" {
 				target, _ := w.fleet.Get(r.copied)
@@ -750,9 +782,9 @@
 		"a word of its own incarnation":            {path: "/draft/", script: []reply{silent}, born: 100, body: "0;1;", asked: 1},
 		"a word of none":                           {path: "/draft/", script: []reply{silent}, born: 0, body: "0;1;", asked: 1},
 	}
-	for name, tt := range tests {
+	for name, tt := range twice(tests) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { tt.check(t) })
+			synctest.Test(t, func(t *testing.T) { tt.check(t, name) })
 		})
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -54,6 +55,8 @@
 
 // stream serves a request whose answer is a stream.
 func (r *Relay) stream(ctx context.Context, j *job, c exchange.Caller) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	f := &flow{job: j, caller: c, last: j.req.After}
 	err := r.open(ctx, f)
 	if err != nil {
@@ -63,10 +66,18 @@
 	if f.run == nil {
 		return // answered with something that is no stream
 	}
+	var out *buffered
+	if r.Buffers != nil {
+		out = newBuffered(ctx, cancel, c, r.Buffers)
+		f.caller = out
+	}
 	leave := r.Runs.Add(f.run)
 	err = r.pass(ctx, f)
 	leave()
 	f.sent.close()
+	if out != nil {
+		err = cmp.Or(out.finish(), err)
+	}
 	r.ended(ctx, f, err)
 }
 
@@ -316,6 +327,10 @@
 	case err == nil:
 		r.Metrics.Ended(refusal.Done)
 		log.Info("streamed")
+	case r.Buffers != nil && slowReader(err) != "":
+		r.Metrics.SlowEnded(slowReader(err))
+		log.WithError(err).WithFields(heldOf(err)).WithField("reason", slowReader(err)).Warn("slow_reader_ended")
+		f.caller.Abort()
 	case errors.Is(ctx.Err(), context.Canceled) || errors.As(err, new(*callerError)):
 		log.Info("caller_gone")
 		f.caller.Abort()
