soak, standin: restart workers under their ids, spoil entries, read slowly

The stand-in workers write born, as their entries do. One caller in five pauses before it reads a stream, and the boxes hold what it does not read (buffers are on).

--- a/edge/incarnations_test.go
+++ b/edge/incarnations_test.go
@@ -1,12 +1,16 @@
 package edge_test
 
 import (
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"petrelstep/standin/platform"
 	"petrelstep/wire"
 )
 
@@ -78,3 +82,43 @@
 		is.Equal(len(a.Failures), 0)
 	})
 }
+
+// TestRestartCuts holds that a stream ends at once when its upstream's entry says that
+// it has started again, though its connection says nothing.
+func TestRestartCuts(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	const endless = 1 << 20
+	s.worker("e1", "llm", endless)
+	s.bornAt("e1", "llm", 100)
+	until(t, "a box is ready", s.boxes[0].isReady)
+	until(t, "the incarnation is known", func() bool { return s.boxes[0].bornOf("e1") == 100 })
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.boxes[0].callers+"/stream/x", nil)
+	is.NoErr(err)
+	req.Host = "a.example"
+	req.Header.Set("Request-Id", "r1")
+	req.Header.Set("Api-Key", "key")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	s.bornAt("e1", "llm", 200)
+	_, err = io.Copy(io.Discard, resp.Body) // it would go on for an hour
+	is.True(err != nil)                     // and does not look complete
+	is.Equal(s.boxes[0].bornOf("e1"), 200)
+}
+
+// bornAt puts a worker's row with its incarnation into the store.
+func (s *site) bornAt(id, service string, born int64) {
+	s.platform.Announce(platform.Worker{ID: id, Service: service, Address: strings.TrimPrefix(s.servers[id].URL, "http://"), Hall: "leith", Born: born})
+}
+
+// bornOf returns the incarnation of an upstream that a box tells others of.
+func (b *box) bornOf(id string) int {
+	for _, u := range b.Heard(wire.Gossip{Sender: record("asker", "leith", false), WholeFleet: true}).Upstreams {
+		if u.ID == id {
+			return u.Born
+		}
+	}
+	return 0
+}
--- a/soak/load/load.go
+++ b/soak/load/load.go
@@ -34,6 +34,9 @@
 	boxesMost = 4
 	// leaveShare is one in how many requests whose caller leaves early.
 	leaveShare = 25
+	// slowShare is one in how many callers that pause before they read an answer.
+	slowShare = 5
+	slowPause = 700 * time.Millisecond
 )
 
 var kinds = []verdict.Kind{verdict.Draft, verdict.Check, verdict.Once, verdict.Once, verdict.Look, verdict.Look}
@@ -76,7 +79,7 @@
 		for again := range againMost + 1 {
 			id := fmt.Sprintf("%s-%d-%d-%d", kind, number, n, again)
 			box := l.site.Boxes[(number+random.IntN(boxesMost))%len(l.site.Boxes)]
-			wait, more := l.ask(client, random, box, kind, id)
+			wait, more := l.ask(client, random, number, box, kind, id)
 			if !more || ctx.Err() != nil {
 				break
 			}
@@ -87,7 +90,7 @@
 }
 
 // ask sends one request, and returns whether it may be asked again, and when.
-func (l *Load) ask(client *caller.Caller, random *rand.Rand, box *site.Box, kind verdict.Kind, id string) (wait time.Duration, again bool) {
+func (l *Load) ask(client *caller.Caller, random *rand.Rand, number int, box *site.Box, kind verdict.Kind, id string) (wait time.Duration, again bool) {
 	organisation := []string{"council", "firm"}[random.IntN(2)]
 	key := l.site.Key(organisation)
 	if old := l.site.OldKey(organisation); old != "" && random.IntN(oldKeyShare) == 0 {
@@ -103,8 +106,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
+	var pause time.Duration
+	if number%slowShare == slowShare-1 && kind.Streams() {
+		pause = slowPause
+	}
 	answer := client.Ask(ctx, box.Link.Address(), caller.Request{
-		ID: id, Host: site.Host(), Target: a.Target, Body: a.Body, Key: key, Wait: patience, Tokens: "900,240",
+		ID: id, Host: site.Host(), Target: a.Target, Body: a.Body, Key: key, Wait: patience, Tokens: "900,240", Pause: pause,
 	})
 	a.Status, a.Sealed, a.Answer, a.Complete = answer.Status, answer.Sealed, answer.Body, answer.Complete
 	a.Ended = time.Now()
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,7 +62,8 @@
 
 	mu      sync.Mutex
 	workers map[string]*Worker // those that live
-	all     []*Worker
+	all     []*Worker          // of each id the last
+	past    []*Worker          // incarnations before
 	version int
 	keys    map[string]string    // organisation by key
 	old     map[string]string    // key taken away last, by organisation
@@ -217,25 +219,92 @@
 	s.born++
 	w := &Worker{ID: fmt.Sprint(service, "-", s.born), Service: service, Hall: halls[s.born%len(halls)]}
 	s.mu.Unlock()
+	if err := w.start(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.workers[w.ID] = w
+	s.all = append(s.all, w)
+	s.mu.Unlock()
+	s.say(w, false)
+	return nil
+}
+
+// start opens a worker's address, behind its link.
+func (w *Worker) start() error {
 	w.Worker = worker.New(w.ID, Events, pace)
 	address, server, err := serve(w.Handler())
 	if err != nil {
 		return err
 	}
 	w.server = server
-	if w.Link, err = relay.New(address); err != nil {
+	w.Link, err = relay.New(address)
+	return err
+}
+
+func (s *Site) say(w *Worker, leaving bool) {
+	s.Platform.Announce(platform.Worker{
+		ID: w.ID, Service: w.Service, Address: w.Link.Address(), Hall: w.Hall, Leaving: leaving, Born: w.Born(),
+	})
+}
+
+// Restart ends a worker without a word, behind a link that is silent or not, and
+// starts it again under its id.
+func (s *Site) Restart(w *Worker, silent bool) error {
+	fresh := &Worker{ID: w.ID, Service: w.Service, Hall: w.Hall}
+	if err := fresh.start(); err != nil {
 		return err
 	}
 	s.mu.Lock()
-	s.workers[w.ID] = w
-	s.all = append(s.all, w)
+	at := slices.Index(s.all, w)
+	lives := at >= 0 && s.workers[w.ID] == w
+	if lives {
+		s.workers[w.ID], s.all[at] = fresh, fresh
+		s.past = append(s.past, w)
+	}
 	s.mu.Unlock()
-	s.say(w, false)
+	if !lives { // it was taken away meanwhile
+		fresh.end()
+		return nil
+	}
+	if silent {
+		w.Link.Mute()
+	}
+	_ = w.server.Close()
+	s.say(fresh, false)
+	if silent {
+		time.Sleep(Notice)
+	}
+	w.Link.Close()
 	return nil
 }
 
-func (s *Site) say(w *Worker, leaving bool) {
-	s.Platform.Announce(platform.Worker{ID: w.ID, Service: w.Service, Address: w.Link.Address(), Hall: w.Hall, Leaving: leaving})
+// Spoil lets another writer put entries among those of workers for a while, one of
+// them over a live worker's own.
+func (s *Site) Spoil(w *Worker, last time.Duration) {
+	rows := map[string]string{
+		"foreign-1": "\xff\x00", "foreign-2": `{"service":7}`, "foreign-3": `{"service":"llm","address":"nowhere","zone":"leith","slots":-1,"state":"ready"}`,
+		"foreign-4": `{"service":"llm","address":"127.0.0.1:9","zone":"leith","slots":4,"state":"resting"}`, w.ID: "{",
+	}
+	for id, value := range rows {
+		s.Platform.Spoil(id, []byte(value))
+	}
+	time.Sleep(last)
+	for id := range rows {
+		if id != w.ID {
+			s.Platform.Withdraw(id)
+		}
+	}
+	if s.lives(w) {
+		s.say(w, false)
+	}
+}
+
+// lives tells whether a worker's incarnation serves, and does not leave.
+func (s *Site) lives(w *Worker) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[w.ID] == w
 }
 
 // Lapse lets a live worker's row go for a while, as one that is cut off from the
@@ -243,10 +312,7 @@
 func (s *Site) Lapse(w *Worker, last time.Duration) {
 	s.Platform.Withdraw(w.ID)
 	time.Sleep(last)
-	s.mu.Lock()
-	lives := s.workers[w.ID] != nil
-	s.mu.Unlock()
-	if lives {
+	if s.lives(w) {
 		s.say(w, false)
 	}
 }
@@ -260,7 +326,7 @@
 	defer s.mu.Unlock()
 	var list []*Worker
 	for _, w := range s.all {
-		if w.Service == service && s.workers[w.ID] != nil {
+		if w.Service == service && s.workers[w.ID] == w {
 			list = append(list, w)
 		}
 	}
@@ -321,7 +387,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ran []verdict.Ran
-	for _, w := range s.all {
+	for _, w := range slices.Concat(s.past, s.all) {
 		for _, r := range w.Runs() {
 			ran = append(ran, verdict.Ran{Worker: w.ID, Hall: w.Hall, Run: r})
 		}
@@ -338,7 +404,7 @@
 // settings writes a box's settings file and returns its path.
 func settings(dir string, b *Box) (string, error) {
 	text := fmt.Sprintf(`{"box":%q,"hall":%q,"listen":{"callers":%q,"admin":%q,"peers":%q},"platform":{"address":%q},"drain_ms":8000,
-"edge":{"ready":%q,"key_age_ms":%d,"leave_ms":2000}}`,
+"edge":{"ready":%q,"key_age_ms":%d,"leave_ms":2000,"balance":["buffers"]}}`,
 		b.Name, b.hall, b.ports[0], b.ports[1], b.ports[2], b.Store.Address(), b.ports[3], KeyAge.Milliseconds())
 	file := filepath.Join(dir, b.Name+".json")
 	return file, os.WriteFile(file, []byte(text), 0o644)
--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -28,6 +28,9 @@
 	lastMost = 6 * time.Second
 	// overlap is one in how many strikes that is waited for before the next.
 	overlap = 3
+	// entryShare is one in how many strikes beside which a worker starts again under its
+	// id, or entries are spoilt.
+	entryShare = 4
 	// calmly is one in how many strikes before which all is let come to rest, and
 	// a box stopped.
 	calmly = 6
@@ -60,6 +63,7 @@
 	site   *site.Site
 	random *rand.Rand
 	halls  *rand.Rand // which are evacuated
+	entry  *rand.Rand // whose entries are struck; drawn apart, so that the other strikes of a seed stay the same
 	out    io.Writer
 
 	mu      sync.Mutex
@@ -73,7 +77,7 @@
 
 // New returns strikes at a site; out is told of each.
 func New(s *site.Site, seed uint64, out io.Writer) *Strikes {
-	return &Strikes{site: s, random: rand.New(rand.NewPCG(seed, 0)), halls: rand.New(rand.NewPCG(seed, 1)), out: out}
+	return &Strikes{site: s, random: rand.New(rand.NewPCG(seed, 0)), halls: rand.New(rand.NewPCG(seed, 1)), entry: rand.New(rand.NewPCG(seed, 2)), out: out}
 }
 
 // plan is one strike, drawn.
@@ -98,6 +102,11 @@
 		p := s.draw()
 		fmt.Fprintf(s.out, "%6.2f %s for %v\n", time.Since(began).Seconds(), p.name, p.last.Round(time.Millisecond))
 		all.Go(func() { s.strike(p) })
+		if s.entry.IntN(entryShare) == 0 {
+			e := s.onEntry()
+			fmt.Fprintf(s.out, "%6.2f %s\n", time.Since(began).Seconds(), e.name)
+			all.Go(func() { s.strike(e) })
+		}
 		if s.random.IntN(overlap) == 0 {
 			all.Wait()
 		}
@@ -263,6 +272,21 @@
 	}
 }
 
+// onEntry draws a strike at a worker that starts again under its id, or at its entry.
+func (s *Strikes) onEntry() plan {
+	d := drawn{service: []string{"llm", "llm", "plain"}[s.entry.IntN(3)], number: s.entry.IntN(1000), short: time.Duration(s.entry.Int64N(int64(lastMost)))}
+	silent := s.entry.IntN(2) == 0
+	if s.entry.IntN(2) == 0 {
+		return plan{"foreign entries, one over a worker's of " + d.service, d.short, s.at(d, func(w *site.Worker) error {
+			s.site.Spoil(w, d.short)
+			return nil
+		})}
+	}
+	return plan{fmt.Sprint("a worker starts again: ", d.service, ", silently: ", silent), 0, s.at(d, func(w *site.Worker) error {
+		return s.site.Restart(w, silent)
+	})}
+}
+
 // linked lasts as long as what it does to a link.
 func linked(do func(last time.Duration)) func(time.Duration) error {
 	return func(last time.Duration) error {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -19,7 +19,8 @@
 	Body   string // none makes it a read
 	Key    string
 	Wait   time.Duration
-	Tokens string // of the prompt and, at most, of the answer: "900,240"
+	Tokens string        // of the prompt and, at most, of the answer: "900,240"
+	Pause  time.Duration // before the body is read
 }
 
 // Answer is what a caller is told. Without any, its status is 0.
@@ -62,6 +63,7 @@
 		return Answer{}
 	}
 	defer resp.Body.Close()
+	time.Sleep(r.Pause)
 	body, err := io.ReadAll(resp.Body)
 	a := Answer{Status: resp.StatusCode, Sealed: resp.Header.Get("Response-Seal") != "", Body: string(body), Complete: err == nil}
 	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -63,6 +63,7 @@
 	Address string
 	Hall    string
 	Leaving bool
+	Born    int64 // Unix milliseconds of its start; 0 for a worker that says nothing of it
 }
 
 // Announce writes a worker's row as the worker does.
@@ -71,12 +72,23 @@
 	if w.Leaving {
 		state = "draining"
 	}
-	p.put("servers", w.ID, map[string]any{"service": w.Service, "address": w.Address, "zone": w.Hall, "slots": 24, "state": state})
+	row := map[string]any{
+		"service": w.Service, "address": w.Address, "zone": w.Hall, "version": "v1", "slots": 24, "state": state, "cold_left_ms": 0, "sequence": 1,
+	}
+	if w.Born > 0 {
+		row["born"] = w.Born
+	}
+	p.put("servers", w.ID, row)
 }
 
 // Withdraw removes a worker's row.
 func (p *Platform) Withdraw(id string) { p.Remove(store.Row{Table: "servers", Key: id}) }
 
+// Spoil writes a row among those of workers as another writer does.
+func (p *Platform) Spoil(id string, value []byte) {
+	p.Put(store.Row{Table: "servers", Key: id, Value: value})
+}
+
 // Evacuate says that a hall's workers are to get nothing new, as the operator does.
 func (p *Platform) Evacuate(hall string) { p.put("op", "evacuate/"+hall, map[string]any{}) }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -62,6 +62,7 @@
 	id     string
 	events int
 	pace   time.Duration
+	born   time.Time
 
 	mu      sync.Mutex
 	faults  []Fault
@@ -73,11 +74,14 @@
 }
 
 // New returns a worker with an id, whose streams have so many events, one each
-// pace.
+// pace. One that starts again under its id is made anew.
 func New(id string, events int, pace time.Duration) *Worker {
-	return &Worker{id: id, events: events, pace: pace, streams: map[string]*state{}, copies: map[string]int{}}
+	return &Worker{id: id, events: events, pace: pace, born: time.Now(), streams: map[string]*state{}, copies: map[string]int{}}
 }
 
+// Born returns when it started, in Unix milliseconds.
+func (w *Worker) Born() int64 { return w.born.UnixMilli() }
+
 // Next puts faults into the answers that come next.
 func (w *Worker) Next(faults ...Fault) {
 	w.mu.Lock()
@@ -123,7 +127,7 @@
 	if w.leaving {
 		state, left = "draining", 1700
 	}
-	writeJSON(out, map[string]any{"state": state, "leaves_ms": left, "queued": 1, "running": len(w.streams), "kv_used": 4100, "kv_total": 9000})
+	writeJSON(out, map[string]any{"state": state, "leaves_ms": left, "queued": 1, "running": len(w.streams), "kv_used": 4100, "kv_total": 9000, "born": w.Born()})
 }
 
 func writeJSON(out http.ResponseWriter, v any) {
