--- a/protect/buffers/buffers.go
+++ b/protect/buffers/buffers.go
@@ -84,9 +84,15 @@
 }
 
 // Append adds a copy of some bytes. It waits while the stream or the box is full.
-func (s *Stream) Append(ctx context.Context, p []byte) error {
+func (s *Stream) Append(ctx context.Context, p []byte) error { return s.add(ctx, len(p), p) }
+
+// Reserve counts bytes that are held elsewhere until they are Sent. It waits as Append
+// does.
+func (s *Stream) Reserve(ctx context.Context, n int) error { return s.add(ctx, n, nil) }
+
+func (s *Stream) add(ctx context.Context, n int, p []byte) error {
 	for {
-		added, ended, err := s.append(time.Now(), p)
+		added, ended, err := s.tryAdd(time.Now(), n, p)
 		if ended != nil {
 			ended.end(ended.Err())
 		}
@@ -108,9 +114,9 @@
 	}
 }
 
-// append adds bytes if there is room for them. Where the box is full it ends the
+// tryAdd adds bytes if there is room for them. Where the box is full it ends the
 // slowest reader, which it returns.
-func (s *Stream) append(now time.Time, p []byte) (added bool, ended *Stream, err error) {
+func (s *Stream) tryAdd(now time.Time, n int, p []byte) (added bool, ended *Stream, err error) {
 	b := s.buffers
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -118,9 +124,9 @@
 	switch {
 	case s.err != nil:
 		return false, nil, s.err
-	case s.held > 0 && s.held+len(p) > b.limits.Stream:
+	case s.held > 0 && s.held+n > b.limits.Stream:
 		return false, nil, nil
-	case b.held > 0 && b.held+len(p) > b.limits.Box:
+	case b.held > 0 && b.held+n > b.limits.Box:
 		ended = b.slowest(now)
 		if ended == nil {
 			b.waiting[s] = struct{}{}
@@ -133,8 +139,8 @@
 		s.progress = now
 	}
 	s.pending = append(s.pending, p...)
-	s.held += len(p)
-	b.held += len(p)
+	s.held += n
+	b.held += n
 	wake(s.ready)
 	return true, nil, nil
 }
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -81,16 +82,24 @@
 			b.left = err
 			return
 		}
-		for len(p) > 0 {
-			n := min(len(p), pieceMost)
-			if err := b.piece(p[:n]); err != nil {
-				b.fail(err)
-				return
-			}
-			b.stream.Sent(time.Now(), n)
-			p = p[n:]
+		if err := b.pieces(p); err != nil {
+			b.fail(err)
+			return
+		}
+	}
+}
+
+// pieces writes bytes that are held.
+func (b *buffered) pieces(p []byte) error {
+	for len(p) > 0 {
+		n := min(len(p), pieceMost)
+		if err := b.piece(p[:n]); err != nil {
+			return cmp.Or(b.stream.Err(), err) // a write may have been broken off for the first
 		}
+		b.stream.Sent(time.Now(), n)
+		p = p[n:]
 	}
+	return nil
 }
 
 // fail ends the stream, so that its upstream is left at once.
@@ -139,6 +148,25 @@
 	return nil
 }
 
+// writeWhole writes a whole answer. One that may not go out at once counts as held as
+// far as it has not.
+func (r *Relay) writeWhole(ctx context.Context, c exchange.Caller, body []byte) error {
+	if r.Buffers == nil || len(body) <= pieceMost {
+		return c.Write(body)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	out := newBuffered(ctx, cancel, c, r.Buffers)
+	defer out.stream.Fail(io.EOF)
+	if err := out.stream.Reserve(ctx, len(body)); err != nil {
+		return &callerError{err}
+	}
+	if err := out.pieces(body); err != nil {
+		return &callerError{err}
+	}
+	return nil
+}
+
 // slowReader tells why a caller was ended for reading slowly; empty if it was not.
 func slowReader(err error) string {
 	switch {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -323,6 +323,9 @@
 	}
 }
 
+// long is a body that goes out in several pieces.
+var long = strings.Repeat("0123456789", 2000)
+
 // TestWhole is the fault matrix of requests whose answers are no streams.
 func TestWhole(t *testing.T) {
 	ok := reply{body: "ok"}
@@ -357,13 +360,16 @@
 		"unsafe with two tries, full":           {"/unsafe2/", []reply{full, ok}, 2, 200, "", ""},
 		"unsafe with two tries, reset":          {"/unsafe2/", []reply{{err: errReset}, ok}, 1, 0, refusal.NoAnswer, refusal.Unknown},
 		"unsafe with two tries, failure":        {"/unsafe2/", []reply{{status: 500}, ok}, 1, 500, "", ""},
+		"a long answer":                         {"/once/", []reply{{body: long}}, 1, 200, "", ""},
+		"a long answer with a rest":             {"/once/", []reply{{body: long, rest: "more"}}, 1, 200, "", ""},
 		"another has the address":               {"/unsafe2/", []reply{{status: 421, notRun: true}, ok}, 2, 200, "", ""},
 	}
-	for name, tt := range tests {
+	for name, tt := range twice(tests) {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newWorld(t, tt.script...)
+				w.relay.Buffers = buffered(name)
 				c := w.serve(t.Context(), tt.path)
 				is.Equal(len(w.sender.sends), tt.sends)
 				is.Equal(c.status, tt.status)
@@ -377,7 +383,11 @@
 				if tt.want != "" {
 					is.Equal(c.refused.Reason(), tt.want)
 					is.Equal(c.refused.Ending(), tt.ending)
+				} else {
+					last := tt.script[min(tt.sends, len(tt.script))-1]
+					is.Equal(c.body.String(), last.body+last.rest)
 				}
+				is.True(w.relay.Buffers == nil || w.relay.Buffers.Held() == 0)
 				is.Equal(len(w.tally.Own()), 0)
 			})
 		})
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -142,7 +142,7 @@
 	}
 	err := c.Answer(o.sent.answer, length)
 	if err == nil {
-		err = c.Write(o.body)
+		err = r.writeWhole(ctx, c, o.body)
 	}
 	if err == nil && o.more {
 		err = r.rest(o.sent.answer.Body, c)
@@ -152,6 +152,10 @@
 	log := j.log.WithFields(logrus.Fields{"upstream": o.sent.upstream.ID, "status": o.sent.answer.Status, "took_ms": took.Milliseconds(), "hall": o.sent.upstream.Hall, "aim_ms": j.route.Aim.Milliseconds()})
 	if err != nil {
 		c.Abort()
+		if reason := slowReader(err); r.Buffers != nil && reason != "" {
+			r.Metrics.SlowEnded(reason)
+			log = log.WithFields(heldOf(err)).WithField("reason", reason)
+		}
 		log.WithError(err).Info("answer_cut")
 		return
 	}
