--- a/edge/edge.go
+++ b/edge/edge.go
@@ -327,11 +327,11 @@
 func (e *Edge) departed(ctx context.Context) fleet.Listener {
 	return func(u fleet.Upstream, source string) {
 		if u.State != fleet.Leaving {
-			e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "source": source}).Info("upstream_back")
+			e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "born": u.Born, "source": source}).Info("upstream_back")
 			return
 		}
 		at := len(e.runs.At(u.ID))
-		e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "source": source, "runs": at}).Info("upstream_leaves")
+		e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "born": u.Born, "source": source, "runs": at}).Info("upstream_leaves")
 		if e.config.Edge.Moves != wire.EdgeMovesNone {
 			e.evacuator.Leaves(ctx, u)
 		}
--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -30,7 +30,7 @@
 	overlap = 3
 	// entryShare is one in how many strikes beside which a worker starts again under its
 	// id, or entries are spoilt.
-	entryShare = 4
+	entryShare = 2
 	// calmly is one in how many strikes before which all is let come to rest, and
 	// a box stopped.
 	calmly = 6
