relay: send nothing to an incarnation that has ended

A request that was placed at an upstream just before it started again, and noted as sent there just after, was missed by the news that cuts requests off: it went to the old incarnation, and was silent there until its deadline if that lay behind a cut. The incarnation is now looked at once the request is noted, so that one of the two sees it; it goes to another upstream as one that was not sent. guards: restart-before-send fails without, passes with.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -312,8 +312,9 @@
 	return hash.Sum64()
 }
 
-// sendTo sends to one upstream.
-func (r *Relay) sendTo(ctx context.Context, j *job, u fleet.Upstream, after int, from *exchange.Copy) (*sent, error) {
+// loadOf returns what a request is expected to hold at an upstream that sends it the
+// events after one.
+func (j *job) loadOf(after int, from *exchange.Copy) tally.Load {
 	load := tally.Load{Requests: 1}
 	if j.service.Engine != nil {
 		made := (after + 1) * j.eventTokens()
@@ -322,6 +323,12 @@
 			load.Prefill = j.req.Prompt // else all but the last tokens are in the copy
 		}
 	}
+	return load
+}
+
+// sendTo sends to one upstream.
+func (r *Relay) sendTo(ctx context.Context, j *job, u fleet.Upstream, after int, from *exchange.Copy) (*sent, error) {
+	load := j.loadOf(after, from)
 	alone := 0
 	if r.Tally.Load(time.Now(), u.ID).Prefill == 0 {
 		alone = load.Prefill
@@ -329,6 +336,12 @@
 	entry := r.Tally.Begin(u.ID, load)
 	sending, cancel := context.WithCancelCause(ctx)
 	leave := r.Runs.Sent(u, func() { cancel(&RestartedError{Upstream: u.ID}) })
+	if !r.Fleet.Current(u) { // the news came before Sent, which it would have cut
+		leave()
+		cancel(nil)
+		entry.End()
+		return nil, &exchange.FailedError{NotSent: true, Err: &RestartedError{Upstream: u.ID}}
+	}
 	began := time.Now()
 	hung := time.AfterFunc(hungPart*j.route.Aim, func() {
 		r.record(u, true)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"petrelstep/admission"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/exchange"
@@ -798,3 +799,39 @@
 		})
 	}
 }
+
+// placed admits to one upstream after it has started again.
+type placed struct {
+	fleet *fleet.Fleet
+	asked int
+}
+
+func (p *placed) Admit(context.Context, admission.Ask) (admission.Grant, error) {
+	id := fmt.Sprint("llm", p.asked)
+	p.asked++
+	u, _ := p.fleet.Get(id)
+	if p.asked == 1 {
+		p.fleet.Started(time.Now(), id, u.Born+1, "report")
+	}
+	return admission.Grant{Upstream: u}, nil
+}
+
+// TestRestartedBeforeSent holds that nothing is sent to an incarnation that ended after
+// a request was placed there: the news that cuts requests off came before this one.
+func TestRestartedBeforeSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, reply{events: []int{0}})
+		for i := range 2 {
+			u, _ := w.fleet.Get(fmt.Sprint("llm", i))
+			u.Born = 100
+			w.fleet.Told(time.Now(), u)
+		}
+		w.relay.Admitter = &placed{fleet: w.fleet}
+		c := w.serve(t.Context(), "/draft/")
+		is.Equal(c.body.String(), "0;")
+		is.Equal(len(w.sender.sends), 1)
+		is.Equal(w.sender.first(), "llm1")
+		is.Equal(len(w.tally.Own()), 0)
+	})
+}
