relay: bound each write of a long answer anew

With buffers on, the first 256 KB of a long answer are written with 15 s for each piece, and the last of these bounds then stood for all of the rest: an answer whose upstream sent it for longer than that was cut, and counted as one whose caller had stalled.

--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -167,6 +167,15 @@
 	return nil
 }
 
+// writeRest writes a piece of an answer that is too long to be held. The bound of the
+// piece before would count the time that its upstream took.
+func (r *Relay) writeRest(c exchange.Caller, p []byte) error {
+	if b, ok := c.(bounded); ok && r.Buffers != nil {
+		b.WriteBy(time.Now().Add(stalledMost))
+	}
+	return c.Write(p)
+}
+
 // slowReader tells why a caller was ended for reading slowly; empty if it was not.
 func slowReader(err error) string {
 	switch {
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -178,3 +179,31 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// boundedCaller notes how long each write may take.
+type boundedCaller struct {
+	caller
+	by    time.Time
+	least time.Duration
+}
+
+func (c *boundedCaller) WriteBy(at time.Time) { c.by = at }
+
+func (c *boundedCaller) Write(p []byte) error {
+	c.least = min(c.least, time.Until(c.by))
+	return c.caller.Write(p)
+}
+
+// TestLongAnswerBound holds that the bound of a long answer's first writes does not
+// stand for the rest, which comes as its upstream sends it.
+func TestLongAnswerBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, reply{body: strings.Repeat("b", 10<<10), rest: strings.Repeat("r", 40<<10)})
+		w.relay.Buffers = buffers.New(buffers.Limits{Stream: 1 << 16, Box: 1 << 20})
+		c := &boundedCaller{least: time.Hour}
+		w.relay.Serve(t.Context(), request("/public/"), c)
+		is.Equal(c.body.Len(), 50<<10)
+		is.Equal(c.least, 15*time.Second)
+	})
+}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -179,7 +179,7 @@
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if err := c.Write(buf[:n]); err != nil {
+			if err := r.writeRest(c, buf[:n]); err != nil {
 				return err
 			}
 		}
