relay: count a buffered stream that is silent until its deadline as lost

At the deadline the task that reads and the one that writes end together, and the writer's end was taken for the caller's: with buffers on, a stream that its upstream kept silent was logged as caller_gone, and missing from petrelstep_refusals{reason="generation_lost"}. Where the writer met just the deadline, what the reader met counts, as without buffers. guards: deadline-lost fails without, passes with.

--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -148,6 +148,15 @@
 	return nil
 }
 
+// endOf returns why a stream ended, of what its reading task and its writing task met.
+// At the deadline both end: the stream is lost then if it was not read to its end.
+func endOf(reading, writing error) error {
+	if errors.Is(writing, context.DeadlineExceeded) {
+		return cmp.Or(reading, writing)
+	}
+	return cmp.Or(writing, reading)
+}
+
 // writeWhole writes a whole answer. One that may not go out at once counts as held as
 // far as it has not.
 func (r *Relay) writeWhole(ctx context.Context, c exchange.Caller, body []byte) error {
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -207,3 +208,22 @@
 		is.Equal(c.least, 15*time.Second)
 	})
 }
+
+// TestDeadlineLost holds that a stream whose upstream is silent until the deadline is
+// counted as lost, also where its caller has taken all that came.
+func TestDeadlineLost(t *testing.T) {
+	for name, path := range twice(map[string]string{"a draft": "/draft/"}) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, reply{events: []int{0, 1}, silent: true})
+				w.relay.Buffers = buffered(name)
+				c := w.serve(t.Context(), path)
+				is.True(c.aborted)
+				page := httptest.NewRecorder()
+				w.relay.Metrics.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/", nil))
+				is.True(regexp.MustCompile(`petrelstep_refusals\S*reason="generation_lost"\S* 1\n`).MatchString(page.Body.String()))
+			})
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -76,7 +75,7 @@
 	leave()
 	f.sent.close()
 	if out != nil {
-		err = cmp.Or(out.finish(), err)
+		err = endOf(err, out.finish())
 	}
 	r.ended(ctx, f, err)
 }
