fleet: forget a newer incarnation that was heard of only as it leaves

The first word of a newer incarnation noted the upstream as one whose entry stands, also where the entry had gone and the word was a departure told by a peer. It was then kept until the next whole listing in place of a minute.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -141,6 +141,7 @@
 	case e.older(u.Born):
 		return
 	case e.newer(u.Born):
+		e.listed = true
 		f.restart(now, e, u, "entry")
 		return
 	case u.Version <= e.upstream.Version && !u.Said && e.upstream.State == Leaving, u.Version < e.upstream.Version:
@@ -183,7 +184,8 @@
 	if leaves {
 		u.State = Open
 	}
-	e.upstream, e.since, e.listed = u, now, true
+	e.upstream, e.since = u, now
+	e.listed = e.listed || !leaves // one without an entry that leaves is to be forgotten
 	f.change(e)
 	for _, l := range f.restarted {
 		l(u, source)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -365,3 +365,16 @@
 	is.Equal(u.Born, int64(100))
 	is.Equal(u.State, fleet.Leaving)
 }
+
+// TestForgotten holds that an upstream whose entry is gone is forgotten in the end, also
+// where a newer incarnation of it is heard of only as it leaves.
+func TestForgotten(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New(grace)
+	f.Put(now, born(100, up("u", fleet.Open, 5)))
+	f.Remove(now, "u", 6, false)
+	f.Leaves(now, fleet.Departure{ID: "u", Version: 7, Born: 200}, "peer")
+	f.Tick(now.Add(time.Minute))
+	_, ok := f.Get("u")
+	is.True(!ok)
+}
