watch: take a report that names no incarnation as of the one that was asked

A report may take 0.4 s. If it said without born that the upstream leaves, and a newer incarnation became known meanwhile, that one was taken for leaving, for good, as an upstream that has said so stays so. The word now carries the incarnation that was asked. guards: late-report fails without, passes with.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -4,6 +4,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -102,6 +103,6 @@
 	}
 	w.fleet.Started(time.Now(), u.ID, word.Born, sourceReport)
 	if word.Leaves {
-		w.fleet.Leaves(time.Now(), fleet.Departure{ID: u.ID, Said: true, Born: word.Born}, sourceReport)
+		w.fleet.Leaves(time.Now(), fleet.Departure{ID: u.ID, Said: true, Born: cmp.Or(word.Born, u.Born)}, sourceReport)
 	}
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -144,3 +144,25 @@
 		})
 	}
 }
+
+// late answers for an incarnation that ends before its word arrives.
+type late struct{ fleet *fleet.Fleet }
+
+func (l late) Word(context.Context, string) (watch.Word, error) {
+	l.fleet.Put(time.Now(), fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:81", State: fleet.Open, Version: 1, Born: 200})
+	return watch.Word{Leaves: true}, nil
+}
+
+// TestLateReport holds that a report which names no incarnation is of the one that was
+// asked: the next one does not leave by it.
+func TestLateReport(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New(time.Second)
+	u := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", State: fleet.Open, Born: 100}
+	f.Put(time.Now(), u)
+	w := watch.New(f, func(time.Time) time.Duration { return time.Minute }, running{"u": u}, late{f}, logs.New(io.Discard, "info", "b"))
+	w.Look(t.Context(), time.Now())
+	got, _ := f.Get("u")
+	is.Equal(got.Born, int64(200))
+	is.Equal(got.State, fleet.Open)
+}
