--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,11 @@
 // for some seconds, and an old entry told late must not bring it back.
 const keptFor = 60 * time.Second
 
+// BornMost bounds what an upstream may say of its start, in Unix ms: decades from now.
+// A later one is of another unit or another writer, and no later start would ever count
+// as newer.
+const BornMost = 1 << 42
+
 // Upstream is one incarnation of a worker. Values are immutable.
 type Upstream struct {
 	ID      string
