--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"petrelstep/platform/store"
 	"petrelstep/platform/upstream"
 	"petrelstep/prefill"
+	"petrelstep/protect/buffers"
 	"petrelstep/relay"
 	"petrelstep/reliability"
 	"petrelstep/retry"
@@ -59,6 +60,13 @@
 	// ends in one process), of which requests may take requestsPart hundredths.
 	requestKB    = 102
 	requestsPart = 50
+	// heldPart hundredths of a box's memory may be held for callers that read slowly,
+	// with what buffers grow beyond their bytes: a quarter of requestsPart, so that
+	// stalled callers leave most of the room for requests to others.
+	heldPart = 12
+	// heldStream is how many bytes are held for one stream: a long answer with its
+	// events' heads, so that one whole answer waits for its caller and not its engine.
+	heldStream = 128 << 10
 	// requestDescriptors are the caller's connection and the upstream's;
 	// otherDescriptors are kept for files, peers, the store and calls of our own.
 	requestDescriptors = 2
@@ -104,6 +112,7 @@
 	budget      *retry.Budget
 	upstreams   *upstream.Client
 	relay       *relay.Relay
+	buffers     *buffers.Buffers // nil: off
 	callers     *callers.Handler
 	evacuator   *evacuate.Evacuator
 
@@ -158,7 +167,7 @@
 		heard:       map[string]time.Time{},
 		known:       map[string]mark{},
 	}
-	e.boxes = manifest.NewBoxes(e.store)
+	e.boxes = manifest.NewBoxes(e.store, counts, log)
 	e.halls = halls.New(e.hallChanged)
 	e.configuration = manifest.NewConfiguration(e.store, e.belief, e.halls, log)
 	e.members = members.New(members.Box{
@@ -173,17 +182,20 @@
 func (e *Edge) serve() {
 	s := e.config.Edge
 	e.budget = retry.NewBudget(budgetPart*s.RetryRatio, e.slack(boxesGuess))
+	e.buffers = e.newBuffers()
 	reading := prefill.New()
+	warm := warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5)))
+	e.fleet.OnRestart(e.restarted(warm))
 	chooser := choose.New(choose.Parts{
 		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall,
-		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part, Regions: s.Regions,
+		Warmup: warm, Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
 	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
 		Budget: e.budget,
-		Runs:   e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, ServeStale: s.ServeStale, Log: e.log,
+		Runs:   e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, Buffers: e.buffers, ServeStale: s.ServeStale, Log: e.log,
 	})
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Parts{
@@ -222,9 +234,31 @@
 // full tells whether this box holds as many requests as its memory and its
 // descriptors allow: one more would end it, and all that it holds with it.
 func (e *Edge) full() bool {
-	s := e.config.Edge
-	most := min(int(s.MemoryMb*1024*requestsPart/100/requestKB), (s.Descriptors-otherDescriptors)/requestDescriptors)
-	return e.serving.Load() > int64(max(most, 1))
+	held := 0
+	if e.buffers != nil {
+		held = e.buffers.Held()
+	}
+	return e.serving.Load() > int64(requestsMost(e.config.Edge, held))
+}
+
+// requestsMost returns how many requests a box may hold that holds so many bytes for
+// slow readers.
+func requestsMost(s *wire.Edge, held int) int {
+	memoryKB := s.MemoryMb*1024*requestsPart/100 - float64(held)/1024
+	return max(min(int(memoryKB/requestKB), (s.Descriptors-otherDescriptors)/requestDescriptors), 1)
+}
+
+// newBuffers returns what bounds the bytes held for slow readers; nil where that is
+// off.
+func (e *Edge) newBuffers() *buffers.Buffers {
+	if !e.config.Balances(wire.EdgeBalanceElemBuffers) {
+		return nil
+	}
+	b := buffers.New(buffers.Limits{Stream: heldStream, Box: int(e.config.Edge.MemoryMb * 1024 * 1024 * heldPart / 100)})
+	if err := e.metrics.Holds(b.Held); err != nil {
+		e.log.WithError(err).Warn("held_not_counted")
+	}
+	return b
 }
 
 // bodyMost bounds a request's body by the configuration in force.
@@ -244,6 +278,12 @@
 	return table.Service(name)
 }
 
+// names tells whether the configuration in force names a service.
+func (e *Edge) names(service string) bool {
+	_, ok := e.service(service)
+	return ok
+}
+
 // stop is a planned stop, on the steady clock.
 type stop struct {
 	began time.Time
@@ -287,17 +327,33 @@
 func (e *Edge) departed(ctx context.Context) fleet.Listener {
 	return func(u fleet.Upstream, source string) {
 		if u.State != fleet.Leaving {
-			e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "source": source}).Info("upstream_back")
+			e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "born": u.Born, "source": source}).Info("upstream_back")
 			return
 		}
 		at := len(e.runs.At(u.ID))
-		e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "source": source, "runs": at}).Info("upstream_leaves")
+		e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "born": u.Born, "source": source, "runs": at}).Info("upstream_leaves")
 		if e.config.Edge.Moves != wire.EdgeMovesNone {
 			e.evacuator.Leaves(ctx, u)
 		}
 	}
 }
 
+// restarted takes the news that an upstream has started again: what was known of its
+// last incarnation goes before the new one gets work.
+func (e *Edge) restarted(warm *warmup.Warmup) fleet.Listener {
+	return func(u fleet.Upstream, source string) {
+		e.tally.Forget(u.ID)
+		e.reliability.Forget(u.ID)
+		warm.Forget(u.ID)
+		e.turns.Forget(u.ID)
+		cut, copies := e.runs.Restarted(u)
+		e.metrics.Restarted()
+		e.log.WithFields(logrus.Fields{
+			"upstream": u.ID, "service": u.Service, "born": u.Born, "state": u.State, "source": source, "cut": cut, "copies": copies,
+		}).Warn("upstream_restarted")
+	}
+}
+
 // hallChanged takes the news that a hall is evacuated, or that this is taken back.
 func (e *Edge) hallChanged(w halls.Word, source string) {
 	if w.Evacuated {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"petrelstep/length"
 	"petrelstep/metrics"
 	"petrelstep/prefill"
+	"petrelstep/protect/buffers"
 	"petrelstep/refusal"
 	"petrelstep/reliability"
 	"petrelstep/retry"
@@ -62,6 +63,7 @@
 	Metrics     *metrics.Metrics
 	Stopping    func() (Stop, bool) // false unless this box is being stopped
 	Full        func() bool         // this box holds as much as it can
+	Buffers     *buffers.Buffers    // between upstreams and callers; nil: events are written before the next is read
 	ServeStale  bool                // what a belief allows is served however old that is
 	Log         *logrus.Entry
 }
@@ -310,8 +312,9 @@
 	return hash.Sum64()
 }
 
-// sendTo sends to one upstream.
-func (r *Relay) sendTo(ctx context.Context, j *job, u fleet.Upstream, after int, from *exchange.Copy) (*sent, error) {
+// loadOf returns what a request is expected to hold at an upstream that sends it the
+// events after one.
+func (j *job) loadOf(after int, from *exchange.Copy) tally.Load {
 	load := tally.Load{Requests: 1}
 	if j.service.Engine != nil {
 		made := (after + 1) * j.eventTokens()
@@ -320,15 +323,28 @@
 			load.Prefill = j.req.Prompt // else all but the last tokens are in the copy
 		}
 	}
+	return load
+}
+
+// sendTo sends to one upstream.
+func (r *Relay) sendTo(ctx context.Context, j *job, u fleet.Upstream, after int, from *exchange.Copy) (*sent, error) {
+	load := j.loadOf(after, from)
 	alone := 0
 	if r.Tally.Load(time.Now(), u.ID).Prefill == 0 {
 		alone = load.Prefill
 	}
 	entry := r.Tally.Begin(u.ID, load)
-	sending, cancel := context.WithCancel(ctx)
+	sending, cancel := context.WithCancelCause(ctx)
+	leave := r.Runs.Sent(u, func() { cancel(&RestartedError{Upstream: u.ID}) })
+	if !r.Fleet.Current(u) { // the news came before Sent, which it would have cut
+		leave()
+		cancel(nil)
+		entry.End()
+		return nil, &exchange.FailedError{NotSent: true, Err: &RestartedError{Upstream: u.ID}}
+	}
 	began := time.Now()
 	hung := time.AfterFunc(hungPart*j.route.Aim, func() {
-		r.Reliability.Record(time.Now(), u.ID, true)
+		r.record(u, true)
 		j.log.WithField("upstream", u.ID).Warn("upstream_hangs")
 	})
 	answer, err := r.Sender.Send(sending, exchange.Send{
@@ -336,22 +352,37 @@
 		Urgency: j.urgency, After: after, From: from,
 	})
 	if err != nil {
-		cancel()
+		leave()
+		cancel(nil)
 		hung.Stop()
 		entry.End()
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			r.Reliability.Record(time.Now(), u.ID, true)
+			r.record(u, true)
 		}
 		return nil, err
 	}
 	return &sent{answer: answer, upstream: u, began: began, entry: entry, alone: alone, hung: hung, close: func() {
+		leave()
 		hung.Stop()
 		answer.Body.Close()
-		cancel()
+		cancel(nil)
 		entry.End()
 	}}, nil
 }
 
+// RestartedError says that an upstream has started again, and lost what it had.
+type RestartedError struct{ Upstream string }
+
+// Error implements error.
+func (e *RestartedError) Error() string { return "upstream " + e.Upstream + " has started again" }
+
+// record notes how an upstream fared, unless it has started again since.
+func (r *Relay) record(u fleet.Upstream, failed bool) {
+	if r.Fleet.Current(u) {
+		r.Reliability.Record(time.Now(), u.ID, failed)
+	}
+}
+
 // refuse ends a request with the system's own answer.
 func (r *Relay) refuse(log *logrus.Entry, req *exchange.Request, c exchange.Caller, err error) {
 	var refused refusal.Refusal
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"petrelstep/admission"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/exchange"
@@ -23,6 +24,7 @@
 	"petrelstep/logs"
 	"petrelstep/metrics"
 	"petrelstep/prefill"
+	"petrelstep/protect/buffers"
 	"petrelstep/refusal"
 	"petrelstep/relay"
 	"petrelstep/reliability"
@@ -48,6 +50,7 @@
 	unframed bool
 	pause    time.Duration // before each event
 	wait     func()        // before the stream ends
+	silent   bool          // nothing comes after the events until the sender gives up
 }
 
 // sender answers the sends of a test, in order; past the script, it is the
@@ -78,6 +81,13 @@
 	}, nil
 }
 
+// first returns where the first request was sent.
+func (s *sender) first() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sends[0].Upstream
+}
+
 type bodyOf struct {
 	ctx   context.Context
 	reply reply
@@ -89,6 +99,10 @@
 		if b.reply.wait != nil {
 			b.reply.wait()
 		}
+		if b.reply.silent {
+			<-b.ctx.Done()
+			return exchange.Event{}, b.ctx.Err()
+		}
 		if b.reply.cutAfter != nil {
 			return exchange.Event{}, b.reply.cutAfter
 		}
@@ -310,6 +324,9 @@
 	}
 }
 
+// long is a body that goes out in several pieces.
+var long = strings.Repeat("0123456789", 2000)
+
 // TestWhole is the fault matrix of requests whose answers are no streams.
 func TestWhole(t *testing.T) {
 	ok := reply{body: "ok"}
@@ -344,13 +361,16 @@
 		"unsafe with two tries, full":           {"/unsafe2/", []reply{full, ok}, 2, 200, "", ""},
 		"unsafe with two tries, reset":          {"/unsafe2/", []reply{{err: errReset}, ok}, 1, 0, refusal.NoAnswer, refusal.Unknown},
 		"unsafe with two tries, failure":        {"/unsafe2/", []reply{{status: 500}, ok}, 1, 500, "", ""},
+		"a long answer":                         {"/once/", []reply{{body: long}}, 1, 200, "", ""},
+		"a long answer with a rest":             {"/once/", []reply{{body: long, rest: "more"}}, 1, 200, "", ""},
 		"another has the address":               {"/unsafe2/", []reply{{status: 421, notRun: true}, ok}, 2, 200, "", ""},
 	}
-	for name, tt := range tests {
+	for name, tt := range twice(tests) {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newWorld(t, tt.script...)
+				w.relay.Buffers = buffered(name)
 				c := w.serve(t.Context(), tt.path)
 				is.Equal(len(w.sender.sends), tt.sends)
 				is.Equal(c.status, tt.status)
@@ -364,7 +384,11 @@
 				if tt.want != "" {
 					is.Equal(c.refused.Reason(), tt.want)
 					is.Equal(c.refused.Ending(), tt.ending)
+				} else {
+					last := tt.script[min(tt.sends, len(tt.script))-1]
+					is.Equal(c.body.String(), last.body+last.rest)
 				}
+				is.True(w.relay.Buffers == nil || w.relay.Buffers.Held() == 0)
 				is.Equal(len(w.tally.Own()), 0)
 			})
 		})
@@ -403,6 +427,27 @@
 	})
 }
 
+// withBuffers ends the names of tests in which callers are written to by a task of
+// their own.
+const withBuffers = ", buffered"
+
+// twice returns the rows of a table with and without buffers.
+func twice[T any](tests map[string]T) map[string]T {
+	all := map[string]T{}
+	for name, tt := range tests {
+		all[name], all[name+withBuffers] = tt, tt
+	}
+	return all
+}
+
+// buffered returns the buffers of a test by its name.
+func buffered(name string) *buffers.Buffers {
+	if !strings.HasSuffix(name, withBuffers) {
+		return nil
+	}
+	return buffers.New(buffers.Limits{Stream: 1 << 10, Box: 1 << 20})
+}
+
 // TestStream is the fault matrix of streams.
 func TestStream(t *testing.T) {
 	tests := map[string]struct {
@@ -431,11 +476,12 @@
 		"a check breaks twice":                {"/check/", []reply{{events: []int{0}, cutAfter: errReset}, {events: []int{1}, cutAfter: errReset}, {events: []int{2}}}, 2, "0;1;", true, ""},
 		"a check resumed at one that is full": {"/check/", []reply{{events: []int{0}, cutAfter: errReset}, {status: 503, notRun: true}}, 2, "0;", true, ""},
 	}
-	for name, tt := range tests {
+	for name, tt := range twice(tests) {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				w := newWorld(t, tt.script...)
+				w.relay.Buffers = buffered(name)
 				c := w.serve(t.Context(), tt.path)
 				is.Equal(len(w.sender.sends), tt.sends)
 				is.Equal(c.body.String(), tt.body)
@@ -462,7 +508,7 @@
 	closed time.Duration // the target's hall was evacuated so long before
 }
 
-func (m move) check(t *testing.T, from exchange.Copy) {
+func (m move) check(t *testing.T, name string, from exchange.Copy) {
 	is := is.New(t)
 	var w *world
 	first := reply{events: []int{0, 1}, cutAfter: m.ends, unframed: m.frame, wait: func() {
@@ -473,6 +519,7 @@
 		}
 	}}
 	w = newWorld(t, append([]reply{first}, m.next...)...)
+	w.relay.Buffers = buffered(name)
 	if m.closed > 0 {
 		w.fleet.CloseHall(time.Now().Add(-m.closed), "leith")
 	}
@@ -517,9 +564,9 @@
 		"the target repeats an event":                   {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{1, 2}}}, body: "0;1;2;", asked: []string{"llm3"}},
 		"the target leaves a gap":                       {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{3}}}, body: "0;1;", abort: true, asked: []string{"llm3"}},
 	}
-	for name, tt := range tests {
+	for name, tt := range twice(tests) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { tt.check(t, handoff.Copy) })
+			synctest.Test(t, func(t *testing.T) { tt.check(t, name, handoff.Copy) })
 		})
 	}
 }
@@ -671,3 +718,120 @@
 		})
 	}
 }
+
+// restart is one row of TestRestarted.
+type restart struct {
+	path   string
+	script []reply
+	copied string // upstream that has a copy of the run
+	also   string // an upstream that has started again just before
+	born   int64  // what the upstream says once its first answer is under way; it was 100
+	body   string
+	asked  int
+	lost   bool // told at once
+	want   refusal.Reason
+}
+
+func (r restart) check(t *testing.T, name string) {
+	is := is.New(t)
+	w := newWorld(t, r.script...)
+	w.relay.Buffers = buffered(name)
+	w.fleet.OnRestart(func(u fleet.Upstream, _ string) {
+		w.failed.Forget(u.ID)
+		w.tally.Forget(u.ID)
+		w.runs.Restarted(u)
+	})
+	say := func(id string, born int64) {
+		u, _ := w.fleet.Get(id)
+		u.Born, u.Version = born, u.Version+1
+		w.fleet.Put(time.Now(), u)
+	}
+	for _, service := range []string{"plain", "llm"} {
+		for i := range 4 {
+			say(fmt.Sprint(service, i), 100)
+		}
+	}
+	const after = 20 * time.Millisecond
+	time.AfterFunc(after, func() {
+		at := w.sender.first()
+		for _, run := range w.runs.At(at) {
+			if r.copied != "" {
+				target, _ := w.fleet.Get(r.copied)
+				run.Copied(runs.Handoff{Copy: exchange.Copy{ID: "c1"}, Target: target, OK: true})
+			}
+		}
+		if r.also != "" {
+			say(r.also, 200)
+		}
+		say(at, r.born)
+	})
+	c := w.serve(t.Context(), r.path)
+	is.Equal(c.body.String(), r.body)
+	is.Equal(len(w.sender.sends), r.asked)
+	is.Equal(time.Since(c.began) == after, r.lost)
+	if r.want != "" {
+		is.Equal(c.refused.Reason(), r.want)
+	}
+	is.Equal(len(w.tally.Own()), 0)
+	if r.born > 100 { // what failed at the old one does not count for the new
+		is.Equal(w.failed.Failing(time.Now(), w.sender.sends[0].Upstream), 0.0)
+	}
+}
+
+// TestRestarted lets an upstream start again, behind a silent connection, while it
+// has a request.
+func TestRestarted(t *testing.T) {
+	silent := reply{events: []int{0, 1}, silent: true}
+	tests := map[string]restart{
+		"a draft":                                  {path: "/draft/", script: []reply{silent}, born: 200, body: "0;1;", asked: 1, lost: true},
+		"a draft, not yet answered":                {path: "/draft/", script: []reply{{hang: true}}, born: 200, asked: 1, lost: true, want: refusal.NoAnswer},
+		"a draft with a copy elsewhere":            {path: "/draft/", script: []reply{silent, {events: []int{2}}}, copied: "llm3", born: 200, body: "0;1;2;", asked: 2, lost: true},
+		"a draft with a copy that is gone as well": {path: "/draft/", script: []reply{silent}, copied: "llm3", also: "llm3", born: 200, body: "0;1;", asked: 1, lost: true},
+		"a check is resumed":                       {path: "/check/", script: []reply{silent, {events: []int{2}}}, born: 200, body: "0;1;2;", asked: 2, lost: true},
+		"a safe one is sent again":                 {path: "/safe/", script: []reply{{hang: true}, {body: "ok"}}, born: 200, body: "ok", asked: 2, lost: true},
+		"one that may run once":                    {path: "/once/", script: []reply{{hang: true}}, born: 200, asked: 1, lost: true, want: refusal.NoAnswer},
+		"a word of its own incarnation":            {path: "/draft/", script: []reply{silent}, born: 100, body: "0;1;", asked: 1},
+		"a word of none":                           {path: "/draft/", script: []reply{silent}, born: 0, body: "0;1;", asked: 1},
+	}
+	for name, tt := range twice(tests) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tt.check(t, name) })
+		})
+	}
+}
+
+// placed admits to one upstream after it has started again.
+type placed struct {
+	fleet *fleet.Fleet
+	asked int
+}
+
+func (p *placed) Admit(context.Context, admission.Ask) (admission.Grant, error) {
+	id := fmt.Sprint("llm", p.asked)
+	p.asked++
+	u, _ := p.fleet.Get(id)
+	if p.asked == 1 {
+		p.fleet.Started(time.Now(), id, u.Born+1, "report")
+	}
+	return admission.Grant{Upstream: u}, nil
+}
+
+// TestRestartedBeforeSent holds that nothing is sent to an incarnation that ended after
+// a request was placed there: the news that cuts requests off came before this one.
+func TestRestartedBeforeSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, reply{events: []int{0}})
+		for i := range 2 {
+			u, _ := w.fleet.Get(fmt.Sprint("llm", i))
+			u.Born = 100
+			w.fleet.Told(time.Now(), u)
+		}
+		w.relay.Admitter = &placed{fleet: w.fleet}
+		c := w.serve(t.Context(), "/draft/")
+		is.Equal(c.body.String(), "0;")
+		is.Equal(len(w.sender.sends), 1)
+		is.Equal(w.sender.first(), "llm1")
+		is.Equal(len(w.tally.Own()), 0)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -54,6 +54,8 @@
 
 // stream serves a request whose answer is a stream.
 func (r *Relay) stream(ctx context.Context, j *job, c exchange.Caller) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	f := &flow{job: j, caller: c, last: j.req.After}
 	err := r.open(ctx, f)
 	if err != nil {
@@ -63,10 +65,18 @@
 	if f.run == nil {
 		return // answered with something that is no stream
 	}
+	var out *buffered
+	if r.Buffers != nil {
+		out = newBuffered(ctx, cancel, c, r.Buffers)
+		f.caller = out
+	}
 	leave := r.Runs.Add(f.run)
 	err = r.pass(ctx, f)
 	leave()
 	f.sent.close()
+	if out != nil {
+		err = endOf(err, out.finish())
+	}
 	r.ended(ctx, f, err)
 }
 
@@ -77,7 +87,7 @@
 		s, err := r.send(ctx, j, f.last)
 		o := outcome{sent: s, err: err}
 		if err == nil && s.answer.Status == http.StatusOK && s.answer.Whole {
-			r.Reliability.Record(time.Now(), s.upstream.ID, false)
+			r.record(s.upstream, false)
 			r.Budget.Succeeded()
 			f.sent = s
 			f.run = runs.NewRun(j.req, s.upstream, j.eventTokens(), j.left, s.began)
@@ -88,7 +98,7 @@
 			o = outcome{err: &SealError{}}
 		}
 		if o.err == nil {
-			r.Reliability.Record(time.Now(), s.upstream.ID, true)
+			r.record(s.upstream, true)
 		}
 		if r.again(ctx, j, o) || o.err != nil && j.route.Resumable && r.mayResume(ctx, j) {
 			if o.sent != nil {
@@ -251,6 +261,11 @@
 			at = h.Source
 			continue
 		}
+		if !r.Fleet.Current(at) {
+			f.job.log.WithField("upstream", at.ID).Warn("not_gone_on_restarted")
+			at = h.Source
+			continue
+		}
 		r.Chooser.Sent(time.Now(), f.job.service, at)
 		s, err := r.sendTo(ctx, f.job, at, f.last, &h.Copy)
 		log := f.job.log.WithFields(logrus.Fields{"upstream": at.ID, "after": f.last, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds()})
@@ -311,6 +326,10 @@
 	case err == nil:
 		r.Metrics.Ended(refusal.Done)
 		log.Info("streamed")
+	case r.Buffers != nil && slowReader(err) != "":
+		r.Metrics.SlowEnded(slowReader(err))
+		log.WithError(err).WithFields(heldOf(err)).WithField("reason", slowReader(err)).Warn("slow_reader_ended")
+		f.caller.Abort()
 	case errors.Is(ctx.Err(), context.Canceled) || errors.As(err, new(*callerError)):
 		log.Info("caller_gone")
 		f.caller.Abort()
