edge: take a far hub's word only where all before it is known

A box that hears its nearest hub asks the others for what changes from now on. Where the nearest died before it had told what a far one knew by then, that was never told: the far hub's word confirmed the fleet all the same, so that the box neither asked for all nor read the store, and sent work to upstreams that had left for as long as it lived. A hub of which only later changes are known now counts once another's word is younger than its first answer, and is asked for all where the nearest is silent. edge.TestNearestLost fails before.

--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -198,3 +198,40 @@
 		}
 	}
 }
+
+// TestNearestLost lets the nearest hub die before it has told a change that a far
+// one knew already when it was first asked: the box asks that one for the whole
+// fleet, and takes its word for no newer than what it has been told of.
+func TestNearestLost(t *testing.T) {
+	tests := map[string]struct {
+		later time.Duration // the nearest hub's last word, after the far one's first
+		whole bool          // the far hub is asked for all
+		age   time.Duration // of the fleet, 1 s after the nearest's last word
+	}{
+		"before it could know what the far one knew": {later: 100 * time.Millisecond, whole: true, age: 1800 * time.Millisecond},
+		"when it knew what the far one had known":    {later: 900 * time.Millisecond, age: 800 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := alone(t, "b1", "leith", false)
+				near, far := record("near", "leith", true), record("far", "gorgie", true)
+				e.Heard(wire.Gossip{Sender: near})
+				e.Heard(wire.Gossip{Sender: far})
+				answers := func(a wire.GossipAnswer) { e.Hear(a, time.Now()) }
+				answers(wire.GossipAnswer{Sender: near, FleetAt: 1, FleetAgeMs: 800, Upstreams: rows("open", 1)[:1]})
+				answers(wire.GossipAnswer{Sender: far, FleetAt: 9, FleetFromNow: true})
+				time.Sleep(tt.later)
+				answers(wire.GossipAnswer{Sender: near, FleetAt: 1, FleetAgeMs: 800})
+				time.Sleep(time.Second) // without a word of the nearest
+				answers(wire.GossipAnswer{Sender: far, FleetAt: 9, FleetAgeMs: 800})
+				is.Equal(e.View().UpstreamsAgeMs, int(tt.age.Milliseconds()))
+				say := e.Say(members.Box{Name: "far", Hall: "gorgie"})
+				is.Equal(say.WholeFleet && say.FleetAfter == 0, tt.whole)
+				answers(wire.GossipAnswer{Sender: far, FleetAt: 9, FleetAgeMs: 800, Upstreams: rows("open", 1)})
+				is.Equal(e.View().UpstreamsAgeMs, 800)
+			})
+		})
+	}
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -31,9 +31,10 @@
 type mark struct {
 	incarnation int
 	change      int
-	whole       bool // all before the change is known too
-	telling     int  // last change of this box's fleet in the call under way
-	told        int  // and in the last one that was answered
+	whole       bool      // all before the change is known too
+	from        time.Time // only what came later is told by this hub, unless it is whole
+	telling     int       // last change of this box's fleet in the call under way
+	told        int       // and in the last one that was answered
 }
 
 // Say implements gossip.Box.
@@ -43,12 +44,13 @@
 	if table, _, _ := e.belief.Now(now); table != nil {
 		version = table.Version()
 	}
-	m := e.mark(hub.Name)
+	whole := e.wantsFleet(now, hub)
+	m := e.mark(now, hub.Name, whole)
 	departing, last := e.departing(now, m.told)
 	e.telling(hub.Name, last)
 	return wire.Gossip{
 		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.tally.Own(),
-		Failures: e.reliability.Own(now), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
+		Failures: e.reliability.Own(now), Departing: departing, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
 	}
 }
 
@@ -63,11 +65,29 @@
 	return !e.HubHeard().IsZero() && !e.hears(nearest)
 }
 
-// mark returns how far a hub's fleet is known here, and this box's there.
-func (e *Edge) mark(hub string) mark {
+// mark returns how far a hub's fleet is known here, and this box's there. A hub
+// that is to tell the whole fleet, and has told only what came after its first
+// answer, is asked anew: what it had learned by then may never be told by another,
+// as the nearest hub may have died before it knew.
+func (e *Edge) mark(now time.Time, hub string, whole bool) mark {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.known[hub]
+	m := e.completed(now, e.known[hub])
+	if whole && !m.whole {
+		m.change = 0
+	}
+	e.known[hub] = m
+	return m
+}
+
+// completed notes that all is known that a hub knew at its first answer: others
+// have told since what the store held then.
+func (e *Edge) completed(now time.Time, m mark) mark {
+	age, known := e.fleet.Age(now)
+	if !m.from.IsZero() && known && !now.Add(-age).Before(m.from) {
+		m.whole = true
+	}
+	return m
 }
 
 // telling notes up to which change a hub is being told of this box's fleet.
@@ -160,12 +180,15 @@
 		return
 	}
 	e.mu.Lock()
-	m := e.known[a.Sender.Box]
+	m := e.completed(now, e.known[a.Sender.Box])
 	m.whole = m.whole || m.change == 0 && !a.FleetFromNow
 	m.change = a.FleetAt
+	if a.FleetFromNow && !m.whole {
+		m.from = now
+	}
 	e.known[a.Sender.Box] = m
 	e.mu.Unlock()
-	if _, known := e.fleet.Age(now); known && !a.FleetFromNow || m.whole {
+	if m.whole {
 		e.fleet.Confirm(sent.Add(-age))
 	}
 }
