members, gossip: tell a crowd of boxes by way of more hubs

Beyond 240 boxes there is now a hub for each 40 of a hall; a box calls its nearest hub and a spare one, and hubs tell each other what their boxes run, so that each box counts once. Hubs count the boxes for those that read half of them at a start.

A start of all at once: a hub that is not up yet stays one for 5 s; boxes wait 4 to 8 s in place of 0.35 to be told; hubs get the whole fleet before others; and a configuration that a hub gave is confirmed as of that hub's word: each box read it from the store for want of that. A call that brings no change of the fleet looks at none of its upstreams.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -30,22 +30,50 @@
 func (e *Edge) Heard(from wire.Gossip) wire.GossipAnswer {
 	now := time.Now()
 	e.heardBox(now, from.Sender, from.Leaving)
+	e.covers(from.Sender.Box, from.Counts, from.Covers)
 	e.tally.Told(now, from.Sender.Box, from.Tallies)
 	e.reliability.Told(now, from.Sender.Box, from.Failures)
 	e.hearDeparting(now, from.Departing)
 	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		a.Tallies, a.Failures, a.Hubs = e.tally.Own(), e.reliability.Own(now), e.hubRecords(now)
+		a.Tallies, a.Covers = e.tally.Part(now)
+		a.Failures, a.Hubs = e.reliability.Part(now), e.hubRecords(now)
 	case wire.GossipScopeAll:
 		a.Tallies, a.Failures = e.tally.Without(now, from.Sender.Box), e.reliability.Without(now, from.Sender.Box)
 		a.Hubs = e.hubRecords(now)
 	}
+	e.answerCrowd(now, &a)
 	e.answerConfiguration(now, &a)
 	e.answerFleet(now, from, &a)
 	return a
 }
 
+// covers notes whose loads a box is about to tell.
+func (e *Edge) covers(box string, only bool, boxes int) {
+	e.tally.Covers(box, only, boxes)
+	e.reliability.Covers(box, only)
+}
+
+// answerCrowd tells how many boxes there are, and which hubs are alive, where boxes
+// do not call all hubs: by that they know whom to call, and which keeper to ask.
+func (e *Edge) answerCrowd(now time.Time, a *wire.GossipAnswer) {
+	crowd := e.members.Crowd(now)
+	if crowd == nil || a.Tells == wire.GossipScopeNone {
+		return
+	}
+	for hall, boxes := range crowd {
+		a.Crowd = append(a.Crowd, wire.HallBoxes{Hall: hall, Boxes: boxes})
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, b := range a.Hubs {
+		if at, ok := e.heard[b.Box]; ok {
+			a.Heard = append(a.Heard, wire.BoxHeard{Box: b.Box, AgoMs: int(now.Sub(at).Milliseconds())})
+		}
+	}
+}
+
 // tells returns what a box tells of loads that is asked for them: of all boxes
 // only if it hears of all.
 func (e *Edge) tells(now time.Time, wanted wire.GossipScope) wire.GossipScope {
@@ -102,7 +130,8 @@
 }
 
 // answerFleet tells what changed since the asker's mark; the whole fleet to one
-// that has none and wants it, as fast as rowsASecond allows.
+// that has none and wants it, as fast as rowsASecond allows; to the few that are hubs
+// at once, as their part of the boxes waits for them.
 func (e *Edge) answerFleet(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
 	age, known := e.fleet.Age(now)
 	a.FleetAgeMs = int(age.Milliseconds()) + 1
@@ -120,7 +149,7 @@
 	case after == 0 && !from.WholeFleet:
 		a.FleetFromNow = true
 		return
-	case after == 0 && !e.tables.allow(now, len(changed)):
+	case after == 0 && !e.tables.allow(now, len(changed)) && !e.members.Hub(now, from.Sender.Box):
 		a.FleetLater = true
 		return
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,6 +81,14 @@
 	strongLink      = 100
 )
 
+// calls reaches the other boxes.
+type calls interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+	Repeat(ctx context.Context, address, method string, args, reply any) error
+	Forget(address string)
+	Close()
+}
+
 // Edge is one box.
 type Edge struct {
 	config  config.Config
@@ -98,7 +106,7 @@
 	reliability *reliability.Reliability
 	runs        *runs.Runs
 	members     *members.Members
-	peers       *peer.Peers
+	peers       calls
 	turns       *turns.Turns
 	admission   *admission.Admission
 	budget      *retry.Budget
--- a/edge/join.go
+++ b/edge/join.go
@@ -84,6 +84,9 @@
 // Count implements reading.Boxes.
 func (e *Edge) Count() int { return e.members.Count() }
 
+// Crowded implements reading.Boxes.
+func (e *Edge) Crowded() bool { return e.members.Crowd(time.Now()) != nil }
+
 // AllRead implements reading.Boxes.
 func (e *Edge) AllRead() bool {
 	count := e.members.Count()
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -48,18 +48,41 @@
 	m := e.mark(now, hub.Name, whole)
 	departing, last := e.departing(now, m.told)
 	e.telling(hub.Name, last)
-	return wire.Gossip{
-		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.tally.Own(),
-		Failures: e.reliability.Own(now), Departing: departing, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
+	g := wire.Gossip{
+		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version,
+		Departing: departing, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
 	}
+	e.sayLoads(now, hub, &g)
+	return g
+}
+
+// sayLoads tells a hub what runs here; a hub tells the others of its boxes too. In a
+// crowd a box tells its nearest hub alone, so that each box is counted once: its work
+// is known to all hubs after two calls, a quarter of a second in the mean.
+func (e *Edge) sayLoads(now time.Time, hub members.Box, g *wire.Gossip) {
+	switch {
+	case e.IsHub():
+		g.Tallies, g.Covers = e.tally.Part(now)
+		g.Failures = e.reliability.Part(now)
+		return
+	case e.members.Crowd(now) == nil:
+	case e.members.Nearest(now).Name != hub.Name:
+		return
+	default:
+		g.Counts = true
+	}
+	g.Tallies, g.Failures = e.tally.Own(), e.reliability.Own(now)
 }
 
 // wantsFleet tells whether a hub is to send the whole fleet to this box, which
 // knows nothing by it yet: the nearest is, and any other while that is not heard.
-// Hubs are told by each other.
+// Hubs are told by each other; the many of a crowd by those that read the store.
 func (e *Edge) wantsFleet(now time.Time, hub members.Box) bool {
 	nearest := e.members.Nearest(now).Name
-	if e.IsHub() || nearest == hub.Name {
+	switch {
+	case e.IsHub() && e.members.Crowd(now) != nil:
+		return !e.Reads() && e.members.Reader(now, hub.Name)
+	case e.IsHub(), nearest == hub.Name:
 		return true
 	}
 	return !e.HubHeard().IsZero() && !e.hears(nearest)
@@ -121,16 +144,18 @@
 	for _, r := range a.Hubs {
 		e.introduce(now, r)
 	}
+	e.hearCrowd(now, a, sent)
 	for _, w := range a.Halls { // before the configuration, with which they are known
 		e.halls.Take(now, halls.Word{Hall: w.Hall, Evacuated: w.Evacuated, Version: int64(w.Version)}, a.Sender.Box)
 	}
-	e.catchUp(now, a.Sender, a.Version)
+	e.catchUp(now, a, sent)
 	table, _, _ := e.belief.Now(now)
 	if table != nil && table.Version() == a.Version {
 		e.belief.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
 	}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
+		e.covers(a.Sender.Box, false, a.Covers)
 		e.tally.Told(now, a.Sender.Box, a.Tallies)
 		e.reliability.Told(now, a.Sender.Box, a.Failures)
 	case wire.GossipScopeAll:
@@ -141,6 +166,21 @@
 	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
 }
 
+// hearCrowd takes a hub's word of how many boxes there are, and when it heard the
+// other hubs: this box may not call them itself.
+func (e *Edge) hearCrowd(now time.Time, a wire.GossipAnswer, sent time.Time) {
+	for _, h := range a.Crowd {
+		e.members.ToldCrowd(now, h.Hall, h.Boxes)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, h := range a.Heard {
+		if at := sent.Add(-config.Millis(h.AgoMs)); h.Box != e.config.Box && at.After(e.heard[h.Box]) {
+			e.heard[h.Box] = at
+		}
+	}
+}
+
 // answered notes that a hub has taken what it was told. One that has started
 // anew since the last time knows nothing of what was told before.
 func (e *Edge) answered(now time.Time, hub wire.BoxRecord) {
@@ -240,8 +280,11 @@
 }
 
 // catchUp asks a hub for a configuration that is newer than this box's, one hub
-// at a time: all hubs tell of it within the same moment.
-func (e *Edge) catchUp(now time.Time, hub wire.BoxRecord, version int) {
+// at a time: all hubs tell of it within the same moment. What the hub said of its age
+// holds for what it then gives: a box that has just started would else take it for
+// stale until the next answer, and read the store.
+func (e *Edge) catchUp(now time.Time, a wire.GossipAnswer, sent time.Time) {
+	hub, version := a.Sender, a.Version
 	table, _, _ := e.belief.Now(now)
 	if table != nil && table.Version() >= version || version == 0 || !e.catching.CompareAndSwap(false, true) {
 		return
@@ -257,6 +300,10 @@
 		}
 		if err != nil {
 			e.log.WithError(err).WithFields(logrus.Fields{"peer": hub.Box, "version": version}).Warn("configuration_not_taken")
+			return
+		}
+		if answer.Version >= version {
+			e.belief.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
 		}
 	}()
 }
--- a/edge/view.go
+++ b/edge/view.go
@@ -18,12 +18,16 @@
 func (e *Edge) View() wire.BoxView {
 	now := time.Now()
 	v := wire.BoxView{
-		Box: e.config.Box, Hall: e.config.Hall, Hub: e.IsHub(), Reads: e.Reads(), Keeps: e.keeps(), Hubs: []string{},
+		Box: e.config.Box, Hall: e.config.Hall, Hub: e.IsHub(), Reads: e.Reads(), Keeps: e.keeps(), Hubs: []string{}, Asks: []string{},
 		Nearest: e.members.Nearest(now).Name, Boxes: e.members.Count(), Leaving: e.members.Leaving(), Told: e.tally.Boxes(now),
 		ConfigurationAgeMs: unknownAge, UpstreamsAgeMs: unknownAge, StoreSilentMs: unknownAge, LoadsAgeMs: unknownAge,
 		Upstreams: e.fleet.Open(), Waiting: e.admission.Waiting(), Serving: int(e.serving.Load()), Stopping: e.draining.Load(),
 		Halls: e.hallWords(now),
 	}
+	for _, b := range e.members.Asks(now) {
+		v.Asks = append(v.Asks, b.Name)
+	}
+	_, v.Tells = e.tally.Part(now)
 	for _, b := range e.members.Hubs(now) {
 		v.Hubs = append(v.Hubs, b.Name)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -240,6 +240,9 @@
 func (f *Fleet) Since(change int) (changed []Upstream, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if change == f.changes { // looking at 3,000 took 30 us, some hundred times a second
+		return nil, f.changes
+	}
 	return f.list(func(e *entry) bool { return e.changed > change }), f.changes
 }
 
@@ -402,6 +405,9 @@
 func (f *Fleet) Departing(now time.Time, within time.Duration, after int) (list []Departure, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if after == f.changes { // as in Since
+		return nil, f.changes
+	}
 	for id, e := range f.all {
 		if e.upstream.State == Leaving && e.changed > after && now.Sub(e.since) < within {
 			list = append(list, Departure{ID: id, Version: e.upstream.Version, Said: e.upstream.Said})
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -20,6 +20,9 @@
 	// period is the time between calls to a hub; engines' loads change that
 	// fast. Two hubs call each other, and hear of each other twice as often.
 	period = 250 * time.Millisecond
+	// sparePeriod is the time between calls to a hub of a crowd that tells this box
+	// nothing as long as the nearest does. It answers as many such boxes as others.
+	sparePeriod = time.Second
 	// callTime bounds a call: a link loses a packet now and then, and it is sent
 	// again within 0.3 s.
 	callTime = 500 * time.Millisecond
@@ -67,13 +70,11 @@
 	tasks.New(g.timer, lookEvery, g.hubs, g.with).Run(ctx)
 }
 
-// hubs returns the other hubs by address.
+// hubs returns the hubs that are called by address.
 func (g *Gossip) hubs(now time.Time) map[string]members.Box {
 	hubs := map[string]members.Box{}
-	for _, b := range g.members.Hubs(now) {
-		if b.Name != g.members.Self().Name {
-			hubs[b.Address] = b
-		}
+	for _, b := range g.members.Asks(now) {
+		hubs[b.Address] = b
 	}
 	return hubs
 }
@@ -81,7 +82,12 @@
 // with is the task of one hub.
 func (g *Gossip) with(ctx context.Context, b members.Box) {
 	silent := 0
-	g.timer.Every(ctx, b.Name, period, func(time.Time) {
+	var last time.Time
+	g.timer.Every(ctx, b.Name, period, func(now time.Time) {
+		if g.members.Spare(now, b) && now.Sub(last) < sparePeriod-period/2 {
+			return
+		}
+		last = now
 		call, cancel := context.WithTimeout(ctx, callTime)
 		defer cancel()
 		var answer wire.GossipAnswer
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -13,9 +14,31 @@
 // hubsKey is the key of the rendezvous order of hubs.
 const hubsKey = "hubs"
 
+const (
+	// starMost is up to how many boxes each of them calls every hub: four calls a
+	// second of each are a thousand at a hub, of 40 us of processor each and some 0.3
+	// ms with what the system does for them. Beyond, a box calls two hubs, and hubs
+	// tell each other of their boxes.
+	starMost = 240
+	// hubBoxes is how many boxes of a hall a hub of such a crowd tells: with the loads
+	// of 3,000 upstreams an answer has some 25 KB, four times a second for each.
+	hubBoxes = 40
+	// crowdFor is how long another box's count of a hall's boxes holds that is higher
+	// than what is known here: a box that started among many read half of them, and is
+	// told four times a second.
+	crowdFor = 5 * time.Second
+)
+
+// count is how many boxes a hall was told to have.
+type count struct {
+	boxes int
+	at    time.Time
+}
+
 // Hubs returns the boxes that know for all others: of each hall the first fit
-// one in rendezvous order that has not failed of late, and the next ones where
-// halls are fewer than hubs have to be. Each call to the store is paid for, so
+// one in rendezvous order that has not failed of late, the next ones where
+// halls are fewer than hubs have to be, and in a crowd one for each hubBoxes of a
+// hall. Each call to the store is paid for, so
 // that no more boxes read than can stand in for each other. A box that was never
 // heard may be one: it is asked, and fails if it is not there. The value is
 // shared and not to be changed.
@@ -50,18 +73,27 @@
 }
 
 func (m *Members) chooseHubs(now time.Time) []Box {
+	m.known = m.byHall()
+	m.crowd = m.crowded(now)
 	hubs, others := []Box{}, []Box{}
-	halls := map[string]bool{}
+	halls := map[string]int{} // hubs named
 	for _, c := range m.candidates(now) {
-		if halls[c.box.Hall] {
+		if halls[c.box.Hall] > 0 {
 			others = append(others, c.box)
 			continue
 		}
-		halls[c.box.Hall] = true
+		halls[c.box.Hall]++
 		hubs = append(hubs, c.box)
 	}
 	missing := min(max(hubsLeast-len(hubs), 0), len(others))
-	hubs = slices.Clip(append(hubs, others[:missing]...))
+	for _, b := range others[:missing] {
+		halls[b.Hall]++
+	}
+	hubs = append(hubs, others[:missing]...)
+	if m.crowd != nil {
+		hubs = m.more(hubs, others[missing:], halls)
+	}
+	hubs = slices.Clip(hubs)
 	switch {
 	case !slices.ContainsFunc(hubs, func(b Box) bool { return b.Name == m.self.Name }):
 		m.hubSince = time.Time{}
@@ -71,6 +103,97 @@
 	return hubs
 }
 
+// more adds the hubs that a crowd needs. Only fit boxes help: a weak one that tells
+// 40 others serves nobody else.
+func (m *Members) more(hubs, others []Box, halls map[string]int) []Box {
+	for _, b := range others {
+		if b.Strong && halls[b.Hall]*hubBoxes < m.crowd[b.Hall] {
+			halls[b.Hall]++
+			hubs = append(hubs, b)
+		}
+	}
+	return hubs
+}
+
+// crowded returns how many boxes each hall has by all that is known; nil unless they
+// are too many for each to call all hubs.
+func (m *Members) crowded(now time.Time) map[string]int {
+	halls, all := maps.Clone(m.known), 0
+	for hall, c := range m.told {
+		if now.Sub(c.at) <= crowdFor {
+			halls[hall] = max(halls[hall], c.boxes)
+		}
+	}
+	for _, boxes := range halls {
+		all += boxes
+	}
+	if all <= starMost {
+		return nil
+	}
+	return halls
+}
+
+// byHall counts the boxes that this one knows, those that leave left out.
+func (m *Members) byHall() map[string]int {
+	halls := map[string]int{}
+	if m.self.State != Leaving {
+		halls[m.self.Hall]++
+	}
+	for _, r := range m.boxes {
+		if r.box.State != Leaving && r.box.Address != "" {
+			halls[r.box.Hall]++
+		}
+	}
+	return halls
+}
+
+// Crowd returns how many boxes of each hall this one knows for itself; nil unless
+// they are too many for each to call all hubs. It is shared and not to be changed.
+func (m *Members) Crowd(now time.Time) map[string]int {
+	m.Hubs(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.crowd == nil {
+		return nil
+	}
+	return m.known
+}
+
+// ToldCrowd takes a hub's count of the boxes of a hall: a box that started among many
+// has read only those that had joined before it.
+func (m *Members) ToldCrowd(now time.Time, hall string, boxes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.told[hall]
+	if boxes < old.boxes && now.Sub(old.at) <= crowdFor {
+		return
+	}
+	m.told[hall] = count{boxes, now}
+	if boxes != old.boxes {
+		m.changed()
+	}
+}
+
+// Asks returns the hubs that this box calls: all others, or in a crowd, unless it is
+// one of them, the one that tells it of all boxes and the one that would if that
+// failed. A hub is called by hubBoxes boxes so, and by as many that do not need it
+// yet, however many there are.
+func (m *Members) Asks(now time.Time) []Box {
+	hubs := m.Hubs(now)
+	self := m.Self().Name
+	if _, hub := m.IsHub(now); !hub && m.Crowd(now) != nil {
+		return m.nearest(hubs)[:min(len(hubs), 2)]
+	}
+	return slices.DeleteFunc(slices.Clone(hubs), func(b Box) bool { return b.Name == self })
+}
+
+// Spare tells whether a hub tells this box nothing, as another does and boxes are too
+// many for each to call all hubs.
+func (m *Members) Spare(now time.Time, hub Box) bool {
+	_, is := m.IsHub(now)
+	return !is && m.Crowd(now) != nil && m.Nearest(now).Name != hub.Name
+}
+
 // candidates returns the boxes that may be hubs, the fittest first, and notes
 // until when that holds.
 func (m *Members) candidates(now time.Time) []candidate {
@@ -83,7 +206,7 @@
 		lapses := r.failed.Add(failedFor)
 		switch {
 		case r.box.Address == "" || r.box.State == Leaving:
-		case r.failed.IsZero() || !now.Before(lapses):
+		case r.failed.IsZero(), !now.Before(lapses), m.starting(now, r):
 			list = append(list, candidate{r.box, r.weight})
 		case m.hubsUntil.IsZero() || lapses.Before(m.hubsUntil):
 			m.hubsUntil = lapses
@@ -102,10 +225,17 @@
 const ReadersMost = 3
 
 // Reads tells whether this box is one of the hubs that follow the store.
-func (m *Members) Reads(now time.Time) bool {
-	self := m.Self().Name
+func (m *Members) Reads(now time.Time) bool { return m.Reader(now, m.Self().Name) }
+
+// Hub tells whether a box is a hub.
+func (m *Members) Hub(now time.Time, name string) bool {
+	return slices.ContainsFunc(m.Hubs(now), func(b Box) bool { return b.Name == name })
+}
+
+// Reader tells whether a box is one of the hubs that follow the store.
+func (m *Members) Reader(now time.Time, name string) bool {
 	hubs := m.Hubs(now)
-	return slices.ContainsFunc(hubs[:min(len(hubs), ReadersMost)], func(b Box) bool { return b.Name == self })
+	return slices.ContainsFunc(hubs[:min(len(hubs), ReadersMost)], func(b Box) bool { return b.Name == name })
 }
 
 // Keeper returns the hub that is first in the rendezvous order of a key.
@@ -120,14 +250,25 @@
 // Nearest returns the hub that tells this box of all others: one of its own hall
 // where there is one. Where several are alike, boxes are shared out among them.
 func (m *Members) Nearest(now time.Time) Box {
-	self := m.Self()
-	hubs := m.Hubs(now)
-	near := slices.DeleteFunc(slices.Clone(hubs), func(b Box) bool { return b.Hall != self.Hall })
-	if len(near) == 0 {
-		near = hubs
-	}
-	if len(near) == 0 {
+	hubs := m.nearest(m.Hubs(now))
+	if len(hubs) == 0 {
 		return Box{}
 	}
-	return slices.MaxFunc(near, func(a, b Box) int { return cmp.Compare(weight(self.Name, a.Name), weight(self.Name, b.Name)) })
+	return hubs[0]
+}
+
+// nearest sorts hubs, those of this box's hall first, by this box's own order.
+func (m *Members) nearest(hubs []Box) []Box {
+	self := m.Self()
+	sorted := slices.Clone(hubs)
+	slices.SortStableFunc(sorted, func(a, b Box) int {
+		switch {
+		case a.Hall == self.Hall && b.Hall != self.Hall:
+			return -1
+		case a.Hall != self.Hall && b.Hall == self.Hall:
+			return 1
+		}
+		return cmp.Compare(weight(self.Name, b.Name), weight(self.Name, a.Name))
+	})
+	return sorted
 }
--- a/members/members.go
+++ b/members/members.go
@@ -30,6 +30,11 @@
 	goneAfter = 30 * time.Second
 	// failedFor is how long a box that refused a connection is passed by.
 	failedFor = 3 * time.Second
+	// startsFor is how long a box of a crowd that was listed and never heard here may
+	// still be starting: all may have been started at once, and are up within some 2 s.
+	// It stays a hub meanwhile though it refuses: passed by, the first of 300 boxes to
+	// be up took themselves for hubs, and 137 of them read the whole store.
+	startsFor = 5 * time.Second
 )
 
 // Box is what is known of one box. Values are immutable.
@@ -61,12 +66,17 @@
 	// hubs are those of today's boxes; nil until they are asked for. A box asks
 	// some hundred times a second, while boxes change a few times a minute.
 	hubs      []Box
-	hubsUntil time.Time // a failure lapses then; zero if there is none
-	hubSince  time.Time // this box is one of them; zero if it is not
+	hubsUntil time.Time        // a failure lapses then; zero if there is none
+	hubSince  time.Time        // this box is one of them; zero if it is not
+	known     map[string]int   // boxes by hall as of then, as far as this one knows
+	crowd     map[string]int   // and as others know too; nil unless they are a crowd
+	told      map[string]count // boxes by hall that others know
 }
 
 // New returns a membership that knows only this box.
-func New(self Box) *Members { return &Members{self: self, boxes: map[string]*record{}} }
+func New(self Box) *Members {
+	return &Members{self: self, boxes: map[string]*record{}, told: map[string]count{}}
+}
 
 // changed notes that other boxes may be hubs now.
 func (m *Members) changed() { m.hubs = nil }
@@ -303,6 +313,11 @@
 	return r
 }
 
+// starting tells whether a box of a crowd may not be up yet, with all others.
+func (m *Members) starting(now time.Time, r *record) bool {
+	return m.crowd != nil && r.heard.IsZero() && now.Sub(r.first) < startsFor
+}
+
 func (r *record) seen(now time.Time) Box {
 	b := r.box
 	since := r.heard
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -375,7 +375,9 @@
 		"three halls":      {members: spread(6, 3, all), hubs: 3},
 		"one hall: two":    {members: spread(10, 1, all), hubs: 2, halls: 1},
 		"many: one a hall": {members: listed(58, all), hubs: 5},
-		"hundreds":         {members: listed(350, all), hubs: 5},
+		"200: one a hall":  {members: listed(200, all), hubs: 5},
+		"hundreds: two":    {members: listed(350, all), hubs: 10, halls: 5},
+		"hundreds, weak":   {members: listed(350, func(int) bool { return false }), hubs: 5},
 		"only weak ones":   {members: listed(58, func(int) bool { return false }), hubs: 5},
 		"the first fails":  {members: listed(58, all), hubs: 5, moved: true, strike: func(m *members.Members, first members.Box) { m.Failed(now, first.Name) }},
 		"the first leaves": {members: listed(58, all), hubs: 5, moved: true, strike: func(m *members.Members, first members.Box) {
@@ -410,3 +412,64 @@
 		is.True(h.Strong)
 	}
 }
+
+// TestCrowd shows how many hubs a crowd has, that each box of it calls two of them,
+// and that no hub tells many more than it can, however many boxes there are.
+func TestCrowd(t *testing.T) {
+	tests := map[string]struct {
+		boxes, halls int
+		hubs, asks   int
+		most         int // boxes that one hub tells
+	}{
+		"a small fleet":  {boxes: 61, halls: 3, hubs: 3, asks: 3, most: 20},
+		"six halls":      {boxes: 195, halls: 6, hubs: 6, asks: 6, most: 33},
+		"a crowd":        {boxes: 300, halls: 1, hubs: 8, asks: 2, most: 55},
+		"in three halls": {boxes: 300, halls: 3, hubs: 9, asks: 2, most: 55},
+		"600 boxes":      {boxes: 600, halls: 1, hubs: 15, asks: 2, most: 60},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tells, calls := map[string]int{}, map[string]int{}
+			for _, m := range spreadOver(tt.boxes, tt.halls) {
+				is.Equal(len(m.Hubs(start)), tt.hubs)
+				_, hub := m.IsHub(start)
+				asks := m.Asks(start)
+				if hub {
+					is.Equal(len(asks), tt.hubs-1)
+					continue
+				}
+				is.Equal(len(asks), tt.asks)
+				is.True(tt.asks > 2 || asks[0].Name == m.Nearest(start).Name)
+				tells[m.Nearest(start).Name]++
+				for _, b := range asks {
+					calls[b.Name]++
+				}
+			}
+			for hub, boxes := range tells {
+				is.True(boxes <= tt.most)
+				is.True(calls[hub] <= 240)
+			}
+		})
+	}
+}
+
+// TestToldCrowd shows that a box that has read few of the others takes a hub's count,
+// the highest of those told of late, so that it calls the right hubs.
+func TestToldCrowd(t *testing.T) {
+	is := is.New(t)
+	m := crowd(100)
+	hubs := len(m.Hubs(start))
+	is.Equal(m.Crowd(start), nil)
+	m.ToldCrowd(start, "hall0", 250)
+	m.ToldCrowd(start, "hall0", 90)      // by one that has read few itself
+	is.Equal(len(m.Hubs(start)), hubs+3) // seven would share 250 boxes; four of the hall are fit
+	own := 0
+	for _, boxes := range m.Crowd(start) { // which it does not pass on
+		own += boxes
+	}
+	is.Equal(own, 100)
+	later := start.Add(6 * time.Second)
+	m.ToldCrowd(later, "hall0", 90)
+	is.Equal(len(m.Hubs(later)), hubs)
+}
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -41,6 +41,17 @@
 	// promisedMost bounds the wait to be told where hubs say that they tell all
 	// later: 300 boxes that start at once before 3,000 upstreams are told within 4 s.
 	promisedMost = 6 * time.Second
+	// crowdTold is how long a box of a crowd that knows nothing waits to be told, where
+	// no hub answers: all may have started at once, and a hub that was called before it
+	// was up is passed by for 3 s. A whole fleet of 3,000 upstreams has 450 KB at the
+	// store, so that 300 boxes which read together wait for each other in vain.
+	crowdTold = 4 * time.Second
+	// crowdSpread is over how many times its spread a box of a crowd puts off what it
+	// would read with all others: over 4 s where it knows nothing.
+	crowdSpread = 5
+	// crowdUnheard is the same where it knows all and hears no hub: the last reads at
+	// 3.2 s, as where it is told what is old.
+	crowdUnheard = 3
 	// coldMost bounds the wait at a cold start until the other boxes are known.
 	coldMost = 3 * time.Second
 	// hubFirst and hubMost bound a hub's waits between failed calls: it has to be
@@ -66,6 +77,8 @@
 	AllRead() bool
 	// HubHeard returns when a hub last answered.
 	HubHeard() time.Time
+	// Crowded tells whether boxes are too many for each to call all hubs.
+	Crowded() bool
 	// Promised returns when a hub last said that it tells all later.
 	Promised() time.Time
 }
@@ -99,19 +112,38 @@
 	age, known := r.age(now)
 	switch {
 	case !known && r.boxes.Known():
-		waited := now.Sub(r.since(now))
-		promised := now.Sub(r.boxes.Promised()) <= unheard && waited < promisedMost
-		return r.boxes.Reads() || waited >= r.told && !promised
+		return r.boxes.Reads() || r.first(now)
 	case !known:
 		return now.After(r.until)
-	case !r.boxes.Known(), now.Sub(r.boxes.HubHeard()) > unheard && !r.boxes.Reads():
+	case !r.boxes.Known():
 		return age > unheard
+	case now.Sub(r.boxes.HubHeard()) > unheard && !r.boxes.Reads():
+		return age > unheard+r.crowds(crowdUnheard)
 	case r.boxes.Reads():
 		return true
 	}
 	return age > told+r.spread
 }
 
+// first tells whether a box that knows nothing yet is to read all for itself.
+func (r *Reading) first(now time.Time) bool {
+	waited := now.Sub(r.since(now))
+	told, most := r.told, promisedMost+r.crowds(crowdSpread)
+	if r.boxes.Crowded() {
+		told = max(told, crowdTold) + r.crowds(crowdSpread)
+	}
+	promised := now.Sub(r.boxes.Promised()) <= unheard && waited < most
+	return waited >= told && !promised
+}
+
+// crowds returns some times this box's spread in a crowd, and none otherwise.
+func (r *Reading) crowds(times int) time.Duration {
+	if !r.boxes.Crowded() {
+		return 0
+	}
+	return time.Duration(times) * r.spread
+}
+
 // since returns since when the boxes are known.
 func (r *Reading) since(now time.Time) time.Time {
 	r.mu.Lock()
--- a/reading/reading_test.go
+++ b/reading/reading_test.go
@@ -15,6 +15,7 @@
 // boxes is what a test says of the boxes.
 type boxes struct {
 	known, reads    bool
+	crowded         bool
 	count           int
 	heard, promised time.Time
 }
@@ -22,6 +23,7 @@
 func (b boxes) Known() bool         { return b.known }
 func (b boxes) Reads() bool         { return b.reads }
 func (b boxes) Count() int          { return b.count }
+func (b boxes) Crowded() bool       { return b.crowded }
 func (b boxes) AllRead() bool       { return b.count <= 8 }
 func (b boxes) HubHeard() time.Time { return b.heard }
 func (b boxes) Promised() time.Time { return b.promised }
@@ -102,6 +104,52 @@
 	}
 }
 
+// TestCrowd shows that the boxes of a crowd that hear no hub read one after the
+// other, none before the hubs can have started, and all before keys are refused.
+func TestCrowd(t *testing.T) {
+	tests := map[string]struct {
+		known    bool
+		from, to time.Duration // since the hubs were heard, or the boxes known
+		promised bool
+	}{
+		"knows nothing":               {from: 4 * time.Second, to: 8 * time.Second},
+		"knows nothing, but promised": {from: 6 * time.Second, to: 10 * time.Second, promised: true},
+		"knows all":                   {known: true, from: 800 * time.Millisecond, to: 3200 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				start := time.Now()
+				b := &boxes{known: true, crowded: true, count: 300}
+				age := func(now time.Time) (time.Duration, bool) { return now.Sub(start), tt.known }
+				random := rand.New(rand.NewPCG(1, 1))
+				var all []*reading.Reading
+				for range 300 {
+					all = append(all, reading.New(b, age, false, random))
+				}
+				const step = 100 * time.Millisecond
+				read := map[int]bool{}
+				for at := time.Duration(0); at <= tt.to; at += step {
+					if tt.promised {
+						b.promised = time.Now()
+					}
+					before := len(read)
+					for i, r := range all {
+						if r.Needed(time.Now()) {
+							read[i] = true
+						}
+					}
+					is.True(at >= tt.from || len(read) == 0)
+					is.True(len(read)-before <= 30) // of a tenth of a second
+					time.Sleep(step)
+				}
+				is.Equal(len(read), len(all))
+			})
+		})
+	}
+}
+
 func TestPace(t *testing.T) {
 	tests := map[string]struct {
 		boxes boxes
--- a/reliability/reliability.go
+++ b/reliability/reliability.go
@@ -110,6 +110,17 @@
 	return listOf(sum)
 }
 
+// Part returns what this box met and those that tell it alone, for the boxes that do
+// not hear them.
+func (r *Reliability) Part(now time.Time) []wire.UpstreamFailures {
+	sum := r.own(now)
+	r.others.Part(now, sum)
+	return listOf(sum)
+}
+
+// Covers notes, before a box's word is taken, whether it tells this box alone.
+func (r *Reliability) Covers(box string, only bool) { r.others.Covers(box, only, 0) }
+
 // Told takes another box's word of what it met.
 func (r *Reliability) Told(now time.Time, box string, list []wire.UpstreamFailures) {
 	r.others.Told(now, box, countsOf(list))
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -179,6 +179,20 @@
 	return listOf(sum)
 }
 
+// Part returns what this box has running and those that tell it alone, for the boxes
+// that do not hear them, and how many those are.
+func (t *Tally) Part(now time.Time) (list []wire.UpstreamTally, boxes int) {
+	t.mu.Lock()
+	sum := maps.Clone(t.own)
+	t.mu.Unlock()
+	boxes = t.others.Part(now, sum)
+	return listOf(sum), boxes
+}
+
+// Covers notes, before a box's word is taken, whether it tells this box alone, and how
+// many boxes besides it the word holds.
+func (t *Tally) Covers(box string, only bool, boxes int) { t.others.Covers(box, only, boxes) }
+
 // Told takes another box's word of what it has running.
 func (t *Tally) Told(now time.Time, box string, list []wire.UpstreamTally) {
 	t.others.Told(now, box, loadsOf(list))
--- a/told/told.go
+++ b/told/told.go
@@ -42,11 +42,13 @@
 	totals map[string]total[T] // of others, by upstream
 	oldest time.Time           // no word of others is older
 	sum    word[T]             // of all other boxes, as a hub tells it
+	only   map[string]bool     // boxes that tell this one alone, by name
+	covers map[string]int      // how many more boxes the words of others hold, by name
 }
 
 // New returns an empty book.
 func New[T Sum[T]]() *Book[T] {
-	return &Book[T]{others: map[string]word[T]{}, totals: map[string]total[T]{}}
+	return &Book[T]{others: map[string]word[T]{}, totals: map[string]total[T]{}, only: map[string]bool{}, covers: map[string]int{}}
 }
 
 // Told takes another box's word.
@@ -64,6 +66,40 @@
 	}
 }
 
+// Covers notes, before a box's word is taken, whether the box tells this one alone,
+// and how many boxes besides it the word holds.
+func (b *Book[T]) Covers(box string, only bool, boxes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.only[box], b.covers[box] = only, boxes
+	if !only {
+		delete(b.only, box)
+	}
+	if boxes == 0 {
+		delete(b.covers, box)
+	}
+}
+
+// Part adds what the boxes told that tell this one alone to a list, for those that
+// do not hear them, and returns how many such boxes there are.
+func (b *Book[T]) Part(now time.Time, list map[string]T) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lapse(now)
+	boxes := 0
+	for box := range b.only {
+		o, ok := b.others[box]
+		if !ok {
+			continue
+		}
+		boxes++
+		for upstream, v := range o.list {
+			list[upstream] = list[upstream].Plus(v)
+		}
+	}
+	return boxes
+}
+
 // drop takes a box's word off the totals.
 func (b *Book[T]) drop(box string) {
 	for upstream, v := range b.others[box].list {
@@ -88,6 +124,8 @@
 		switch {
 		case !o.fresh(now):
 			b.drop(box)
+			delete(b.only, box)
+			delete(b.covers, box)
 		case o.at.Before(b.oldest):
 			b.oldest = o.at
 		}
@@ -108,12 +146,18 @@
 	return now.Sub(b.sum.at)
 }
 
-// Boxes returns how many other boxes have told of late.
+// Boxes returns how many other boxes have told of late, by themselves or by others.
 func (b *Book[T]) Boxes(now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lapse(now)
-	return len(b.others)
+	boxes := len(b.others)
+	for box, n := range b.covers {
+		if _, told := b.others[box]; told {
+			boxes += n
+		}
+	}
+	return boxes
 }
 
 // Of returns what the others have at an upstream: by the sum that a hub tells,
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -315,6 +315,36 @@
 	return nil
 }
 
+// When a box was heard.
+type BoxHeard struct {
+	// AgoMs corresponds to the JSON schema field "ago_ms".
+	AgoMs int `json:"ago_ms"`
+
+	// Box corresponds to the JSON schema field "box".
+	Box string `json:"box"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *BoxHeard) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["ago_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field ago_ms in BoxHeard: required")
+	}
+	if _, ok := raw["box"]; raw != nil && !ok {
+		return fmt.Errorf("field box in BoxHeard: required")
+	}
+	type Plain BoxHeard
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = BoxHeard(plain)
+	return nil
+}
+
 // A box's row in the platform's store, by which boxes find each other.
 type BoxRecord struct {
 	// Of its peers' endpoint, IP:port.
@@ -442,6 +472,9 @@
 // What a box before the users' platform is to the others, and how old what it
 // knows is; ages are in ms, and -1 where nothing is known.
 type BoxView struct {
+	// Hubs that it calls.
+	Asks []string `json:"asks,omitempty,omitzero"`
+
 	// Box corresponds to the JSON schema field "box".
 	Box string `json:"box"`
 
@@ -487,6 +520,9 @@
 	// Since the store answered anyone that it hears of.
 	StoreSilentMs int `json:"store_silent_ms"`
 
+	// Boxes that tell their loads to this one alone.
+	Tells int `json:"tells,omitempty,omitzero"`
+
 	// Boxes that told it their loads in the last 3 s.
 	Told int `json:"told"`
 
@@ -571,9 +607,15 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["asks"]; !ok || v == nil {
+		plain.Asks = []string{}
+	}
 	if v, ok := raw["halls"]; !ok || v == nil {
 		plain.Halls = []HallWord{}
 	}
+	if v, ok := raw["tells"]; !ok || v == nil {
+		plain.Tells = 0
+	}
 	*j = BoxView(plain)
 	return nil
 }
@@ -1773,6 +1815,13 @@
 
 // A box tells a hub what it runs and knows.
 type Gossip struct {
+	// The sender tells its loads to this hub alone, which adds them to its own for
+	// the other hubs.
+	Counts bool `json:"counts,omitempty,omitzero"`
+
+	// Boxes besides the sender whose loads the tallies and failures hold.
+	Covers int `json:"covers,omitempty,omitzero"`
+
 	// Upstreams known to leave that the hub was not told of yet.
 	Departing []UpstreamDeparture `json:"departing,omitempty,omitzero"`
 
@@ -1807,6 +1856,14 @@
 
 // A hub tells a box what it knows, each with its age on the hub's steady clock.
 type GossipAnswer struct {
+	// Boxes besides the hub whose loads the answer holds with its own, where it tells
+	// its own.
+	Covers int `json:"covers,omitempty,omitzero"`
+
+	// Boxes by hall that the hub knows, where they are too many for each to call all
+	// hubs; empty otherwise.
+	Crowd []HallBoxes `json:"crowd,omitempty,omitzero"`
+
 	// Failures corresponds to the JSON schema field "failures".
 	Failures []UpstreamFailures `json:"failures,omitempty,omitzero"`
 
@@ -1826,6 +1883,10 @@
 	// Halls that are evacuated or were, as known with the configuration.
 	Halls []HallWord `json:"halls,omitempty,omitzero"`
 
+	// Other hubs and when the answering one heard them, where the asker does not call
+	// them itself.
+	Heard []BoxHeard `json:"heard,omitempty,omitzero"`
+
 	// Boxes that the hub holds to be hubs; with the word of all boxes.
 	Hubs []BoxRecord `json:"hubs,omitempty,omitzero"`
 
@@ -1886,6 +1947,12 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["covers"]; !ok || v == nil {
+		plain.Covers = 0
+	}
+	if v, ok := raw["crowd"]; !ok || v == nil {
+		plain.Crowd = []HallBoxes{}
+	}
 	if v, ok := raw["fleet_from_now"]; !ok || v == nil {
 		plain.FleetFromNow = false
 	}
@@ -1895,6 +1962,9 @@
 	if v, ok := raw["halls"]; !ok || v == nil {
 		plain.Halls = []HallWord{}
 	}
+	if v, ok := raw["heard"]; !ok || v == nil {
+		plain.Heard = []BoxHeard{}
+	}
 	if v, ok := raw["hubs"]; !ok || v == nil {
 		plain.Hubs = []BoxRecord{}
 	}
@@ -1963,6 +2033,12 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["counts"]; !ok || v == nil {
+		plain.Counts = false
+	}
+	if v, ok := raw["covers"]; !ok || v == nil {
+		plain.Covers = 0
+	}
 	if v, ok := raw["fleet_after"]; !ok || v == nil {
 		plain.FleetAfter = 0
 	}
@@ -2030,6 +2106,36 @@
 	Region string `json:"region"`
 }
 
+// How many boxes of a hall are known.
+type HallBoxes struct {
+	// Boxes corresponds to the JSON schema field "boxes".
+	Boxes int `json:"boxes"`
+
+	// Hall corresponds to the JSON schema field "hall".
+	Hall string `json:"hall"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HallBoxes) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["boxes"]; raw != nil && !ok {
+		return fmt.Errorf("field boxes in HallBoxes: required")
+	}
+	if _, ok := raw["hall"]; raw != nil && !ok {
+		return fmt.Errorf("field hall in HallBoxes: required")
+	}
+	type Plain HallBoxes
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HallBoxes(plain)
+	return nil
+}
+
 // Desired against actual state of one hall.
 type HallStatus struct {
 	// Boxes corresponds to the JSON schema field "boxes".
