edge, fleet: tell a box that changes hubs what became known since

A hub that a box has no mark of told it the whole fleet. When 2 of 300 boxes' hubs died, 38 boxes asked each new hub at once, and the last knew a departure after more than 1.9 s.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"petrelstep/config"
 	"petrelstep/fleet"
 	"petrelstep/wire"
 )
@@ -15,6 +16,9 @@
 	// would make full engines look empty.
 	hubKnows = 1250 * time.Millisecond
 	hubTold  = 0.75
+	// askTime is the longest that an asker's word is under way, which is then as much
+	// older: a call may be repeated within its 0.5 s.
+	askTime = 600 * time.Millisecond
 	// neverAge is told where there is no knowledge: older than all that counts.
 	neverAge = time.Hour
 	// rowsASecond is how many rows of whole fleets a box with one processor tells in
@@ -139,10 +143,7 @@
 		a.FleetAgeMs, a.FleetLater = int(neverAge.Milliseconds()), from.WholeFleet
 		return
 	}
-	after := from.FleetAfter
-	if from.FleetOf != e.record.Incarnation {
-		after = 0
-	}
+	after := e.after(now, from)
 	changed, at := e.fleet.Since(after)
 	a.FleetAt = at
 	switch {
@@ -161,6 +162,24 @@
 	}
 }
 
+// after returns the change after which an asker is to be told: its mark, or where it
+// has none, as its hub has just been lost or this box become one, the last before it
+// knew all. It so has the news at once: of 300 boxes 38 ask in a lost hub's place, and
+// whole fleets are told to the last of them after 2 s.
+func (e *Edge) after(now time.Time, from wire.Gossip) int {
+	switch {
+	case from.FleetOf == e.record.Incarnation && from.FleetAfter > 0:
+		return from.FleetAfter
+	case from.FleetKnownMs == 0:
+		return 0
+	}
+	change, known := e.fleet.At(now.Add(-config.Millis(from.FleetKnownMs) - askTime))
+	if !known {
+		return 0
+	}
+	return change
+}
+
 // coldMs returns for how much longer an upstream is cold, in ms.
 func coldMs(now time.Time, u fleet.Upstream) int {
 	if u.Cold.IsZero() {
--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -18,6 +18,7 @@
 	"petrelstep/follow"
 	"petrelstep/gossip"
 	"petrelstep/logs"
+	"petrelstep/members"
 	"petrelstep/metrics"
 	"petrelstep/peer"
 	"petrelstep/platform/manifest"
@@ -147,6 +148,8 @@
 type crowd struct {
 	table *table
 	all   []*Edge
+	ends  map[*Edge]context.CancelFunc
+	slow  func() time.Duration // of a call, besides what it takes
 
 	mu    sync.Mutex
 	up    map[string]*Edge // by address
@@ -170,7 +173,7 @@
 	if !up {
 		return &peer.Error{Address: address, Method: method, Refused: true, Err: io.EOF}
 	}
-	if err := w.cpuOf(e).work(ctx, callCost); err != nil {
+	if err := cmp.Or(pass(ctx, w.slow()), w.cpuOf(e).work(ctx, callCost)); err != nil {
 		return &peer.Error{Address: address, Method: method, Err: err}
 	}
 	rows := 0
@@ -218,28 +221,36 @@
 // Close implements calls.
 func (way) Close() {}
 
-// newCrowd starts boxes of some halls within a second and a half, all of which the
-// table of boxes names, before ten upstreams for each.
-func newCrowd(ctx context.Context, t testing.TB, boxes, halls int) *crowd {
+// newCrowd puts boxes of some halls together, before some upstreams.
+func newCrowd(t testing.TB, boxes, halls, upstreams int) *crowd {
 	t.Helper()
 	c := &crowd{
 		table: &table{changed: make(chan struct{}), lists: map[string]int{}},
-		up:    map[string]*Edge{}, cpu: map[string]*processor{}, calls: map[string]map[string]int{}, told: map[string]int{},
+		ends:  map[*Edge]context.CancelFunc{}, slow: func() time.Duration { return 0 },
+		up: map[string]*Edge{}, cpu: map[string]*processor{}, calls: map[string]map[string]int{}, told: map[string]int{},
 	}
 	c.table.rows = append(c.table.rows, store.Row{Table: "op", Key: "config", Version: 1, Value: []byte(
 		`{"version":3,"routes":[],"services":[{"name":"plain","max_conns":100}],"limits":{"max_body_bytes":4096},"tenants":[]}`)})
-	for i := range 10 * boxes {
+	for i := range upstreams {
 		c.table.rows = append(c.table.rows, store.Row{Table: "servers", Key: fmt.Sprint("u", i), Version: int64(i + 2), Value: worker(i, halls, "ready")})
 	}
-	var records []wire.BoxRecord
 	for i := range boxes {
 		e := c.box(t, fmt.Sprint("b", i), fmt.Sprint("hall", i%halls))
 		c.all = append(c.all, e)
+		e.tally.Begin(fmt.Sprint("u", i), tally.Load{Requests: 1})
+	}
+	return c
+}
+
+// startAll starts all boxes within a second and a half, as after all were killed: the
+// table of boxes still names all of them.
+func (c *crowd) startAll(ctx context.Context) {
+	var records []wire.BoxRecord
+	for _, e := range c.all {
 		records = append(records, e.record)
 	}
 	random := rand.New(rand.NewPCG(7, 7))
-	for i, e := range c.all {
-		e.tally.Begin(fmt.Sprint("u", i), tally.Load{Requests: 1})
+	for _, e := range c.all {
 		after := time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
 		go func() {
 			if pass(ctx, after) == nil {
@@ -247,7 +258,6 @@
 			}
 		}()
 	}
-	return c
 }
 
 func worker(i, halls int, state string) []byte {
@@ -271,17 +281,38 @@
 
 // start lets a box join, read and gossip, as Run does.
 func (c *crowd) start(ctx context.Context, e *Edge, records []wire.BoxRecord) {
+	ctx, end := context.WithCancel(ctx)
 	c.mu.Lock()
-	c.up[e.record.Address] = e
+	c.up[e.record.Address], c.ends[e] = e, end
 	c.mu.Unlock()
 	e.listed(records)
 	e.joined.Store(true)
 	workers := manifest.NewWorkers(reader{c.table, e.Name()}, e.fleet, e.log)
 	go follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading(e.belief.Age), e.log).Run(ctx)
 	go follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading(e.fleet.Age), e.log).Run(ctx)
+	go e.timer.Every(ctx, "tick", tickEvery, e.fleet.Tick)
 	go gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx)
 }
 
+// context returns the boxes' context, and what ends it and waits for all calls.
+func (*crowd) context(t testing.TB) (ctx context.Context, end func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	return ctx, func() {
+		cancel()
+		time.Sleep(2 * catchTime)
+		synctest.Wait()
+	}
+}
+
+// kill ends a box.
+func (c *crowd) kill(e *Edge) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.up, e.record.Address)
+	c.ends[e]()
+	c.all = slices.DeleteFunc(c.all, func(o *Edge) bool { return o == e })
+}
+
 // until waits until all boxes are as they should be, and returns how long it took.
 func (c *crowd) until(t testing.TB, what string, most time.Duration, f func(e *Edge) bool) time.Duration {
 	t.Helper()
@@ -323,50 +354,162 @@
 	return asked, askers, used
 }
 
+// listed returns how often the store's tables were listed.
+func (t *table) listed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := 0
+	for _, n := range t.lists {
+		sum += n
+	}
+	return sum
+}
+
 // TestCrowd starts 300 boxes of one hall at once, as after all were killed: all serve
 // within some seconds though none but the hubs reads the store; what is new there is
 // known to all within a second; each box's work is counted once everywhere; and no hub
-// answers more than its part of the boxes.
+// answers more than its part of the boxes. Two hubs that die change none of that.
 func TestCrowd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		const boxes = 300
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		c := newCrowd(ctx, t, boxes, 1)
-		t.Log("all serve after", c.until(t, "serves", 8*time.Second, (*Edge).ready))
-		time.Sleep(4 * time.Second) // hubs that were called before they were up are called again
+		c := newCrowd(t, 300, 1, 3000)
+		ctx, end := c.context(t)
+		defer end()
+		c.startAll(ctx)
+		t.Log("all serve after", c.until(t, "serves", 5*time.Second, (*Edge).ready))
+		time.Sleep(4 * time.Second)
+		is.True(len(c.table.lists) <= 2*members.ReadersMost) // three for good, some until they had heard of a better one
+		lists := c.table.listed()
 		c.busiest()
-		reads := 0
-		for _, e := range c.all {
-			if e.Reads() {
-				reads++
-			}
-		}
-		lists := 0
-		for _, n := range c.table.lists {
-			lists += n
-		}
-		t.Log("readers", reads, "listings", lists)
 		time.Sleep(time.Second)
 		asked, askers, used := c.busiest()
-		t.Log("calls that the busiest box answered in a second", asked, "by", askers, "its processor", used)
+		t.Log("the busiest hub answered", asked, "calls a second of", askers, "boxes and worked", used)
 		is.True(askers <= 150)
 		is.True(used < 500*time.Millisecond) // of a second of its part of a core
-		c.table.put("servers", "u5", string(worker(5, 1, "draining")))
-		t.Log("a departure is known after", c.until(t, "knows the departure", time.Second, func(e *Edge) bool { return e.fleet.Leaving("u5") }))
-		c.table.put("op", "config", `{"version":4,"routes":[],"services":[],"limits":{"max_body_bytes":4096},"tenants":[]}`)
-		t.Log("a version is known after", c.until(t, "knows the version", time.Second, func(e *Edge) bool { return e.View().Version == 4 }))
-		for _, e := range c.all {
-			is.Equal(e.tally.Load(time.Now(), "u7").Requests, 1)
+		c.learns(t, "u5", 4)
+		is.Equal(c.table.listed(), lists)
+		for _, hub := range c.hubs()[:2] {
+			c.kill(hub)
 		}
-		after := 0
-		for _, n := range c.table.lists {
-			after += n
+		c.learns(t, "u6", 5)
+		time.Sleep(freshFor)
+		for _, e := range c.all {
+			is.Equal(e.tally.Load(time.Now(), "u"+c.all[7].Name()[1:]).Requests, 1)
 		}
-		is.Equal(after, lists) // nobody read while the hubs were well
-		is.True(len(c.table.lists) <= 12)
-		cancel()
-		synctest.Wait()
+		is.True(c.table.listed() <= lists+2*2) // by the hubs that read in their place
 	})
 }
+
+// freshFor is how long a dead box's word counts.
+const freshFor = 3100 * time.Millisecond
+
+// hubs returns the hubs, as they see it themselves.
+func (c *crowd) hubs() []*Edge {
+	return slices.DeleteFunc(slices.Clone(c.all), func(e *Edge) bool { return !e.IsHub() })
+}
+
+// learns lets an upstream leave and puts another version into the store, each of which
+// all boxes know within a second.
+func (c *crowd) learns(t testing.TB, upstream string, version int) {
+	c.table.put("servers", upstream, string(worker(5, 1, "draining")))
+	t.Log("a departure is known after", c.until(t, "knows the departure", time.Second, func(e *Edge) bool { return e.fleet.Leaving(upstream) }))
+	c.table.put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[],"services":[],"limits":{"max_body_bytes":4096},"tenants":[]}`, version))
+	t.Log("a version is known after", c.until(t, "knows the version", time.Second, func(e *Edge) bool { return e.View().Version == version }))
+}
+
+// TestFewerBoxes holds what fewer boxes do: each calls all hubs, one a hall, and none
+// but the hubs reads the store.
+func TestFewerBoxes(t *testing.T) {
+	tests := map[string]struct {
+		boxes, halls, hubs int
+	}{
+		"two halls":   {boxes: 7, halls: 2, hubs: 2},
+		"three halls": {boxes: 61, halls: 3, hubs: 3},
+		"six halls":   {boxes: 195, halls: 6, hubs: 6},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCrowd(t, tt.boxes, tt.halls, 30)
+				ctx, end := c.context(t)
+				defer end()
+				c.startAll(ctx)
+				c.until(t, "serves", 10*time.Second, (*Edge).ready)
+				time.Sleep(4 * time.Second)
+				is.Equal(len(c.hubs()), tt.hubs)
+				c.busiest()
+				time.Sleep(time.Second)
+				asked, askers, _ := c.busiest()
+				is.Equal(askers, tt.boxes-1)
+				is.True(asked >= 4*(tt.boxes-1))
+				for _, e := range c.all {
+					is.Equal(e.tally.Load(time.Now(), "u3").Requests, 1)
+					is.Equal(e.View().Tells, 0)
+				}
+			})
+		})
+	}
+}
+
+// TestCaughtUp holds that a configuration that a hub gave is as young as the hub said
+// that its own was.
+func TestCaughtUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCrowd(t, 2, 1, 30)
+		hub, e := c.all[0], c.all[1]
+		c.up[hub.record.Address] = hub
+		_, err := hub.configuration.List(t.Context(), false)
+		is.NoErr(err)
+		hub.belief.Confirm(time.Now())
+		time.Sleep(900 * time.Millisecond)
+		e.Hear(hub.Heard(e.Say(hub.members.Self())), time.Now())
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(e.View().Version, 3)
+		is.True(e.View().ConfigurationAgeMs >= 1000 && e.View().ConfigurationAgeMs < 1010)
+	})
+}
+
+// TestHubsKilled kills both hubs of ten boxes, of which each has read only those that
+// had started before it, and lets an upstream leave then: all others learn it, however
+// late calls are.
+func TestHubsKilled(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrowd(t, 10, 1, 30)
+				ctx, end := c.context(t)
+				defer end()
+				random := rand.New(rand.NewPCG(seed, 1))
+				var mu sync.Mutex
+				draw := func(most time.Duration) time.Duration {
+					mu.Lock()
+					defer mu.Unlock()
+					return time.Duration(random.Int64N(int64(most)))
+				}
+				c.slow = func() time.Duration { return draw(100*time.Millisecond) + draw(3)/2*draw(1500*time.Millisecond) } // one in three late
+				var records []wire.BoxRecord
+				for _, e := range c.all {
+					records = append(records, e.record)
+					c.start(ctx, e, records)
+					time.AfterFunc(settleTime, func() { // as join does
+						if e.IsHub() {
+							e.listed(records)
+						}
+					})
+					time.Sleep(draw(100 * time.Millisecond))
+				}
+				c.until(t, "knows many, and two are hubs", time.Minute, func(e *Edge) bool { return e.Known() && !e.AllRead() && len(c.hubs()) == 2 })
+				for _, e := range c.hubs() {
+					c.kill(e)
+				}
+				c.table.put("servers", "u5", string(worker(5, 1, "draining")))
+				c.until(t, "knows the departure", waitLong, func(e *Edge) bool { return e.fleet.Leaving("u5") })
+			})
+		})
+	}
+}
+
+// waitLong bounds what has to come; time is virtual.
+const waitLong = 20 * time.Second
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -52,6 +52,9 @@
 		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version,
 		Departing: departing, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
 	}
+	if age, known := e.fleet.Age(now); known {
+		g.FleetKnownMs = int(age.Milliseconds()) + 1
+	}
 	e.sayLoads(now, hub, &g)
 	return g
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,6 +66,7 @@
 	closed    map[string]time.Time  // halls whose upstreams take no new work, since when
 	listeners []Listener
 	changes   int
+	history   []point // of changes, some seconds long
 	confirmed time.Time
 }
 
@@ -218,6 +219,7 @@
 			delete(f.all, id) // which took no new work
 		}
 	}
+	f.note(now)
 }
 
 // Confirm notes that a call sent at a time has brought all changes until then.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -261,3 +262,45 @@
 		})
 	}
 }
+
+// TestAt shows from which change on a box is told that knew all as of a time.
+func TestAt(t *testing.T) {
+	start := time.Now()
+	tests := map[string]struct {
+		ago   time.Duration // before the end, 12 s after the start
+		known bool
+		want  []string // what changed since
+	}{
+		"just now":                  {ago: 0, known: true},
+		"before the last change":    {ago: 1500 * time.Millisecond, known: true, want: []string{"u11"}},
+		"before some":               {ago: 3500 * time.Millisecond, known: true, want: []string{"u10", "u11", "u9"}},
+		"before it is kept":         {ago: 11800 * time.Millisecond},
+		"before anything was known": {ago: 20 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := fleet.New(time.Second)
+			end := start.Add(12 * time.Second)
+			for i := range 120 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				if i%10 == 5 {
+					f.Put(now, fleet.Upstream{ID: fmt.Sprint("u", i/10), Version: int64(i)})
+				}
+				f.Tick(now)
+			}
+			f.Tick(end)
+			change, known := f.At(end.Add(-tt.ago))
+			is.Equal(known, tt.known)
+			if !known {
+				return
+			}
+			var ids []string
+			changed, _ := f.Since(change)
+			for _, u := range changed {
+				ids = append(ids, u.ID)
+			}
+			is.Equal(ids, tt.want)
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1831,6 +1831,10 @@
 	// Last change of the hub's fleet that the sender has.
 	FleetAfter int `json:"fleet_after,omitempty,omitzero"`
 
+	// Age of the sender's knowledge of the fleet; 0 where it has none. A hub that it
+	// has no mark of tells what became known since.
+	FleetKnownMs int `json:"fleet_known_ms,omitempty,omitzero"`
+
 	// Incarnation of the hub that fleet_after belongs to.
 	FleetOf int `json:"fleet_of,omitempty,omitzero"`
 
@@ -2042,6 +2046,9 @@
 	if v, ok := raw["fleet_after"]; !ok || v == nil {
 		plain.FleetAfter = 0
 	}
+	if v, ok := raw["fleet_known_ms"]; !ok || v == nil {
+		plain.FleetKnownMs = 0
+	}
 	if v, ok := raw["fleet_of"]; !ok || v == nil {
 		plain.FleetOf = 0
 	}
