--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"bytes"
 	"cmp"
 	"context"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -477,39 +479,140 @@
 func TestHubsKilled(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCrowd(t, 10, 1, 30)
-				ctx, end := c.context(t)
-				defer end()
-				random := rand.New(rand.NewPCG(seed, 1))
-				var mu sync.Mutex
-				draw := func(most time.Duration) time.Duration {
-					mu.Lock()
-					defer mu.Unlock()
-					return time.Duration(random.Int64N(int64(most)))
-				}
-				c.slow = func() time.Duration { return draw(100*time.Millisecond) + draw(3)/2*draw(1500*time.Millisecond) } // one in three late
-				var records []wire.BoxRecord
-				for _, e := range c.all {
-					records = append(records, e.record)
-					c.start(ctx, e, records)
-					time.AfterFunc(settleTime, func() { // as join does
-						if e.IsHub() {
-							e.listed(records)
-						}
-					})
-					time.Sleep(draw(100 * time.Millisecond))
-				}
-				c.until(t, "knows many, and two are hubs", time.Minute, func(e *Edge) bool { return e.Known() && !e.AllRead() && len(c.hubs()) == 2 })
-				for _, e := range c.hubs() {
-					c.kill(e)
-				}
-				c.table.put("servers", "u5", string(worker(5, 1, "draining")))
-				c.until(t, "knows the departure", waitLong, func(e *Edge) bool { return e.fleet.Leaving("u5") })
-			})
+			synctest.Test(t, func(t *testing.T) { killHubs(t, seed) })
 		})
 	}
 }
 
+func killHubs(t *testing.T, seed uint64) {
+	c := newCrowd(t, 10, 1, 30)
+	ctx, end := c.context(t)
+	defer end()
+	random := rand.New(rand.NewPCG(seed, 1))
+	var mu sync.Mutex
+	draw := func(most time.Duration) time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(random.Int64N(int64(most)))
+	}
+	c.slow = func() time.Duration { return draw(100*time.Millisecond) + draw(3)/2*draw(1500*time.Millisecond) } // one in three late
+	var records []wire.BoxRecord
+	for _, e := range c.all {
+		records = append(records, e.record)
+		c.start(ctx, e, records)
+		time.AfterFunc(settleTime, func() { // as join does
+			if e.IsHub() {
+				e.listed(records)
+			}
+		})
+		time.Sleep(draw(100 * time.Millisecond))
+	}
+	c.until(t, "knows many, and two are hubs", time.Minute, func(e *Edge) bool { return e.Known() && !e.AllRead() && len(c.hubs()) == 2 })
+	for _, e := range c.hubs() {
+		c.kill(e)
+	}
+	c.table.put("servers", "u5", string(worker(5, 1, "draining")))
+	c.until(t, "knows the departure", waitLong, func(e *Edge) bool { return e.fleet.Leaving("u5") })
+}
+
 // waitLong bounds what has to come; time is virtual.
 const waitLong = 20 * time.Second
+
+// second is what a box's gossip takes in a second, of calls, bytes and processor.
+type second struct {
+	calls, bytes int
+	took         time.Duration
+}
+
+// gossip lets a box make its calls of a second to a hub, which takes its part of them.
+func (c *crowd) gossip(b *testing.B, e, hub *Edge, box, at *second) {
+	b.Helper()
+	calls := 4
+	if e.members.Spare(time.Now(), hub.members.Self()) {
+		calls = 1
+	}
+	for range calls {
+		began := time.Now()
+		say := e.Say(hub.members.Self())
+		size := encoded(b, say)
+		said := time.Now()
+		answer := hub.Heard(say)
+		size += encoded(b, answer)
+		answered := time.Now()
+		e.Hear(answer, began)
+		at.took += answered.Sub(said)
+		box.took += said.Sub(began) + time.Since(answered)
+		for _, s := range []*second{box, at} {
+			s.calls++
+			s.bytes += size
+		}
+	}
+}
+
+// encoded returns the bytes of a message, the description of its types left out.
+func encoded(b *testing.B, message any) int {
+	b.Helper()
+	var out bytes.Buffer
+	encoder := gob.NewEncoder(&out)
+	if err := encoder.Encode(message); err != nil {
+		b.Fatal(err)
+	}
+	first := out.Len()
+	if err := encoder.Encode(message); err != nil {
+		b.Fatal(err)
+	}
+	return out.Len() - first
+}
+
+// BenchmarkGossip is what gossip takes of a box and of its hub in a second, by boxes of
+// three halls, each of which has requests at two of ten upstreams a box.
+func BenchmarkGossip(b *testing.B) {
+	for _, boxes := range []int{30, 100, 300, 1000} {
+		b.Run(fmt.Sprint(boxes, " boxes"), func(b *testing.B) {
+			c := newCrowd(b, boxes, 3, 0)
+			named := map[string]*Edge{}
+			var records []wire.BoxRecord
+			for i, e := range c.all {
+				named[e.Name()] = e
+				records = append(records, e.record)
+				e.tally.Begin(fmt.Sprint("u", i*7%(10*boxes)), tally.Load{Requests: 1, Tokens: 3000})
+			}
+			for _, e := range c.all {
+				e.listed(records)
+			}
+			var box, hub second
+			for range 2 { // words of hubs hold what was told before
+				c.round(b, named, &second{}, &second{})
+			}
+			for b.Loop() {
+				box, hub = second{}, second{}
+				c.round(b, named, &box, &hub)
+			}
+			b.ReportMetric(float64(box.calls), "box-calls/s")
+			b.ReportMetric(float64(box.bytes)/1000, "box-kB/s")
+			b.ReportMetric(float64(box.took.Microseconds())/1000, "box-ms/s")
+			b.ReportMetric(float64(hub.calls), "hub-calls/s")
+			b.ReportMetric(float64(hub.bytes)/1000, "hub-kB/s")
+			b.ReportMetric(float64(hub.took.Microseconds())/1000, "hub-ms/s")
+		})
+	}
+}
+
+// round lets all boxes make their calls of a second, and adds up those of one box that
+// is no hub, and those that its hub answers.
+func (c *crowd) round(b *testing.B, named map[string]*Edge, box, hub *second) {
+	one := c.all[slices.IndexFunc(c.all, func(e *Edge) bool { return !e.IsHub() })]
+	nearest := one.members.Nearest(time.Now()).Name
+	for _, e := range c.all {
+		for _, h := range e.members.Asks(time.Now()) {
+			by, at := &second{}, &second{}
+			if e == one {
+				by = box
+			}
+			if h.Name == nearest {
+				at = hub
+			}
+			c.gossip(b, e, named[h.Name], by, at)
+		}
+	}
+}
