edge, reading, metrics: log and count why a box reads the store

store_read (table, reason, age, nearest hub) and petrelstep_store_reads; whole fleets told, put off or told by changes in petrelstep_fleets_told; the line role names the hub that tells the box, and whether boxes are a crowd.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -152,7 +152,12 @@
 		return
 	case after == 0 && !e.tables.allow(now, len(changed)) && !e.members.Hub(now, from.Sender.Box):
 		a.FleetLater = true
+		e.metrics.FleetTold("later")
 		return
+	case after == 0:
+		e.metrics.FleetTold("whole")
+	case from.WholeFleet && from.FleetAfter == 0:
+		e.metrics.FleetTold("changes")
 	}
 	for _, u := range changed {
 		a.Upstreams = append(a.Upstreams, wire.UpstreamRecord{
--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -290,8 +290,8 @@
 	e.listed(records)
 	e.joined.Store(true)
 	workers := manifest.NewWorkers(reader{c.table, e.Name()}, e.fleet, e.log)
-	go follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading(e.belief.Age), e.log).Run(ctx)
-	go follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading(e.fleet.Age), e.log).Run(ctx)
+	go follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading("configuration", e.belief.Age), e.log).Run(ctx)
+	go follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading("upstreams", e.fleet.Age), e.log).Run(ctx)
 	go e.timer.Every(ctx, "tick", tickEvery, e.fleet.Tick)
 	go gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx)
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -141,9 +141,9 @@
 // start starts the tasks that are not bound to a caller.
 func (e *Edge) start(ctx context.Context, all *sync.WaitGroup) {
 	workers := manifest.NewWorkers(e.store, e.fleet, e.log)
-	configuration := follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading(e.belief.Age), e.log)
+	configuration := follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading("configuration", e.belief.Age), e.log)
 	all.Go(func() { configuration.Run(ctx) })
-	upstreams := follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading(e.fleet.Age), e.log)
+	upstreams := follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading("upstreams", e.fleet.Age), e.log)
 	all.Go(func() { upstreams.Run(ctx) })
 	all.Go(func() { e.timer.Every(ctx, "tick", tickEvery, e.tick) })
 	look := watch.New(e.fleet, e.storeSilent, e.runs, e.upstreams, e.log)
@@ -206,8 +206,31 @@
 }
 
 // reading decides when this box reads a table whose knowledge has an age.
-func (e *Edge) reading(age func(now time.Time) (time.Duration, bool)) *reading.Reading {
-	return reading.New(e, age, e.config.Edge.ColdStart, e.random)
+func (e *Edge) reading(table string, age func(now time.Time) (time.Duration, bool)) follow.Need {
+	return &reads{Reading: reading.New(e, age, e.config.Edge.ColdStart, e.random), table: table, edge: e, age: age}
+}
+
+// reads logs and counts why a table is read.
+type reads struct {
+	*reading.Reading
+	table string
+	edge  *Edge
+	age   func(now time.Time) (time.Duration, bool)
+	last  reading.Reason
+}
+
+// Needed implements follow.Need.
+func (r *reads) Needed(now time.Time) bool {
+	reason := r.Reason(now)
+	if reason != r.last && reason != reading.None {
+		age, known := r.age(now)
+		r.edge.metrics.StoreRead(r.table, string(reason))
+		r.edge.log.WithFields(logrus.Fields{
+			"table": r.table, "reason": reason, "known": known, "age_ms": min(age, neverAge).Milliseconds(), "nearest": r.edge.members.Nearest(now).Name,
+		}).Info("store_read")
+	}
+	r.last = reason
+	return reason != reading.None
 }
 
 // drainAll is the planned stop: callers are sent elsewhere, and all in flight
--- a/edge/view.go
+++ b/edge/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -71,10 +72,14 @@
 
 // noteRole logs what this box is to the others where that has changed.
 func (e *Edge) noteRole() {
-	role := logrus.Fields{"hub": e.IsHub(), "reads": e.Reads(), "keeps": strings.Join(e.keeps(), ",")}
-	if e.role != nil && e.role["hub"] == role["hub"] && e.role["reads"] == role["reads"] && e.role["keeps"] == role["keeps"] {
+	now := time.Now()
+	role := logrus.Fields{
+		"hub": e.IsHub(), "reads": e.Reads(), "keeps": strings.Join(e.keeps(), ","), "nearest": e.members.Nearest(now).Name, "crowd": e.Crowded(),
+	}
+	if maps.Equal(e.role, role) {
 		return
 	}
 	e.role = role
-	e.log.WithFields(role).WithField("boxes", e.members.Count()).Info("role")
+	_, tells := e.tally.Part(now)
+	e.log.WithFields(role).WithFields(logrus.Fields{"boxes": e.members.Count(), "tells": tells, "loads_age_ms": min(e.tally.SumAge(now), neverAge).Milliseconds()}).Info("role")
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -53,6 +53,8 @@
 	moves    metric.Float64Histogram
 	dropped  metric.Int64Counter
 	halls    metric.Int64Counter
+	reads    metric.Int64Counter
+	fleets   metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -78,6 +80,8 @@
 	m.moves = b.histogram("petrelstep_move", "Time of a generation's move to another upstream, by outcome.")
 	m.dropped = b.counter("petrelstep_log_lines_dropped", "Log lines dropped because nobody read them.")
 	m.halls = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
+	m.reads = b.counter("petrelstep_store_reads", "Times that a box began to read a table of the store for itself, by table and reason.")
+	m.fleets = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -148,6 +152,17 @@
 	m.halls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
 }
 
+// StoreRead counts that this box began to read a table of the store for itself.
+func (m *Metrics) StoreRead(table, reason string) {
+	m.reads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", table), attribute.String("reason", reason)))
+}
+
+// FleetTold counts an answer to a box that wants the whole fleet: all of it, what
+// changed since the box knew all, or that it follows.
+func (m *Metrics) FleetTold(outcome string) {
+	m.fleets.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -107,22 +107,48 @@
 	return r
 }
 
+// Reason is why a box reads.
+type Reason string
+
+// The reasons to read; None where others tell.
+const (
+	None     Reason = ""
+	Reader   Reason = "reader"   // it reads for others
+	Untold   Reason = "untold"   // it knows nothing, and was not told in time
+	Unjoined Reason = "unjoined" // it does not know the other boxes
+	Unheard  Reason = "unheard"  // no hub answers
+	Old      Reason = "old"      // the hubs tell what is old
+)
+
 // Needed implements follow.Need: it tells whether this box is to read now.
-func (r *Reading) Needed(now time.Time) bool {
+func (r *Reading) Needed(now time.Time) bool { return r.Reason(now) != None }
+
+// Reason returns why this box is to read now.
+func (r *Reading) Reason(now time.Time) Reason {
 	age, known := r.age(now)
+	joined, reads := r.boxes.Known(), r.boxes.Reads()
+	unheardNow := now.Sub(r.boxes.HubHeard()) > unheard
 	switch {
-	case !known && r.boxes.Known():
-		return r.boxes.Reads() || r.first(now)
+	case !joined:
+		return Unjoined.when(known && age > unheard || !known && now.After(r.until))
+	case !known && reads:
+		return Reader
 	case !known:
-		return now.After(r.until)
-	case !r.boxes.Known():
-		return age > unheard
-	case now.Sub(r.boxes.HubHeard()) > unheard && !r.boxes.Reads():
-		return age > unheard+r.crowds(crowdUnheard)
-	case r.boxes.Reads():
-		return true
+		return Untold.when(r.first(now))
+	case unheardNow && !reads:
+		return Unheard.when(age > unheard+r.crowds(crowdUnheard))
+	case reads:
+		return Reader
+	}
+	return Old.when(age > told+r.spread)
+}
+
+// when returns the reason if it holds.
+func (r Reason) when(holds bool) Reason {
+	if holds {
+		return r
 	}
-	return age > told+r.spread
+	return None
 }
 
 // first tells whether a box that knows nothing yet is to read all for itself.
