edge, reading: learn how many others there are before reading all

A box that restarted read both tables at once, before it had joined: on 195 boxes that were all killed each did so 0.03 s after its start, while their own rows took a second to be written; 300 boxes before 3,000 upstreams ask 135 MB of the store so. A box that restarts now lists the others first; of a crowd only readers read, and the others wait to be told. It need not list them again where it found its own row of before, so that its calls are as many as they were. reading.TestNeeded's new rows and edge.TestCrowd, which joins as slowly now, fail before.

--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -33,6 +33,9 @@
 	// callCost and rowCost are what a call and a row in it take of a box's processor.
 	callCost = 750 * time.Microsecond
 	rowCost  = 4 * time.Microsecond
+	// joinCost is what a box's row takes of the store, and listTime a listing of all.
+	joinCost = 5 * time.Millisecond
+	listTime = 20 * time.Millisecond
 	// listRow is what a row takes of the store, for all that list.
 	listRow = 2 * time.Microsecond
 )
@@ -244,19 +247,21 @@
 	return c
 }
 
-// startAll starts all boxes within a second and a half, as after all were killed: the
-// table of boxes still names all of them.
+// startAll starts all boxes within a third of a second, as after all were killed: the
+// table of boxes still names all of them, and takes their rows one after the other.
 func (c *crowd) startAll(ctx context.Context) {
 	var records []wire.BoxRecord
 	for _, e := range c.all {
 		records = append(records, e.record)
 	}
 	random := rand.New(rand.NewPCG(7, 7))
-	for _, e := range c.all {
-		after := time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
+	for i, e := range c.all {
+		after := time.Duration(random.Int64N(int64(300 * time.Millisecond)))
 		go func() {
 			if pass(ctx, after) == nil {
 				c.start(ctx, e, records)
+				_ = pass(ctx, time.Duration(i)*joinCost)
+				e.joined.Store(true)
 			}
 		}()
 	}
@@ -287,8 +292,7 @@
 	c.mu.Lock()
 	c.up[e.record.Address], c.ends[e] = e, end
 	c.mu.Unlock()
-	e.listed(records)
-	e.joined.Store(true)
+	time.AfterFunc(listTime, func() { e.listed(records) })
 	workers := manifest.NewWorkers(reader{c.table, e.Name()}, e.fleet, e.log)
 	go follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading("configuration", e.belief.Age), e.log).Run(ctx)
 	go follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading("upstreams", e.fleet.Age), e.log).Run(ctx)
@@ -380,6 +384,7 @@
 		c.startAll(ctx)
 		t.Log("all serve after", c.until(t, "serves", 5*time.Second, (*Edge).ready))
 		time.Sleep(4 * time.Second)
+		t.Log("boxes that listed the store's tables:", len(c.table.lists))
 		is.True(len(c.table.lists) <= 2*members.ReadersMost) // three for good, some until they had heard of a better one
 		lists := c.table.listed()
 		c.busiest()
@@ -500,6 +505,7 @@
 	for _, e := range c.all {
 		records = append(records, e.record)
 		c.start(ctx, e, records)
+		time.AfterFunc(2*listTime, func() { e.joined.Store(true) })
 		time.AfterFunc(settleTime, func() { // as join does
 			if e.IsHub() {
 				e.listed(records)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -119,6 +119,8 @@
 	configuration *manifest.Configuration
 	catching      atomic.Bool // a newer configuration is being asked for
 	joined        atomic.Bool // the other boxes are known
+	others        atomic.Bool // they were read, at least before this box joined
+	found         atomic.Bool // this box among them
 	random        *rand.Rand
 
 	serving   atomic.Int64
--- a/edge/join.go
+++ b/edge/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"petrelstep/members"
@@ -11,7 +12,7 @@
 const (
 	// joinTime bounds a call for the table of boxes; a slow store takes 0.3 s.
 	joinTime = 1500 * time.Millisecond
-	// joinEvery is the wait after a call that failed.
+	// joinEvery is the wait after a call that failed, in the mean.
 	joinEvery = time.Second
 	// settleTime is how long after its start a box that takes itself for a hub
 	// reads the table again: all start within 0.3 s, and their programs within 1 s.
@@ -22,9 +23,16 @@
 // that starts later finds this one, and tells it of itself. All boxes may start
 // at once: one that takes itself for a hub, as it found few others, reads again
 // once all must have joined; at a cold start nothing else is read before.
+//
+// A box that restarts lists the others before it writes: that tells how many may have
+// restarted with it, and many writes take a second. Where its own row of before is
+// among them, those who join meanwhile find it, and it need not list again.
 func (e *Edge) join(ctx context.Context) {
 	write := func(ctx context.Context) error { return e.boxes.Join(ctx, e.record) }
-	if !e.insist(ctx, write) || !e.insist(ctx, e.readBoxes) {
+	if !e.config.Edge.ColdStart && !e.insist(ctx, e.readBoxes) || !e.insist(ctx, write) {
+		return
+	}
+	if !e.found.Load() && !e.insist(ctx, e.readBoxes) {
 		return
 	}
 	if !e.config.Edge.ColdStart {
@@ -47,7 +55,7 @@
 			return true
 		}
 		e.log.WithError(err).Warn("boxes_not_read")
-		e.timer.Sleep(ctx, joinEvery)
+		e.timer.Sleep(ctx, joinEvery/2+rand.N(joinEvery)) // not all at once again
 	}
 	return false
 }
@@ -63,15 +71,22 @@
 func (e *Edge) listed(list []wire.BoxRecord) {
 	known := make([]wire.Member, 0, len(list))
 	for _, r := range list {
+		if r.Box == e.config.Box {
+			e.found.Store(true)
+		}
 		known = append(known, wire.Member{Box: r.Box, Hall: r.Hall, Address: r.Address, State: wire.MemberStateLive, Strong: r.Strong})
 	}
 	e.members.Listed(time.Now(), known)
+	e.others.Store(true)
 	e.log.WithField("boxes", len(known)).Info("boxes_listed")
 }
 
 // Known implements reading.Boxes.
 func (e *Edge) Known() bool { return e.joined.Load() }
 
+// Listed implements reading.Boxes.
+func (e *Edge) Listed() bool { return e.others.Load() }
+
 // IsHub tells whether this box knows for others.
 func (e *Edge) IsHub() bool {
 	_, is := e.members.IsHub(time.Now())
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -52,6 +52,10 @@
 	// crowdUnheard is the same where it knows all and hears no hub: the last reads at
 	// 3.2 s, as where it is told what is old.
 	crowdUnheard = 3
+	// listedIn is how long a box that restarts waits to learn how many others there are
+	// before it reads all for itself; some 0.05 s in calm. That many did so at once, as
+	// all of 300 were killed, held up the store for their writes too.
+	listedIn = 400 * time.Millisecond
 	// coldMost bounds the wait at a cold start until the other boxes are known.
 	coldMost = 3 * time.Second
 	// hubFirst and hubMost bound a hub's waits between failed calls: it has to be
@@ -67,8 +71,10 @@
 
 // Boxes is what is known of the boxes.
 type Boxes interface {
-	// Known tells whether this box has read who the others are.
+	// Known tells whether this box has joined the others, and read who they are.
 	Known() bool
+	// Listed tells whether it has read who the others were, joined or not.
+	Listed() bool
 	// Reads tells whether this box reads for others.
 	Reads() bool
 	// Count returns how many boxes there are.
@@ -87,7 +93,8 @@
 type Reading struct {
 	boxes  Boxes
 	age    func(now time.Time) (age time.Duration, known bool)
-	until  time.Time // a cold start ends
+	start  time.Time
+	until  time.Time // a cold start ends; zero if it is none
 	spread time.Duration
 	told   time.Duration // to wait, at first, to be told
 
@@ -99,9 +106,9 @@
 // start, when all boxes start together, it waits until they know each other:
 // until then each would take itself for a hub.
 func New(boxes Boxes, age func(now time.Time) (time.Duration, bool), cold bool, random *rand.Rand) *Reading {
-	r := &Reading{boxes: boxes, age: age, spread: time.Duration(random.Int64N(int64(spread))), told: firstTold}
+	r := &Reading{start: time.Now(), boxes: boxes, age: age, spread: time.Duration(random.Int64N(int64(spread))), told: firstTold}
 	if cold {
-		r.until = time.Now().Add(coldMost)
+		r.until = r.start.Add(coldMost)
 		r.told = firstToldCold
 	}
 	return r
@@ -126,16 +133,19 @@
 // Reason returns why this box is to read now.
 func (r *Reading) Reason(now time.Time) Reason {
 	age, known := r.age(now)
-	joined, reads := r.boxes.Known(), r.boxes.Reads()
-	unheardNow := now.Sub(r.boxes.HubHeard()) > unheard
+	reads := r.boxes.Reads()
+	silent := now.Sub(r.boxes.HubHeard()) > unheard
+	joined := r.boxes.Known() || !silent && r.until.IsZero() && r.boxes.Crowded() // joining takes many a second
 	switch {
+	case !joined && known:
+		return Unjoined.when(age > unheard)
 	case !joined:
-		return Unjoined.when(known && age > unheard || !known && now.After(r.until))
+		return r.unjoined(now)
 	case !known && reads:
 		return Reader
 	case !known:
 		return Untold.when(r.first(now))
-	case unheardNow && !reads:
+	case silent && !reads:
 		return Unheard.when(age > unheard+r.crowds(crowdUnheard))
 	case reads:
 		return Reader
@@ -151,6 +161,22 @@
 	return None
 }
 
+// unjoined returns why a box that knows nothing reads before it has joined the others.
+func (r *Reading) unjoined(now time.Time) Reason {
+	waited := now.Sub(r.start)
+	switch {
+	case !r.until.IsZero():
+		return Unjoined.when(now.After(r.until))
+	case !r.boxes.Listed():
+		return Unjoined.when(waited >= listedIn+r.spread)
+	case !r.boxes.Crowded():
+		return Unjoined
+	case r.boxes.Reads():
+		return Reader
+	}
+	return Unjoined.when(waited >= crowdTold+r.crowds(crowdSpread))
+}
+
 // first tells whether a box that knows nothing yet is to read all for itself.
 func (r *Reading) first(now time.Time) bool {
 	waited := now.Sub(r.since(now))
--- a/reading/reading_test.go
+++ b/reading/reading_test.go
@@ -16,6 +16,7 @@
 type boxes struct {
 	known, reads    bool
 	crowded         bool
+	unlisted        bool // the others were never read
 	count           int
 	heard, promised time.Time
 }
@@ -23,6 +24,7 @@
 func (b boxes) Known() bool         { return b.known }
 func (b boxes) Reads() bool         { return b.reads }
 func (b boxes) Count() int          { return b.count }
+func (b boxes) Listed() bool        { return !b.unlisted }
 func (b boxes) Crowded() bool       { return b.crowded }
 func (b boxes) AllRead() bool       { return b.count <= 8 }
 func (b boxes) HubHeard() time.Time { return b.heard }
@@ -43,6 +45,12 @@
 		"a hub that knows nothing": {boxes: boxes{known: true, reads: true}, age: never, want: true},
 		"a box that knows nothing": {boxes: boxes{known: true}, age: never},
 		"a box that restarts, the others not yet read": {age: never, want: true},
+		"it does not know yet how many they are":       {boxes: boxes{unlisted: true}, age: never, after: 300 * time.Millisecond},
+		"it cannot learn how many they are":            {boxes: boxes{unlisted: true}, age: never, after: 1300 * time.Millisecond, want: true},
+		"many restart, and have not joined":            {boxes: boxes{crowded: true}, heard: never, age: never, after: 3 * time.Second},
+		"many restart, and cannot join":                {boxes: boxes{crowded: true}, heard: never, age: never, after: 8100 * time.Millisecond, want: true},
+		"many restart, told before it has joined":      {boxes: boxes{crowded: true}, age: 2 * time.Second},
+		"many restart, a hub that reads":               {boxes: boxes{crowded: true, reads: true}, age: never, want: true},
 		"a cold start, the others not yet read":        {age: never, cold: true, after: time.Second},
 		"a cold start, the others cannot be read":      {age: never, cold: true, after: 3100 * time.Millisecond, want: true},
 		"a cold start, the others are known":           {boxes: boxes{known: true}, age: never, cold: true, after: time.Second},
