--- a/commands/view.go
+++ b/commands/view.go
@@ -126,14 +126,14 @@
 
 func viewTable(w io.Writer, views []wire.BoxView) {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "BOX\tHALL\tHUB\tREADS\tKEEPS\tNEAREST\tBOXES\tTOLD\tVERSION\tITS AGE\tUPSTREAMS\tTHEIR AGE\tLOADS' AGE\tSTORE SILENT\tEVACUATED\tWAITING\tSERVING\tSTATE")
+	fmt.Fprintln(t, "BOX\tHALL\tHUB\tREADS\tKEEPS\tNEAREST\tBOXES\tTOLD\tTELLS\tVERSION\tITS AGE\tUPSTREAMS\tTHEIR AGE\tLOADS' AGE\tSTORE SILENT\tEVACUATED\tWAITING\tSERVING\tSTATE")
 	for _, v := range views {
 		state := "serves"
 		if v.Stopping {
 			state = "stops"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%t\t%t\t%s\t%s\t%d\t%d\t%d\t%s\t%d\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", v.Box, v.Hall, v.Hub, v.Reads,
-			strings.Join(v.Keeps, ","), v.Nearest, v.Boxes, v.Told, v.Version, age(v.ConfigurationAgeMs), v.Upstreams, age(v.UpstreamsAgeMs),
+		fmt.Fprintf(t, "%s\t%s\t%t\t%t\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%d\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", v.Box, v.Hall, v.Hub, v.Reads,
+			strings.Join(v.Keeps, ","), v.Nearest, v.Boxes, v.Told, v.Tells, v.Version, age(v.ConfigurationAgeMs), v.Upstreams, age(v.UpstreamsAgeMs),
 			age(v.LoadsAgeMs), age(v.StoreSilentMs), evacuatedSince(v), v.Waiting, v.Serving, state)
 	}
 	_ = t.Flush()
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -260,15 +260,13 @@
 // nearest sorts hubs, those of this box's hall first, by this box's own order.
 func (m *Members) nearest(hubs []Box) []Box {
 	self := m.Self()
-	sorted := slices.Clone(hubs)
-	slices.SortStableFunc(sorted, func(a, b Box) int {
-		switch {
-		case a.Hall == self.Hall && b.Hall != self.Hall:
-			return -1
-		case a.Hall != self.Hall && b.Hall == self.Hall:
+	far := func(b Box) int {
+		if b.Hall != self.Hall {
 			return 1
 		}
-		return cmp.Compare(weight(self.Name, b.Name), weight(self.Name, a.Name))
+		return 0
+	}
+	return slices.SortedStableFunc(slices.Values(hubs), func(a, b Box) int {
+		return cmp.Or(far(a)-far(b), cmp.Compare(weight(self.Name, b.Name), weight(self.Name, a.Name)))
 	})
-	return sorted
 }
--- a/told/told_test.go
+++ b/told/told_test.go
@@ -143,3 +143,54 @@
 		})
 	}
 }
+
+// TestPart shows whose words a box tells on: of those that tell it alone, as long as
+// they do, and how many boxes stand behind all words.
+func TestPart(t *testing.T) {
+	tests := map[string]struct {
+		words func(b *told.Book[count], now time.Time)
+		after time.Duration
+		want  map[string]count
+		part  int // boxes that tell it alone
+		all   int
+	}{
+		"each tells all hubs": {words: func(b *told.Book[count], now time.Time) {
+			b.Told(now, "b1", map[string]count{"u1": 1})
+		}, want: map[string]count{}, all: 1},
+		"two tell it alone": {words: func(b *told.Book[count], now time.Time) {
+			for _, box := range []string{"b1", "b2"} {
+				b.Covers(box, true, 0)
+				b.Told(now, box, map[string]count{"u1": 1})
+			}
+		}, want: map[string]count{"u1": 2}, part: 2, all: 2},
+		"one has another hub now": {words: func(b *told.Book[count], now time.Time) {
+			b.Covers("b1", true, 0)
+			b.Told(now, "b1", map[string]count{"u1": 1})
+			b.Covers("b1", false, 0)
+			b.Told(now, "b1", nil)
+		}, want: map[string]count{}, all: 1},
+		"a hub tells of its boxes": {words: func(b *told.Book[count], now time.Time) {
+			b.Covers("hub", false, 40)
+			b.Told(now, "hub", map[string]count{"u1": 30})
+		}, want: map[string]count{}, all: 41},
+		"words that have lapsed": {words: func(b *told.Book[count], now time.Time) {
+			b.Covers("b1", true, 0)
+			b.Told(now, "b1", map[string]count{"u1": 1})
+			b.Covers("hub", false, 40)
+			b.Told(now, "hub", map[string]count{"u1": 30})
+		}, after: 4 * time.Second, want: map[string]count{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			b := told.New[count]()
+			tt.words(b, now)
+			now = now.Add(tt.after)
+			list := map[string]count{}
+			is.Equal(b.Part(now, list), tt.part)
+			is.Equal(list, tt.want)
+			is.Equal(b.Boxes(now), tt.all)
+		})
+	}
+}
