--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -385,7 +385,7 @@
 		c.startAll(ctx)
 		t.Log("all serve after", c.until(t, "serves", 5*time.Second, (*Edge).ready))
 		time.Sleep(4 * time.Second)
-		t.Log("boxes that listed the store's tables:", len(c.table.lists))
+		t.Log("listings of the store's tables:", c.table.listed(), "by", len(c.table.lists), "boxes")
 		is.True(len(c.table.lists) <= 2*members.ReadersMost) // three for good, some until they had heard of a better one
 		lists := c.table.listed()
 		c.busiest()
