--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -251,3 +251,44 @@
 		}
 	})
 }
+
+// TestCrowd shows whom a box of a crowd calls: its nearest hub often and a spare one
+// now and then, and others within two seconds when neither answers any more.
+func TestCrowd(t *testing.T) {
+	for name, how := range map[string]string{"killed": "refused", "frozen or cut off": "silent"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { crowdReplaced(t, how) })
+		})
+	}
+}
+
+func crowdReplaced(t *testing.T, how string) {
+	is := is.New(t)
+	m := fleet(300)
+	n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+	b := &box{heard: map[string]time.Time{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+	}()
+	time.Sleep(6 * time.Second)
+	asks := m.Asks(time.Now())
+	is.Equal(len(asks), 2)
+	is.Equal(n.called(), 2)
+	second := time.Now().Add(-time.Second)
+	is.True(n.since(asks[0].Address, second) >= 3)
+	is.True(n.since(asks[1].Address, second) <= 1)
+	is.True(n.since(asks[1].Address, second.Add(-time.Second)) >= 1)
+	for _, hub := range asks {
+		m.Heard(time.Now(), hub)
+	}
+	n.strikeAll(asks, how)
+	for struck := time.Now(); time.Since(struck) < 10*time.Second; {
+		time.Sleep(50 * time.Millisecond)
+		is.True(b.last() <= 2*time.Second)
+	}
+	cancel()
+	<-done
+}
