gossip: pass a hub by at whose address another box answers

Its row in the store is old, and the other may be of another fleet: its configuration and upstreams were taken as the hub's. gossip.TestStranger fails before.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -33,6 +34,17 @@
 	failAfter = 2
 )
 
+// StrangerError says that another box answered at an address than was asked there. It
+// may be of another fleet, so that nothing that it knows holds here.
+type StrangerError struct {
+	Address, Asked, Answered string
+}
+
+// Error implements error.
+func (e *StrangerError) Error() string {
+	return "peer " + e.Address + ": " + e.Answered + " answers in place of " + e.Asked
+}
+
 // Box makes gossip and takes it.
 type Box interface {
 	// Say returns what to tell a hub.
@@ -93,6 +105,9 @@
 		var answer wire.GossipAnswer
 		sent := time.Now()
 		err := g.peers.Repeat(call, b.Address, peer.Gossip, g.box.Say(b), &answer)
+		if err == nil && answer.Sender.Box != b.Name {
+			err = &StrangerError{Address: b.Address, Asked: b.Name, Answered: answer.Sender.Box}
+		}
 		if err == nil {
 			silent = 0
 			g.heard(b)
@@ -103,7 +118,8 @@
 			return
 		}
 		silent++
-		if peer.Refused(err) || silent >= failAfter {
+		var stranger *StrangerError
+		if peer.Refused(err) || errors.As(err, &stranger) || silent >= failAfter {
 			g.peers.Forget(b.Address)
 			g.members.Failed(time.Now(), b.Name)
 			g.missed(b, err)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -45,6 +45,9 @@
 		return &peer.Error{Address: address, Method: method, Err: ctx.Err()}
 	}
 	reply.(*wire.GossipAnswer).Sender.Box = address
+	if how == "another" {
+		reply.(*wire.GossipAnswer).Sender.Box = "stranger"
+	}
 	return nil
 }
 
@@ -252,6 +255,27 @@
 	})
 }
 
+// TestStranger lets another box answer at the address of a hub that is gone: it is not
+// listened to, and another hub is called in its place.
+func TestStranger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := fleet(50)
+		n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+		b := &box{heard: map[string]time.Time{}}
+		gone := m.Hubs(time.Now())[0]
+		n.strike(gone.Address, "another")
+		var log lines
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		gossip.New(m, n, b, timer.New(), logs.New(&log, "info", "self")).Run(ctx)
+		is.True(b.heard["stranger"].IsZero())
+		is.True(m.Hubs(time.Now())[0].Name != gone.Name)
+		is.Equal(len(b.heard), 4) // another of its hall in its place
+		is.Equal(log.count("event=peer_lost ", gone.Name), 1)
+	})
+}
+
 // TestCrowd shows whom a box of a crowd calls: its nearest hub often and a spare one
 // now and then, and others within two seconds when neither answers any more.
 func TestCrowd(t *testing.T) {
