--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,8 +17,11 @@
 	slack = 600 * time.Millisecond
 	// listTime bounds a listing, of several pages.
 	listTime = 1800 * time.Millisecond
-	// idleLook is how often a follower that is not needed looks whether it is.
-	idleLook = 100 * time.Millisecond
+	// idleLook is how often a follower that is not needed looks whether it is, and
+	// idleFirst how soon it does again at its start: a box that restarts has learned
+	// within some 10 ms whether it reads, and callers are refused until it has.
+	idleLook  = 100 * time.Millisecond
+	idleFirst = 5 * time.Millisecond
 	// gather is waited after a change before the next call: changes come many at
 	// a time, and each call is paid for.
 	gather = 100 * time.Millisecond
@@ -88,11 +91,12 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	mark, listed := int64(0), false
-	pause := time.Duration(0)
+	pause, idle := time.Duration(0), idleFirst
 	for ctx.Err() == nil {
 		if !f.need.Needed(f.now()) {
 			listed = false
-			sleep(ctx, idleLook)
+			sleep(ctx, idle)
+			idle = min(2*idle, idleLook)
 			continue
 		}
 		before := mark
