--- a/edge/answers.go
+++ b/edge/answers.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"petrelstep/config"
 	"petrelstep/fleet"
 	"petrelstep/wire"
 )
@@ -15,6 +16,9 @@
 	// would make full engines look empty.
 	hubKnows = 1250 * time.Millisecond
 	hubTold  = 0.75
+	// askTime is the longest that an asker's word is under way, which is then as much
+	// older: a call may be repeated within its 0.5 s.
+	askTime = 600 * time.Millisecond
 	// neverAge is told where there is no knowledge: older than all that counts.
 	neverAge = time.Hour
 	// rowsASecond is how many rows of whole fleets a box with one processor tells in
@@ -30,23 +34,52 @@
 func (e *Edge) Heard(from wire.Gossip) wire.GossipAnswer {
 	now := time.Now()
 	e.heardBox(now, from.Sender, from.Leaving)
+	e.covers(from.Sender.Box, from.Counts, from.Covers)
 	e.hearDeparting(now, from.Departing)
 	e.tally.Told(now, from.Sender.Box, e.currentLoads(from.Tallies))
 	e.reliability.Told(now, from.Sender.Box, e.currentFailures(from.Failures))
 	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		a.Tallies, a.Failures, a.Hubs = e.bornLoads(e.tally.Own()), e.bornFailures(e.reliability.Own(now)), e.hubRecords(now)
+		a.Tallies, a.Covers = e.tally.Part(now)
+		e.bornLoads(a.Tallies)
+		a.Failures, a.Hubs = e.bornFailures(e.reliability.Part(now)), e.hubRecords(now)
 	case wire.GossipScopeAll:
 		a.Tallies = e.bornLoads(e.tally.Without(now, from.Sender.Box))
 		a.Failures = e.bornFailures(e.reliability.Without(now, from.Sender.Box))
 		a.Hubs = e.hubRecords(now)
 	}
+	e.answerCrowd(now, &a)
 	e.answerConfiguration(now, &a)
 	e.answerFleet(now, from, &a)
 	return a
 }
 
+// covers notes whose loads a box is about to tell.
+func (e *Edge) covers(box string, only bool, boxes int) {
+	e.tally.Covers(box, only, boxes)
+	e.reliability.Covers(box, only)
+}
+
+// answerCrowd tells how many boxes there are, and which hubs are alive, where boxes
+// do not call all hubs: by that they know whom to call, and which keeper to ask.
+func (e *Edge) answerCrowd(now time.Time, a *wire.GossipAnswer) {
+	crowd := e.members.Crowd(now)
+	if crowd == nil || a.Tells == wire.GossipScopeNone {
+		return
+	}
+	for hall, boxes := range crowd {
+		a.Crowd = append(a.Crowd, wire.HallBoxes{Hall: hall, Boxes: boxes})
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, b := range a.Hubs {
+		if at, ok := e.heard[b.Box]; ok {
+			a.Heard = append(a.Heard, wire.BoxHeard{Box: b.Box, AgoMs: int(now.Sub(at).Milliseconds())})
+		}
+	}
+}
+
 // tells returns what a box tells of loads that is asked for them: of all boxes
 // only if it hears of all.
 func (e *Edge) tells(now time.Time, wanted wire.GossipScope) wire.GossipScope {
@@ -103,7 +136,8 @@
 }
 
 // answerFleet tells what changed since the asker's mark; the whole fleet to one
-// that has none and wants it, as fast as rowsASecond allows.
+// that has none and wants it, as fast as rowsASecond allows; to the few that are hubs
+// at once, as their part of the boxes waits for them.
 func (e *Edge) answerFleet(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
 	age, known := e.fleet.Age(now)
 	a.FleetAgeMs = int(age.Milliseconds()) + 1
@@ -111,19 +145,21 @@
 		a.FleetAgeMs, a.FleetLater = int(neverAge.Milliseconds()), from.WholeFleet
 		return
 	}
-	after := from.FleetAfter
-	if from.FleetOf != e.record.Incarnation {
-		after = 0
-	}
+	after := e.after(now, from)
 	changed, at := e.fleet.Since(after)
 	a.FleetAt = at
 	switch {
 	case after == 0 && !from.WholeFleet:
 		a.FleetFromNow = true
 		return
-	case after == 0 && !e.tables.allow(now, len(changed)):
+	case after == 0 && !e.tables.allow(now, len(changed)) && !e.members.Hub(now, from.Sender.Box):
 		a.FleetLater = true
+		e.metrics.FleetTold("later")
 		return
+	case after == 0:
+		e.metrics.FleetTold("whole")
+	case from.WholeFleet && from.FleetAfter == 0:
+		e.metrics.FleetTold("changes")
 	}
 	for _, u := range changed {
 		a.Upstreams = append(a.Upstreams, wire.UpstreamRecord{
@@ -133,6 +169,24 @@
 	}
 }
 
+// after returns the change after which an asker is to be told: its mark, or where it
+// has none, as its hub has just been lost or this box become one, the last before it
+// knew all. It so has the news at once: of 300 boxes 38 ask in a lost hub's place, and
+// whole fleets are told to the last of them after 2 s.
+func (e *Edge) after(now time.Time, from wire.Gossip) int {
+	switch {
+	case from.FleetOf == e.record.Incarnation && from.FleetAfter > 0:
+		return from.FleetAfter
+	case from.FleetKnownMs == 0:
+		return 0
+	}
+	change, known := e.fleet.At(now.Add(-config.Millis(from.FleetKnownMs) - askTime))
+	if !known {
+		return 0
+	}
+	return change
+}
+
 // coldMs returns for how much longer an upstream is cold, in ms.
 func coldMs(now time.Time, u fleet.Upstream) int {
 	if u.Cold.IsZero() {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -89,6 +89,14 @@
 	strongLink      = 100
 )
 
+// calls reaches the other boxes.
+type calls interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+	Repeat(ctx context.Context, address, method string, args, reply any) error
+	Forget(address string)
+	Close()
+}
+
 // Edge is one box.
 type Edge struct {
 	config  config.Config
@@ -106,7 +114,7 @@
 	reliability *reliability.Reliability
 	runs        *runs.Runs
 	members     *members.Members
-	peers       *peer.Peers
+	peers       calls
 	turns       *turns.Turns
 	admission   *admission.Admission
 	budget      *retry.Budget
@@ -120,6 +128,7 @@
 	configuration *manifest.Configuration
 	catching      atomic.Bool // a newer configuration is being asked for
 	joined        atomic.Bool // the other boxes are known
+	others        atomic.Bool // they were read, at least before this box joined
 	random        *rand.Rand
 
 	serving   atomic.Int64
@@ -130,6 +139,7 @@
 
 	mu    sync.Mutex
 	heard map[string]time.Time // when boxes were last heard, by name
+	cut   map[string]time.Time // when calls to boxes last got no answer, by name
 	known map[string]mark      // how far the fleets of hubs are known, by name
 
 	hubHeard   time.Time     // when a hub last answered
@@ -165,6 +175,7 @@
 		drain:       make(chan struct{}),
 		random:      rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
 		heard:       map[string]time.Time{},
+		cut:         map[string]time.Time{},
 		known:       map[string]mark{},
 	}
 	e.boxes = manifest.NewBoxes(e.store, counts, log)
--- a/edge/join.go
+++ b/edge/join.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"petrelstep/members"
@@ -11,7 +13,7 @@
 const (
 	// joinTime bounds a call for the table of boxes; a slow store takes 0.3 s.
 	joinTime = 1500 * time.Millisecond
-	// joinEvery is the wait after a call that failed.
+	// joinEvery is the wait after a call that failed, in the mean.
 	joinEvery = time.Second
 	// settleTime is how long after its start a box that takes itself for a hub
 	// reads the table again: all start within 0.3 s, and their programs within 1 s.
@@ -22,9 +24,26 @@
 // that starts later finds this one, and tells it of itself. All boxes may start
 // at once: one that takes itself for a hub, as it found few others, reads again
 // once all must have joined; at a cold start nothing else is read before.
+//
+// A box that restarts lists the others before it writes, which takes a second where
+// many do: that tells how many may have restarted with it. Where its own row of before
+// is among them, those who join meanwhile find it, and it need not list again.
 func (e *Edge) join(ctx context.Context) {
+	var before []wire.BoxRecord
+	if !e.config.Edge.ColdStart {
+		list := func(ctx context.Context) (err error) { before, err = e.boxes.List(ctx); return err }
+		if !e.insist(ctx, list) {
+			return
+		}
+		e.restarts(before)
+	}
 	write := func(ctx context.Context) error { return e.boxes.Join(ctx, e.record) }
-	if !e.insist(ctx, write) || !e.insist(ctx, e.readBoxes) {
+	if !e.insist(ctx, write) {
+		return
+	}
+	if slices.ContainsFunc(before, func(r wire.BoxRecord) bool { return r.Box == e.config.Box }) {
+		e.listed(before)
+	} else if !e.insist(ctx, e.readBoxes) {
 		return
 	}
 	if !e.config.Edge.ColdStart {
@@ -37,6 +56,16 @@
 	}
 }
 
+// restarts takes who the others were when this box started. A crowd is known at once,
+// whose boxes are not to read all together; fewer boxes when this one has joined: hubs
+// that restart with it would be called before they are up, and passed by for 3 s.
+func (e *Edge) restarts(before []wire.BoxRecord) {
+	if len(before) > members.StarMost {
+		e.listed(before)
+	}
+	e.others.Store(true)
+}
+
 // insist makes a call until it succeeds; it reports false if ctx ended first.
 func (e *Edge) insist(ctx context.Context, call func(context.Context) error) bool {
 	for ctx.Err() == nil {
@@ -47,7 +76,7 @@
 			return true
 		}
 		e.log.WithError(err).Warn("boxes_not_read")
-		e.timer.Sleep(ctx, joinEvery)
+		e.timer.Sleep(ctx, joinEvery/2+rand.N(joinEvery)) // not all at once again
 	}
 	return false
 }
@@ -72,6 +101,9 @@
 // Known implements reading.Boxes.
 func (e *Edge) Known() bool { return e.joined.Load() }
 
+// Listed implements reading.Boxes.
+func (e *Edge) Listed() bool { return e.others.Load() }
+
 // IsHub tells whether this box knows for others.
 func (e *Edge) IsHub() bool {
 	_, is := e.members.IsHub(time.Now())
@@ -84,6 +116,9 @@
 // Count implements reading.Boxes.
 func (e *Edge) Count() int { return e.members.Count() }
 
+// Crowded implements reading.Boxes.
+func (e *Edge) Crowded() bool { return e.members.Crowd(time.Now()) != nil }
+
 // AllRead implements reading.Boxes.
 func (e *Edge) AllRead() bool {
 	count := e.members.Count()
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -22,6 +22,9 @@
 	oldFleet = 3500 * time.Millisecond
 	// departingFor is how long an upstream that leaves is news to peers.
 	departingFor = 10 * time.Second
+	// cutFor is how long a box that did not answer this one is taken for unheard though
+	// others hear it: a request that asks a keeper in vain loses some tenths of a second.
+	cutFor = 3 * time.Second
 	// sumOld is the age of all boxes' loads from which any hub is asked for them: the
 	// nearest has missed two calls, or has them not yet.
 	sumOld = 600 * time.Millisecond
@@ -31,9 +34,10 @@
 type mark struct {
 	incarnation int
 	change      int
-	whole       bool // all before the change is known too
-	telling     int  // last change of this box's fleet in the call under way
-	told        int  // and in the last one that was answered
+	whole       bool      // all before the change is known too
+	from        time.Time // only what came later is told by this hub, unless it is whole
+	telling     int       // last change of this box's fleet in the call under way
+	told        int       // and in the last one that was answered
 }
 
 // Say implements gossip.Box.
@@ -43,31 +47,77 @@
 	if table, _, _ := e.belief.Now(now); table != nil {
 		version = table.Version()
 	}
-	m := e.mark(hub.Name)
+	whole := e.wantsFleet(now, hub)
+	m := e.mark(now, hub.Name, whole)
 	departing, last := e.departing(now, m.told)
 	e.telling(hub.Name, last)
-	return wire.Gossip{
-		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.bornLoads(e.tally.Own()),
-		Failures: e.bornFailures(e.reliability.Own(now)), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
+	g := wire.Gossip{
+		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version,
+		Departing: departing, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
 	}
+	if age, known := e.fleet.Age(now); known {
+		g.FleetKnownMs = int(age.Milliseconds()) + 1
+	}
+	e.sayLoads(now, hub, &g)
+	return g
+}
+
+// sayLoads tells a hub what runs here; a hub tells the others of its boxes too. In a
+// crowd a box tells its nearest hub alone, so that each box is counted once: its work
+// is known to all hubs after two calls, a quarter of a second in the mean.
+func (e *Edge) sayLoads(now time.Time, hub members.Box, g *wire.Gossip) {
+	switch {
+	case e.IsHub():
+		g.Tallies, g.Covers = e.tally.Part(now)
+		e.bornLoads(g.Tallies)
+		g.Failures = e.bornFailures(e.reliability.Part(now))
+		return
+	case e.members.Crowd(now) == nil:
+	case e.members.Nearest(now).Name != hub.Name:
+		return
+	default:
+		g.Counts = true
+	}
+	g.Tallies, g.Failures = e.bornLoads(e.tally.Own()), e.bornFailures(e.reliability.Own(now))
 }
 
 // wantsFleet tells whether a hub is to send the whole fleet to this box, which
 // knows nothing by it yet: the nearest is, and any other while that is not heard.
-// Hubs are told by each other.
+// Hubs are told by each other; the many of a crowd by those that read the store.
 func (e *Edge) wantsFleet(now time.Time, hub members.Box) bool {
 	nearest := e.members.Nearest(now).Name
-	if e.IsHub() || nearest == hub.Name {
+	switch {
+	case e.IsHub() && e.members.Crowd(now) != nil:
+		return !e.Reads() && e.members.Reader(now, hub.Name)
+	case e.IsHub(), nearest == hub.Name:
 		return true
 	}
 	return !e.HubHeard().IsZero() && !e.hears(nearest)
 }
 
-// mark returns how far a hub's fleet is known here, and this box's there.
-func (e *Edge) mark(hub string) mark {
+// mark returns how far a hub's fleet is known here, and this box's there. A hub
+// that is to tell the whole fleet, and has told only what came after its first
+// answer, is asked anew: what it had learned by then may never be told by another,
+// as the nearest hub may have died before it knew.
+func (e *Edge) mark(now time.Time, hub string, whole bool) mark {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.known[hub]
+	m := e.completed(now, e.known[hub])
+	if whole && !m.whole {
+		m.change = 0
+	}
+	e.known[hub] = m
+	return m
+}
+
+// completed notes that all is known that a hub knew at its first answer: others
+// have told since what the store held then.
+func (e *Edge) completed(now time.Time, m mark) mark {
+	age, known := e.fleet.Age(now)
+	if !m.from.IsZero() && known && !now.Add(-age).Before(m.from) {
+		m.whole = true
+	}
+	return m
 }
 
 // telling notes up to which change a hub is being told of this box's fleet.
@@ -101,10 +151,11 @@
 	for _, r := range a.Hubs {
 		e.introduce(now, r)
 	}
+	e.hearCrowd(now, a, sent)
 	for _, w := range a.Halls { // before the configuration, with which they are known
 		e.halls.Take(now, halls.Word{Hall: w.Hall, Evacuated: w.Evacuated, Version: int64(w.Version)}, a.Sender.Box)
 	}
-	e.catchUp(now, a.Sender, a.Version)
+	e.catchUp(now, a, sent)
 	table, _, _ := e.belief.Now(now)
 	if table != nil && table.Version() == a.Version {
 		e.belief.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
@@ -112,6 +163,7 @@
 	e.hearFleet(now, a, sent) // which incarnations there are, before what is told of them
 	switch a.Tells {
 	case wire.GossipScopeOwn:
+		e.covers(a.Sender.Box, false, a.Covers)
 		e.tally.Told(now, a.Sender.Box, e.currentLoads(a.Tallies))
 		e.reliability.Told(now, a.Sender.Box, e.currentFailures(a.Failures))
 	case wire.GossipScopeAll:
@@ -121,6 +173,22 @@
 	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
 }
 
+// hearCrowd takes a hub's word of how many boxes there are, and when it heard the
+// other hubs: this box may not call them itself.
+func (e *Edge) hearCrowd(now time.Time, a wire.GossipAnswer, sent time.Time) {
+	for _, h := range a.Crowd {
+		e.members.ToldCrowd(now, h.Hall, h.Boxes)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, h := range a.Heard {
+		at := sent.Add(-config.Millis(h.AgoMs))
+		if h.Box != e.config.Box && now.Sub(e.cut[h.Box]) > cutFor && at.After(e.heard[h.Box]) {
+			e.heard[h.Box] = at
+		}
+	}
+}
+
 // answered notes that a hub has taken what it was told. One that has started
 // anew since the last time knows nothing of what was told before.
 func (e *Edge) answered(now time.Time, hub wire.BoxRecord) {
@@ -160,12 +228,15 @@
 		return
 	}
 	e.mu.Lock()
-	m := e.known[a.Sender.Box]
+	m := e.completed(now, e.known[a.Sender.Box])
 	m.whole = m.whole || m.change == 0 && !a.FleetFromNow
 	m.change = a.FleetAt
+	if a.FleetFromNow && !m.whole {
+		m.from = now
+	}
 	e.known[a.Sender.Box] = m
 	e.mu.Unlock()
-	if _, known := e.fleet.Age(now); known && !a.FleetFromNow || m.whole {
+	if m.whole {
 		e.fleet.Confirm(sent.Add(-age))
 	}
 }
@@ -217,8 +288,11 @@
 }
 
 // catchUp asks a hub for a configuration that is newer than this box's, one hub
-// at a time: all hubs tell of it within the same moment.
-func (e *Edge) catchUp(now time.Time, hub wire.BoxRecord, version int) {
+// at a time: all hubs tell of it within the same moment. What the hub said of its age
+// holds for what it then gives: a box that has just started would else take it for
+// stale until the next answer, and read the store.
+func (e *Edge) catchUp(now time.Time, a wire.GossipAnswer, sent time.Time) {
+	hub, version := a.Sender, a.Version
 	table, _, _ := e.belief.Now(now)
 	if table != nil && table.Version() >= version || version == 0 || !e.catching.CompareAndSwap(false, true) {
 		return
@@ -234,6 +308,10 @@
 		}
 		if err != nil {
 			e.log.WithError(err).WithFields(logrus.Fields{"peer": hub.Box, "version": version}).Warn("configuration_not_taken")
+			return
+		}
+		if answer.Version >= version {
+			e.belief.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
 		}
 	}()
 }
--- a/edge/view.go
+++ b/edge/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -18,12 +19,16 @@
 func (e *Edge) View() wire.BoxView {
 	now := time.Now()
 	v := wire.BoxView{
-		Box: e.config.Box, Hall: e.config.Hall, Hub: e.IsHub(), Reads: e.Reads(), Keeps: e.keeps(), Hubs: []string{},
+		Box: e.config.Box, Hall: e.config.Hall, Hub: e.IsHub(), Reads: e.Reads(), Keeps: e.keeps(), Hubs: []string{}, Asks: []string{},
 		Nearest: e.members.Nearest(now).Name, Boxes: e.members.Count(), Leaving: e.members.Leaving(), Told: e.tally.Boxes(now),
 		ConfigurationAgeMs: unknownAge, UpstreamsAgeMs: unknownAge, StoreSilentMs: unknownAge, LoadsAgeMs: unknownAge,
 		Upstreams: e.fleet.Open(), Waiting: e.admission.Waiting(), Serving: int(e.serving.Load()), Stopping: e.draining.Load(),
 		Halls: e.hallWords(now),
 	}
+	for _, b := range e.members.Asks(now) {
+		v.Asks = append(v.Asks, b.Name)
+	}
+	_, v.Tells = e.tally.Part(now)
 	for _, b := range e.members.Hubs(now) {
 		v.Hubs = append(v.Hubs, b.Name)
 	}
@@ -67,10 +72,14 @@
 
 // noteRole logs what this box is to the others where that has changed.
 func (e *Edge) noteRole() {
-	role := logrus.Fields{"hub": e.IsHub(), "reads": e.Reads(), "keeps": strings.Join(e.keeps(), ",")}
-	if e.role != nil && e.role["hub"] == role["hub"] && e.role["reads"] == role["reads"] && e.role["keeps"] == role["keeps"] {
+	now := time.Now()
+	role := logrus.Fields{
+		"hub": e.IsHub(), "reads": e.Reads(), "keeps": strings.Join(e.keeps(), ","), "nearest": e.members.Nearest(now).Name, "crowd": e.Crowded(),
+	}
+	if maps.Equal(e.role, role) {
 		return
 	}
 	e.role = role
-	e.log.WithFields(role).WithField("boxes", e.members.Count()).Info("role")
+	_, tells := e.tally.Part(now)
+	e.log.WithFields(role).WithFields(logrus.Fields{"boxes": e.members.Count(), "tells": tells, "loads_age_ms": min(e.tally.SumAge(now), neverAge).Milliseconds()}).Info("role")
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,7 @@
 	listeners []Listener
 	restarted []Listener
 	changes   int
+	history   []point // of changes, some seconds long
 	confirmed time.Time
 }
 
@@ -303,6 +304,7 @@
 			delete(f.all, id) // which took no new work
 		}
 	}
+	f.note(now)
 }
 
 // Confirm notes that a call sent at a time has brought all changes until then.
@@ -325,6 +327,9 @@
 func (f *Fleet) Since(change int) (changed []Upstream, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if change == f.changes { // looking at 3,000 took 30 us, some hundred times a second
+		return nil, f.changes
+	}
 	return f.list(func(e *entry) bool { return e.changed > change }), f.changes
 }
 
@@ -498,6 +503,9 @@
 func (f *Fleet) Departing(now time.Time, within time.Duration, after int) (list []Departure, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if after == f.changes { // as in Since
+		return nil, f.changes
+	}
 	for id, e := range f.all {
 		if e.upstream.State == Leaving && e.changed > after && now.Sub(e.since) < within {
 			list = append(list, Departure{ID: id, Version: e.upstream.Version, Said: e.upstream.Said, Born: e.upstream.Born})
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	// period is the time between calls to a hub; engines' loads change that
 	// fast. Two hubs call each other, and hear of each other twice as often.
 	period = 250 * time.Millisecond
+	// sparePeriod is the time between calls to a hub of a crowd that tells this box
+	// nothing as long as the nearest does. It answers as many such boxes as others.
+	sparePeriod = time.Second
 	// callTime bounds a call: a link loses a packet now and then, and it is sent
 	// again within 0.3 s.
 	callTime = 500 * time.Millisecond
@@ -30,6 +34,17 @@
 	failAfter = 2
 )
 
+// StrangerError says that another box answered at an address than was asked there. It
+// may be of another fleet, so that nothing that it knows holds here.
+type StrangerError struct {
+	Address, Asked, Answered string
+}
+
+// Error implements error.
+func (e *StrangerError) Error() string {
+	return "peer " + e.Address + ": " + e.Answered + " answers in place of " + e.Asked
+}
+
 // Box makes gossip and takes it.
 type Box interface {
 	// Say returns what to tell a hub.
@@ -67,13 +82,11 @@
 	tasks.New(g.timer, lookEvery, g.hubs, g.with).Run(ctx)
 }
 
-// hubs returns the other hubs by address.
+// hubs returns the hubs that are called by address.
 func (g *Gossip) hubs(now time.Time) map[string]members.Box {
 	hubs := map[string]members.Box{}
-	for _, b := range g.members.Hubs(now) {
-		if b.Name != g.members.Self().Name {
-			hubs[b.Address] = b
-		}
+	for _, b := range g.members.Asks(now) {
+		hubs[b.Address] = b
 	}
 	return hubs
 }
@@ -81,12 +94,20 @@
 // with is the task of one hub.
 func (g *Gossip) with(ctx context.Context, b members.Box) {
 	silent := 0
-	g.timer.Every(ctx, b.Name, period, func(time.Time) {
+	var last time.Time
+	g.timer.Every(ctx, b.Name, period, func(now time.Time) {
+		if g.members.Spare(now, b) && now.Sub(last) < sparePeriod-period/2 {
+			return
+		}
+		last = now
 		call, cancel := context.WithTimeout(ctx, callTime)
 		defer cancel()
 		var answer wire.GossipAnswer
 		sent := time.Now()
 		err := g.peers.Repeat(call, b.Address, peer.Gossip, g.box.Say(b), &answer)
+		if err == nil && answer.Sender.Box != b.Name {
+			err = &StrangerError{Address: b.Address, Asked: b.Name, Answered: answer.Sender.Box}
+		}
 		if err == nil {
 			silent = 0
 			g.heard(b)
@@ -97,7 +118,8 @@
 			return
 		}
 		silent++
-		if peer.Refused(err) || silent >= failAfter {
+		var stranger *StrangerError
+		if peer.Refused(err) || errors.As(err, &stranger) || silent >= failAfter {
 			g.peers.Forget(b.Address)
 			g.members.Failed(time.Now(), b.Name)
 			g.missed(b, err)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -45,6 +45,9 @@
 		return &peer.Error{Address: address, Method: method, Err: ctx.Err()}
 	}
 	reply.(*wire.GossipAnswer).Sender.Box = address
+	if how == "another" {
+		reply.(*wire.GossipAnswer).Sender.Box = "stranger"
+	}
 	return nil
 }
 
@@ -251,3 +254,65 @@
 		}
 	})
 }
+
+// TestStranger lets another box answer at the address of a hub that is gone: it is not
+// listened to, and another hub is called in its place.
+func TestStranger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := fleet(50)
+		n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+		b := &box{heard: map[string]time.Time{}}
+		gone := m.Hubs(time.Now())[0]
+		n.strike(gone.Address, "another")
+		var log lines
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		gossip.New(m, n, b, timer.New(), logs.New(&log, "info", "self")).Run(ctx)
+		is.True(b.heard["stranger"].IsZero())
+		is.True(m.Hubs(time.Now())[0].Name != gone.Name)
+		is.Equal(len(b.heard), 4) // another of its hall in its place
+		is.Equal(log.count("event=peer_lost ", gone.Name), 1)
+	})
+}
+
+// TestCrowd shows whom a box of a crowd calls: its nearest hub often and a spare one
+// now and then, and others within two seconds when neither answers any more.
+func TestCrowd(t *testing.T) {
+	for name, how := range map[string]string{"killed": "refused", "frozen or cut off": "silent"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { crowdReplaced(t, how) })
+		})
+	}
+}
+
+func crowdReplaced(t *testing.T, how string) {
+	is := is.New(t)
+	m := fleet(300)
+	n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+	b := &box{heard: map[string]time.Time{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+	}()
+	time.Sleep(6 * time.Second)
+	asks := m.Asks(time.Now())
+	is.Equal(len(asks), 2)
+	is.Equal(n.called(), 2)
+	second := time.Now().Add(-time.Second)
+	is.True(n.since(asks[0].Address, second) >= 3)
+	is.True(n.since(asks[1].Address, second) <= 1)
+	is.True(n.since(asks[1].Address, second.Add(-time.Second)) >= 1)
+	for _, hub := range asks {
+		m.Heard(time.Now(), hub)
+	}
+	n.strikeAll(asks, how)
+	for struck := time.Now(); time.Since(struck) < 10*time.Second; {
+		time.Sleep(50 * time.Millisecond)
+		is.True(b.last() <= 2*time.Second)
+	}
+	cancel()
+	<-done
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -64,6 +64,8 @@
 	slow     metric.Int64Counter
 	held     metric.Int64ObservableGauge
 	meter    metric.Meter
+	reads    metric.Int64Counter
+	fleets   metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -94,6 +96,8 @@
 	m.slow = b.counter("petrelstep_slow_readers_ended", "Streams ended as their callers read too slowly, by reason.")
 	m.held, err = meter.Int64ObservableGauge("petrelstep_held", metric.WithDescription("Bytes held for callers that have not taken them yet."), metric.WithUnit("By"))
 	b.keep(err)
+	m.reads = b.counter("petrelstep_store_reads", "Times that a box began to read a table of the store for itself, by table and reason.")
+	m.fleets = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -189,6 +193,17 @@
 	return err
 }
 
+// StoreRead counts that this box began to read a table of the store for itself.
+func (m *Metrics) StoreRead(table, reason string) {
+	m.reads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", table), attribute.String("reason", reason)))
+}
+
+// FleetTold counts an answer to a box that wants the whole fleet: all of it, what
+// changed since the box knew all, or that it follows.
+func (m *Metrics) FleetTold(outcome string) {
+	m.fleets.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -41,6 +41,21 @@
 	// promisedMost bounds the wait to be told where hubs say that they tell all
 	// later: 300 boxes that start at once before 3,000 upstreams are told within 4 s.
 	promisedMost = 6 * time.Second
+	// crowdTold is how long a box of a crowd that knows nothing waits to be told, where
+	// no hub answers: all may have started at once, and a hub that was called before it
+	// was up is passed by for 3 s. A whole fleet of 3,000 upstreams has 450 KB at the
+	// store, so that 300 boxes which read together wait for each other in vain.
+	crowdTold = 4 * time.Second
+	// crowdSpread is over how many times its spread a box of a crowd puts off what it
+	// would read with all others: over 4 s where it knows nothing.
+	crowdSpread = 5
+	// crowdUnheard is the same where it knows all and hears no hub: the last reads at
+	// 3.2 s, as where it is told what is old.
+	crowdUnheard = 3
+	// listedIn is how long a box that restarts waits to learn how many others there are
+	// before it reads all for itself; some 0.05 s in calm. That many did so at once, as
+	// all of 300 were killed, held up the store for their writes too.
+	listedIn = 400 * time.Millisecond
 	// coldMost bounds the wait at a cold start until the other boxes are known.
 	coldMost = 3 * time.Second
 	// hubFirst and hubMost bound a hub's waits between failed calls: it has to be
@@ -56,8 +71,10 @@
 
 // Boxes is what is known of the boxes.
 type Boxes interface {
-	// Known tells whether this box has read who the others are.
+	// Known tells whether this box has joined the others, and read who they are.
 	Known() bool
+	// Listed tells whether it has read who the others were, joined or not.
+	Listed() bool
 	// Reads tells whether this box reads for others.
 	Reads() bool
 	// Count returns how many boxes there are.
@@ -66,6 +83,8 @@
 	AllRead() bool
 	// HubHeard returns when a hub last answered.
 	HubHeard() time.Time
+	// Crowded tells whether boxes are too many for each to call all hubs.
+	Crowded() bool
 	// Promised returns when a hub last said that it tells all later.
 	Promised() time.Time
 }
@@ -74,7 +93,8 @@
 type Reading struct {
 	boxes  Boxes
 	age    func(now time.Time) (age time.Duration, known bool)
-	until  time.Time // a cold start ends
+	start  time.Time
+	until  time.Time // a cold start ends; zero if it is none
 	spread time.Duration
 	told   time.Duration // to wait, at first, to be told
 
@@ -86,30 +106,94 @@
 // start, when all boxes start together, it waits until they know each other:
 // until then each would take itself for a hub.
 func New(boxes Boxes, age func(now time.Time) (time.Duration, bool), cold bool, random *rand.Rand) *Reading {
-	r := &Reading{boxes: boxes, age: age, spread: time.Duration(random.Int64N(int64(spread))), told: firstTold}
+	r := &Reading{start: time.Now(), boxes: boxes, age: age, spread: time.Duration(random.Int64N(int64(spread))), told: firstTold}
 	if cold {
-		r.until = time.Now().Add(coldMost)
+		r.until = r.start.Add(coldMost)
 		r.told = firstToldCold
 	}
 	return r
 }
 
+// Reason is why a box reads.
+type Reason string
+
+// The reasons to read; None where others tell.
+const (
+	None     Reason = ""
+	Reader   Reason = "reader"   // it reads for others
+	Untold   Reason = "untold"   // it knows nothing, and was not told in time
+	Unjoined Reason = "unjoined" // it does not know the other boxes
+	Unheard  Reason = "unheard"  // no hub answers
+	Old      Reason = "old"      // the hubs tell what is old
+)
+
 // Needed implements follow.Need: it tells whether this box is to read now.
-func (r *Reading) Needed(now time.Time) bool {
+func (r *Reading) Needed(now time.Time) bool { return r.Reason(now) != None }
+
+// Reason returns why this box is to read now.
+func (r *Reading) Reason(now time.Time) Reason {
 	age, known := r.age(now)
+	reads := r.boxes.Reads()
+	silent := now.Sub(r.boxes.HubHeard()) > unheard
+	joined := r.boxes.Known() || !silent && r.until.IsZero() && r.boxes.Crowded() // joining takes many a second
 	switch {
-	case !known && r.boxes.Known():
-		waited := now.Sub(r.since(now))
-		promised := now.Sub(r.boxes.Promised()) <= unheard && waited < promisedMost
-		return r.boxes.Reads() || waited >= r.told && !promised
+	case !joined && known:
+		return Unjoined.when(age > unheard)
+	case !joined:
+		return r.unjoined(now)
+	case !known && reads:
+		return Reader
 	case !known:
-		return now.After(r.until)
-	case !r.boxes.Known(), now.Sub(r.boxes.HubHeard()) > unheard && !r.boxes.Reads():
-		return age > unheard
+		return Untold.when(r.first(now))
+	case silent && !reads:
+		return Unheard.when(age > unheard+r.crowds(crowdUnheard))
+	case reads:
+		return Reader
+	}
+	return Old.when(age > told+r.spread)
+}
+
+// when returns the reason if it holds.
+func (r Reason) when(holds bool) Reason {
+	if holds {
+		return r
+	}
+	return None
+}
+
+// unjoined returns why a box that knows nothing reads before it has joined the others.
+func (r *Reading) unjoined(now time.Time) Reason {
+	waited := now.Sub(r.start)
+	switch {
+	case !r.until.IsZero():
+		return Unjoined.when(now.After(r.until))
+	case !r.boxes.Listed():
+		return Unjoined.when(waited >= listedIn+r.spread)
+	case !r.boxes.Crowded():
+		return Unjoined
 	case r.boxes.Reads():
-		return true
+		return Reader
+	}
+	return Unjoined.when(waited >= crowdTold+r.crowds(crowdSpread))
+}
+
+// first tells whether a box that knows nothing yet is to read all for itself.
+func (r *Reading) first(now time.Time) bool {
+	waited := now.Sub(r.since(now))
+	told, most := r.told, promisedMost+r.crowds(crowdSpread)
+	if r.boxes.Crowded() {
+		told = max(told, crowdTold) + r.crowds(crowdSpread)
+	}
+	promised := now.Sub(r.boxes.Promised()) <= unheard && waited < most
+	return waited >= told && !promised
+}
+
+// crowds returns some times this box's spread in a crowd, and none otherwise.
+func (r *Reading) crowds(times int) time.Duration {
+	if !r.boxes.Crowded() {
+		return 0
 	}
-	return age > told+r.spread
+	return time.Duration(times) * r.spread
 }
 
 // since returns since when the boxes are known.
--- a/reading/reading_test.go
+++ b/reading/reading_test.go
@@ -15,6 +15,8 @@
 // boxes is what a test says of the boxes.
 type boxes struct {
 	known, reads    bool
+	crowded         bool
+	unlisted        bool // the others were never read
 	count           int
 	heard, promised time.Time
 }
@@ -22,6 +24,8 @@
 func (b boxes) Known() bool         { return b.known }
 func (b boxes) Reads() bool         { return b.reads }
 func (b boxes) Count() int          { return b.count }
+func (b boxes) Listed() bool        { return !b.unlisted }
+func (b boxes) Crowded() bool       { return b.crowded }
 func (b boxes) AllRead() bool       { return b.count <= 8 }
 func (b boxes) HubHeard() time.Time { return b.heard }
 func (b boxes) Promised() time.Time { return b.promised }
@@ -41,6 +45,12 @@
 		"a hub that knows nothing": {boxes: boxes{known: true, reads: true}, age: never, want: true},
 		"a box that knows nothing": {boxes: boxes{known: true}, age: never},
 		"a box that restarts, the others not yet read": {age: never, want: true},
+		"it does not know yet how many they are":       {boxes: boxes{unlisted: true}, age: never, after: 300 * time.Millisecond},
+		"it cannot learn how many they are":            {boxes: boxes{unlisted: true}, age: never, after: 1300 * time.Millisecond, want: true},
+		"many restart, and have not joined":            {boxes: boxes{crowded: true}, heard: never, age: never, after: 3 * time.Second},
+		"many restart, and cannot join":                {boxes: boxes{crowded: true}, heard: never, age: never, after: 8100 * time.Millisecond, want: true},
+		"many restart, told before it has joined":      {boxes: boxes{crowded: true}, age: 2 * time.Second},
+		"many restart, a hub that reads":               {boxes: boxes{crowded: true, reads: true}, age: never, want: true},
 		"a cold start, the others not yet read":        {age: never, cold: true, after: time.Second},
 		"a cold start, the others cannot be read":      {age: never, cold: true, after: 3100 * time.Millisecond, want: true},
 		"a cold start, the others are known":           {boxes: boxes{known: true}, age: never, cold: true, after: time.Second},
@@ -102,6 +112,67 @@
 	}
 }
 
+// TestCrowd shows that the boxes of a crowd that hear no hub read one after the
+// other, none before the hubs can have started, and all before keys are refused.
+func TestCrowd(t *testing.T) {
+	tests := map[string]struct {
+		known    bool
+		from, to time.Duration // since the hubs were heard, or the boxes known
+		promised bool
+	}{
+		"knows nothing":               {from: 4 * time.Second, to: 8 * time.Second},
+		"knows nothing, but promised": {from: 6 * time.Second, to: 10 * time.Second, promised: true},
+		"knows all":                   {known: true, from: 800 * time.Millisecond, to: 3200 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				first, most, all := readersOf(tt.known, tt.promised, tt.to)
+				is.True(first >= tt.from)
+				is.True(most <= 30) // of a tenth of a second
+				is.Equal(all, 300)
+			})
+		})
+	}
+}
+
+// readersOf returns when the first of 300 boxes that hear no hub reads, how many more
+// do so within a tenth of a second, and how many do by a time.
+func readersOf(known, promised bool, until time.Duration) (first time.Duration, most, all int) {
+	start := time.Now()
+	b := &boxes{known: true, crowded: true, count: 300}
+	age := func(now time.Time) (time.Duration, bool) { return now.Sub(start), known }
+	random := rand.New(rand.NewPCG(1, 1))
+	var tables []*reading.Reading
+	for range 300 {
+		tables = append(tables, reading.New(b, age, false, random))
+	}
+	read := map[*reading.Reading]bool{}
+	for ; time.Since(start) <= until; time.Sleep(100 * time.Millisecond) {
+		if promised {
+			b.promised = time.Now()
+		}
+		more := needed(tables, read)
+		if len(read) == more { // none before
+			first = time.Since(start)
+		}
+		most = max(most, more)
+	}
+	return first, most, len(read)
+}
+
+// needed notes which tables are to be read by now, and returns how many are new.
+func needed(all []*reading.Reading, read map[*reading.Reading]bool) int {
+	before := len(read)
+	for _, r := range all {
+		if r.Needed(time.Now()) {
+			read[r] = true
+		}
+	}
+	return len(read) - before
+}
+
 func TestPace(t *testing.T) {
 	tests := map[string]struct {
 		boxes boxes
