admission: tell who has no chance at once, serve the late

Cause: a wait was forecast once, when a request came or was asked for anew, by the rate at which engines filled up; once they were full, it was held until its aim had passed, or, if it had come back, to 0.8 of its caller's patience, and then refused.

Change: who waits is judged again every 50 ms. Within a fifth of its aim a request is sent off if it cannot be in time; later, or once it has come back, it is refused only if it cannot be served before its caller leaves, by what its rank is given and by what engines free. It is served late else: after all that can be in time, and among them when its caller is about to leave, with an engine kept for it. A prompt larger than an engine's memory is told so at once, and one that is asked for anew counts once in the demand.

TestNoChance said that one that is back waits at an engine that never ends: now it is told at once, and one whose caller is patient enough waits.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -29,12 +29,16 @@
 	roundEvery = 10 * time.Millisecond
 	// looksMost bounds the work of one round: so many that find no room end it.
 	looksMost = 8
-	// decidePart of its aim is within what a request is refused whose wait is too
-	// long, so that it may be in time when it has come back. Later it waits on.
+	// decidePart of its aim is within what a request is refused that cannot be in
+	// time, so that it may be so when it has come back. Later it waits on: its answer
+	// is late either way, and a late one is worth more to its caller than none.
 	decidePart = 0.2
-	// patiencePart is the part of a caller's patience after which it is told that
-	// there is no room, so that the answer reaches it.
+	// patiencePart is the part of its caller's patience within which a request has to
+	// have room: the rest is for its prompt to be read.
 	patiencePart = 0.8
+	// judgeEvery is how often it is looked whether those who wait still have a chance:
+	// some times within what the shortest aims leave to decide in.
+	judgeEvery = 50 * time.Millisecond
 	// noAim stands for the aim of a request that has none.
 	noAim = time.Hour
 )
@@ -104,20 +108,16 @@
 	random  *rand.Rand
 	waiting []*waiter
 	next    *time.Timer // the next round; nil while nobody waits
+	judged  time.Time   // all who wait were, last
 	returns returns
-	demand  flow      // of newcomers
+	demand  *demand   // of newcomers
 	waited  time.Time // one that holds memory for long last found no room at once
 	wait    *forecast
 }
 
 // New returns an empty queue.
 func New(r ranking, l loads, p reading, random *rand.Rand, log *logrus.Entry) *Admission {
-	return &Admission{ranking: r, loads: l, reading: p, random: random, log: log, returns: returns{}, demand: flow{span: demandSpan}, wait: newForecast()}
-}
-
-// left is how long a request may still wait to be in time.
-func (a *Admission) left(now time.Time, ask Ask) time.Duration {
-	return ask.Arrived.Add(cmp.Or(ask.Aim, noAim)).Sub(now) - a.reading.Time(ask.Prompt)
+	return &Admission{ranking: r, loads: l, reading: p, random: random, log: log, returns: returns{}, demand: newDemand(), wait: newForecast()}
 }
 
 // short tells whether a request holds memory for not much longer than its
@@ -156,18 +156,22 @@
 	}
 }
 
-// enter takes a request in. One that has come just now, finds no room, and cannot be
-// expected to be in time is refused at once.
+// enter takes a request in. One that finds no room, and has no chance by the
+// forecast, is refused at once.
 func (a *Admission) enter(now time.Time, w *waiter) {
+	if memory := w.ask.Service.Engine.Memory; memory > 0 && w.ask.Prompt > memory {
+		a.line(now, w).Info("too_large")
+		w.settled <- outcome{err: refusal.New(refusal.TooLarge, "the prompt is larger than an engine's memory")}
+		return
+	}
 	r := newRound()
 	if len(a.ranked(now, r, w.ask)) == 0 {
 		w.settled <- outcome{err: noUpstream(w.ask)}
 		return
 	}
 	w.returns = a.returns.has(w.ask.Mark)
-	fresh := !w.returns && float64(now.Sub(w.ask.Arrived)) <= decidePart*float64(w.ask.Aim)
-	if fresh {
-		a.demand.passed(now, w.ask.Prompt)
+	if a.undecided(now, w) {
+		a.demand.came(now, w.ask)
 	}
 	a.waiting = append(a.waiting, w)
 	a.grant(now, r)
@@ -177,14 +181,8 @@
 	if !a.short(w.ask) {
 		a.waited = now
 	}
-	if !fresh {
-		return
-	}
-	leaves := a.leaves(w.ask, a.ranked(now, r, w.ask))
-	expected := a.wait.expects(now, a.rank(w.ask), a.ahead(now, w)+w.ask.Prompt, leaves)
-	if expected > a.left(now, w.ask) {
+	if a.hopeless(now, r, w, a.ahead(now, w)) {
 		a.drop(w)
-		a.sendOff(now, w, expected, leaves)
 	}
 }
 
@@ -201,26 +199,32 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(o *waiter) bool { return o == w })
 }
 
-// grant gives room to those who wait, in their order, as far as there is any.
+// grant gives room to those who wait, in their order, as far as there is any, and
+// ends the waits that are in vain.
 func (a *Admission) grant(now time.Time, r round) {
 	slices.SortStableFunc(a.waiting, func(x, y *waiter) int { return a.compare(now, x, y) })
 	looks := 0
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
-		if looks < looksMost {
-			if len(a.ranked(now, r, w.ask)) == 0 {
-				a.line(now, w).Info("no_upstream")
-				w.settled <- outcome{err: noUpstream(w.ask)}
-				return true
-			}
-			if g, ok := a.room(now, r, w.ask); ok {
-				a.give(now, w, g)
-				r.clear()
-				return true
-			}
-			looks++
+		if looks >= looksMost {
+			return false
 		}
-		return a.endure(now, r, w)
+		if len(a.ranked(now, r, w.ask)) == 0 {
+			a.line(now, w).Info("no_upstream")
+			w.settled <- outcome{err: noUpstream(w.ask)}
+			return true
+		}
+		if g, ok := a.room(now, r, w.ask); ok {
+			a.give(now, w, g)
+			r.clear()
+			return true
+		}
+		looks++
+		if a.overdue(now, w.ask) {
+			a.reserve(now, r, w.ask)
+		}
+		return false
 	})
+	a.judge(now, r)
 	if len(a.waiting) > 0 && a.next == nil {
 		a.next = time.AfterFunc(roundEvery, func() {
 			a.mu.Lock()
@@ -244,34 +248,15 @@
 	return tally.Load{Requests: 1, Tokens: ask.Prompt, Coming: ask.Answer, Prefill: ask.Prompt}
 }
 
-// endure ends the wait of a request that can no longer be in time: it is told to
-// come back, or, where it has done so already, waits on as long as its caller.
-func (a *Admission) endure(now time.Time, r round, w *waiter) (ended bool) {
-	if a.left(now, w.ask) >= 0 {
-		return false
-	}
-	if !w.returns {
-		a.sendOff(now, w, 0, a.leaves(w.ask, a.ranked(now, r, w.ask)))
-		return true
-	}
-	patience := time.Duration(patiencePart * float64(w.ask.Patience))
-	if patience == 0 || now.Sub(w.ask.Arrived) < patience {
-		return false
-	}
-	a.line(now, w).Info("given_up")
-	w.settled <- outcome{err: refusal.New(refusal.WaitTooLong, "no engine had room in time").WithRetryAfter(comeLeast)}
-	return true
-}
-
-// compare orders those who wait: what can still be in time first, the urgent
+// compare orders those who wait: what may wait on first goes last, the urgent
 // before the others, what holds memory for a moment before what holds it for long,
 // and then what has the least time left, whether it has come back or not.
 func (a *Admission) compare(now time.Time, x, y *waiter) int {
 	return cmp.Or(
-		first(a.left(now, y.ask) < 0, a.left(now, x.ask) < 0),
+		first(!a.outlasts(now, x.ask), !a.outlasts(now, y.ask)),
 		cmp.Compare(x.ask.Urgency, y.ask.Urgency),
 		first(a.short(x.ask), a.short(y.ask)),
-		cmp.Compare(a.left(now, x.ask), a.left(now, y.ask)),
+		cmp.Compare(a.due(now, x.ask), a.due(now, y.ask)),
 	)
 }
 
@@ -286,17 +271,6 @@
 	return 1
 }
 
-// ahead returns the tokens of prompts that go before a request that waits.
-func (a *Admission) ahead(now time.Time, w *waiter) int {
-	sum := 0
-	for _, o := range a.waiting {
-		if o != w && a.compare(now, o, w) < 0 {
-			sum += o.ask.Prompt
-		}
-	}
-	return sum
-}
-
 // line begins the log line of a decision.
 func (a *Admission) line(now time.Time, w *waiter) *logrus.Entry {
 	return a.log.WithFields(logrus.Fields{
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -67,12 +67,14 @@
 	return max(brief, long)
 }
 
-// expects returns how long a request waits behind so many tokens. A box that has
-// only begun to keep the queue goes by the tokens that engines free in a second.
+// young tells whether too little was given yet to go by.
+func (f *forecast) young(now time.Time) bool {
+	return f.began.IsZero() || now.Sub(f.began) < longSpan
+}
+
+// expects returns how long a request waits behind so many tokens, where its rank is
+// given leaves tokens a second at least.
 func (f *forecast) expects(now time.Time, r rank, tokens int, leaves float64) time.Duration {
-	rate := f.rate(now, r)
-	if f.began.IsZero() || now.Sub(f.began) < longSpan {
-		rate = max(rate, leaves)
-	}
+	rate := max(f.rate(now, r), leaves)
 	return min(seconds(float64(tokens)/max(rate, 1)), comeMost)
 }
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -61,8 +61,7 @@
 	}
 }
 
-// sendOff refuses a request and remembers it. expected is its wait by the forecast;
-// 0 if its time went by while it waited.
+// sendOff refuses a request and remembers it. expected is its wait by the forecast.
 func (a *Admission) sendOff(now time.Time, w *waiter, expected time.Duration, leaves float64) {
 	a.returns.forget(now)
 	after := a.comeBack(now, w.ask, leaves)
--- a/admission/room.go
+++ b/admission/room.go
@@ -40,12 +40,12 @@
 // engines: 0.017 of a day's worth with reclaimed engines and no crowd.
 func (a *Admission) room(now time.Time, r round, ask Ask) (Grant, bool) {
 	ranked, short := a.ranked(now, r, ask), a.short(ask)
-	if !short && !a.spare(ranked, ask, a.leaving(now, r, ask.Service.Name)) {
+	if !short && !a.overdue(now, ask) && !a.spare(ranked, ask, a.leaving(now, r, ask.Service.Name)) {
 		return Grant{}, false
 	}
 	best, least := -1, 0
 	for i, c := range ranked {
-		if c.Held || !a.fits(now, ask, c.Running, c.Upstream.Slots) {
+		if c.Held || !short && r.reserved[c.Upstream.ID] || !a.fits(now, ask, c.Running, c.Upstream.Slots) {
 			continue
 		}
 		if !short || now.Sub(a.waited) > waitedFor {
@@ -65,7 +65,8 @@
 // tokens that run at those that leave and move. Where a sixth of the engines leaves
 // at once, their runs need more than what is free; newcomers that took it would have
 // them, or each other, preempted, which costs a second of silence and a prompt read
-// anew. They wait for the engines that come: 0.02 to 0.04 of a day's worth there.
+// anew. They wait for the engines that come: 0.02 to 0.04 of a day's worth there. One
+// whose caller is about to leave does not.
 func (a *Admission) spare(ranked []choose.Choice, ask Ask, leaving int) bool {
 	if leaving == 0 || !ask.Service.Engine.Moves {
 		return true
--- a/admission/round.go
+++ b/admission/round.go
@@ -11,10 +11,12 @@
 type round struct {
 	ranked  map[string][]choose.Choice // upstreams in their order, by whom they are for
 	leaving map[string]int             // tokens that run at those that leave, by service
+
+	reserved map[string]bool // upstreams that are kept for who is overdue, in this round
 }
 
 func newRound() round {
-	return round{ranked: map[string][]choose.Choice{}, leaving: map[string]int{}}
+	return round{ranked: map[string][]choose.Choice{}, leaving: map[string]int{}, reserved: map[string]bool{}}
 }
 
 func (r round) clear() {
