shares: who asks for more than its share waits for the others

Cause: room was given by rank and time left alone, so that when one organisation crowded all were sent off alike.

Change: balance/shares keeps the work that organisations were given and refused over 4 s, fills up shares by what each asks for within its rank, and tells who asks for more. The keeper lets those go after the others, but never below half as often as all; what boxes give is told in gossip while room is short. On by edge.balance.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"petrelstep/balance/shares"
 	"petrelstep/choose"
 	"petrelstep/fleet"
 	"petrelstep/refusal"
@@ -45,20 +46,21 @@
 
 // Ask is a request that wants room. Values are immutable.
 type Ask struct {
-	Request  string
-	Box      string
-	Hall     string // of the box
-	Service  route.Service
-	Urgency  int // 0 goes first
-	Prompt   int // tokens
-	Answer   int // expected tokens
-	Arrived  time.Time
-	Aim      time.Duration // for the first event; 0 for none
-	Deadline time.Duration // since the request arrived; 0 for none
-	Patience time.Duration // the caller leaves so long after the request arrived; 0 if it does not
-	Mark     uint64        // what the tries of one request have in common
-	Avoid    []string
-	Regions  []string // the only ones that it may go to; none for any
+	Request      string
+	Box          string
+	Hall         string // of the box
+	Service      route.Service
+	Urgency      int // 0 goes first
+	Prompt       int // tokens
+	Answer       int // expected tokens
+	Arrived      time.Time
+	Aim          time.Duration // for the first event; 0 for none
+	Deadline     time.Duration // since the request arrived; 0 for none
+	Patience     time.Duration // the caller leaves so long after the request arrived; 0 if it does not
+	Organisation string        // whose it is; empty where the route is open to all
+	Mark         uint64        // what the tries of one request have in common
+	Avoid        []string
+	Regions      []string // the only ones that it may go to; none for any
 }
 
 // Grant is room at an upstream.
@@ -86,10 +88,20 @@
 	Time(tokens int) time.Duration
 }
 
+// Shares tells how organisations fare that compete for room.
+type Shares interface {
+	Gave(now time.Time, p shares.Party, work float64)
+	Refused(now time.Time, p shares.Party, work float64)
+	// Weigh works the shares out, from the work that waits too.
+	Weigh(now time.Time, waits map[shares.Party]float64)
+	Standing(p shares.Party) shares.Standing
+}
+
 type waiter struct {
-	ask     Ask
-	returns bool // it was refused before, and came back
-	settled chan outcome
+	ask      Ask
+	returns  bool            // it was refused before, and came back
+	standing shares.Standing // of its organisation
+	settled  chan outcome
 }
 
 type outcome struct {
@@ -102,6 +114,7 @@
 	ranking ranking
 	loads   loads
 	reading reading
+	shares  Shares // nil: they do not count
 	log     *logrus.Entry
 
 	mu      sync.Mutex
@@ -109,15 +122,16 @@
 	waiting []*waiter
 	next    *time.Timer // the next round; nil while nobody waits
 	judged  time.Time   // all who wait were, last
+	weighed time.Time   // shares were
 	returns returns
 	demand  *demand   // of newcomers
 	waited  time.Time // one that holds memory for long last found no room at once
 	wait    *forecast
 }
 
-// New returns an empty queue.
-func New(r ranking, l loads, p reading, random *rand.Rand, log *logrus.Entry) *Admission {
-	return &Admission{ranking: r, loads: l, reading: p, random: random, log: log, returns: returns{}, demand: newDemand(), wait: newForecast()}
+// New returns an empty queue. Shares are nil where they do not count.
+func New(r ranking, l loads, p reading, s Shares, random *rand.Rand, log *logrus.Entry) *Admission {
+	return &Admission{ranking: r, loads: l, reading: p, shares: s, random: random, log: log, returns: returns{}, demand: newDemand(), wait: newForecast()}
 }
 
 // short tells whether a request holds memory for not much longer than its
@@ -174,6 +188,7 @@
 		a.demand.came(now, w.ask)
 	}
 	a.waiting = append(a.waiting, w)
+	a.weigh(now, w)
 	a.grant(now, r)
 	if !slices.Contains(a.waiting, w) {
 		return
@@ -202,6 +217,7 @@
 // grant gives room to those who wait, in their order, as far as there is any, and
 // ends the waits that are in vain.
 func (a *Admission) grant(now time.Time, r round) {
+	a.weigh(now, nil)
 	slices.SortStableFunc(a.waiting, func(x, y *waiter) int { return a.compare(now, x, y) })
 	looks := 0
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
@@ -240,6 +256,9 @@
 	a.wait.gave(now, a.rank(w.ask), w.ask.Prompt)
 	a.ranking.Sent(now, w.ask.Service, g.Upstream)
 	a.loads.Promise(now, w.ask.Box, g.Upstream.ID, loadOf(w.ask))
+	if a.shares != nil {
+		a.shares.Gave(now, w.ask.party(), a.Work(w.ask))
+	}
 	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load}).Info("admitted")
 	w.settled <- outcome{grant: g}
 }
@@ -249,13 +268,16 @@
 }
 
 // compare orders those who wait: what may wait on first goes last, the urgent
-// before the others, what holds memory for a moment before what holds it for long,
-// and then what has the least time left, whether it has come back or not.
+// before the others but for the starved, what holds memory for a moment before what
+// holds it for long, those who ask for less than their share before others, and then what has the
+// least time left, whether it has come back or not.
 func (a *Admission) compare(now time.Time, x, y *waiter) int {
 	return cmp.Or(
 		first(!a.outlasts(now, x.ask), !a.outlasts(now, y.ask)),
+		first(x.standing.Starved, y.standing.Starved),
 		cmp.Compare(x.ask.Urgency, y.ask.Urgency),
 		first(a.short(x.ask), a.short(y.ask)),
+		cmp.Compare(a.turn(now, x), a.turn(now, y)),
 		cmp.Compare(a.due(now, x.ask), a.due(now, y.ask)),
 	)
 }
@@ -273,7 +295,14 @@
 
 // line begins the log line of a decision.
 func (a *Admission) line(now time.Time, w *waiter) *logrus.Entry {
-	return a.log.WithFields(logrus.Fields{
+	line := a.log
+	if a.shares != nil {
+		s := w.standing
+		line = line.WithFields(logrus.Fields{
+			"organisation": w.ask.Organisation, "share": int(s.Share), "given_work": int(s.Given), "owed": int(s.Owed()), "over": s.Over, "starved": s.Starved,
+		})
+	}
+	return line.WithFields(logrus.Fields{
 		"request": w.ask.Request, "for": w.ask.Box, "urgency": w.ask.Urgency, "prompt": w.ask.Prompt, "answer": w.ask.Answer,
 		"waited_ms": now.Sub(w.ask.Arrived).Milliseconds(), "left_ms": a.left(now, w.ask).Milliseconds(), "returns": w.returns,
 		"waiting": len(a.waiting), "read_ms": a.reading.Time(w.ask.Prompt).Milliseconds(),
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/admission"
+	"petrelstep/balance/shares"
 	"petrelstep/choose"
 	"petrelstep/fleet"
 	"petrelstep/logs"
@@ -45,7 +46,10 @@
 	back    map[string]time.Duration
 }
 
-func newWorld(engines int) *world {
+func newWorld(engines int) *world { return newWorldOf(engines, nil) }
+
+// newWorldOf returns a world of organisations that fare so.
+func newWorldOf(engines int, s admission.Shares) *world {
 	f := fleet.New(time.Second)
 	var list []fleet.Upstream
 	for i := range engines {
@@ -55,7 +59,7 @@
 	w := &world{fleet: f, tally: tally.New(), back: map[string]time.Duration{}}
 	chooser := choose.New(choose.Parts{Fleet: f, Tally: w.tally, Reliability: reliability.New(), Reading: prefill.New(), Hall: "leith", Random: rand.New(rand.NewPCG(1, 1))})
 	w.chooser = chooser
-	w.Admission = admission.New(chooser, w.tally, prefill.New(), rand.New(rand.NewPCG(1, 2)), logs.New(io.Discard, "info", "b"))
+	w.Admission = admission.New(chooser, w.tally, prefill.New(), s, rand.New(rand.NewPCG(1, 2)), logs.New(io.Discard, "info", "b"))
 	return w
 }
 
@@ -311,6 +315,76 @@
 	}
 }
 
+// fares gives organisations fixed standings.
+type fares map[string]shares.Standing
+
+func (fares) Gave(time.Time, shares.Party, float64)     {}
+func (fares) Refused(time.Time, shares.Party, float64)  {}
+func (fares) Weigh(time.Time, map[shares.Party]float64) {}
+func (f fares) Standing(p shares.Party) shares.Standing { return f[p.Organisation] }
+
+// TestTurns lets requests of two organisations wait for an engine that is full, and
+// then ends what runs there.
+func TestTurns(t *testing.T) {
+	over, owed, bound := shares.Standing{Bound: true, Over: true}, shares.Standing{}, shares.Standing{Bound: true}
+	starved := shares.Standing{Bound: true, Starved: true}
+	tests := map[string]struct {
+		first, second shares.Standing
+		urgency       int           // of the first; the second's is 1
+		waited        time.Duration // by the first
+		want          []string
+	}{
+		"both ask for less than their share":    {owed, owed, 1, 0, []string{"a", "b"}},
+		"one asks for more":                     {bound, owed, 1, 0, []string{"b", "a"}},
+		"one was given more":                    {over, bound, 1, 0, []string{"b", "a"}},
+		"one was given more, but is urgent":     {over, owed, 0, 0, []string{"a", "b"}},
+		"the other is starved":                  {owed, starved, 0, 0, []string{"b", "a"}},
+		"one was given more, its caller leaves": {over, owed, 1, 5 * time.Second, []string{"a", "b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorldOf(1, fares{"first": tt.first, "second": tt.second})
+				runs := w.fill("e0", slots, 1000)
+				a, b := draft("a"), draft("b")
+				a.Organisation, a.Urgency, a.Arrived = "first", tt.urgency, a.Arrived.Add(-tt.waited)
+				b.Organisation, b.Urgency = "second", 1
+				var all sync.WaitGroup
+				for _, ask := range []admission.Ask{a, b} {
+					all.Go(func() { _ = w.ask(t.Context(), ask) }) // what came of it is in the order
+					synctest.Wait()
+					time.Sleep(60 * time.Millisecond) // shares are weighed
+				}
+				for _, r := range runs[:5] {
+					r.End()
+					time.Sleep(100 * time.Millisecond)
+				}
+				all.Wait()
+				is.New(t).Equal(w.order, tt.want)
+			})
+		})
+	}
+}
+
+// TestOverShare shows that an organisation that asks for more than its share is told
+// so.
+func TestOverShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorldOf(1, fares{"crowd": {Bound: true, Over: true}})
+		w.fill("e0", slots, 30000)
+		waits := draft("a")
+		waits.Patience, waits.Aim = time.Minute, time.Minute
+		go func() { _ = w.ask(t.Context(), waits) }() // until the test ends
+		synctest.Wait()
+		ask := draft("b")
+		ask.Organisation = "crowd"
+		var refused refusal.Refusal
+		is.True(errors.As(w.ask(t.Context(), ask), &refused))
+		is.Equal(refused.Reason(), refusal.OverShare)
+	})
+}
+
 // TestNoChance shows that a request that cannot be in time is told so at once,
 // and when to come back; those who come back are spread, and are not sent off
 // once more.
--- a/admission/chance.go
+++ b/admission/chance.go
@@ -152,6 +152,7 @@
 	if expected <= may {
 		return false
 	}
+	a.refused(now, w)
 	if w.returns {
 		a.giveUp(now, w, expected)
 		return true
@@ -174,5 +175,14 @@
 // giveUp ends the wait of a request that has come back and cannot be served.
 func (a *Admission) giveUp(now time.Time, w *waiter, expected time.Duration) {
 	a.line(now, w).WithField("expected_ms", expected.Milliseconds()).Info("given_up")
-	w.settled <- outcome{err: refusal.New(refusal.WaitTooLong, "no engine has room before the caller leaves").WithRetryAfter(comeLeast)}
+	w.settled <- outcome{err: refusal.New(reasonOf(w), "no engine has room before the caller leaves").WithRetryAfter(comeLeast)}
+}
+
+// reasonOf tells why a request has no room: others wait that go before it, or its
+// organisation asks for more than its share.
+func reasonOf(w *waiter) refusal.Reason {
+	if w.standing.Bound {
+		return refusal.OverShare
+	}
+	return refusal.WaitTooLong
 }
--- a/admission/crowd_test.go
+++ b/admission/crowd_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/admission"
+	"petrelstep/balance/shares"
 	"petrelstep/choose"
 	"petrelstep/fleet"
 	"petrelstep/logs"
@@ -73,6 +75,11 @@
 	load  float64 // times the usual requests all the time, in a wave of a quarter in 11 s; 0 for once, even
 	away  bool    // a sixth of the engines takes nothing new, for 4 s by turns
 	queue bool    // else each box sends straight to the engine that looks emptiest
+
+	crowds  float64 // times the usual requests of the large organisation from 6 to 15 s
+	shares  bool    // the keeper knows shares of organisations
+	seed    uint64
+	urgency int // of the large organisation's drafts; that of others' is 1
 }
 
 type crowdEngineRun struct {
@@ -137,6 +144,7 @@
 	keeper   *admission.Admission
 
 	fleet *fleet.Fleet
+	began time.Time
 
 	mu      sync.Mutex
 	worth   float64
@@ -144,13 +152,62 @@
 	sentOff int       // at once
 	inVain  int       // had waited
 	held    []float64 // waits that ended refused, in parts of the aim
+	drafts  map[string]*fate
+}
+
+// fate is what becomes of one organisation's drafts that come while it is crowded.
+type fate struct {
+	asked   int
+	sentOff int // at least once
+	served  int
+	waits   []time.Duration // for room
+}
+
+func (f *fate) wait(part float64) time.Duration {
+	slices.Sort(f.waits)
+	return f.waits[int(part*float64(len(f.waits)-1))]
+}
+
+func (f *fate) plus(o *fate) *fate {
+	return &fate{asked: f.asked + o.asked, sentOff: f.sentOff + o.sentOff, served: f.served + o.served, waits: append(f.waits, o.waits...)}
 }
 
+// many adds up the fates of all but the large organisation.
+func many(drafts map[string]*fate) *fate {
+	sum := &fate{}
+	for name, f := range drafts {
+		if name != large {
+			sum = sum.plus(f)
+		}
+	}
+	return sum
+}
+
+// The large organisation has a third of the requests, others the rest alike.
+const (
+	large  = "large"
+	others = 8
+)
+
+// organisation draws whose a request is.
+func (s scene) organisation(at time.Duration, random *rand.Rand) string {
+	part := max(s.crowds, 1)
+	if !s.crowded(at) {
+		part = 1
+	}
+	if random.Float64() < part/(part+2) {
+		return large
+	}
+	return fmt.Sprint("small", random.IntN(others))
+}
+
+func (s scene) crowded(at time.Duration) bool { return at > 6*time.Second && at < 15*time.Second }
+
 // parts is in how many halls the engines stand; one of them is away at a time.
 const parts = 6
 
 func newCrowd(s scene) *crowd {
-	c := &crowd{scene: s, engines: map[string]*crowdEngineRun{}}
+	c := &crowd{scene: s, engines: map[string]*crowdEngineRun{}, drafts: map[string]*fate{}}
 	f := fleet.New(time.Second)
 	var list []fleet.Upstream
 	for i := range crowdEngines {
@@ -170,10 +227,17 @@
 			Fleet: f, Tally: c.tallies[i], Reliability: reliability.New(), Reading: reading, Hall: "leith", Random: rand.New(rand.NewPCG(7, uint64(i))),
 		}))
 	}
-	c.keeper = admission.New(c.choosers[0], c.tallies[0], reading, rand.New(rand.NewPCG(7, 99)), logs.New(io.Discard, "info", "b0"))
+	c.keeper = admission.New(c.choosers[0], c.tallies[0], reading, c.shares(), rand.New(rand.NewPCG(7, 99)), logs.New(io.Discard, "info", "b0"))
 	return c
 }
 
+func (c *crowd) shares() admission.Shares {
+	if !c.scene.shares {
+		return nil
+	}
+	return shares.New(nil)
+}
+
 // place finds an engine for a request of a box, as its policy does.
 func (c *crowd) place(ctx context.Context, box int, ask admission.Ask) (string, error) {
 	if !c.scene.queue {
@@ -197,14 +261,19 @@
 // request is one request with its second try, where it is told to come back.
 func (c *crowd) request(ctx context.Context, id string, box int, ask admission.Ask, length int) {
 	worth := worthInTime
-	for try := range 2 {
+	f := c.fate(ask)
+	tries := 2
+	if c.scene.crowds > 0 && ask.Organisation == large {
+		tries = 4 // at once
+	}
+	for try := range tries {
 		ask.Request, ask.Arrived = fmt.Sprint(id, "/", try), time.Now()
 		patient, cancel := context.WithTimeout(ctx, ask.Patience)
 		engine, err := c.place(patient, box, ask)
 		cancel()
 		var refused refusal.Refusal
 		if errors.As(err, &refused) {
-			c.refused(ask)
+			c.refused(ask, try, f)
 		}
 		if errors.As(err, &refused) && try == 0 {
 			worth = worthBack
@@ -213,10 +282,16 @@
 				worth = worthLate
 				c.count(&c.inVain)
 			}
-			time.Sleep(refused.RetryAfter())
+			if tries == 2 {
+				time.Sleep(refused.RetryAfter())
+			}
+			continue
+		}
+		if err != nil && try+1 < tries && errors.As(err, &refused) {
 			continue
 		}
 		if err == nil {
+			c.admitted(ask, f)
 			c.serve(ctx, engine, box, ask, length, worth)
 		}
 		return
@@ -224,12 +299,39 @@
 }
 
 // refused notes how long a request was held before it was told that it has no room.
-func (c *crowd) refused(ask admission.Ask) {
+func (c *crowd) refused(ask admission.Ask, try int, f *fate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if try == 0 {
+		f.sentOff++
+	}
 	c.held = append(c.held, float64(time.Since(ask.Arrived))/float64(ask.Aim))
 }
 
+// fate returns where it is noted what becomes of a request.
+func (c *crowd) fate(ask admission.Ask) *fate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ask.Answer < 100 || !c.scene.crowded(ask.Arrived.Sub(c.began)) {
+		return &fate{} // of no interest
+	}
+	f, ok := c.drafts[ask.Organisation]
+	if !ok {
+		f = &fate{}
+		c.drafts[ask.Organisation] = f
+	}
+	f.asked++
+	return f
+}
+
+// admitted notes that a request has room.
+func (c *crowd) admitted(ask admission.Ask, f *fate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f.served++
+	f.waits = append(f.waits, time.Since(ask.Arrived))
+}
+
 func (c *crowd) count(n *int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -258,6 +360,9 @@
 	if at > 6*time.Second && at < 12*time.Second {
 		times *= max(s.burst, 1)
 	}
+	if s.crowded(at) {
+		times *= (max(s.crowds, 1) + 2) / 3
+	}
 	return times
 }
 
@@ -306,6 +411,7 @@
 	sentOff   float64   // at once; parts of those asked for
 	inVain    float64   // sent off after a wait
 	held      []float64 // waits that ended refused, in parts of the aim
+	drafts    map[string]*fate
 }
 
 // heldLong returns how many of the refused were held for more than heldMost.
@@ -332,11 +438,12 @@
 		if s.away {
 			engines.Go(func() { c.takeAway(ctx) })
 		}
-		random := rand.New(rand.NewPCG(11, 5))
-		for began := time.Now(); time.Since(began) < crowdFor; {
-			times := s.times(time.Since(began))
+		random := rand.New(rand.NewPCG(11, 5+s.seed))
+		c.began = time.Now()
+		for time.Since(c.began) < crowdFor {
+			times := s.times(time.Since(c.began))
 			time.Sleep(time.Duration(random.ExpFloat64() / (times * (draftsRate + checksRate)) * float64(time.Second)))
-			id, box := fmt.Sprint("r", time.Since(began)), random.IntN(crowdBoxes)
+			id, box := fmt.Sprint("r", time.Since(c.began)), random.IntN(crowdBoxes)
 			ask := admission.Ask{
 				Box: fmt.Sprint("b", box), Hall: "leith", Service: crowdService, Urgency: 1, Prompt: 2000 + random.IntN(2000), Answer: 900, Aim: aim,
 				Deadline: 39 * time.Second, Patience: 4 * aim, Mark: random.Uint64(),
@@ -345,6 +452,12 @@
 			if random.Float64() < checksRate/(draftsRate+checksRate) {
 				ask.Urgency, ask.Prompt, ask.Answer, ask.Aim, length = 0, 1200+random.IntN(2000), 12, 1500*time.Millisecond, 12
 			}
+			if s.crowds > 0 {
+				ask.Arrived, ask.Organisation = time.Now(), s.organisation(time.Since(c.began), random)
+			}
+			if ask.Organisation == large && ask.Answer > 100 {
+				ask.Urgency = s.urgency
+			}
 			c.asked++
 			all.Go(func() { c.request(ctx, id, box, ask, length) })
 		}
@@ -354,7 +467,7 @@
 		for _, e := range c.engines {
 			res.preempted += e.core.Preemptions()
 		}
-		res.worth, res.held = c.worth/c.asked, c.held
+		res.worth, res.held, res.drafts = c.worth/c.asked, c.held, c.drafts
 		res.sentOff, res.inVain = float64(c.sentOff-c.inVain)/c.asked, float64(c.inVain)/c.asked
 	})
 	return res
@@ -436,3 +549,65 @@
 	}
 	is.New(t).True(long <= refused*heldLong/100)
 }
+
+// seeds is how many plays a scene of organisations has: one has too few requests of
+// small ones.
+const seeds = 4
+
+// playAll plays a scene with several seeds, and adds up what becomes of drafts.
+func playAll(t *testing.T, s scene) (worth float64, drafts map[string]*fate) {
+	t.Helper()
+	drafts = map[string]*fate{}
+	for s.seed = range seeds {
+		r := play(t, s)
+		worth += r.worth / seeds
+		for name, f := range r.drafts {
+			sum := cmp.Or(drafts[name], &fate{})
+			drafts[name] = sum.plus(f)
+		}
+	}
+	f, l := many(drafts), drafts[large]
+	t.Logf("shares %v: worth %.3f; small: sent off %d of %d, served %d, wait %v, %v; large: sent off %d of %d, served %d, wait %v, %v", s.shares, worth,
+		f.sentOff, f.asked, f.served, f.wait(0.5), f.wait(0.9), l.sentOff, l.asked, l.served, l.wait(0.5), l.wait(0.9))
+	return worth, drafts
+}
+
+// TestShares lets one organisation, which has a third of the requests, crowd: four
+// times its requests, each repeated at once when it is refused. Who asks for more than
+// its share waits and is sent off, who does not fares as in calm, and no less is done.
+func TestShares(t *testing.T) {
+	tests := map[string]struct {
+		crowds float64
+		load   float64
+	}{
+		"four times, engines are half idle":   {crowds: 4, load: 1},
+		"four times, engines are nearly full": {crowds: 4, load: 1.5},
+		"eight times":                         {crowds: 8, load: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, drafts := playAll(t, scene{queue: true, shares: true, crowds: 1, load: tt.load, urgency: 1})
+			calm := many(drafts)
+			without, _ := playAll(t, scene{queue: true, crowds: tt.crowds, load: tt.load, urgency: 1})
+			worth, drafts := playAll(t, scene{queue: true, shares: true, crowds: tt.crowds, load: tt.load, urgency: 1})
+			f := many(drafts)
+			is.True(f.sentOff*20 <= f.asked)
+			is.True(f.wait(0.5) <= calm.wait(0.5)+200*time.Millisecond)
+			is.True(f.wait(0.9) <= calm.wait(0.9)+time.Second) // as the crowd has just filled 12 engines
+			is.True(worth >= 0.98*without)
+		})
+	}
+}
+
+// TestFloor lets an organisation crowd whose requests are more urgent than all others:
+// they go first, but each of the others is served half as often as all at least.
+func TestFloor(t *testing.T) {
+	is := is.New(t)
+	_, drafts := playAll(t, scene{queue: true, shares: true, crowds: 12, urgency: 0})
+	all := many(drafts).plus(drafts[large])
+	for name, f := range drafts {
+		t.Logf("%s served %d of %d", name, f.served, f.asked)
+		is.True(2*f.served*all.asked >= all.served*f.asked)
+	}
+}
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -33,6 +33,7 @@
 type sentOff struct {
 	back   time.Time
 	tokens int
+	bound  bool // its organisation asked for more than its share
 }
 
 func (r returns) has(mark uint64) bool {
@@ -43,11 +44,14 @@
 // came forgets a request that has room now.
 func (r returns) came(mark uint64) { delete(r, mark) }
 
-// tokens returns the memory that all that comes back will need.
-func (r returns) tokens() int {
+// tokens returns the memory that all that comes back will need before one whose
+// organisation asks for more than its share, or does not.
+func (r returns) tokens(bound bool) int {
 	sum := 0
 	for _, s := range r {
-		sum += s.tokens
+		if bound || !s.bound {
+			sum += s.tokens
+		}
 	}
 	return sum
 }
@@ -64,19 +68,20 @@
 // sendOff refuses a request and remembers it. expected is its wait by the forecast.
 func (a *Admission) sendOff(now time.Time, w *waiter, expected time.Duration, leaves float64) {
 	a.returns.forget(now)
-	after := a.comeBack(now, w.ask, leaves)
+	after := a.comeBack(now, w, leaves)
 	a.line(now, w).WithFields(logrus.Fields{
 		"expected_ms": expected.Milliseconds(), "given": int(a.wait.rate(now, a.rank(w.ask))), "leaves": int(leaves), "demand": int(a.demand.rate(now)), "returning": len(a.returns),
 		"back_ms": after.Milliseconds(),
 	}).Info("sent_off")
-	a.returns[w.ask.Mark] = sentOff{back: now.Add(after), tokens: w.ask.Prompt + w.ask.Answer}
-	w.settled <- outcome{err: refusal.New(refusal.WaitTooLong, "no engine has room in time").WithRetryAfter(after)}
+	a.returns[w.ask.Mark] = sentOff{back: now.Add(after), tokens: w.ask.Prompt + w.ask.Answer, bound: w.standing.Bound}
+	w.settled <- outcome{err: refusal.New(reasonOf(w), "no engine has room in time").WithRetryAfter(after)}
 }
 
 // comeBack is when a refused request may expect room: once all that was told to
 // come back before it has had what newcomers leave.
-func (a *Admission) comeBack(now time.Time, ask Ask, leaves float64) time.Duration {
-	before := float64(ask.Prompt + ask.Answer + a.returns.tokens())
+func (a *Admission) comeBack(now time.Time, w *waiter, leaves float64) time.Duration {
+	ask := w.ask
+	before := float64(ask.Prompt + ask.Answer + a.returns.tokens(w.standing.Bound))
 	after := comeMost
 	if left := max(leaves-a.demand.rate(now), leastLeft*leaves); left > 0 {
 		after = min(seconds(before/left), comeMost)
--- a/edge/admit.go
+++ b/edge/admit.go
@@ -31,6 +31,13 @@
 // no two boxes take the same room. One that is not heard is done without.
 func (e *Edge) Admit(ctx context.Context, ask admission.Ask) (admission.Grant, error) {
 	ask.Box, ask.Hall = e.config.Box, e.config.Hall
+	g, err := e.admitTo(ctx, ask)
+	e.sharing.ended(time.Now(), ask, e.admission.Work(ask), err)
+	return g, err
+}
+
+// admitTo returns an upstream that this box knows.
+func (e *Edge) admitTo(ctx context.Context, ask admission.Ask) (admission.Grant, error) {
 	for range admitTries {
 		g, err := e.admit(ctx, ask)
 		if err != nil {
@@ -89,7 +96,7 @@
 	err = e.peers.Repeat(call, keeper.Address, peer.Admit, wire.AdmitAsk{
 		Request: ask.Request, Box: ask.Box, Hall: ask.Hall, Service: ask.Service.Name, Urgency: ask.Urgency,
 		Prompt: ask.Prompt, Answer: ask.Answer, AimMs: int(ask.Aim.Milliseconds()), WaitedMs: int(time.Since(ask.Arrived).Milliseconds()),
-		DeadlineMs: int(ask.Deadline.Milliseconds()), PatienceMs: int(ask.Patience.Milliseconds()), Mark: strconv.FormatUint(ask.Mark, 36), Avoid: ask.Avoid, Regions: ask.Regions, WaitMs: int(admitWait.Milliseconds()),
+		DeadlineMs: int(ask.Deadline.Milliseconds()), PatienceMs: int(ask.Patience.Milliseconds()), Mark: strconv.FormatUint(ask.Mark, 36), Organisation: ask.Organisation, Avoid: ask.Avoid, Regions: ask.Regions, WaitMs: int(admitWait.Milliseconds()),
 	}, &answer)
 	switch {
 	case err != nil && ctx.Err() == nil:
@@ -119,7 +126,7 @@
 	g, ok, err := e.admission.Take(ctx, admission.Ask{
 		Request: ask.Request, Box: ask.Box, Hall: ask.Hall, Service: service, Urgency: ask.Urgency, Prompt: ask.Prompt,
 		Answer: ask.Answer, Arrived: time.Now().Add(-time.Duration(ask.WaitedMs) * time.Millisecond),
-		Aim: time.Duration(ask.AimMs) * time.Millisecond, Deadline: time.Duration(ask.DeadlineMs) * time.Millisecond, Patience: time.Duration(ask.PatienceMs) * time.Millisecond, Mark: mark, Avoid: ask.Avoid,
+		Aim: time.Duration(ask.AimMs) * time.Millisecond, Deadline: time.Duration(ask.DeadlineMs) * time.Millisecond, Patience: time.Duration(ask.PatienceMs) * time.Millisecond, Mark: mark, Organisation: ask.Organisation, Avoid: ask.Avoid,
 		Regions: ask.Regions,
 	})
 	var refused refusal.Refusal
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -101,6 +101,7 @@
 	peers       *peer.Peers
 	turns       *turns.Turns
 	admission   *admission.Admission
+	sharing     *sharing
 	budget      *retry.Budget
 	upstreams   *upstream.Client
 	relay       *relay.Relay
@@ -179,7 +180,8 @@
 		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
-	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
+	e.sharing = newSharing(e.config.Balances(wire.EdgeBalanceElemShares))
+	e.admission = admission.New(chooser, e.tally, reading, e.sharing.keeper(), rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
 		Budget: e.budget,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -48,7 +48,7 @@
 	e.telling(hub.Name, last)
 	return wire.Gossip{
 		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.tally.Own(),
-		Failures: e.reliability.Own(now), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
+		Failures: e.reliability.Own(now), Uses: e.sharing.own(now), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
 	}
 }
 
@@ -113,9 +113,11 @@
 	case wire.GossipScopeOwn:
 		e.tally.Told(now, a.Sender.Box, a.Tallies)
 		e.reliability.Told(now, a.Sender.Box, a.Failures)
+		e.sharing.told(now, a.Sender.Box, a.Uses)
 	case wire.GossipScopeAll:
 		e.tally.ToldSum(now, a.Tallies)
 		e.reliability.ToldSum(now, a.Failures)
+		e.sharing.toldSum(now, a.Uses)
 	}
 	e.hearFleet(now, a, sent)
 	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -25,6 +25,7 @@
 	QuotaTokens        Reason = "quota_tokens"
 	QueueFull          Reason = "queue_full"
 	WaitTooLong        Reason = "wait_too_long"
+	OverShare          Reason = "over_share"
 	Deadline           Reason = "deadline"
 	NoUpstream         Reason = "no_upstream"
 	UpstreamCold       Reason = "upstream_cold"
@@ -82,6 +83,7 @@
 	QuotaTokens:        {NotRun, http.StatusTooManyRequests},
 	QueueFull:          {NotRun, http.StatusServiceUnavailable},
 	WaitTooLong:        {NotRun, http.StatusServiceUnavailable},
+	OverShare:          {NotRun, http.StatusServiceUnavailable},
 	Deadline:           {NotRun, http.StatusServiceUnavailable},
 	NoUpstream:         {NotRun, http.StatusServiceUnavailable},
 	UpstreamCold:       {NotRun, http.StatusServiceUnavailable},
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -287,7 +287,7 @@
 		g, err := r.Admitter.Admit(ctx, admission.Ask{
 			Request: j.req.ID, Service: j.service, Urgency: j.urgency, Prompt: j.req.Prompt, Answer: j.left(0), Arrived: j.req.Arrived,
 			Aim: j.route.Aim, Deadline: j.deadline.Sub(j.req.Arrived), Patience: min(j.route.Patience, j.deadline.Sub(j.req.Arrived)),
-			Mark: j.mark(), Avoid: avoid, Regions: j.req.Regions,
+			Mark: j.mark(), Organisation: j.organisation, Avoid: avoid, Regions: j.req.Regions,
 		})
 		return g.Upstream, g.Load, err
 	}
--- a/told/told.go
+++ b/told/told.go
@@ -3,6 +3,7 @@
 package told
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -144,3 +145,18 @@
 		}
 	}
 }
+
+// All returns a copy of what the others have, by upstream.
+func (b *Book[T]) All(now time.Time) map[string]T {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.sum.fresh(now) && len(b.sum.list) > 0 {
+		return maps.Clone(b.sum.list)
+	}
+	b.lapse(now)
+	all := make(map[string]T, len(b.totals))
+	for upstream, t := range b.totals {
+		all[upstream] = t.sum
+	}
+	return all
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1794,6 +1794,9 @@
 	// What the sender has running.
 	Tallies []UpstreamTally `json:"tallies,omitempty,omitzero"`
 
+	// What the sender's callers were given and refused of late, while room is short.
+	Uses []OrganisationUse `json:"uses,omitempty,omitzero"`
+
 	// Configuration in force.
 	Version int `json:"version"`
 
@@ -1847,6 +1850,10 @@
 	// Changes of the fleet that the asker does not have.
 	Upstreams []UpstreamRecord `json:"upstreams,omitempty,omitzero"`
 
+	// What the callers of the boxes that the answer tells of were given and refused
+	// of late.
+	Uses []OrganisationUse `json:"uses,omitempty,omitzero"`
+
 	// Configuration in force; a box with an older one asks for it.
 	Version int `json:"version"`
 
@@ -1907,6 +1914,9 @@
 	if v, ok := raw["upstreams"]; !ok || v == nil {
 		plain.Upstreams = []UpstreamRecord{}
 	}
+	if v, ok := raw["uses"]; !ok || v == nil {
+		plain.Uses = []OrganisationUse{}
+	}
 	*j = GossipAnswer(plain)
 	return nil
 }
@@ -1975,6 +1985,9 @@
 	if v, ok := raw["tallies"]; !ok || v == nil {
 		plain.Tallies = []UpstreamTally{}
 	}
+	if v, ok := raw["uses"]; !ok || v == nil {
+		plain.Uses = []OrganisationUse{}
+	}
 	if v, ok := raw["whole_fleet"]; !ok || v == nil {
 		plain.WholeFleet = false
 	}
@@ -2722,6 +2735,49 @@
 	Weight int `json:"weight,omitempty,omitzero"`
 }
 
+// What an organisation's callers were given of late and refused, in token-seconds
+// on engines.
+type OrganisationUse struct {
+	// Given corresponds to the JSON schema field "given".
+	Given int `json:"given,omitempty,omitzero"`
+
+	// Organisation corresponds to the JSON schema field "organisation".
+	Organisation string `json:"organisation"`
+
+	// Each request once.
+	Refused int `json:"refused,omitempty,omitzero"`
+
+	// Of the requests; 0 goes first.
+	Urgency int `json:"urgency,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *OrganisationUse) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["organisation"]; raw != nil && !ok {
+		return fmt.Errorf("field organisation in OrganisationUse: required")
+	}
+	type Plain OrganisationUse
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["given"]; !ok || v == nil {
+		plain.Given = 0
+	}
+	if v, ok := raw["refused"]; !ok || v == nil {
+		plain.Refused = 0
+	}
+	if v, ok := raw["urgency"]; !ok || v == nil {
+		plain.Urgency = 0
+	}
+	*j = OrganisationUse(plain)
+	return nil
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Organisation) UnmarshalJSON(value []byte) error {
 	var raw map[string]interface{}
