--- a/admission/sharing.go
+++ b/admission/sharing.go
@@ -44,10 +44,11 @@
 
 // turn orders requests by how their organisations fare: those who ask for no more than
 // their share first, as what they do not take is the others', then those who have not
-// been given theirs yet. One whose caller is about to leave gives way to nobody.
+// been given theirs yet. One whose caller is about to leave gives way to nobody, nor does
+// one that holds memory for a moment: it takes what is too small for others.
 func (a *Admission) turn(now time.Time, w *waiter) int {
 	switch {
-	case !w.standing.Bound || a.overdue(now, w.ask):
+	case !w.standing.Bound || a.short(w.ask) || a.overdue(now, w.ask):
 		return 0
 	case !w.standing.Over:
 		return 1
