--- a/config/config_test.go
+++ b/config/config_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/config"
+	"petrelstep/wire"
 )
 
 const right = `{"box":"b1","hall":"leith","listen":{"callers":"127.0.0.1:1","admin":"127.0.0.1:2","peers":"127.0.0.1:3"},
@@ -74,3 +75,22 @@
 		})
 	}
 }
+
+// TestBalances shows which parts of the decisions under load are on.
+func TestBalances(t *testing.T) {
+	tests := map[string]struct {
+		edge *wire.Edge
+		want bool
+	}{
+		"no edge":   {nil, false},
+		"none":      {&wire.Edge{}, false},
+		"another":   {&wire.Edge{Balance: []wire.EdgeBalanceElem{wire.EdgeBalanceElemSpeeds}}, false},
+		"this part": {&wire.Edge{Balance: []wire.EdgeBalanceElem{wire.EdgeBalanceElemSpeeds, wire.EdgeBalanceElemShares}}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := config.Config{Settings: wire.Settings{Edge: tt.edge}}
+			is.New(t).Equal(c.Balances(wire.EdgeBalanceElemShares), tt.want)
+		})
+	}
+}
