shares: who asks for more counts only on what the others leave

Cause: requests of organisations that ask for more than their share were let wait by the room that all of their rank are given, and then passed by others that went on coming.

Change: to be in time they count on the part of the room that is left by those who ask for less.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -326,7 +326,7 @@
 // TestTurns lets requests of two organisations wait for an engine that is full, and
 // then ends what runs there.
 func TestTurns(t *testing.T) {
-	over, owed, bound := shares.Standing{Bound: true, Over: true}, shares.Standing{}, shares.Standing{Bound: true}
+	over, owed, bound := shares.Standing{Bound: true, Over: true, Part: 1}, shares.Standing{}, shares.Standing{Bound: true, Part: 1}
 	starved := shares.Standing{Bound: true, Starved: true}
 	tests := map[string]struct {
 		first, second shares.Standing
--- a/admission/chance.go
+++ b/admission/chance.go
@@ -140,7 +140,7 @@
 // before its caller leaves.
 func (a *Admission) hopeless(now time.Time, r round, w *waiter, ahead int) bool {
 	undecided := a.undecided(now, w)
-	expected, may := a.expects(now, r, w.ask, ahead, !undecided), last(now, w.ask)
+	expected, may := a.expects(now, r, w, ahead, !undecided), last(now, w.ask)
 	switch {
 	case undecided:
 		may = a.left(now, w.ask)
@@ -163,13 +163,14 @@
 
 // expects forecasts the wait of a request behind so many tokens of prompts, by what
 // its rank is given, or else by what engines free if that is more: where all filled
-// up at once, nothing ends for seconds, and then much does.
-func (a *Admission) expects(now time.Time, r round, ask Ask, ahead int, frees bool) time.Duration {
-	leaves := 0.0
+// up at once, nothing ends for seconds, and then much does. Of that, those who ask for
+// more than their share have only what the others leave, who go on coming.
+func (a *Admission) expects(now time.Time, r round, w *waiter, ahead int, frees bool) time.Duration {
+	ask, leaves := w.ask, 0.0
 	if frees || a.wait.young(now) {
 		leaves = a.leaves(ask, a.ranked(now, r, ask)) * float64(ask.Prompt) / float64(ask.Prompt+ask.Answer)
 	}
-	return a.wait.expects(now, a.rank(ask), ahead+ask.Prompt, leaves)
+	return a.wait.expects(now, a.rank(ask), ahead+ask.Prompt, leaves, a.part(now, w))
 }
 
 // giveUp ends the wait of a request that has come back and cannot be served.
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -73,8 +73,8 @@
 }
 
 // expects returns how long a request waits behind so many tokens, where its rank is
-// given leaves tokens a second at least.
-func (f *forecast) expects(now time.Time, r rank, tokens int, leaves float64) time.Duration {
-	rate := max(f.rate(now, r), leaves)
+// given leaves tokens a second at least, and it has a part of that.
+func (f *forecast) expects(now time.Time, r rank, tokens int, leaves, part float64) time.Duration {
+	rate := part * max(f.rate(now, r), leaves)
 	return min(seconds(float64(tokens)/max(rate, 1)), comeMost)
 }
--- a/admission/forecast_test.go
+++ b/admission/forecast_test.go
@@ -28,7 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newForecast()
 			tt.gave(f)
-			got := f.expects(now.Add(10*time.Second), draft, 10000, tt.leaves)
+			got := f.expects(now.Add(10*time.Second), draft, 10000, tt.leaves, 1)
 			t.Log(got)
 			is.New(t).True(got >= tt.least && got <= tt.most)
 		})
--- a/admission/sharing.go
+++ b/admission/sharing.go
@@ -56,6 +56,15 @@
 	return 2
 }
 
+// part returns what part of its rank's room a request may count on to be in time. One
+// that may also be late has what comes after the crowd.
+func (a *Admission) part(now time.Time, w *waiter) float64 {
+	if !a.undecided(now, w) || w.standing.Starved || a.turn(now, w) == 0 {
+		return 1
+	}
+	return w.standing.Part
+}
+
 // refused notes that an organisation's request was refused for the first time.
 func (a *Admission) refused(now time.Time, w *waiter) {
 	if a.shares != nil && !w.returns {
--- a/balance/shares/shares.go
+++ b/balance/shares/shares.go
@@ -40,6 +40,7 @@
 	Share   float64 // the work that it may be given within the span
 	Given   float64 // the work that it was given
 	Bound   bool    // it asks for more than its share
+	Part    float64 // of what its rank is given, what those have who ask for more
 	Over    bool    // it was given more than its share
 	Starved bool    // it is served less than floorPart as often as all
 }
@@ -100,9 +101,9 @@
 	decided book // by this box, for all
 	own     book // of this box's callers, by whomever
 	others  *told.Book[use]
-	short   time.Time       // someone was last refused or waited
-	levels  map[int]float64 // the work of one of weight 1 that is bound, by rank; none is
-	served  float64         // part of the work decided that was given
+	short   time.Time     // someone was last refused or waited
+	levels  map[int]level // by rank
+	served  float64       // part of the work decided that was given
 	demand  map[Party]use
 	waits   map[Party]float64
 }
@@ -161,7 +162,7 @@
 		ranks[p.Rank] = append(ranks[p.Rank], asker{weight: s.weight(p.Organisation), asks: asks})
 	}
 	s.served = sum.given / max(sum.given+sum.refused, leastWork)
-	s.levels = map[int]float64{}
+	s.levels = map[int]level{}
 	room := sum.given
 	for _, rank := range slices.Sorted(maps.Keys(ranks)) {
 		s.levels[rank] = fill(ranks[rank], room)
@@ -209,23 +210,29 @@
 	asks   float64
 }
 
+// level is up to what work each of a rank is given what it asks for.
+type level struct {
+	work float64 // of one of weight 1; infinite while all is served
+	part float64 // of the room, what those have who ask for more
+}
+
 // fill returns the level up to which each party is given what it asks for, by its
 // weight, so that all together take the room; what one does not ask for goes to the
 // others.
-func fill(list []asker, room float64) float64 {
-	weights := 0.0
+func fill(list []asker, room float64) level {
+	weights, all := 0.0, max(room, leastWork)
 	for _, a := range list {
 		weights += a.weight
 	}
 	slices.SortFunc(list, func(a, b asker) int { return cmp.Compare(a.asks*b.weight, b.asks*a.weight) })
 	for _, a := range list {
 		if a.asks*weights > room*a.weight {
-			return max(room, 0) / weights
+			return level{work: max(room, 0) / weights, part: max(room, 0) / all}
 		}
 		room -= a.asks
 		weights -= a.weight
 	}
-	return math.Inf(1)
+	return level{work: math.Inf(1), part: 1}
 }
 
 // Standing returns how a party fares, as of the last time that shares were worked out.
@@ -234,14 +241,16 @@
 	defer s.mu.Unlock()
 	u := s.demand[p]
 	asks := u.given + u.refused + s.waits[p]
-	bound := math.Inf(1)
-	if level, ok := s.levels[p.Rank]; ok {
-		bound = level * s.weight(p.Organisation)
+	l, ok := s.levels[p.Rank]
+	if !ok {
+		l = level{work: math.Inf(1), part: 1}
 	}
+	bound := l.work * s.weight(p.Organisation)
 	return Standing{
 		Share:   min(asks, bound),
 		Given:   u.given,
 		Bound:   asks > bound,
+		Part:    l.part,
 		Over:    u.given > bound,
 		Starved: u.refused > 0 && u.given < floorPart*s.served*(u.given+u.refused),
 	}
--- a/balance/shares/shares_test.go
+++ b/balance/shares/shares_test.go
@@ -52,13 +52,14 @@
 		bound   bool
 		over    bool
 		starved bool
+		part    float64 // of its rank's room, what those have who ask for more; 0 for any
 	}{
-		"all is served":                    {deeds: map[string]deed{"a": {given: 900}, "b": {given: 100}}, share: 900},
+		"all is served":                    {deeds: map[string]deed{"a": {given: 900}, "b": {given: 100}}, share: 900, part: 1},
 		"it asks for too much":             {deeds: map[string]deed{"a": {given: 900, refused: 600}, "b": {given: 100, waits: 100}}, share: 800, bound: true, over: true},
 		"another asks for too much":        {deeds: map[string]deed{"a": {given: 100, waits: 100}, "b": {given: 900, refused: 600}}, share: 200},
 		"both ask for too much":            {deeds: map[string]deed{"a": {given: 400, waits: 500}, "b": {given: 600, refused: 600}}, share: 500, bound: true},
 		"its weight is more":               {deeds: map[string]deed{"a": {given: 600, waits: 500}, "b": {given: 400, refused: 600}}, weight: heavy, share: 750, bound: true},
-		"what others leave is shared":      {deeds: map[string]deed{"a": {given: 500, waits: 900}, "b": {given: 400, waits: 900}, "c": {given: 100}}, share: 450, bound: true, over: true},
+		"what others leave is shared":      {deeds: map[string]deed{"a": {given: 500, waits: 900}, "b": {given: 400, waits: 900}, "c": {given: 100}}, share: 450, bound: true, over: true, part: 0.9},
 		"it has come just now":             {deeds: map[string]deed{"a": {waits: 100}, "b": {given: 900, refused: 600}}, share: 100},
 		"it is refused far more than all":  {deeds: map[string]deed{"a": {given: 10, refused: 90}, "b": {given: 900, refused: 100}}, share: 100, starved: true},
 		"it is refused little more":        {deeds: map[string]deed{"a": {given: 50, refused: 50}, "b": {given: 900, refused: 100}}, share: 100},
@@ -74,6 +75,7 @@
 			is.Equal(got.Bound, tt.bound)
 			is.Equal(got.Over, tt.over)
 			is.Equal(got.Starved, tt.starved)
+			is.True(tt.part == 0 || tt.part == got.Part)
 		})
 	}
 }
