--- a/admission/chance.go
+++ b/admission/chance.go
@@ -43,8 +43,8 @@
 	return a.left(now, ask) < 0 && a.due(now, ask) > time.Duration(latePart*float64(ask.Aim))
 }
 
-// overdue tells whether a late request has less than an aim left before its caller
-// leaves.
+// overdue tells whether a late request should have had room by now: its caller is
+// about to leave.
 func (a *Admission) overdue(now time.Time, ask Ask) bool {
 	return a.left(now, ask) < 0 && a.due(now, ask) < 0
 }
@@ -103,8 +103,8 @@
 	}
 }
 
-// compareLast orders those who wait by when their callers leave. Who is late gives
-// way to who can be in time, but has room before its caller leaves.
+// compareLast orders those who wait by when their callers leave, as all who are not
+// undecided have room before that: who is late gives way to others only until then.
 func (a *Admission) compareLast(now time.Time, x, y *waiter) int {
 	return cmp.Or(
 		cmp.Compare(x.ask.Urgency, y.ask.Urgency),
--- a/admission/sharing.go
+++ b/admission/sharing.go
@@ -10,6 +10,7 @@
 // room for one request in about as long.
 const weighEvery = 50 * time.Millisecond
 
+// party is whose shares a request counts for.
 func (a Ask) party() shares.Party { return shares.Party{Organisation: a.Organisation, Rank: a.Urgency} }
 
 // Work is the memory that a request is expected to hold times how long it does, in
