--- a/admission/sharing.go
+++ b/admission/sharing.go
@@ -57,13 +57,18 @@
 	return 2
 }
 
+// goOn is the part of what others take that they are expected to go on taking while a
+// request waits: a crowd ends as suddenly as it came. With none of it, of 1,460 drafts
+// 193 were let wait and late then, and 165 sent off; with all of it 32 and 353.
+const goOn = 0.5
+
 // part returns what part of its rank's room a request may count on to be in time. One
 // that may also be late has what comes after the crowd.
 func (a *Admission) part(now time.Time, w *waiter) float64 {
 	if !a.undecided(now, w) || w.standing.Starved || a.turn(now, w) == 0 {
 		return 1
 	}
-	return w.standing.Part
+	return 1 - goOn*(1-w.standing.Part)
 }
 
 // refused notes that an organisation's request was refused for the first time.
