--- a/admission/admission.go
+++ b/admission/admission.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"petrelstep/balance/shares"
 	"petrelstep/choose"
 	"petrelstep/fleet"
 	"petrelstep/refusal"
@@ -29,32 +30,37 @@
 	roundEvery = 10 * time.Millisecond
 	// looksMost bounds the work of one round: so many that find no room end it.
 	looksMost = 8
-	// decidePart of its aim is within what a request is refused whose wait is too
-	// long, so that it may be in time when it has come back. Later it waits on.
+	// decidePart of its aim is within what a request is refused that cannot be in
+	// time, so that it may be so when it has come back. Later it waits on: its answer
+	// is late either way, and a late one is worth more to its caller than none.
 	decidePart = 0.2
-	// patiencePart is the part of a caller's patience after which it is told that
-	// there is no room, so that the answer reaches it.
+	// patiencePart is the part of its caller's patience within which a request has to
+	// have room: the rest is for its prompt to be read.
 	patiencePart = 0.8
+	// judgeEvery is how often it is looked whether those who wait still have a chance:
+	// some times within what the shortest aims leave to decide in.
+	judgeEvery = 50 * time.Millisecond
 	// noAim stands for the aim of a request that has none.
 	noAim = time.Hour
 )
 
 // Ask is a request that wants room. Values are immutable.
 type Ask struct {
-	Request  string
-	Box      string
-	Hall     string // of the box
-	Service  route.Service
-	Urgency  int // 0 goes first
-	Prompt   int // tokens
-	Answer   int // expected tokens
-	Arrived  time.Time
-	Aim      time.Duration // for the first event; 0 for none
-	Deadline time.Duration // since the request arrived; 0 for none
-	Patience time.Duration // the caller leaves so long after the request arrived; 0 if it does not
-	Mark     uint64        // what the tries of one request have in common
-	Avoid    []string
-	Regions  []string // the only ones that it may go to; none for any
+	Request      string
+	Box          string
+	Hall         string // of the box
+	Service      route.Service
+	Urgency      int // 0 goes first
+	Prompt       int // tokens
+	Answer       int // expected tokens
+	Arrived      time.Time
+	Aim          time.Duration // for the first event; 0 for none
+	Deadline     time.Duration // since the request arrived; 0 for none
+	Patience     time.Duration // the caller leaves so long after the request arrived; 0 if it does not
+	Organisation string        // whose it is; empty where the route is open to all
+	Mark         uint64        // what the tries of one request have in common
+	Avoid        []string
+	Regions      []string // the only ones that it may go to; none for any
 }
 
 // Grant is room at an upstream.
@@ -82,10 +88,20 @@
 	Time(tokens int) time.Duration
 }
 
+// Shares tells how organisations fare that compete for room.
+type Shares interface {
+	Gave(now time.Time, p shares.Party, work float64)
+	Refused(now time.Time, p shares.Party, work float64)
+	// Weigh works the shares out, from the work that waits too.
+	Weigh(now time.Time, waits map[shares.Party]float64)
+	Standing(p shares.Party) shares.Standing
+}
+
 type waiter struct {
-	ask     Ask
-	returns bool // it was refused before, and came back
-	settled chan outcome
+	ask      Ask
+	returns  bool            // it was refused before, and came back
+	standing shares.Standing // of its organisation
+	settled  chan outcome
 }
 
 type outcome struct {
@@ -98,26 +114,24 @@
 	ranking ranking
 	loads   loads
 	reading reading
+	shares  Shares // nil: they do not count
 	log     *logrus.Entry
 
 	mu      sync.Mutex
 	random  *rand.Rand
 	waiting []*waiter
 	next    *time.Timer // the next round; nil while nobody waits
+	judged  time.Time   // all who wait were, last
+	weighed time.Time   // shares were
 	returns returns
-	demand  flow      // of newcomers
+	demand  *demand   // of newcomers
 	waited  time.Time // one that holds memory for long last found no room at once
 	wait    *forecast
 }
 
-// New returns an empty queue.
-func New(r ranking, l loads, p reading, random *rand.Rand, log *logrus.Entry) *Admission {
-	return &Admission{ranking: r, loads: l, reading: p, random: random, log: log, returns: returns{}, demand: flow{span: demandSpan}, wait: newForecast()}
-}
-
-// left is how long a request may still wait to be in time.
-func (a *Admission) left(now time.Time, ask Ask) time.Duration {
-	return ask.Arrived.Add(cmp.Or(ask.Aim, noAim)).Sub(now) - a.reading.Time(ask.Prompt)
+// New returns an empty queue. Shares are nil where they do not count.
+func New(r ranking, l loads, p reading, s Shares, random *rand.Rand, log *logrus.Entry) *Admission {
+	return &Admission{ranking: r, loads: l, reading: p, shares: s, random: random, log: log, returns: returns{}, demand: newDemand(), wait: newForecast()}
 }
 
 // short tells whether a request holds memory for not much longer than its
@@ -156,20 +170,25 @@
 	}
 }
 
-// enter takes a request in. One that has come just now, finds no room, and cannot be
-// expected to be in time is refused at once.
+// enter takes a request in. One that finds no room, and has no chance by the
+// forecast, is refused at once.
 func (a *Admission) enter(now time.Time, w *waiter) {
+	if memory := w.ask.Service.Engine.Memory; memory > 0 && w.ask.Prompt > memory {
+		a.line(now, w).Info("too_large")
+		w.settled <- outcome{err: refusal.New(refusal.TooLarge, "the prompt is larger than an engine's memory")}
+		return
+	}
 	r := newRound()
 	if len(a.ranked(now, r, w.ask)) == 0 {
 		w.settled <- outcome{err: noUpstream(w.ask)}
 		return
 	}
 	w.returns = a.returns.has(w.ask.Mark)
-	fresh := !w.returns && float64(now.Sub(w.ask.Arrived)) <= decidePart*float64(w.ask.Aim)
-	if fresh {
-		a.demand.passed(now, w.ask.Prompt)
+	if a.undecided(now, w) {
+		a.demand.came(now, w.ask)
 	}
 	a.waiting = append(a.waiting, w)
+	a.weigh(now, w)
 	a.grant(now, r)
 	if !slices.Contains(a.waiting, w) {
 		return
@@ -177,14 +196,8 @@
 	if !a.short(w.ask) {
 		a.waited = now
 	}
-	if !fresh {
-		return
-	}
-	leaves := a.leaves(w.ask, a.ranked(now, r, w.ask))
-	expected := a.wait.expects(now, a.rank(w.ask), a.ahead(now, w)+w.ask.Prompt, leaves)
-	if expected > a.left(now, w.ask) {
+	if a.hopeless(now, r, w, a.ahead(now, w)) {
 		a.drop(w)
-		a.sendOff(now, w, expected, leaves)
 	}
 }
 
@@ -201,26 +214,33 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(o *waiter) bool { return o == w })
 }
 
-// grant gives room to those who wait, in their order, as far as there is any.
+// grant gives room to those who wait, in their order, as far as there is any, and
+// ends the waits that are in vain.
 func (a *Admission) grant(now time.Time, r round) {
+	a.weigh(now, nil)
 	slices.SortStableFunc(a.waiting, func(x, y *waiter) int { return a.compare(now, x, y) })
 	looks := 0
 	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool {
-		if looks < looksMost {
-			if len(a.ranked(now, r, w.ask)) == 0 {
-				a.line(now, w).Info("no_upstream")
-				w.settled <- outcome{err: noUpstream(w.ask)}
-				return true
-			}
-			if g, ok := a.room(now, r, w.ask); ok {
-				a.give(now, w, g)
-				r.clear()
-				return true
-			}
-			looks++
+		if looks >= looksMost {
+			return false
+		}
+		if len(a.ranked(now, r, w.ask)) == 0 {
+			a.line(now, w).Info("no_upstream")
+			w.settled <- outcome{err: noUpstream(w.ask)}
+			return true
+		}
+		if g, ok := a.room(now, r, w.ask); ok {
+			a.give(now, w, g)
+			r.clear()
+			return true
 		}
-		return a.endure(now, r, w)
+		looks++
+		if a.overdue(now, w.ask) {
+			a.reserve(now, r, w.ask)
+		}
+		return false
 	})
+	a.judge(now, r)
 	if len(a.waiting) > 0 && a.next == nil {
 		a.next = time.AfterFunc(roundEvery, func() {
 			a.mu.Lock()
@@ -236,6 +256,9 @@
 	a.wait.gave(now, a.rank(w.ask), w.ask.Prompt)
 	a.ranking.Sent(now, w.ask.Service, g.Upstream)
 	a.loads.Promise(now, w.ask.Box, g.Upstream.ID, loadOf(w.ask))
+	if a.shares != nil {
+		a.shares.Gave(now, w.ask.party(), a.Work(w.ask))
+	}
 	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load}).Info("admitted")
 	w.settled <- outcome{grant: g}
 }
@@ -244,34 +267,18 @@
 	return tally.Load{Requests: 1, Tokens: ask.Prompt, Coming: ask.Answer, Prefill: ask.Prompt}
 }
 
-// endure ends the wait of a request that can no longer be in time: it is told to
-// come back, or, where it has done so already, waits on as long as its caller.
-func (a *Admission) endure(now time.Time, r round, w *waiter) (ended bool) {
-	if a.left(now, w.ask) >= 0 {
-		return false
-	}
-	if !w.returns {
-		a.sendOff(now, w, 0, a.leaves(w.ask, a.ranked(now, r, w.ask)))
-		return true
-	}
-	patience := time.Duration(patiencePart * float64(w.ask.Patience))
-	if patience == 0 || now.Sub(w.ask.Arrived) < patience {
-		return false
-	}
-	a.line(now, w).Info("given_up")
-	w.settled <- outcome{err: refusal.New(refusal.WaitTooLong, "no engine had room in time").WithRetryAfter(comeLeast)}
-	return true
-}
-
-// compare orders those who wait: what can still be in time first, the urgent
-// before the others, what holds memory for a moment before what holds it for long,
-// and then what has the least time left, whether it has come back or not.
+// compare orders those who wait: what may wait on first goes last, the urgent
+// before the others but for the starved, what holds memory for a moment before what
+// holds it for long, those who ask for less than their share before others, and then what has the
+// least time left, whether it has come back or not.
 func (a *Admission) compare(now time.Time, x, y *waiter) int {
 	return cmp.Or(
-		first(a.left(now, y.ask) < 0, a.left(now, x.ask) < 0),
+		first(!a.outlasts(now, x.ask), !a.outlasts(now, y.ask)),
+		first(x.standing.Starved, y.standing.Starved),
 		cmp.Compare(x.ask.Urgency, y.ask.Urgency),
 		first(a.short(x.ask), a.short(y.ask)),
-		cmp.Compare(a.left(now, x.ask), a.left(now, y.ask)),
+		cmp.Compare(a.turn(now, x), a.turn(now, y)),
+		cmp.Compare(a.due(now, x.ask), a.due(now, y.ask)),
 	)
 }
 
@@ -286,20 +293,16 @@
 	return 1
 }
 
-// ahead returns the tokens of prompts that go before a request that waits.
-func (a *Admission) ahead(now time.Time, w *waiter) int {
-	sum := 0
-	for _, o := range a.waiting {
-		if o != w && a.compare(now, o, w) < 0 {
-			sum += o.ask.Prompt
-		}
-	}
-	return sum
-}
-
 // line begins the log line of a decision.
 func (a *Admission) line(now time.Time, w *waiter) *logrus.Entry {
-	return a.log.WithFields(logrus.Fields{
+	line := a.log
+	if a.shares != nil {
+		s := w.standing
+		line = line.WithFields(logrus.Fields{
+			"organisation": w.ask.Organisation, "share": int(s.Share), "given_work": int(s.Given), "owed": int(s.Owed()), "over": s.Over, "starved": s.Starved,
+		})
+	}
+	return line.WithFields(logrus.Fields{
 		"request": w.ask.Request, "for": w.ask.Box, "urgency": w.ask.Urgency, "prompt": w.ask.Prompt, "answer": w.ask.Answer,
 		"waited_ms": now.Sub(w.ask.Arrived).Milliseconds(), "left_ms": a.left(now, w.ask).Milliseconds(), "returns": w.returns,
 		"waiting": len(a.waiting), "read_ms": a.reading.Time(w.ask.Prompt).Milliseconds(),
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -34,19 +34,16 @@
 func (e *Edge) Heard(from wire.Gossip) wire.GossipAnswer {
 	now := time.Now()
 	e.heardBox(now, from.Sender, from.Leaving)
-	e.covers(from.Sender.Box, from.Counts, from.Covers)
 	e.hearDeparting(now, from.Departing)
-	e.tally.Told(now, from.Sender.Box, e.currentLoads(from.Tallies))
-	e.reliability.Told(now, from.Sender.Box, e.currentFailures(from.Failures))
+	e.hearWords(now, from.Sender.Box, wordsOf(from), from.Counts, from.Covers)
 	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		a.Tallies, a.Covers = e.tally.Part(now)
-		e.bornLoads(a.Tallies)
-		a.Failures, a.Hubs = e.bornFailures(e.reliability.Part(now)), e.hubRecords(now)
+		w, boxes := e.partWords(now)
+		w.answer(&a)
+		a.Covers, a.Hubs = boxes, e.hubRecords(now)
 	case wire.GossipScopeAll:
-		a.Tallies = e.bornLoads(e.tally.Without(now, from.Sender.Box))
-		a.Failures = e.bornFailures(e.reliability.Without(now, from.Sender.Box))
+		e.wordsWithout(now, from.Sender.Box).answer(&a)
 		a.Hubs = e.hubRecords(now)
 	}
 	e.answerCrowd(now, &a)
@@ -55,12 +52,6 @@
 	return a
 }
 
-// covers notes whose loads a box is about to tell.
-func (e *Edge) covers(box string, only bool, boxes int) {
-	e.tally.Covers(box, only, boxes)
-	e.reliability.Covers(box, only)
-}
-
 // answerCrowd tells how many boxes there are, and which hubs are alive, where boxes
 // do not call all hubs: by that they know whom to call, and which keeper to ask.
 func (e *Edge) answerCrowd(now time.Time, a *wire.GossipAnswer) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -117,6 +117,7 @@
 	peers       calls
 	turns       *turns.Turns
 	admission   *admission.Admission
+	sharing     *sharing
 	budget      *retry.Budget
 	upstreams   *upstream.Client
 	relay       *relay.Relay
@@ -202,7 +203,8 @@
 		Warmup: warm, Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
-	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
+	e.sharing = newSharing(e.config.Balances(wire.EdgeBalanceElemShares))
+	e.admission = admission.New(chooser, e.tally, reading, e.sharing.keeper(), rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
 		Budget: e.budget,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -68,9 +68,9 @@
 func (e *Edge) sayLoads(now time.Time, hub members.Box, g *wire.Gossip) {
 	switch {
 	case e.IsHub():
-		g.Tallies, g.Covers = e.tally.Part(now)
-		e.bornLoads(g.Tallies)
-		g.Failures = e.bornFailures(e.reliability.Part(now))
+		w, boxes := e.partWords(now)
+		w.say(g)
+		g.Covers = boxes
 		return
 	case e.members.Crowd(now) == nil:
 	case e.members.Nearest(now).Name != hub.Name:
@@ -78,7 +78,7 @@
 	default:
 		g.Counts = true
 	}
-	g.Tallies, g.Failures = e.bornLoads(e.tally.Own()), e.bornFailures(e.reliability.Own(now))
+	e.ownWords(now).say(g)
 }
 
 // wantsFleet tells whether a hub is to send the whole fleet to this box, which
@@ -163,12 +163,9 @@
 	e.hearFleet(now, a, sent) // which incarnations there are, before what is told of them
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		e.covers(a.Sender.Box, false, a.Covers)
-		e.tally.Told(now, a.Sender.Box, e.currentLoads(a.Tallies))
-		e.reliability.Told(now, a.Sender.Box, e.currentFailures(a.Failures))
+		e.hearWords(now, a.Sender.Box, wordsOfAnswer(a), false, a.Covers)
 	case wire.GossipScopeAll:
-		e.tally.ToldSum(now, e.currentLoads(a.Tallies))
-		e.reliability.ToldSum(now, e.currentFailures(a.Failures))
+		e.hearSums(now, wordsOfAnswer(a))
 	}
 	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
 }
--- /dev/null
+++ b/edge/words.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"time"
+
+	"petrelstep/wire"
+)
+
+// words are what boxes tell each other to be added up. A list that is off is empty.
+type words struct {
+	tallies  []wire.UpstreamTally
+	failures []wire.UpstreamFailures
+	uses     []wire.OrganisationUse
+}
+
+// ownWords returns this box's words.
+func (e *Edge) ownWords(now time.Time) words {
+	return words{
+		tallies:  e.bornLoads(e.tally.Own()),
+		failures: e.bornFailures(e.reliability.Own(now)),
+		uses:     e.sharing.own(now),
+	}
+}
+
+// partWords returns those of this box and of the boxes that tell it alone, for those
+// that do not hear them, and how many such boxes there are.
+func (e *Edge) partWords(now time.Time) (w words, boxes int) {
+	tallies, boxes := e.tally.Part(now)
+	return words{
+		tallies:  e.bornLoads(tallies),
+		failures: e.bornFailures(e.reliability.Part(now)),
+		uses:     e.sharing.part(now),
+	}, boxes
+}
+
+// wordsWithout returns those of all boxes but one, for that one.
+func (e *Edge) wordsWithout(now time.Time, box string) words {
+	return words{
+		tallies:  e.bornLoads(e.tally.Without(now, box)),
+		failures: e.bornFailures(e.reliability.Without(now, box)),
+		uses:     e.sharing.without(now, box),
+	}
+}
+
+// hearWords takes another box's words. only tells that the box tells this one alone,
+// covers how many boxes besides it the words are of.
+func (e *Edge) hearWords(now time.Time, box string, w words, only bool, covers int) {
+	e.tally.Covers(box, only, covers)
+	e.reliability.Covers(box, only)
+	e.sharing.covers(box, only)
+	e.tally.Told(now, box, e.currentLoads(w.tallies))
+	e.reliability.Told(now, box, e.currentFailures(w.failures))
+	e.sharing.told(now, box, w.uses)
+}
+
+// hearSums takes a hub's words of what all other boxes told.
+func (e *Edge) hearSums(now time.Time, w words) {
+	e.tally.ToldSum(now, e.currentLoads(w.tallies))
+	e.reliability.ToldSum(now, e.currentFailures(w.failures))
+	e.sharing.toldSum(now, w.uses)
+}
+
+func wordsOf(g wire.Gossip) words {
+	return words{tallies: g.Tallies, failures: g.Failures, uses: g.Uses}
+}
+
+func wordsOfAnswer(a wire.GossipAnswer) words {
+	return words{tallies: a.Tallies, failures: a.Failures, uses: a.Uses}
+}
+
+// say puts the words into a call.
+func (w words) say(g *wire.Gossip) {
+	g.Tallies, g.Failures, g.Uses = w.tallies, w.failures, w.uses
+}
+
+// answer puts the words into an answer.
+func (w words) answer(a *wire.GossipAnswer) {
+	a.Tallies, a.Failures, a.Uses = w.tallies, w.failures, w.uses
+}
