relay: never cut a first try for a second one

Cause: a request that may run twice was cut off at half its aim, and only then was the budget asked for the second try. Where it had none, the caller got 502 while its upstream was at work. A second try also went where all were busy.

Change: the second try starts beside the first, if the budget has one and an upstream has a place free by what is known; whichever is answered first is passed on. Unsafe requests are never sent beside. Whole answers of engines, which a queue gives room, wait for their first try.

Before, by TestBeside: five of nine cases fail (cut at 50 ms in place of an answer at 70 ms; sent to a second upstream though all were full).

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -25,6 +25,7 @@
 	RetryHomeGone     = "home_gone"
 	RetryIdempotent   = "idempotent_call"
 	RetryMoved        = "moved"
+	RetryBeside       = "beside"
 )
 
 // Changes of a hall.
@@ -35,7 +36,7 @@
 
 // RetryReasons lists every reason for a retry.
 func RetryReasons() []string {
-	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved}
+	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside}
 }
 
 // Metrics holds the instruments of one box.
@@ -53,6 +54,7 @@
 	moves    metric.Float64Histogram
 	dropped  metric.Int64Counter
 	halls    metric.Int64Counter
+	alone    metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -78,6 +80,7 @@
 	m.moves = b.histogram("petrelstep_move", "Time of a generation's move to another upstream, by outcome.")
 	m.dropped = b.counter("petrelstep_log_lines_dropped", "Log lines dropped because nobody read them.")
 	m.halls = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
+	m.alone = b.counter("petrelstep_second_tries_not_sent", "Second tries that were due and not sent, by reason.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -108,6 +111,11 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// NotBeside counts a second try that was due and not sent.
+func (m *Metrics) NotBeside(reason string) {
+	m.alone.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // Ended counts a request's ending.
 func (m *Metrics) Ended(e refusal.Ending) {
 	m.endings.Add(context.Background(), 1, metric.WithAttributes(attribute.String("ending", string(e))))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -249,49 +250,61 @@
 // send that may have arrived.
 func (r *Relay) send(ctx context.Context, j *job, after int) (*sent, error) {
 	for {
-		now := time.Now()
-		left := time.Until(j.deadline)
-		if left < leastLeft {
-			return nil, refusal.New(refusal.Deadline, "no time is left")
-		}
-		u, load, err := r.place(ctx, j)
-		j.waited += time.Since(now)
+		u, err := r.placed(ctx, j)
 		if err != nil {
 			return nil, err
 		}
-		j.log.WithFields(logrus.Fields{
-			"upstream": u.ID, "load": load, "left_ms": left.Milliseconds(), "waited_ms": time.Since(now).Milliseconds(), "try": len(j.tried) + 1,
-			"hall": u.Hall,
-		}).Info("sent")
 		s, err := r.sendTo(ctx, j, u, after, nil)
+		j.tried = append(j.tried, u.ID)
 		if err == nil {
-			j.tried = append(j.tried, u.ID)
 			return s, nil
 		}
-		var failed *exchange.FailedError
-		if !errors.As(err, &failed) || !failed.NotSent || len(j.passed) >= unreachedMost || ctx.Err() != nil {
-			j.tried = append(j.tried, u.ID)
+		if !notReached(err) || len(j.passed) >= unreachedMost || ctx.Err() != nil {
 			return nil, err
 		}
-		j.passed = append(j.passed, u.ID)
-		r.Metrics.Retried(metrics.RetryNeverStarted)
-		j.log.WithError(err).WithField("upstream", u.ID).Warn("not_reached")
+		r.notReached(j, u.ID, err)
+	}
+}
+
+// placed finds an upstream for a request that is about to be sent there.
+func (r *Relay) placed(ctx context.Context, j *job) (fleet.Upstream, error) {
+	now := time.Now()
+	left := time.Until(j.deadline)
+	if left < leastLeft {
+		return fleet.Upstream{}, refusal.New(refusal.Deadline, "no time is left")
+	}
+	u, load, err := r.place(ctx, j)
+	j.waited += time.Since(now)
+	if err != nil {
+		return u, err
 	}
+	j.log.WithFields(logrus.Fields{
+		"upstream": u.ID, "load": load, "left_ms": left.Milliseconds(), "waited_ms": time.Since(now).Milliseconds(), "try": len(j.tried) + 1,
+		"hall": u.Hall,
+	}).Info("sent")
+	return u, nil
+}
+
+// notReached notes that a try has not reached its upstream; it does not count.
+func (r *Relay) notReached(j *job, upstream string, err error) {
+	j.tried = slices.DeleteFunc(j.tried, func(id string) bool { return id == upstream })
+	j.passed = append(j.passed, upstream)
+	r.Metrics.Retried(metrics.RetryNeverStarted)
+	j.log.WithError(err).WithField("upstream", upstream).Warn("not_reached")
 }
 
 // place finds an upstream for a request; for one that an engine answers it waits
 // for room.
 func (r *Relay) place(ctx context.Context, j *job) (u fleet.Upstream, load float64, err error) {
-	avoid := append(append([]string{}, j.tried...), j.passed...)
 	if j.service.Engine != nil && r.Admitter != nil {
 		g, err := r.Admitter.Admit(ctx, admission.Ask{
 			Request: j.req.ID, Service: j.service, Urgency: j.urgency, Prompt: j.req.Prompt, Answer: j.left(0), Arrived: j.req.Arrived,
 			Aim: j.route.Aim, Deadline: j.deadline.Sub(j.req.Arrived), Patience: min(j.route.Patience, j.deadline.Sub(j.req.Arrived)),
-			Mark: j.mark(), Avoid: avoid, Regions: j.req.Regions,
+			Mark: j.mark(), Avoid: j.avoid(), Regions: j.req.Regions,
 		})
 		return g.Upstream, g.Load, err
 	}
-	want := choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: avoid, Regions: j.req.Regions}
+	want := j.want()
 	u, load, ok := r.Chooser.Choose(time.Now(), want)
 	switch {
 	case ok:
@@ -303,6 +316,14 @@
 	return u, 0, refusal.New(refusal.NoUpstream, "no upstream of "+j.service.Name).WithRetryAfter(comeLater)
 }
 
+// want is what an upstream is chosen for.
+func (j *job) want() choose.Want {
+	return choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: j.avoid(), Regions: j.req.Regions}
+}
+
+// avoid lists the upstreams that the request is not sent to again.
+func (j *job) avoid() []string { return append(append([]string{}, j.tried...), j.passed...) }
+
 // mark is what a request's tries have in common: who asks for what.
 func (j *job) mark() uint64 {
 	hash := fnv.New64a()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -41,6 +41,7 @@
 	notSent  bool
 	err      error
 	hang     bool // nothing comes until the sender gives up
+	takes    time.Duration
 	body     string
 	rest     string // of a long answer, after what is held
 	cutAfter error  // the body ends with this
@@ -67,6 +68,11 @@
 		<-ctx.Done()
 		return nil, &exchange.FailedError{Err: ctx.Err()}
 	}
+	select {
+	case <-time.After(r.takes):
+	case <-ctx.Done():
+		return nil, &exchange.FailedError{Err: ctx.Err()}
+	}
 	if r.err != nil {
 		return nil, &exchange.FailedError{NotSent: r.notSent, Err: r.err}
 	}
@@ -389,6 +395,64 @@
 	}
 }
 
+// TestBeside sends a second try at half the aim only where it may and can help, and
+// never cuts the first one for it.
+func TestBeside(t *testing.T) {
+	const before, after = 40 * time.Millisecond, 70 * time.Millisecond // half the aim is 50 ms
+	slow := 500 * time.Millisecond
+	tests := map[string]struct {
+		path   string
+		script []reply
+		spent  bool // the budget
+		busy   bool // all upstreams
+		sends  int
+		body   string
+		status int
+		took   time.Duration
+	}{
+		"answered before it is due":          {"/safe/", []reply{{takes: before, body: "1"}}, false, false, 1, "1", 200, before},
+		"no budget: the first goes on":       {"/safe/", []reply{{takes: after, body: "1"}}, true, false, 1, "1", 200, after},
+		"all busy: the first goes on":        {"/safe/", []reply{{takes: after, body: "1"}}, false, true, 1, "1", 200, after},
+		"the first answers first":            {"/safe/", []reply{{takes: after, body: "1"}, {takes: slow, body: "2"}}, false, false, 2, "1", 200, after},
+		"the second answers first":           {"/safe/", []reply{{takes: slow, body: "1"}, {takes: before, body: "2"}}, false, false, 2, "2", 200, 90 * time.Millisecond},
+		"the first breaks, the second runs":  {"/safe/", []reply{{takes: after, err: errReset}, {takes: slow, body: "2"}}, false, false, 2, "2", 200, 550 * time.Millisecond},
+		"the second is full, the first runs": {"/safe/", []reply{{takes: slow, body: "1"}, {status: 503, notRun: true}}, false, false, 2, "1", 200, slow},
+		"may not run twice":                  {"/unsafe2/", []reply{{takes: slow, body: "1"}}, false, false, 1, "1", 200, slow},
+		"its upstream hangs, no budget":      {"/safe/", []reply{{hang: true}}, true, false, 1, "", 0, time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, tt.script...)
+				if tt.spent {
+					w.relay.Budget = retry.NewBudget(0, 0)
+				}
+				others := 0
+				if tt.busy {
+					others = w.fill("plain")
+				}
+				began := time.Now()
+				c := w.serve(t.Context(), tt.path)
+				is.Equal(time.Since(began), tt.took)
+				is.Equal(c.body.String(), tt.body)
+				is.Equal(c.status, tt.status)
+				is.Equal(len(w.sender.sends), tt.sends)
+				is.Equal(len(w.tally.Own()), others)
+			})
+		})
+	}
+}
+
+// fill takes every place of a service's upstreams, and returns how many there are.
+func (w *world) fill(service string) (upstreams int) {
+	for _, u := range w.fleet.Serving(service) {
+		w.tally.Begin(u.ID, tally.Load{Requests: u.Slots})
+		upstreams++
+	}
+	return upstreams
+}
+
 // TestBudget shows that repeats are bounded where all fails.
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/exchange"
+	"petrelstep/fleet"
 	"petrelstep/metrics"
 	"petrelstep/refusal"
 )
@@ -17,67 +19,166 @@
 	// wholeMost is how much of an answer is held until all of it is there, so
 	// that a broken one is never begun; a plain answer has some KB.
 	wholeMost = 256 << 10
-	// waitPart is the part of the aim after which a request that may run twice
-	// is tried elsewhere: a hung upstream then costs half of the aim.
+	// waitPart is the part of the aim after which a request that may run twice is
+	// tried elsewhere beside its first try: where an upstream hangs, the other half is
+	// left for an answer in time.
 	waitPart = 0.5
 	copySize = 16 << 10
 )
 
 // outcome is what came of one send of a request with a whole answer.
 type outcome struct {
-	sent *sent
-	body []byte
-	more bool
-	err  error
+	upstream string
+	sent     *sent
+	body     []byte
+	more     bool
+	err      error
+}
+
+// race is a request with a whole answer whose tries may run beside each other.
+type race struct {
+	job      *job
+	outcomes chan outcome
+	cancels  []context.CancelFunc
+	running  int
 }
 
 // whole serves a request whose answer is no stream.
 func (r *Relay) whole(ctx context.Context, j *job, c exchange.Caller) {
-	var last outcome
+	race := &race{job: j, outcomes: make(chan outcome, max(j.route.Attempts, 1)+unreachedMost+1)}
+	last := r.run(ctx, race)
+	r.deliver(ctx, j, c, last)
+	race.giveUp()
+}
+
+// run sends until there is an answer or nothing more may be tried.
+func (r *Relay) run(ctx context.Context, race *race) outcome {
+	j := race.job
+	if err := r.begin(ctx, race); err != nil {
+		return outcome{err: err}
+	}
+	second := time.NewTimer(time.Duration(waitPart * float64(j.route.Aim)))
+	defer second.Stop()
 	for {
-		last = r.tryWhole(ctx, j, len(j.tried)+1 < j.route.Attempts)
-		if !r.again(ctx, j, last) {
-			break
-		}
-		if last.sent != nil {
-			last.sent.close()
+		select {
+		case <-second.C:
+			r.beside(ctx, race)
+		case o := <-race.outcomes:
+			race.running--
+			if race.running > 0 && retryReason(j, o) != "" {
+				o.drop()
+				continue // the other try may still be answered
+			}
+			if !r.next(ctx, race, o) {
+				return o
+			}
+			o.drop()
 		}
 	}
-	r.deliver(ctx, j, c, last)
 }
 
-// tryWhole sends once. Where another try may follow, it waits for the answer
-// only for a part of the aim.
-func (r *Relay) tryWhole(ctx context.Context, j *job, more bool) outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	if j.route.Repeatable && more {
-		late := time.AfterFunc(time.Duration(waitPart*float64(j.route.Aim)), cancel)
-		defer late.Stop()
+// next sends a request again after an outcome; false if it is not.
+func (r *Relay) next(ctx context.Context, race *race, o outcome) bool {
+	j := race.job
+	if notReached(o.err) && len(j.passed) < unreachedMost && ctx.Err() == nil {
+		r.notReached(j, o.upstream, o.err)
+	} else if !r.again(ctx, j, o) {
+		return false
+	}
+	err := r.begin(ctx, race)
+	if err != nil {
+		j.log.WithError(err).Info("not_sent_again")
 	}
-	s, err := r.send(ctx, j, exchange.NoEvent)
+	return err == nil
+}
+
+// begin places a request and sends it; its outcome comes by the race's channel.
+func (r *Relay) begin(ctx context.Context, race *race) error {
+	j := race.job
+	u, err := r.placed(ctx, j)
 	if err != nil {
+		return err
+	}
+	trying, cancel := context.WithCancel(ctx)
+	race.cancels = append(race.cancels, cancel)
+	race.running++
+	j.tried = append(j.tried, u.ID)
+	go func() { race.outcomes <- r.tryWhole(trying, j, u) }()
+	return nil
+}
+
+// beside sends a second try while the first runs on, if the budget has one and an
+// upstream has a place free. The first is not cut for it: it may be about to answer,
+// and what it did would be lost. Where all are busy the second would wait as long,
+// and others for it.
+func (r *Relay) beside(ctx context.Context, race *race) {
+	j := race.job
+	if !j.route.Repeatable || j.service.Engine != nil || len(j.tried) >= j.route.Attempts || time.Until(j.deadline) < leastLeft {
+		return
+	}
+	_, load, ok := r.Chooser.Choose(time.Now(), j.want())
+	why := "budget"
+	if !ok || load >= 1 {
+		why = "no_room"
+	}
+	if why == "no_room" || !r.Budget.Spend() {
+		r.Metrics.NotBeside(why)
+		j.log.WithFields(logrus.Fields{"why": why, "load": load, "tried": len(j.tried)}).Info("first_goes_on")
+		return
+	}
+	r.Metrics.Retried(metrics.RetryBeside)
+	j.log.WithFields(logrus.Fields{"why": metrics.RetryBeside, "tried": len(j.tried)}).Info("sent_again")
+	if err := r.begin(ctx, race); err != nil {
+		j.log.WithError(err).Info("not_sent_again")
+	}
+}
+
+// giveUp ends the tries that nobody waits for any more, and waits until they have
+// ended.
+func (race *race) giveUp() {
+	for _, cancel := range race.cancels {
 		cancel()
-		return outcome{err: err}
+	}
+	for range race.running {
+		o := <-race.outcomes
+		o.drop()
+	}
+}
+
+// drop closes an answer that is not passed on.
+func (o outcome) drop() {
+	if o.sent != nil {
+		o.sent.close()
+	}
+}
+
+// notReached tells whether a send failed before any of it went out.
+func notReached(err error) bool {
+	var failed *exchange.FailedError
+	return errors.As(err, &failed) && failed.NotSent
+}
+
+// tryWhole sends once and reads the whole answer.
+func (r *Relay) tryWhole(ctx context.Context, j *job, u fleet.Upstream) outcome {
+	s, err := r.sendTo(ctx, j, u, exchange.NoEvent, nil)
+	if err != nil {
+		return outcome{upstream: u.ID, err: err}
 	}
 	body, rest, err := s.answer.Body.All(wholeMost)
 	s.hung.Stop()
 	bad := err != nil || s.answer.Status == http.StatusOK && !s.answer.Whole
 	failed := bad || s.answer.NotRun || s.answer.Status >= http.StatusInternalServerError
-	r.Reliability.Record(time.Now(), s.upstream.ID, failed)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		r.Reliability.Record(time.Now(), u.ID, failed)
+	}
 	if bad {
 		s.close()
-		cancel()
 		if err == nil {
 			err = &SealError{}
 		}
-		return outcome{err: err}
-	}
-	closeSent := s.close
-	s.close = func() {
-		closeSent()
-		cancel()
+		return outcome{upstream: u.ID, err: err}
 	}
-	return outcome{sent: s, body: body, more: rest}
+	return outcome{upstream: u.ID, sent: s, body: body, more: rest}
 }
 
 // SealError says that an answer lacks its upstream's seal.
