--- a/wire/wire.go
+++ b/wire/wire.go
@@ -475,6 +475,9 @@
 	// The hub that tells it of all boxes' loads.
 	Nearest string `json:"nearest"`
 
+	// Plain services, where their places are shared out.
+	Places []PlacesView `json:"places,omitempty,omitzero"`
+
 	// It follows the store for all.
 	Reads bool `json:"reads"`
 
@@ -574,6 +577,9 @@
 	if v, ok := raw["halls"]; !ok || v == nil {
 		plain.Halls = []HallWord{}
 	}
+	if v, ok := raw["places"]; !ok || v == nil {
+		plain.Places = []PlacesView{}
+	}
 	*j = BoxView(plain)
 	return nil
 }
@@ -1788,6 +1794,9 @@
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
+	// Places corresponds to the JSON schema field "places".
+	Places []ServicePlaces `json:"places,omitempty,omitzero"`
+
 	// Sender corresponds to the JSON schema field "sender".
 	Sender BoxRecord `json:"sender"`
 
@@ -1832,6 +1841,9 @@
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
+	// Places corresponds to the JSON schema field "places".
+	Places []ServicePlaces `json:"places,omitempty,omitzero"`
+
 	// Sender corresponds to the JSON schema field "sender".
 	Sender BoxRecord `json:"sender"`
 
@@ -2937,6 +2949,66 @@
 	return nil
 }
 
+// What a box believes of a plain service; rates are requests a second.
+type PlacesView struct {
+	// Of all boxes.
+	AllAsked int `json:"all_asked"`
+
+	// Of this box.
+	Asked int `json:"asked"`
+
+	// What the upstreams can do.
+	Can int `json:"can"`
+
+	// Requests wait at the boxes.
+	Crowded bool `json:"crowded"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Mean share of the places that are taken.
+	UsePct int `json:"use_pct"`
+
+	// Requests that wait at this box.
+	Waiting int `json:"waiting"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PlacesView) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["all_asked"]; raw != nil && !ok {
+		return fmt.Errorf("field all_asked in PlacesView: required")
+	}
+	if _, ok := raw["asked"]; raw != nil && !ok {
+		return fmt.Errorf("field asked in PlacesView: required")
+	}
+	if _, ok := raw["can"]; raw != nil && !ok {
+		return fmt.Errorf("field can in PlacesView: required")
+	}
+	if _, ok := raw["crowded"]; raw != nil && !ok {
+		return fmt.Errorf("field crowded in PlacesView: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in PlacesView: required")
+	}
+	if _, ok := raw["use_pct"]; raw != nil && !ok {
+		return fmt.Errorf("field use_pct in PlacesView: required")
+	}
+	if _, ok := raw["waiting"]; raw != nil && !ok {
+		return fmt.Errorf("field waiting in PlacesView: required")
+	}
+	type Plain PlacesView
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = PlacesView(plain)
+	return nil
+}
+
 // The platform's services.
 type Platform struct {
 	// Address corresponds to the JSON schema field "address".
@@ -3414,6 +3486,36 @@
 	return nil
 }
 
+// What a box is asked for of a plain service.
+type ServicePlaces struct {
+	// Requests a second, in hundredths.
+	Asked int `json:"asked"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ServicePlaces) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["asked"]; raw != nil && !ok {
+		return fmt.Errorf("field asked in ServicePlaces: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in ServicePlaces: required")
+	}
+	type Plain ServicePlaces
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ServicePlaces(plain)
+	return nil
+}
+
 // Settings of one petrelstepd.
 type Settings struct {
 	// How long answers to unrepeatable calls are kept.
