balance/places: share plain upstreams out between boxes

Cause: each box sent to the upstream that looked least loaded by what it was told, up to half a second before. All were told the same, so that each upstream got between 0 and 119 requests in a quarter of a second in a burst, where 25 were its share; lines overflowed beside idle neighbours. No order, aim or organisation counted, since all requests stood in line at the upstreams.

--- /dev/null
+++ b/balance/places/places.go
@@ -0,0 +1,333 @@
+// Package places decides where requests for plain upstreams go, and when. The boxes
+// send at the same upstreams without asking each other: each draws upstreams at
+// random by what they can do, and sends no more than its part of what all can do
+// once the boxes together are asked for more.
+package places
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/choose"
+	"petrelstep/fleet"
+	"petrelstep/refusal"
+	"petrelstep/route"
+	"petrelstep/told"
+	"petrelstep/wire"
+)
+
+const (
+	// leastBack and mostBack bound when one that is sent off is to come back: sooner
+	// the line has not changed, later callers do not wait.
+	leastBack = 50 * time.Millisecond
+	mostBack  = 2 * time.Second
+	// backPart is the part of its time that a caller can wait before it comes back, so
+	// that enough is left to be served.
+	backPart = 3
+	// freshPart is the part of the aim within which being sent off costs a caller
+	// little: it can still be served as if it had come later.
+	freshPart = 4
+)
+
+// Outcomes of requests that could not be sent at once.
+const (
+	Waited  = "waited"
+	Refused = "refused"
+	Left    = "left" // its caller left, or its time was over
+)
+
+// Ranker knows the upstreams of a service.
+type Ranker interface {
+	// Ranked returns those that a request may go to, with what runs there.
+	Ranked(now time.Time, w choose.Want) []choose.Choice
+}
+
+// Shares knows who has had how much.
+type Shares interface {
+	// Over returns by how much an organisation is over its share of a service.
+	Over(now time.Time, service, organisation string) float64
+}
+
+// Counter counts what became of requests that had to wait or were refused.
+type Counter interface {
+	// Placed counts an outcome, and how long the request waited for it.
+	Placed(outcome string, waited time.Duration)
+}
+
+// Parts are what places work with.
+type Parts struct {
+	Ranker  Ranker
+	Failing func(now time.Time, upstream string) float64 // share of sends that failed of late
+	Shares  Shares                                       // nil: all organisations alike
+	Counter Counter
+	Hall    string // of the box
+	Random  *rand.Rand
+	Log     *logrus.Entry
+}
+
+// Places is safe for use by several goroutines.
+type Places struct {
+	Parts
+
+	mu       sync.Mutex // guards what follows and Random
+	services map[string]*service
+	others   *told.Book[demand]
+}
+
+// New returns places of a box that has met nothing yet.
+func New(parts Parts) *Places {
+	return &Places{Parts: parts, services: map[string]*service{}, others: told.New[demand]()}
+}
+
+// Ask is a request that wants a place.
+type Ask struct {
+	Request      string
+	Organisation string
+	Urgency      int // 0 goes first
+	Arrived      time.Time
+	Aim          time.Duration
+	Deadline     time.Time
+	Want         choose.Want
+}
+
+func (a Ask) aimAt() time.Time { return a.Arrived.Add(a.Aim) }
+
+// Take returns an upstream for a request as soon as it may be sent. The error is a
+// refusal.Refusal: then the request has not been sent anywhere.
+func (p *Places) Take(ctx context.Context, ask Ask) (choose.Choice, error) {
+	now := time.Now()
+	w, err := p.enter(now, ask)
+	if err != nil {
+		return choose.Choice{}, err
+	}
+	if w != nil {
+		if err := p.wait(ctx, w); err != nil {
+			return choose.Choice{}, err
+		}
+	}
+	return p.pick(time.Now(), ask)
+}
+
+// enter lets a request through, puts it in line or refuses it.
+func (p *Places) enter(now time.Time, ask Ask) (*waiter, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(now, ask.Want.Service)
+	s.ask(now, ask)
+	s.refill(now)
+	if !s.crowded() {
+		s.releaseAll()
+		return nil, nil
+	}
+	w := &waiter{ask: ask, service: s, released: make(chan error, 1)}
+	if p.Shares != nil {
+		w.over = p.Shares.Over(now, ask.Want.Service.Name, ask.Organisation)
+	}
+	if s.goesFirst(now, w) {
+		s.tokens--
+		return nil, nil
+	}
+	if reason, ok := late(now, w, s.waitOf(now, w), s.usual()); ok {
+		back := min(max(s.clears(), leastBack), mostBack)
+		p.refused(s, w, reason, now, back)
+		return nil, refusal.New(reason, "its place in line is too far back").WithRetryAfter(back)
+	}
+	s.waiting = append(s.waiting, w)
+	p.pump(now, s)
+	return w, nil
+}
+
+// late tells why a request is refused now that would wait for some time in line and
+// then be answered in some more.
+func late(now time.Time, w *waiter, wait, usual time.Duration) (refusal.Reason, bool) {
+	a, left := w.ask, w.ask.Deadline.Sub(now)
+	fresh := now.Sub(a.Arrived)+wait <= a.Aim/freshPart
+	inTime := !now.Add(wait + usual).After(a.aimAt())
+	switch {
+	case wait+usual > left:
+		return refusal.WaitTooLong, true
+	case fresh && inTime:
+		return "", false
+	}
+	returns := now.Sub(a.Arrived) <= a.Aim/freshPart && wait <= left/backPart && wait+a.Aim <= left
+	return refusal.WaitTooLong, returns
+}
+
+// wait waits in line.
+func (p *Places) wait(ctx context.Context, w *waiter) error {
+	began := time.Now()
+	select {
+	case err := <-w.released:
+		if err == nil {
+			p.Counter.Placed(Waited, time.Since(began))
+		}
+		return err
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	w.service.leave(w)
+	p.mu.Unlock()
+	p.Counter.Placed(Left, time.Since(began))
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return refusal.New(refusal.CallerGone, "the caller hung up while it waited for a place")
+	}
+	return refusal.New(refusal.Deadline, "no place in time")
+}
+
+// pump lets those go that may, the first in order first, refuses those that can no
+// longer be served, and sets a timer for the next.
+func (p *Places) pump(now time.Time, s *service) {
+	s.refill(now)
+	for _, w := range s.hopeless(now) {
+		p.refused(s, w, refusal.WaitTooLong, now, leastBack)
+		s.leave(w)
+		w.released <- refusal.New(refusal.WaitTooLong, "no place in time").WithRetryAfter(leastBack)
+	}
+	for s.tokens >= 1 && len(s.waiting) > 0 {
+		s.tokens--
+		s.releaseFirst(now)
+	}
+	if len(s.waiting) == 0 || s.timer {
+		return
+	}
+	s.timer = true
+	time.AfterFunc(min(s.next(), lookEvery), func() { p.again(s) })
+}
+
+// again pumps a service's line once more.
+func (p *Places) again(s *service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.timer = false
+	now := time.Now()
+	p.service(now, s.service)
+	if !s.crowded() {
+		s.releaseAll()
+		return
+	}
+	p.pump(now, s)
+}
+
+// Crowded tells whether requests for a service wait at the boxes.
+func (p *Places) Crowded(now time.Time, r route.Service) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service(now, r).crowded()
+}
+
+// refused logs and counts a refusal.
+func (p *Places) refused(s *service, w *waiter, reason refusal.Reason, now time.Time, back time.Duration) {
+	p.Counter.Placed(Refused, now.Sub(w.ask.Arrived))
+	s.fields(now, p.Log).WithFields(logrus.Fields{
+		"request": w.ask.Request, "reason": reason, "retry_after_ms": back.Milliseconds(), "aim_left_ms": w.ask.aimAt().Sub(now).Milliseconds(),
+	}).Info("place_refused")
+}
+
+// Answered notes how long an upstream took to answer a request.
+func (p *Places) Answered(now time.Time, ask Ask, upstream fleet.Upstream, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(now, ask.Want.Service)
+	u := s.upstream(upstream.ID)
+	u.own = max(u.own-1, 0)
+	s.answered(u, took, ask.Aim)
+}
+
+// Dropped notes that a request ended at an upstream that did not run it, or failed.
+func (p *Places) Dropped(ask Ask, upstream fleet.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.services[ask.Want.Service.Name]; ok {
+		u := s.upstream(upstream.ID)
+		u.own = max(u.own-1, 0)
+		s.tokens = min(s.tokens+1, saved) // it took no work
+	}
+}
+
+// service returns what is known of a service, no older than lookEvery.
+func (p *Places) service(now time.Time, r route.Service) *service {
+	s, ok := p.services[r.Name]
+	if !ok {
+		s = newService(now, r)
+		p.services[r.Name] = s
+	}
+	s.service = r
+	s.all = s.demand(now) + p.others.Of(now, r.Name).asked
+	if now.Sub(s.looked) >= lookEvery {
+		s.look(now, p.Ranker.Ranked(now, choose.Want{Service: r, All: true}), p.Hall, p.Failing)
+		p.note(now, s)
+	}
+	s.rate = s.part(now)
+	return s
+}
+
+// note logs that a crowd begins or ends.
+func (p *Places) note(now time.Time, s *service) {
+	if s.crowded() == s.wasCrowded {
+		return
+	}
+	s.wasCrowded = !s.wasCrowded
+	event := "places_enough"
+	if s.wasCrowded {
+		event = "places_crowded"
+	}
+	s.fields(now, p.Log).Info(event)
+}
+
+// View returns what this box believes of each service's places.
+func (p *Places) View(now time.Time) []wire.PlacesView {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []wire.PlacesView{}
+	for name, s := range p.services {
+		list = append(list, wire.PlacesView{
+			Service: name, Asked: int(s.asked.a(now)), AllAsked: int(s.all), Can: int(s.can * s.correction), UsePct: int(100 * s.use),
+			Waiting: len(s.waiting), Crowded: s.crowded(),
+		})
+	}
+	slices.SortFunc(list, func(a, b wire.PlacesView) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
+// Own returns what this box is asked for, for its peers.
+func (p *Places) Own(now time.Time) []wire.ServicePlaces { return listOf(p.own(now)) }
+
+func (p *Places) own(now time.Time) map[string]demand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := map[string]demand{}
+	for name, s := range p.services {
+		asked := s.demand(now)
+		if asked >= tellFrom {
+			list[name] = demand{asked: asked}
+		}
+		if asked < forgetBelow {
+			delete(p.services, name)
+		}
+	}
+	return list
+}
+
+// Without returns what all boxes but one are asked for, for that one.
+func (p *Places) Without(now time.Time, box string) []wire.ServicePlaces {
+	sum := p.own(now)
+	p.others.Without(now, box, sum)
+	return listOf(sum)
+}
+
+// Told takes another box's word of what it is asked for.
+func (p *Places) Told(now time.Time, box string, list []wire.ServicePlaces) {
+	p.others.Told(now, box, demandsOf(list))
+}
+
+// ToldSum takes a hub's word of what all other boxes are asked for.
+func (p *Places) ToldSum(now time.Time, list []wire.ServicePlaces) {
+	p.others.ToldSum(now, demandsOf(list))
+}
