relay, edge: take places of plain upstreams, where switched on

Whole answers of plain services go where balance/places says. A second try waits for no place: it is not sent in a crowd. Counter of waits by outcome.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -32,14 +32,16 @@
 	e.heardBox(now, from.Sender, from.Leaving)
 	e.tally.Told(now, from.Sender.Box, from.Tallies)
 	e.reliability.Told(now, from.Sender.Box, from.Failures)
+	e.toldPlaces(now, from.Sender.Box, from.Places)
 	e.hearDeparting(now, from.Departing)
 	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
 		a.Tallies, a.Failures, a.Hubs = e.tally.Own(), e.reliability.Own(now), e.hubRecords(now)
+		a.Places = e.ownPlaces(now)
 	case wire.GossipScopeAll:
 		a.Tallies, a.Failures = e.tally.Without(now, from.Sender.Box), e.reliability.Without(now, from.Sender.Box)
-		a.Hubs = e.hubRecords(now)
+		a.Hubs, a.Places = e.hubRecords(now), e.placesWithout(now, from.Sender.Box)
 	}
 	e.answerConfiguration(now, &a)
 	e.answerFleet(now, from, &a)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/admission"
+	"petrelstep/balance/places"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/config"
@@ -96,6 +97,7 @@
 	halls       *halls.Halls
 	tally       *tally.Tally
 	reliability *reliability.Reliability
+	places      *places.Places // nil unless switched on
 	runs        *runs.Runs
 	members     *members.Members
 	peers       *peer.Peers
@@ -179,9 +181,15 @@
 		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
+	if e.config.Balances(wire.EdgeBalanceElemPlaces) {
+		e.places = places.New(places.Parts{
+			Ranker: chooser, Failing: e.reliability.Failing, Counter: e.metrics, Hall: e.config.Hall, Log: e.log,
+			Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 4)),
+		})
+	}
 	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
-		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
+		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Places: e.places, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
 		Budget: e.budget,
 		Runs:   e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, ServeStale: s.ServeStale, Log: e.log,
 	})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -48,7 +48,7 @@
 	e.telling(hub.Name, last)
 	return wire.Gossip{
 		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.tally.Own(),
-		Failures: e.reliability.Own(now), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
+		Failures: e.reliability.Own(now), Places: e.ownPlaces(now), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
 	}
 }
 
@@ -113,9 +113,11 @@
 	case wire.GossipScopeOwn:
 		e.tally.Told(now, a.Sender.Box, a.Tallies)
 		e.reliability.Told(now, a.Sender.Box, a.Failures)
+		e.toldPlaces(now, a.Sender.Box, a.Places)
 	case wire.GossipScopeAll:
 		e.tally.ToldSum(now, a.Tallies)
 		e.reliability.ToldSum(now, a.Failures)
+		e.toldPlacesSum(now, a.Places)
 	}
 	e.hearFleet(now, a, sent)
 	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
--- /dev/null
+++ b/edge/places.go
@@ -0,0 +1,45 @@
+package edge
+
+import (
+	"time"
+
+	"petrelstep/wire"
+)
+
+// ownPlaces returns what this box is asked for of plain services.
+func (e *Edge) ownPlaces(now time.Time) []wire.ServicePlaces {
+	if e.places == nil {
+		return nil
+	}
+	return e.places.Own(now)
+}
+
+// placesWithout returns what all boxes but one are asked for, for that one.
+func (e *Edge) placesWithout(now time.Time, box string) []wire.ServicePlaces {
+	if e.places == nil {
+		return nil
+	}
+	return e.places.Without(now, box)
+}
+
+// toldPlaces takes another box's word of what it is asked for.
+func (e *Edge) toldPlaces(now time.Time, box string, list []wire.ServicePlaces) {
+	if e.places != nil {
+		e.places.Told(now, box, list)
+	}
+}
+
+// toldPlacesSum takes a hub's word of what all other boxes are asked for.
+func (e *Edge) toldPlacesSum(now time.Time, list []wire.ServicePlaces) {
+	if e.places != nil {
+		e.places.ToldSum(now, list)
+	}
+}
+
+// viewPlaces returns what this box believes of plain services.
+func (e *Edge) viewPlaces(now time.Time) []wire.PlacesView {
+	if e.places == nil {
+		return []wire.PlacesView{}
+	}
+	return e.places.View(now)
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -55,6 +55,7 @@
 	dropped  metric.Int64Counter
 	halls    metric.Int64Counter
 	alone    metric.Int64Counter
+	placed   metric.Float64Histogram
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -80,6 +81,7 @@
 	m.moves = b.histogram("petrelstep_move", "Time of a generation's move to another upstream, by outcome.")
 	m.dropped = b.counter("petrelstep_log_lines_dropped", "Log lines dropped because nobody read them.")
 	m.halls = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
+	m.placed = b.histogram("petrelstep_place_wait", "Wait for a place at a plain upstream, by outcome; those that did not wait are not counted.")
 	m.alone = b.counter("petrelstep_second_tries_not_sent", "Second tries that were due and not sent, by reason.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
@@ -116,6 +118,11 @@
 	m.alone.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// Placed records a request that waited for a place at a plain upstream or was refused.
+func (m *Metrics) Placed(outcome string, waited time.Duration) {
+	m.placed.Record(context.Background(), waited.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Ended counts a request's ending.
 func (m *Metrics) Ended(e refusal.Ending) {
 	m.endings.Add(context.Background(), 1, metric.WithAttributes(attribute.String("ending", string(e))))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/admission"
+	"petrelstep/balance/places"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/exchange"
@@ -52,7 +53,8 @@
 	Belief      *belief.Belief
 	Fleet       *fleet.Fleet
 	Chooser     *choose.Chooser
-	Admitter    Admitter // nil: straight to the emptiest engine
+	Admitter    Admitter       // nil: straight to the emptiest engine
+	Places      *places.Places // nil: straight to the emptiest plain upstream
 	Tally       *tally.Tally
 	Reliability *reliability.Reliability
 	Sender      exchange.Sender
@@ -304,6 +306,9 @@
 		})
 		return g.Upstream, g.Load, err
 	}
+	if r.sharesPlaces(j) {
+		return r.takePlace(ctx, j)
+	}
 	want := j.want()
 	u, load, ok := r.Chooser.Choose(time.Now(), want)
 	switch {
@@ -316,6 +321,26 @@
 	return u, 0, refusal.New(refusal.NoUpstream, "no upstream of "+j.service.Name).WithRetryAfter(comeLater)
 }
 
+// sharesPlaces tells whether a job's place is one that the boxes share out.
+func (r *Relay) sharesPlaces(j *job) bool {
+	return r.Places != nil && j.service.Engine == nil && !j.route.Streams
+}
+
+// takePlace waits until a request may go to a plain upstream.
+func (r *Relay) takePlace(ctx context.Context, j *job) (u fleet.Upstream, load float64, err error) {
+	c, err := r.Places.Take(ctx, j.placeAsk())
+	if err == nil {
+		r.Chooser.Sent(time.Now(), j.service, c.Upstream)
+	}
+	return c.Upstream, c.Load, err
+}
+
+func (j *job) placeAsk() places.Ask {
+	return places.Ask{
+		Request: j.req.ID, Organisation: j.organisation, Urgency: j.urgency, Arrived: j.req.Arrived, Aim: j.route.Aim, Deadline: j.deadline, Want: j.want(),
+	}
+}
+
 // want is what an upstream is chosen for.
 func (j *job) want() choose.Want {
 	return choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: j.avoid(), Regions: j.req.Regions}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"petrelstep/balance/places"
 	"petrelstep/exchange"
 	"petrelstep/fleet"
 	"petrelstep/metrics"
@@ -103,10 +104,28 @@
 	race.cancels = append(race.cancels, cancel)
 	race.running++
 	j.tried = append(j.tried, u.ID)
-	go func() { race.outcomes <- r.tryWhole(trying, j, u) }()
+	shared, ask := r.sharesPlaces(j), j.placeAsk()
+	go func() {
+		began := time.Now()
+		o := r.tryWhole(trying, j, u)
+		if shared {
+			r.freed(ask, u, o, time.Since(began))
+		}
+		race.outcomes <- o
+	}()
 	return nil
 }
 
+// freed gives a place back that the boxes share out. What an upstream refused or
+// failed tells nothing of how long its work takes.
+func (r *Relay) freed(ask places.Ask, u fleet.Upstream, o outcome, took time.Duration) {
+	if o.sent == nil || o.sent.answer.NotRun || o.sent.answer.Status >= http.StatusInternalServerError {
+		r.Places.Dropped(ask, u)
+		return
+	}
+	r.Places.Answered(time.Now(), ask, u, took)
+}
+
 // beside sends a second try while the first runs on, if the budget has one and an
 // upstream has a place free. The first is not cut for it: it may be about to answer,
 // and what it did would be lost. Where all are busy the second would wait as long,
@@ -118,7 +137,7 @@
 	}
 	_, load, ok := r.Chooser.Choose(time.Now(), j.want())
 	why := "budget"
-	if !ok || load >= 1 {
+	if !ok || load >= 1 || r.sharesPlaces(j) && r.Places.Crowded(time.Now(), j.service) {
 		why = "no_room"
 	}
 	if why == "no_room" || !r.Budget.Spend() {
