--- a/soak/load/load.go
+++ b/soak/load/load.go
@@ -25,6 +25,11 @@
 	againMost = 2
 	// againWait is the wait before that, where the answer names none.
 	againWait = 100 * time.Millisecond
+	// crowdEvery and crowdFor are when callers press plain services: three times as often
+	// as else, and nothing else meanwhile.
+	crowdEvery = 12 * time.Second
+	crowdFor   = 4 * time.Second
+	crowdTimes = 3
 	// oldKeyShare is one in how many requests that still come with the key that
 	// was taken away last.
 	oldKeyShare = 6
@@ -36,19 +41,25 @@
 	leaveShare = 25
 )
 
+var plain = []verdict.Kind{verdict.Once, verdict.Look}
+
 var kinds = []verdict.Kind{verdict.Draft, verdict.Check, verdict.Once, verdict.Once, verdict.Look, verdict.Look}
 
 // Load is safe for use by several goroutines.
 type Load struct {
-	site *site.Site
-	seed uint64
+	site   *site.Site
+	seed   uint64
+	crowds bool
 
 	mu       sync.Mutex
 	attempts []verdict.Attempt
 }
 
-// New returns callers of a site that Run starts.
-func New(s *site.Site, seed uint64) *Load { return &Load{site: s, seed: seed} }
+// New returns callers of a site that Run starts. In crowds they press plain services at
+// times; without, a seed plays what it always did.
+func New(s *site.Site, seed uint64, crowds bool) *Load {
+	return &Load{site: s, seed: seed, crowds: crowds}
+}
 
 // Attempts returns all requests that have ended.
 func (l *Load) Attempts() []verdict.Attempt {
@@ -71,8 +82,13 @@
 	random := rand.New(rand.NewPCG(l.seed, uint64(number)))
 	client := caller.New()
 	defer client.Close()
+	began := time.Now()
 	for n := 0; ctx.Err() == nil; n++ {
-		kind := kinds[random.IntN(len(kinds))]
+		from, pause := kinds, rest
+		if l.crowds && time.Since(began)%crowdEvery > crowdEvery-crowdFor {
+			from, pause = plain, rest/crowdTimes
+		}
+		kind := from[random.IntN(len(from))]
 		for again := range againMost + 1 {
 			id := fmt.Sprintf("%s-%d-%d-%d", kind, number, n, again)
 			box := l.site.Boxes[(number+random.IntN(boxesMost))%len(l.site.Boxes)]
@@ -82,7 +98,7 @@
 			}
 			time.Sleep(wait)
 		}
-		time.Sleep(time.Duration(random.ExpFloat64() * float64(rest)))
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(pause)))
 	}
 }
 
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -338,7 +338,7 @@
 // settings writes a box's settings file and returns its path.
 func settings(dir string, b *Box) (string, error) {
 	text := fmt.Sprintf(`{"box":%q,"hall":%q,"listen":{"callers":%q,"admin":%q,"peers":%q},"platform":{"address":%q},"drain_ms":8000,
-"edge":{"ready":%q,"key_age_ms":%d,"leave_ms":2000}}`,
+"edge":{"ready":%q,"key_age_ms":%d,"leave_ms":2000,"balance":["places"]}}`,
 		b.Name, b.hall, b.ports[0], b.ports[1], b.ports[2], b.Store.Address(), b.ports[3], KeyAge.Milliseconds())
 	file := filepath.Join(dir, b.Name+".json")
 	return file, os.WriteFile(file, []byte(text), 0o644)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,7 @@
 	Site    site.Options
 	Seed    uint64
 	Callers int
+	Crowds  bool          // callers press plain services at times
 	Last    time.Duration // of the strikes
 	Out     io.Writer     // is told of each strike
 }
@@ -83,7 +84,7 @@
 	if err := ready(at); err != nil {
 		return Tally{}, err
 	}
-	callers, strikes := load.New(at, s.Seed), strike.New(at, s.Seed, s.Out)
+	callers, strikes := load.New(at, s.Seed, s.Crowds), strike.New(at, s.Seed, s.Out)
 	working, stop := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
