balance/places, relay: learn from tries that were not waited for

A try that another overtook taught nothing: an upstream that hangs was drawn as often as its like until its counts in flight told. What it took so far is now a lower bound of what its answers take. Tries that are overtaken end before the answer goes out, not after it, which may be long.

Tests: TestDrawn, by what slows an upstream; TestWhole plays its matrix with places shared out as well; TestPlacesTold.

--- a/balance/places/line_test.go
+++ b/balance/places/line_test.go
@@ -12,6 +12,7 @@
 
 	"petrelstep/balance/places"
 	"petrelstep/choose"
+	"petrelstep/fleet"
 	"petrelstep/refusal"
 	"petrelstep/tally"
 	"petrelstep/wire"
@@ -123,22 +124,7 @@
 				if tt.inTime {
 					last.Aim = time.Minute / 2
 				}
-				order := make(chan string, 9)
-				take := func(ask places.Ask) {
-					if _, err := b.places.Take(t.Context(), ask); err == nil {
-						order <- ask.Organisation
-					}
-				}
-				for range 8 {
-					go take(others)
-					synctest.Wait()
-				}
-				go take(last)
-				time.Sleep(30 * time.Second)
-				var got []string
-				for len(order) > 0 {
-					got = append(got, <-order)
-				}
+				got := b.order(others, others, others, others, others, others, others, others, last)
 				is.Equal(len(got), 9)
 				is.Equal(slices.Index(got, "small") < len(got)-3, tt.overtake)
 			})
@@ -146,6 +132,87 @@
 	}
 }
 
+// order returns the organisations of requests that come one after the other, as they go.
+func (b *box) order(asks ...places.Ask) (got []string) {
+	gone := make(chan string, len(asks))
+	for _, ask := range asks {
+		go func() {
+			if _, err := b.places.Take(context.Background(), ask); err == nil {
+				gone <- ask.Organisation
+			}
+		}()
+		synctest.Wait()
+	}
+	time.Sleep(30 * time.Second)
+	for len(gone) > 0 {
+		got = append(got, <-gone)
+	}
+	return got
+}
+
+// drawn counts how often each upstream is drawn.
+func (w *world) drawn(b *box, times int) (map[string]int, error) {
+	drawn := map[string]int{}
+	for range times {
+		c, err := b.places.Take(context.Background(), w.request(0, time.Second))
+		if err != nil {
+			return nil, err
+		}
+		drawn[c.Upstream.ID]++
+		b.places.Answered(time.Now(), w.request(0, time.Second), c.Upstream, work)
+	}
+	return drawn, nil
+}
+
+// TestDrawn draws an upstream less often than its like by what slows it.
+func TestDrawn(t *testing.T) {
+	const times = 3000
+	tests := map[string]struct {
+		harm func(w *world, b *box, u fleet.Upstream)
+		most float64 // in parts of the draws of another
+	}{
+		"alike": {func(*world, *box, fleet.Upstream) {}, 1.2},
+		"its answers take longer": {func(w *world, b *box, u fleet.Upstream) {
+			b.places.Answered(time.Now(), w.request(0, time.Second), u, 4*work)
+		}, 0.8},
+		"it does not answer": {func(w *world, b *box, u fleet.Upstream) {
+			b.places.Dropped(w.request(0, time.Second), u, 10*work)
+		}, 0.8},
+		"it fails": {func(_ *world, b *box, u fleet.Upstream) {
+			for range 8 {
+				b.reliability.Record(time.Now(), u.ID, true)
+			}
+		}, 0.2},
+		"its places are taken": {func(_ *world, b *box, u fleet.Upstream) {
+			b.tally.Begin(u.ID, tally.Load{Requests: 2 * slots})
+			time.Sleep(time.Second)
+		}, 0.5},
+		"its entry has lapsed": {func(_ *world, b *box, u fleet.Upstream) {
+			others := slices.DeleteFunc(slices.Clone(b.fleet.Serving("plain")), func(o fleet.Upstream) bool { return o.ID == u.ID })
+			b.fleet.Replace(time.Now(), others, 2, true)
+		}, 0.2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(load{boxes: 1, work: work, aim: aim})
+				b := w.boxes[0]
+				_, err := w.drawn(b, 20)
+				is.NoErr(err)
+				u, _ := b.fleet.Get("u1")
+				for range 8 {
+					tt.harm(w, b, u)
+				}
+				drawn, err := w.drawn(b, times)
+				is.NoErr(err)
+				t.Log(drawn)
+				is.True(float64(drawn["u1"]) <= tt.most*float64(drawn["u2"])) // the other of another hall
+			})
+		})
+	}
+}
+
 // TestGone frees the part of a box that is not heard any more.
 func TestGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/balance/places/places.go
+++ b/balance/places/places.go
@@ -240,14 +240,18 @@
 	s.answered(u, took, ask.Aim)
 }
 
-// Dropped notes that a request ended at an upstream that did not run it, or failed.
-func (p *Places) Dropped(ask Ask, upstream fleet.Upstream) {
+// Dropped notes that a request ended at an upstream that did not run it, failed, or
+// was not waited for any longer: an answer would have taken more than that.
+func (p *Places) Dropped(ask Ask, upstream fleet.Upstream, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s, ok := p.services[ask.Want.Service.Name]; ok {
 		u := s.upstream(upstream.ID)
 		u.own = max(u.own-1, 0)
-		s.tokens = min(s.tokens+1, saved) // it took no work
+		s.tokens = min(s.tokens+1, saved)
+		if took > u.takes {
+			learn(&u.takes, took)
+		}
 	}
 }
 
--- a/balance/places/places_test.go
+++ b/balance/places/places_test.go
@@ -253,7 +253,7 @@
 			b.places.Answered(time.Now(), ask, c.Upstream, time.Since(sent))
 			return time.Now().Before(deadline), time.Since(arrived), 0
 		}
-		b.places.Dropped(ask, c.Upstream)
+		b.places.Dropped(ask, c.Upstream, time.Since(sent))
 		want.Avoid = append(want.Avoid, c.Upstream.ID)
 	}
 	return false, time.Since(arrived), 50 * time.Millisecond
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"petrelstep/balance/places"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/exchange"
@@ -353,30 +354,40 @@
 		"another has the address":               {"/unsafe2/", []reply{{status: 421, notRun: true}, ok}, 2, 200, "", ""},
 	}
 	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				w := newWorld(t, tt.script...)
-				c := w.serve(t.Context(), tt.path)
-				is.Equal(len(w.sender.sends), tt.sends)
-				is.Equal(c.status, tt.status)
-				seen := map[string]bool{}
-				for _, s := range w.sender.sends {
-					is.True(!seen[s.Upstream]) // never the same upstream again
-					seen[s.Upstream] = true
-					is.Equal(s.Organisation, "council")
-					is.True(s.Left <= time.Second) // the route's bound, not the caller's minute
-				}
-				if tt.want != "" {
-					is.Equal(c.refused.Reason(), tt.want)
-					is.Equal(c.refused.Ending(), tt.ending)
-				}
-				is.Equal(len(w.tally.Own()), 0)
+		for places, share := range map[string]func(w *world){"": func(*world) {}, ", places shared out": (*world).share} {
+			t.Run(name+places, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := newWorld(t, tt.script...)
+					share(w)
+					c := w.serve(t.Context(), tt.path)
+					is.Equal(len(w.sender.sends), tt.sends)
+					is.Equal(c.status, tt.status)
+					seen := map[string]bool{}
+					for _, s := range w.sender.sends {
+						is.True(!seen[s.Upstream]) // never the same upstream again
+						seen[s.Upstream] = true
+						is.Equal(s.Organisation, "council")
+						is.True(s.Left <= time.Second) // the route's bound, not the caller's minute
+					}
+					if tt.want != "" {
+						is.Equal(c.refused.Reason(), tt.want)
+						is.Equal(c.refused.Ending(), tt.ending)
+					}
+					is.Equal(len(w.tally.Own()), 0)
+				})
 			})
-		})
+		}
 	}
 }
 
+// share lets the boxes share the places of plain upstreams out.
+func (w *world) share() {
+	w.relay.Places = places.New(places.Parts{
+		Ranker: w.relay.Chooser, Failing: w.failed.Failing, Counter: w.relay.Metrics, Hall: "leith", Random: rand.New(rand.NewPCG(1, 2)), Log: w.relay.Log,
+	})
+}
+
 // TestLong passes on an answer that is too long to be held, also where another
 // try might have followed.
 func TestLong(t *testing.T) {
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -40,16 +40,17 @@
 type race struct {
 	job      *job
 	outcomes chan outcome
-	cancels  []context.CancelFunc
+	cancels  map[string]context.CancelFunc // by upstream
 	running  int
 }
 
 // whole serves a request whose answer is no stream.
 func (r *Relay) whole(ctx context.Context, j *job, c exchange.Caller) {
-	race := &race{job: j, outcomes: make(chan outcome, max(j.route.Attempts, 1)+unreachedMost+1)}
+	race := &race{job: j, cancels: map[string]context.CancelFunc{}, outcomes: make(chan outcome, max(j.route.Attempts, 1)+unreachedMost+1)}
 	last := r.run(ctx, race)
+	race.giveUp(last.upstream)
 	r.deliver(ctx, j, c, last)
-	race.giveUp()
+	race.close()
 }
 
 // run sends until there is an answer or nothing more may be tried.
@@ -101,7 +102,7 @@
 		return err
 	}
 	trying, cancel := context.WithCancel(ctx)
-	race.cancels = append(race.cancels, cancel)
+	race.cancels[u.ID] = cancel
 	race.running++
 	j.tried = append(j.tried, u.ID)
 	shared, ask := r.sharesPlaces(j), j.placeAsk()
@@ -120,7 +121,7 @@
 // failed tells nothing of how long its work takes.
 func (r *Relay) freed(ask places.Ask, u fleet.Upstream, o outcome, took time.Duration) {
 	if o.sent == nil || o.sent.answer.NotRun || o.sent.answer.Status >= http.StatusInternalServerError {
-		r.Places.Dropped(ask, u)
+		r.Places.Dropped(ask, u, took)
 		return
 	}
 	r.Places.Answered(time.Now(), ask, u, took)
@@ -152,12 +153,18 @@
 	}
 }
 
-// giveUp ends the tries that nobody waits for any more, and waits until they have
-// ended.
-func (race *race) giveUp() {
-	for _, cancel := range race.cancels {
-		cancel()
+// giveUp ends the tries but the one whose answer is passed on.
+func (race *race) giveUp(but string) {
+	for upstream, cancel := range race.cancels {
+		if upstream != but {
+			cancel()
+		}
 	}
+}
+
+// close ends all tries and waits until they have ended.
+func (race *race) close() {
+	race.giveUp("")
 	for range race.running {
 		o := <-race.outcomes
 		o.drop()
