--- a/balance/places/places_test.go
+++ b/balance/places/places_test.go
@@ -62,6 +62,12 @@
 	return true
 }
 
+func (u *upstream) vanish(gone bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.gone = gone
+}
+
 // load is what the callers of a test do.
 type load struct {
 	boxes     int
@@ -70,6 +76,8 @@
 	times     float64       // of what the upstreams can do, in the burst
 	vanishes  bool          // an upstream of three, in the burst
 	slow      float64       // times that one takes for its work
+	die       bool          // half of the boxes, as the burst begins
+	parted    bool          // boxes hear of half of the others only, in the burst
 }
 
 // outcome counts what became of requests in the burst; back are those that were
@@ -96,8 +104,9 @@
 	boxes     []*box
 	random    *rand.Rand
 
-	mu  sync.Mutex
-	out outcome
+	mu    sync.Mutex
+	burst bool
+	out   outcome
 }
 
 type uncounted struct{}
@@ -138,9 +147,10 @@
 // tell lets the boxes hear of each other.
 func (w *world) tell() {
 	now := time.Now()
-	for i, b := range w.boxes {
-		for j, other := range w.boxes {
-			if i != j {
+	boxes := w.live()
+	for i, b := range boxes {
+		for j, other := range boxes {
+			if i != j && w.hear(i, j) {
 				name := fmt.Sprint(j)
 				b.tally.Told(now, name, other.tally.Own())
 				b.places.Told(now, name, other.places.Own(now))
@@ -150,6 +160,34 @@
 	}
 }
 
+// live returns the boxes that have not died.
+func (w *world) live() []*box {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.boxes
+}
+
+// hear tells whether two boxes hear of each other.
+func (w *world) hear(one, other int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.burst || !w.parted || one%2 == other%2
+}
+
+// strike begins the burst.
+func (w *world) strike() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.burst {
+		return
+	}
+	w.burst = true
+	w.upstreams["u2"].vanish(w.vanishes)
+	if w.die {
+		w.boxes = w.boxes[:len(w.boxes)/2]
+	}
+}
+
 const (
 	before = 4 * time.Second
 	burst  = 8 * time.Second
@@ -178,10 +216,11 @@
 		rate, inBurst := usual*can, time.Since(began) >= before
 		if inBurst {
 			rate = w.times * can
-			w.upstreams["u2"].gone = w.vanishes
+			w.strike()
 		}
 		time.Sleep(time.Duration(w.random.ExpFloat64() / rate * float64(time.Second)))
-		all.Go(w.caller(w.boxes[w.random.IntN(len(w.boxes))], w.random.Uint64(), inBurst))
+		boxes := w.live()
+		all.Go(w.caller(boxes[w.random.IntN(len(boxes))], w.random.Uint64(), inBurst))
 	}
 	time.Sleep(w.wait)
 	close(done)
@@ -199,7 +238,8 @@
 		returned := !ok && back > 0 && took < w.aim/4
 		if !ok && back > 0 {
 			time.Sleep(min(back, time.Until(first.Add(w.wait))/3))
-			ok, took, _ = w.ask(w.boxes[random.IntN(len(w.boxes))], random, first.Add(w.wait), urgency)
+			boxes := w.live()
+			ok, took, _ = w.ask(boxes[random.IntN(len(boxes))], random, first.Add(w.wait), urgency)
 		}
 		if !returned {
 			took = time.Since(first)
@@ -273,6 +313,8 @@
 		times    float64
 		vanishes bool
 		slow     float64
+		die      bool
+		parted   bool
 		worth    float64
 		urgent   float64 // of those of the first rank in time
 	}{
@@ -281,6 +323,8 @@
 		"one vanishes":           {times: 0.6, vanishes: true, worth: 0.98, urgent: 0.98},
 		"one is slow":            {times: 0.6, slow: 3, worth: 0.95, urgent: 0.95},
 		"too many":               {times: 1.35, worth: 0.57, urgent: 0.8},
+		"half of the boxes die":  {times: 0.85, die: true, worth: 0.97, urgent: 0.97},
+		"boxes are parted":       {times: 1.35, parted: true, worth: 0.57, urgent: 0.75},
 		"too many, one vanishes": {times: 1, vanishes: true, worth: 0.47, urgent: 0.55},
 	}
 	for kind, k := range kinds {
@@ -292,6 +336,7 @@
 						is := is.New(t)
 						l := k
 						l.boxes, l.times, l.vanishes, l.slow = boxes, tt.times, tt.vanishes, tt.slow
+						l.die, l.parted = tt.die, tt.parted
 						got := newWorld(l).play()
 						t.Logf("worth %.3f %+v", got.worth(), got)
 						is.True(got.worth() >= tt.worth)
