--- a/balance/places/places.go
+++ b/balance/places/places.go
@@ -31,6 +31,8 @@
 	// backPart is the part of its time that a caller can wait before it comes back, so
 	// that enough is left to be served.
 	backPart = 3
+	// spreadPart is the part of that time by which those who come back are spread.
+	spreadPart = 3
 	// freshPart is the part of the aim within which being sent off costs a caller
 	// little: it can still be served as if it had come later.
 	freshPart = 4
@@ -134,30 +136,28 @@
 		s.tokens--
 		return nil, nil
 	}
-	if reason, ok := late(now, w, s.waitOf(now, w), s.usual()); ok {
-		back := min(max(s.clears(), leastBack), mostBack)
-		p.refused(s, w, reason, now, back)
-		return nil, refusal.New(reason, "its place in line is too far back").WithRetryAfter(back)
+	if late(now, ask, s.waitOf(now, w), s.usual()) {
+		return nil, p.refuse(now, s, w, "its place in line is too far back")
 	}
 	s.waiting = append(s.waiting, w)
 	p.pump(now, s)
 	return w, nil
 }
 
-// late tells why a request is refused now that would wait for some time in line and
-// then be answered in some more.
-func late(now time.Time, w *waiter, wait, usual time.Duration) (refusal.Reason, bool) {
-	a, left := w.ask, w.ask.Deadline.Sub(now)
-	fresh := now.Sub(a.Arrived)+wait <= a.Aim/freshPart
-	inTime := !now.Add(wait + usual).After(a.aimAt())
+// late tells whether a request is refused now that would wait in line for some time and
+// then be answered in the usual one: it could not be served at all, or it is new and
+// has time to come back.
+func late(now time.Time, a Ask, wait, usual time.Duration) bool {
+	age, left := now.Sub(a.Arrived), a.Deadline.Sub(now)
+	inTime := age+wait <= a.Aim/freshPart && age+wait+usual <= a.Aim
 	switch {
 	case wait+usual > left:
-		return refusal.WaitTooLong, true
-	case fresh && inTime:
-		return "", false
+		return true
+	case inTime:
+		return false
 	}
-	returns := now.Sub(a.Arrived) <= a.Aim/freshPart && wait <= left/backPart && wait+a.Aim <= left
-	return refusal.WaitTooLong, returns
+	returns := age <= a.Aim/freshPart && wait <= left/backPart && wait+a.Aim <= left
+	return returns
 }
 
 // wait waits in line.
@@ -186,9 +186,8 @@
 func (p *Places) pump(now time.Time, s *service) {
 	s.refill(now)
 	for _, w := range s.hopeless(now) {
-		p.refused(s, w, refusal.WaitTooLong, now, leastBack)
 		s.leave(w)
-		w.released <- refusal.New(refusal.WaitTooLong, "no place in time").WithRetryAfter(leastBack)
+		w.released <- p.refuse(now, s, w, "no place in time")
 	}
 	for s.tokens >= 1 && len(s.waiting) > 0 {
 		s.tokens--
@@ -222,12 +221,16 @@
 	return p.service(now, r).crowded()
 }
 
-// refused logs and counts a refusal.
-func (p *Places) refused(s *service, w *waiter, reason refusal.Reason, now time.Time, back time.Duration) {
+// refuse refuses a request, and says when to come back: once those who wait are served,
+// not all in the same moment.
+func (p *Places) refuse(now time.Time, s *service, w *waiter, detail string) error {
+	back := min(max(s.clears(), leastBack), mostBack)
+	back += time.Duration(p.Random.Float64() * float64(back) / spreadPart)
 	p.Counter.Placed(Refused, now.Sub(w.ask.Arrived))
 	s.fields(now, p.Log).WithFields(logrus.Fields{
-		"request": w.ask.Request, "reason": reason, "retry_after_ms": back.Milliseconds(), "aim_left_ms": w.ask.aimAt().Sub(now).Milliseconds(),
+		"request": w.ask.Request, "retry_after_ms": back.Milliseconds(), "aim_left_ms": w.ask.aimAt().Sub(now).Milliseconds(),
 	}).Info("place_refused")
+	return refusal.New(refusal.WaitTooLong, detail).WithRetryAfter(back)
 }
 
 // Answered notes how long an upstream took to answer a request.
