--- a/balance/places/line_test.go
+++ b/balance/places/line_test.go
@@ -237,3 +237,17 @@
 		is.Equal(b.Without(time.Now(), "nobody"), []wire.ServicePlaces{})
 	})
 }
+
+// BenchmarkTake takes a place in calm and gives it back.
+func BenchmarkTake(b *testing.B) {
+	w := newWorld(load{boxes: 1, work: work, aim: aim})
+	box := w.boxes[0]
+	for b.Loop() {
+		ask := w.request(0, time.Second)
+		c, err := box.places.Take(b.Context(), ask)
+		if err != nil {
+			b.Fatal(err)
+		}
+		box.places.Answered(time.Now(), ask, c.Upstream, work)
+	}
+}
