balance/places: boxes that start know how long work takes

Change: no answer takes less than its work, so that work is mended down by answers; boxes tell how many places their demand takes, and one that has met few answers goes by that; work is learned only once the use of places is known for a second.

--- a/balance/places/demand.go
+++ b/balance/places/demand.go
@@ -24,18 +24,34 @@
 )
 
 // demand is what boxes are asked for, in requests a second.
-type demand struct{ asked float64 }
+type demand struct {
+	asked float64
+	known float64 // of these, by boxes that know how long work takes
+	busy  float64 // places that these take
+}
 
 // Plus returns the sum of both.
-func (d demand) Plus(o demand) demand { return demand{d.asked + o.asked} }
+func (d demand) Plus(o demand) demand {
+	return demand{d.asked + o.asked, d.known + o.known, d.busy + o.busy}
+}
 
 // Minus returns the demand without another.
-func (d demand) Minus(o demand) demand { return demand{d.asked - o.asked} }
+func (d demand) Minus(o demand) demand {
+	return demand{d.asked - o.asked, d.known - o.known, d.busy - o.busy}
+}
+
+// work returns how long work takes by the boxes that know; 0 if none does.
+func (d demand) work() time.Duration {
+	if d.known < tellFrom {
+		return 0
+	}
+	return seconds(d.busy / d.known)
+}
 
 func listOf(demands map[string]demand) []wire.ServicePlaces {
 	list := make([]wire.ServicePlaces, 0, len(demands))
 	for name, d := range demands {
-		list = append(list, wire.ServicePlaces{Service: name, Asked: int(d.asked * parts)})
+		list = append(list, wire.ServicePlaces{Service: name, Asked: int(d.asked * parts), Known: int(d.known * parts), Busy: int(d.busy * parts)})
 	}
 	slices.SortFunc(list, func(a, b wire.ServicePlaces) int { return cmp.Compare(a.Service, b.Service) })
 	return list
@@ -44,7 +60,7 @@
 func demandsOf(list []wire.ServicePlaces) map[string]demand {
 	demands := make(map[string]demand, len(list))
 	for _, s := range list {
-		demands[s.Service] = demand{float64(s.Asked) / parts}
+		demands[s.Service] = demand{float64(s.Asked) / parts, float64(s.Known) / parts, float64(s.Busy) / parts}
 	}
 	return demands
 }
--- a/balance/places/line_test.go
+++ b/balance/places/line_test.go
@@ -27,6 +27,8 @@
 func crowd(asked int) (*world, *box) {
 	w := newWorld(load{boxes: 1, work: work, aim: aim, wait: 4 * time.Second})
 	b := w.boxes[0]
+	b.places.Crowded(time.Now(), w.service) // it gets to know the service
+	time.Sleep(time.Second)
 	for range 8 {
 		c, _ := b.places.Take(context.Background(), w.request(0, time.Second))
 		time.Sleep(work)
@@ -224,6 +226,24 @@
 	})
 }
 
+// TestWorkMended learns from answers in a crowd that work takes less than was learned.
+func TestWorkMended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, b := crowd(600)
+		is.Equal(b.places.View(time.Now())[0].Can, 300)
+		for id := range w.upstreams {
+			u, _ := b.fleet.Get(id)
+			for range 64 {
+				b.places.Answered(time.Now(), w.request(0, time.Second), u, work/4)
+			}
+		}
+		time.Sleep(time.Second)
+		b.places.Crowded(time.Now(), w.service)
+		is.True(b.places.View(time.Now())[0].Can > 900)
+	})
+}
+
 // TestSum is told of the same demand by a hub as by each box.
 func TestSum(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/balance/places/places.go
+++ b/balance/places/places.go
@@ -266,7 +266,8 @@
 		p.services[r.Name] = s
 	}
 	s.service = r
-	s.all = s.demand(now) + p.others.Of(now, r.Name).asked
+	others := p.others.Of(now, r.Name)
+	s.all, s.toldWork = s.demand(now)+others.asked, others.work()
 	if now.Sub(s.looked) >= lookEvery {
 		s.look(now, p.Ranker.Ranked(now, choose.Want{Service: r, All: true}), p.Hall, p.Failing)
 		p.note(now, s)
@@ -313,7 +314,7 @@
 	for name, s := range p.services {
 		asked := s.demand(now)
 		if asked >= tellFrom {
-			list[name] = demand{asked: asked}
+			list[name] = s.word(asked)
 		}
 		if asked < forgetBelow {
 			delete(p.services, name)
--- a/balance/places/places_test.go
+++ b/balance/places/places_test.go
@@ -77,6 +77,7 @@
 	vanishes  bool          // an upstream of three, in the burst
 	slow      float64       // times that one takes for its work
 	die       bool          // half of the boxes, as the burst begins
+	start     bool          // half of the boxes, as the burst begins
 	parted    bool          // boxes hear of half of the others only, in the burst
 }
 
@@ -127,6 +128,9 @@
 	for i := range l.boxes {
 		w.boxes = append(w.boxes, newBox(uint64(i), list))
 	}
+	if l.start {
+		w.boxes = w.boxes[:l.boxes/2]
+	}
 	return w
 }
 
@@ -186,6 +190,9 @@
 	if w.die {
 		w.boxes = w.boxes[:len(w.boxes)/2]
 	}
+	if w.start {
+		w.boxes = w.boxes[:w.load.boxes]
+	}
 }
 
 const (
@@ -314,18 +321,20 @@
 		vanishes bool
 		slow     float64
 		die      bool
+		start    bool
 		parted   bool
 		worth    float64
 		urgent   float64 // of those of the first rank in time
 	}{
-		"calm":                   {times: usual, worth: 0.999, urgent: 0.999},
-		"nearly full":            {times: 0.85, worth: 0.99, urgent: 0.99},
-		"one vanishes":           {times: 0.6, vanishes: true, worth: 0.98, urgent: 0.98},
-		"one is slow":            {times: 0.6, slow: 3, worth: 0.95, urgent: 0.95},
-		"too many":               {times: 1.35, worth: 0.57, urgent: 0.8},
-		"half of the boxes die":  {times: 0.85, die: true, worth: 0.97, urgent: 0.97},
-		"boxes are parted":       {times: 1.35, parted: true, worth: 0.57, urgent: 0.75},
-		"too many, one vanishes": {times: 1, vanishes: true, worth: 0.47, urgent: 0.55},
+		"calm":                    {times: usual, worth: 0.999, urgent: 0.999},
+		"nearly full":             {times: 0.85, worth: 0.99, urgent: 0.99},
+		"one vanishes":            {times: 0.6, vanishes: true, worth: 0.98, urgent: 0.98},
+		"one is slow":             {times: 0.6, slow: 3, worth: 0.95, urgent: 0.95},
+		"too many":                {times: 1.35, worth: 0.57, urgent: 0.8},
+		"half of the boxes die":   {times: 0.85, die: true, worth: 0.97, urgent: 0.97},
+		"half of the boxes start": {times: 1.35, start: true, worth: 0.55, urgent: 0.75},
+		"boxes are parted":        {times: 1.35, parted: true, worth: 0.57, urgent: 0.75},
+		"too many, one vanishes":  {times: 1, vanishes: true, worth: 0.47, urgent: 0.55},
 	}
 	for kind, k := range kinds {
 		for name, tt := range tests {
@@ -336,7 +345,7 @@
 						is := is.New(t)
 						l := k
 						l.boxes, l.times, l.vanishes, l.slow = boxes, tt.times, tt.vanishes, tt.slow
-						l.die, l.parted = tt.die, tt.parted
+						l.die, l.start, l.parted = tt.die, tt.start, tt.parted
 						got := newWorld(l).play()
 						t.Logf("worth %.3f %+v", got.worth(), got)
 						is.True(got.worth() >= tt.worth)
--- a/balance/places/service.go
+++ b/balance/places/service.go
@@ -27,6 +27,9 @@
 	// learnPart is the part of what is known that each answer replaces: some ten
 	// answers, so that one slow answer is no verdict.
 	learnPart = 1.0 / 16
+	// metLeast is from how many answers on a box's own mean is better than the others'
+	// word: then a tenth is left of how far off the first one was, one of 16 or less.
+	metLeast = 32
 	// answerPart is the part of the aim that answers may take in a crowd; the rest is
 	// for the wait at the box and the way. Work that is longer may take lineMost times
 	// as long as it does alone.
@@ -58,13 +61,16 @@
 type service struct {
 	service    route.Service
 	upstreams  map[string]*upstream
+	began      time.Time // to be known
 	looked     time.Time
-	known      bool    // use was looked at before
-	use        float64 // mean share of all places that are taken
-	near       float64 // of those of the box's own hall
-	slots      float64 // that can be counted on
-	can        float64 // requests a second that the upstreams can do; 0 if not known
-	work       time.Duration
+	known      bool          // use was looked at before
+	use        float64       // mean share of all places that are taken
+	near       float64       // of those of the box's own hall
+	slots      float64       // that can be counted on
+	can        float64       // requests a second that the upstreams can do; 0 if not known
+	work       time.Duration // met by this box; 0 if not known
+	met        int           // answers that it was learned from
+	toldWork   time.Duration // by the other boxes; 0 if not known
 	takes      time.Duration // for an answer, in the mean of late
 	asked      rate          // of this box
 	ranks      map[int]*rate // the same by urgency
@@ -79,7 +85,7 @@
 }
 
 func newService(now time.Time, r route.Service) *service {
-	return &service{service: r, upstreams: map[string]*upstream{}, ranks: map[int]*rate{}, correction: 1, filled: now}
+	return &service{service: r, upstreams: map[string]*upstream{}, ranks: map[int]*rate{}, correction: 1, filled: now, began: now}
 }
 
 func (s *service) upstream(id string) *upstream {
@@ -107,8 +113,8 @@
 		u.use += (float64(c.Running.Requests)/slots - u.use) * part
 		sound := slots * (1 - failing(now, c.Upstream.ID))
 		s.slots += sound
-		if s.work > 0 {
-			s.can += sound / cmp.Or(u.work, s.work).Seconds()
+		if work := s.workOf(u); work > 0 {
+			s.can += sound / work.Seconds()
 		}
 		use += u.use * sound
 		if c.Upstream.Hall == hall {
@@ -128,6 +134,24 @@
 	}
 }
 
+// workOf returns how long an upstream works on a request; 0 if not known. A box that
+// has met few answers, as it has just started, takes the others' word.
+func (s *service) workOf(u *upstream) time.Duration {
+	if s.met < metLeast {
+		return cmp.Or(min(s.toldWork, s.usual()), s.work)
+	}
+	return cmp.Or(u.work, s.work)
+}
+
+// word is what this box tells of what it is asked for. Of few answers it tells too: the
+// mean of many boxes is taken.
+func (s *service) word(asked float64) demand {
+	if s.work == 0 {
+		return demand{asked: asked}
+	}
+	return demand{asked: asked, known: asked, busy: asked * s.work.Seconds()}
+}
+
 // crowded tells whether the boxes are asked for more than the upstreams can do.
 func (s *service) crowded() bool {
 	return s.can > 0 && s.all > crowdedFrom*s.can*s.correction && s.use >= idleBelow
@@ -206,14 +230,18 @@
 func (s *service) usual() time.Duration { return max(s.takes, s.work) }
 
 // answered takes how long an answer took into the means. Work is learned while few
-// places are taken: else it would be the line that is learned.
+// places are taken, as far as the box has had time to know: else it would be the line
+// that is learned. What was learned in the first moment of a crowd, before it was known,
+// is mended by answers that take less: none takes less than its work.
 func (s *service) answered(u *upstream, took, aim time.Duration) {
 	learn(&u.takes, took)
 	learn(&s.takes, took)
-	if u.use < idleBelow {
+	if u.use < idleBelow && s.looked.Sub(s.began) >= useOver {
 		learn(&u.work, took)
 		learn(&s.work, took)
+		s.met++
 	}
+	u.work, s.work = min(u.work, u.takes), min(s.work, s.takes)
 	may := max(time.Duration(answerPart*float64(aim)), time.Duration(lineMost*float64(s.work)))
 	switch {
 	case !s.crowded():
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3491,6 +3491,12 @@
 	// Requests a second, in hundredths.
 	Asked int `json:"asked"`
 
+	// Places that these take, in hundredths.
+	Busy int `json:"busy,omitempty,omitzero"`
+
+	// Those of them by boxes that know how long work takes.
+	Known int `json:"known,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 }
@@ -3512,6 +3518,12 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["busy"]; !ok || v == nil {
+		plain.Busy = 0
+	}
+	if v, ok := raw["known"]; !ok || v == nil {
+		plain.Known = 0
+	}
 	*j = ServicePlaces(plain)
 	return nil
 }
