--- a/edge/words.go
+++ b/edge/words.go
@@ -11,6 +11,7 @@
 	tallies  []wire.UpstreamTally
 	failures []wire.UpstreamFailures
 	uses     []wire.OrganisationUse
+	places   []wire.ServicePlaces
 }
 
 // ownWords returns this box's words.
@@ -19,6 +20,7 @@
 		tallies:  e.bornLoads(e.tally.Own()),
 		failures: e.bornFailures(e.reliability.Own(now)),
 		uses:     e.sharing.own(now),
+		places:   e.ownPlaces(now),
 	}
 }
 
@@ -30,6 +32,7 @@
 		tallies:  e.bornLoads(tallies),
 		failures: e.bornFailures(e.reliability.Part(now)),
 		uses:     e.sharing.part(now),
+		places:   e.partPlaces(now),
 	}, boxes
 }
 
@@ -39,6 +42,7 @@
 		tallies:  e.bornLoads(e.tally.Without(now, box)),
 		failures: e.bornFailures(e.reliability.Without(now, box)),
 		uses:     e.sharing.without(now, box),
+		places:   e.placesWithout(now, box),
 	}
 }
 
@@ -48,9 +52,11 @@
 	e.tally.Covers(box, only, covers)
 	e.reliability.Covers(box, only)
 	e.sharing.covers(box, only)
+	e.coversPlaces(box, only)
 	e.tally.Told(now, box, e.currentLoads(w.tallies))
 	e.reliability.Told(now, box, e.currentFailures(w.failures))
 	e.sharing.told(now, box, w.uses)
+	e.toldPlaces(now, box, w.places)
 }
 
 // hearSums takes a hub's words of what all other boxes told.
@@ -58,22 +64,23 @@
 	e.tally.ToldSum(now, e.currentLoads(w.tallies))
 	e.reliability.ToldSum(now, e.currentFailures(w.failures))
 	e.sharing.toldSum(now, w.uses)
+	e.toldPlacesSum(now, w.places)
 }
 
 func wordsOf(g wire.Gossip) words {
-	return words{tallies: g.Tallies, failures: g.Failures, uses: g.Uses}
+	return words{tallies: g.Tallies, failures: g.Failures, uses: g.Uses, places: g.Places}
 }
 
 func wordsOfAnswer(a wire.GossipAnswer) words {
-	return words{tallies: a.Tallies, failures: a.Failures, uses: a.Uses}
+	return words{tallies: a.Tallies, failures: a.Failures, uses: a.Uses, places: a.Places}
 }
 
 // say puts the words into a call.
 func (w words) say(g *wire.Gossip) {
-	g.Tallies, g.Failures, g.Uses = w.tallies, w.failures, w.uses
+	g.Tallies, g.Failures, g.Uses, g.Places = w.tallies, w.failures, w.uses, w.places
 }
 
 // answer puts the words into an answer.
 func (w words) answer(a *wire.GossipAnswer) {
-	a.Tallies, a.Failures, a.Uses = w.tallies, w.failures, w.uses
+	a.Tallies, a.Failures, a.Uses, a.Places = w.tallies, w.failures, w.uses, w.places
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -25,6 +25,7 @@
 	RetryHomeGone     = "home_gone"
 	RetryIdempotent   = "idempotent_call"
 	RetryMoved        = "moved"
+	RetryBeside       = "beside"
 )
 
 // Reasons to end a stream whose caller reads slowly.
@@ -41,7 +42,7 @@
 
 // RetryReasons lists every reason for a retry.
 func RetryReasons() []string {
-	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved}
+	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside}
 }
 
 // Metrics holds the instruments of one box.
@@ -66,6 +67,8 @@
 	meter    metric.Meter
 	reads    metric.Int64Counter
 	fleets   metric.Int64Counter
+	alone    metric.Int64Counter
+	placed   metric.Float64Histogram
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -98,6 +101,8 @@
 	b.keep(err)
 	m.reads = b.counter("petrelstep_store_reads", "Times that a box began to read a table of the store for itself, by table and reason.")
 	m.fleets = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
+	m.placed = b.histogram("petrelstep_place_wait", "Wait for a place at a plain upstream, by outcome; those that did not wait are not counted.")
+	m.alone = b.counter("petrelstep_second_tries_not_sent", "Second tries that were due and not sent, by reason.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -131,6 +136,16 @@
 	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// NotBeside counts a second try that was due and not sent.
+func (m *Metrics) NotBeside(reason string) {
+	m.alone.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// Placed records a request that waited for a place at a plain upstream or was refused.
+func (m *Metrics) Placed(outcome string, waited time.Duration) {
+	m.placed.Record(context.Background(), waited.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // Ended counts a request's ending.
 func (m *Metrics) Ended(e refusal.Ending) {
 	m.endings.Add(context.Background(), 1, metric.WithAttributes(attribute.String("ending", string(e))))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/admission"
+	"petrelstep/balance/places"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/exchange"
@@ -43,6 +44,7 @@
 	notSent  bool
 	err      error
 	hang     bool // nothing comes until the sender gives up
+	takes    time.Duration
 	body     string
 	rest     string // of a long answer, after what is held
 	cutAfter error  // the body ends with this
@@ -70,6 +72,11 @@
 		<-ctx.Done()
 		return nil, &exchange.FailedError{Err: ctx.Err()}
 	}
+	select {
+	case <-time.After(r.takes):
+	case <-ctx.Done():
+		return nil, &exchange.FailedError{Err: ctx.Err()}
+	}
 	if r.err != nil {
 		return nil, &exchange.FailedError{NotSent: r.notSent, Err: r.err}
 	}
@@ -366,35 +373,45 @@
 		"another has the address":               {"/unsafe2/", []reply{{status: 421, notRun: true}, ok}, 2, 200, "", ""},
 	}
 	for name, tt := range twice(tests) {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				w := newWorld(t, tt.script...)
-				w.relay.Buffers = buffered(name)
-				c := w.serve(t.Context(), tt.path)
-				is.Equal(len(w.sender.sends), tt.sends)
-				is.Equal(c.status, tt.status)
-				seen := map[string]bool{}
-				for _, s := range w.sender.sends {
-					is.True(!seen[s.Upstream]) // never the same upstream again
-					seen[s.Upstream] = true
-					is.Equal(s.Organisation, "council")
-					is.True(s.Left <= time.Second) // the route's bound, not the caller's minute
-				}
-				if tt.want != "" {
-					is.Equal(c.refused.Reason(), tt.want)
-					is.Equal(c.refused.Ending(), tt.ending)
-				} else {
-					last := tt.script[min(tt.sends, len(tt.script))-1]
-					is.Equal(c.body.String(), last.body+last.rest)
-				}
-				is.True(w.relay.Buffers == nil || w.relay.Buffers.Held() == 0)
-				is.Equal(len(w.tally.Own()), 0)
+		for places, share := range map[string]func(w *world){"": func(*world) {}, ", places shared out": (*world).share} {
+			t.Run(name+places, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					w := newWorld(t, tt.script...)
+					w.relay.Buffers = buffered(name)
+					share(w)
+					c := w.serve(t.Context(), tt.path)
+					is.Equal(len(w.sender.sends), tt.sends)
+					is.Equal(c.status, tt.status)
+					seen := map[string]bool{}
+					for _, s := range w.sender.sends {
+						is.True(!seen[s.Upstream]) // never the same upstream again
+						seen[s.Upstream] = true
+						is.Equal(s.Organisation, "council")
+						is.True(s.Left <= time.Second) // the route's bound, not the caller's minute
+					}
+					if tt.want != "" {
+						is.Equal(c.refused.Reason(), tt.want)
+						is.Equal(c.refused.Ending(), tt.ending)
+					} else {
+						last := tt.script[min(tt.sends, len(tt.script))-1]
+						is.Equal(c.body.String(), last.body+last.rest)
+					}
+					is.True(w.relay.Buffers == nil || w.relay.Buffers.Held() == 0)
+					is.Equal(len(w.tally.Own()), 0)
+				})
 			})
-		})
+		}
 	}
 }
 
+// share lets the boxes share the places of plain upstreams out.
+func (w *world) share() {
+	w.relay.Places = places.New(places.Parts{
+		Ranker: w.relay.Chooser, Failing: w.failed.Failing, Counter: w.relay.Metrics, Hall: "leith", Random: rand.New(rand.NewPCG(1, 2)), Log: w.relay.Log,
+	})
+}
+
 // TestLong passes on an answer that is too long to be held, also where another
 // try might have followed.
 func TestLong(t *testing.T) {
@@ -413,6 +430,64 @@
 	}
 }
 
+// TestBeside sends a second try at half the aim only where it may and can help, and
+// never cuts the first one for it.
+func TestBeside(t *testing.T) {
+	const before, after = 40 * time.Millisecond, 70 * time.Millisecond // half the aim is 50 ms
+	slow := 500 * time.Millisecond
+	tests := map[string]struct {
+		path   string
+		script []reply
+		spent  bool // the budget
+		busy   bool // all upstreams
+		sends  int
+		body   string
+		status int
+		took   time.Duration
+	}{
+		"answered before it is due":          {"/safe/", []reply{{takes: before, body: "1"}}, false, false, 1, "1", 200, before},
+		"no budget: the first goes on":       {"/safe/", []reply{{takes: after, body: "1"}}, true, false, 1, "1", 200, after},
+		"all busy: the first goes on":        {"/safe/", []reply{{takes: after, body: "1"}}, false, true, 1, "1", 200, after},
+		"the first answers first":            {"/safe/", []reply{{takes: after, body: "1"}, {takes: slow, body: "2"}}, false, false, 2, "1", 200, after},
+		"the second answers first":           {"/safe/", []reply{{takes: slow, body: "1"}, {takes: before, body: "2"}}, false, false, 2, "2", 200, 90 * time.Millisecond},
+		"the first breaks, the second runs":  {"/safe/", []reply{{takes: after, err: errReset}, {takes: slow, body: "2"}}, false, false, 2, "2", 200, 550 * time.Millisecond},
+		"the second is full, the first runs": {"/safe/", []reply{{takes: slow, body: "1"}, {status: 503, notRun: true}}, false, false, 2, "1", 200, slow},
+		"may not run twice":                  {"/unsafe2/", []reply{{takes: slow, body: "1"}}, false, false, 1, "1", 200, slow},
+		"its upstream hangs, no budget":      {"/safe/", []reply{{hang: true}}, true, false, 1, "", 0, time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, tt.script...)
+				if tt.spent {
+					w.relay.Budget = retry.NewBudget(0, 0)
+				}
+				others := 0
+				if tt.busy {
+					others = w.fill("plain")
+				}
+				began := time.Now()
+				c := w.serve(t.Context(), tt.path)
+				is.Equal(time.Since(began), tt.took)
+				is.Equal(c.body.String(), tt.body)
+				is.Equal(c.status, tt.status)
+				is.Equal(len(w.sender.sends), tt.sends)
+				is.Equal(len(w.tally.Own()), others)
+			})
+		})
+	}
+}
+
+// fill takes every place of a service's upstreams, and returns how many there are.
+func (w *world) fill(service string) (upstreams int) {
+	for _, u := range w.fleet.Serving(service) {
+		w.tally.Begin(u.ID, tally.Load{Requests: u.Slots})
+		upstreams++
+	}
+	return upstreams
+}
+
 // TestBudget shows that repeats are bounded where all fails.
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
