speeds: learn how fast each engine is, and what a request costs there

Cause: engines of one service differ by 2.2 times for as long as they live, and nothing knew it: a prompt read beside a stream makes it late at the slow ones. Each box learns times of events alone, beside a prompt, and of a prompt's token, tells them once a second, and the queue and moves weigh what a request makes late.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"petrelstep/balance/speeds"
 	"petrelstep/choose"
 	"petrelstep/fleet"
 	"petrelstep/refusal"
@@ -50,6 +51,7 @@
 	Answer   int // expected tokens
 	Arrived  time.Time
 	Aim      time.Duration // for the first event; 0 for none
+	Gap      time.Duration // longest pause of a stream in time; 0 for any
 	Deadline time.Duration // since the request arrived; 0 for none
 	Patience time.Duration // the caller leaves so long after the request arrived; 0 if it does not
 	Mark     uint64        // what the tries of one request have in common
@@ -61,6 +63,7 @@
 type Grant struct {
 	Upstream fleet.Upstream
 	Load     float64 // part of its memory that is in use then
+	Cost     float64 // requests that are made late by it, as far as is known
 }
 
 // ranking lists the upstreams of a service, the best first.
@@ -68,6 +71,8 @@
 	Ranked(now time.Time, w choose.Want) []choose.Choice
 	// Sent notes that a request goes to an upstream.
 	Sent(now time.Time, s route.Service, u fleet.Upstream)
+	// Gave notes that this box has decided so.
+	Gave(now time.Time, u fleet.Upstream, n speeds.Need)
 	// Leaving returns what runs at the upstreams of a service that leave.
 	Leaving(now time.Time, service string) tally.Load
 }
@@ -85,6 +90,7 @@
 type waiter struct {
 	ask     Ask
 	returns bool // it was refused before, and came back
+	held    bool // there is room, but where it would be late or make others so
 	settled chan outcome
 }
 
@@ -171,7 +177,7 @@
 	}
 	a.waiting = append(a.waiting, w)
 	a.grant(now, r)
-	if !slices.Contains(a.waiting, w) {
+	if !slices.Contains(a.waiting, w) || w.held {
 		return
 	}
 	if !a.short(w.ask) {
@@ -212,7 +218,9 @@
 				w.settled <- outcome{err: noUpstream(w.ask)}
 				return true
 			}
-			if g, ok := a.room(now, r, w.ask); ok {
+			g, ok := a.room(now, r, w.ask)
+			w.held = ok && a.waits(now, r, w.ask, g)
+			if ok && !w.held {
 				a.give(now, w, g)
 				r.clear()
 				return true
@@ -235,8 +243,9 @@
 	a.returns.came(w.ask.Mark)
 	a.wait.gave(now, a.rank(w.ask), w.ask.Prompt)
 	a.ranking.Sent(now, w.ask.Service, g.Upstream)
+	a.ranking.Gave(now, g.Upstream, a.need(w.ask))
 	a.loads.Promise(now, w.ask.Box, g.Upstream.ID, loadOf(w.ask))
-	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load}).Info("admitted")
+	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load, "cost": g.Cost}).Info("admitted")
 	w.settled <- outcome{grant: g}
 }
 
--- a/admission/room.go
+++ b/admission/room.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"petrelstep/balance/speeds"
 	"petrelstep/choose"
 	"petrelstep/tally"
 )
@@ -18,6 +19,8 @@
 	// lineWeight weighs a token that is to be read before against one of memory left
 	// over: an engine that has no line goes before one that is a prompt fuller.
 	lineWeight = 2
+	// lateWeight weighs a request that is made late against an engine's memory.
+	lateWeight = 4
 	// farPart is the part of an engine's memory that another hall costs one that
 	// holds memory for a moment: a lost segment cannot make more than one event late.
 	farPart = 4
@@ -51,7 +54,7 @@
 		if !short || now.Sub(a.waited) > waitedFor {
 			return grantOf(ask, c), true
 		}
-		if over := a.leftOver(ask, c); best < 0 || over < least {
+		if over := a.leftOver(ask, c) + int(c.Cost*float64(lateWeight*ask.Service.Engine.Memory)); best < 0 || over < least {
 			best, least = i, over
 		}
 	}
@@ -77,8 +80,11 @@
 	return free >= leaving+ask.Prompt
 }
 
+// need is what a request needs of an engine.
+func (a *Admission) need(ask Ask) speeds.Need { return speeds.Need{Gap: ask.Gap, Long: !a.short(ask)} }
+
 func grantOf(ask Ask, c choose.Choice) Grant {
-	return Grant{Upstream: c.Upstream, Load: float64(c.Running.Tokens) / float64(max(ask.Service.Engine.Memory, 1))}
+	return Grant{Upstream: c.Upstream, Cost: c.Cost, Load: float64(c.Running.Tokens) / float64(max(ask.Service.Engine.Memory, 1))}
 }
 
 // leftOver is the memory that a request leaves at an upstream, in tokens, with what
--- a/admission/round.go
+++ b/admission/round.go
@@ -34,11 +34,12 @@
 
 // ranked returns the upstreams that a request may go to, the emptiest first.
 func (a *Admission) ranked(now time.Time, r round, ask Ask) []choose.Choice {
-	key := strings.Join(append([]string{ask.Service.Name, ask.Hall, strings.Join(ask.Regions, ",")}, ask.Avoid...), "/")
+	need := a.need(ask)
+	key := strings.Join(append([]string{ask.Service.Name, ask.Hall, strings.Join(ask.Regions, ","), need.String()}, ask.Avoid...), "/")
 	list, ok := r.ranked[key]
 	if !ok {
 		list = a.ranking.Ranked(now, choose.Want{
-			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Avoid: ask.Avoid, Regions: ask.Regions, All: true,
+			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Need: need, Avoid: ask.Avoid, Regions: ask.Regions, All: true,
 		})
 		r.ranked[key] = list
 	}
--- /dev/null
+++ b/balance/speeds/speeds.go
@@ -0,0 +1,285 @@
+// Package speeds learns how fast each engine is, for as long as it lives, and tells
+// what a request costs there in answers that pause for too long. An engine that makes
+// events in 65 ms keeps a pause of 180 ms until a prompt is read beside its streams,
+// which makes it 185 ms: the first one then makes all of them late. An engine twice as
+// fast reads any number.
+package speeds
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"petrelstep/fleet"
+	"petrelstep/told"
+	"petrelstep/wire"
+)
+
+const (
+	// viewEvery is how long what is believed holds until it is made anew from what
+	// was seen meanwhile: boxes tell once a second.
+	viewEvery = 250 * time.Millisecond
+	// keptWeight is what the last belief of an engine counts for while nothing
+	// streams there: a single observation, so that the next one is as good.
+	keptWeight = 1.0
+	// keptFor is how long an engine is known that takes nothing new: it may be back
+	// once its entry is.
+	keptFor = 30 * time.Second
+	// readWeight is the weight of how long one prompt took to be read: others may have
+	// been read before it that nobody had told of yet.
+	readWeight = 0.5
+	// leastRead is the shortest prompt that tells how fast an engine reads: shorter
+	// ones are over within a few events.
+	leastRead = 256
+)
+
+// serving lists the upstreams of a service that take new work.
+type serving interface {
+	Serving(service string) []fleet.Upstream
+}
+
+// counter counts the requests that go to engines.
+type counter interface {
+	// Placed counts one by the class of its engine.
+	Placed(class string)
+}
+
+// seen is this box's own record of an engine.
+type seen struct {
+	at time.Time
+	record
+}
+
+// belief is the last that was known of an engine.
+type belief struct {
+	at   time.Time // it was last renewed
+	seen time.Time // anything was last seen of it
+	record
+}
+
+// Speeds is safe for use by several goroutines. The nil value knows nothing and
+// learns nothing.
+type Speeds struct {
+	fleet  serving
+	counts counter
+	log    *logrus.Entry
+	others *told.Book[record]
+
+	mu      sync.Mutex
+	own     map[string]seen          // by key
+	beliefs map[string]belief        // by key
+	views   map[string]*view         // by service
+	given   map[string]gave          // by key
+	gaps    map[string]time.Duration // last asked for, by service
+	classes map[string]Class         // last logged, by key
+}
+
+// New returns an empty memory of the upstreams that are served.
+func New(f serving, c counter, log *logrus.Entry) *Speeds {
+	return &Speeds{
+		fleet: f, counts: c, log: log, others: told.New[record](), own: map[string]seen{}, beliefs: map[string]belief{}, views: map[string]*view{},
+		given: map[string]gave{}, gaps: map[string]time.Duration{}, classes: map[string]Class{},
+	}
+}
+
+// Stream follows a stream at an upstream.
+func (s *Speeds) Stream(u fleet.Upstream) *Stream {
+	if s == nil {
+		return nil
+	}
+	return &Stream{speeds: s, upstream: u, gaps: make([]time.Duration, 0, window)}
+}
+
+// Read notes how long a prompt took to be read that found no other before it.
+func (s *Speeds) Read(now time.Time, u fleet.Upstream, tokens int, took time.Duration) {
+	if s == nil || tokens < leastRead || took <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.ownOf(now, keyOf(u))
+	r.read = r.read.with(took/time.Duration(tokens), readWeight)
+	s.own[keyOf(u)] = r
+}
+
+// streamed takes an observation of a stream.
+func (s *Speeds) streamed(now time.Time, u fleet.Upstream, gap time.Duration, weight float64, beside bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := keyOf(u)
+	r := s.ownOf(now, key)
+	alone := r.alone.plus(s.beliefs[key].alone)
+	switch {
+	case !beside:
+		r.alone = r.alone.with(gap, weight)
+	case alone.weight < forgotten || math.Log(gap.Seconds()) > alone.mean()+math.Log(contrast):
+		r.beside = r.beside.with(gap, weight)
+	}
+	s.own[key] = r
+}
+
+// ownOf returns this box's own record as of now.
+func (s *Speeds) ownOf(now time.Time, key string) seen {
+	r := s.own[key]
+	if r.at.IsZero() {
+		return seen{at: now}
+	}
+	left := math.Exp2(-now.Sub(r.at).Seconds() / halfLife.Seconds())
+	return seen{now, r.times(left)}
+}
+
+// Own returns what this box saw of late, for its peers.
+func (s *Speeds) Own(now time.Time) []wire.UpstreamSpeed {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rowsOf(s.recent(now))
+}
+
+// recent returns this box's own records that count yet, and drops the others.
+func (s *Speeds) recent(now time.Time) map[string]record {
+	list := map[string]record{}
+	for key := range s.own {
+		r := s.ownOf(now, key)
+		if r.weight() < forgotten {
+			delete(s.own, key)
+			continue
+		}
+		list[key] = r.record
+	}
+	return list
+}
+
+func rowsOf(records map[string]record) []wire.UpstreamSpeed {
+	rows := make([]wire.UpstreamSpeed, 0, len(records))
+	for key, r := range records {
+		if r.weight() >= forgotten {
+			rows = append(rows, rowOf(key, r))
+		}
+	}
+	return rows
+}
+
+// Without returns what all boxes but one saw of late, for that one.
+func (s *Speeds) Without(now time.Time, box string) []wire.UpstreamSpeed {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	list := s.recent(now)
+	s.mu.Unlock()
+	s.others.Without(now, box, list)
+	return rowsOf(list)
+}
+
+// Told takes another box's word of what it saw.
+func (s *Speeds) Told(now time.Time, box string, list []wire.UpstreamSpeed) {
+	if s != nil {
+		s.others.Told(now, box, recordsOf(list))
+	}
+}
+
+// ToldSum takes a hub's word of what all other boxes saw.
+func (s *Speeds) ToldSum(now time.Time, list []wire.UpstreamSpeed) {
+	if s != nil {
+		s.others.ToldSum(now, recordsOf(list))
+	}
+}
+
+func recordsOf(list []wire.UpstreamSpeed) map[string]record {
+	records := make(map[string]record, len(list))
+	for _, row := range list {
+		records[keyFor(row.Upstream, row.Born)] = recordOf(row)
+	}
+	return records
+}
+
+// Of returns what is believed of an upstream.
+func (s *Speeds) Of(now time.Time, u fleet.Upstream) Speed {
+	if s == nil {
+		return Speed{}
+	}
+	return s.view(now, u.Service).speeds[keyOf(u)]
+}
+
+// view returns what is believed of the engines of a service.
+func (s *Speeds) view(now time.Time, service string) *view {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v, ok := s.views[service]; ok && now.Sub(v.at) < viewEvery {
+		return v
+	}
+	records, at := map[string]record{}, map[string]time.Time{}
+	for _, u := range s.fleet.Serving(service) {
+		key := keyOf(u)
+		b := s.renew(now, key)
+		if b.weight() > 0 {
+			records[key], at[key] = b.record, b.seen
+		}
+	}
+	s.forget(now)
+	v := newView(now, records, at)
+	s.views[service] = v
+	s.logClasses(now, service, v)
+	return v
+}
+
+// renew joins what all boxes saw of an engine of late with what was believed
+// before, as far as that counts yet.
+func (s *Speeds) renew(now time.Time, key string) belief {
+	last := s.beliefs[key]
+	late := s.ownOf(now, key).Plus(s.others.Of(now, key))
+	b := belief{at: now, seen: last.seen}
+	if late.weight() >= enough {
+		b.seen = now
+	}
+	b.record = record{renewed(late.alone, last.alone), renewed(late.beside, last.beside), renewed(late.read, last.read)}
+	s.beliefs[key] = b
+	return b
+}
+
+// renewed fills up what was seen of late with the last belief.
+func renewed(late, last sum) sum {
+	missing := min(keptWeight-late.weight, last.weight)
+	if missing <= 0 || last.weight == 0 {
+		return late
+	}
+	return late.plus(last.times(missing / last.weight))
+}
+
+// forget drops what is believed of engines that are gone.
+func (s *Speeds) forget(now time.Time) {
+	for key, b := range s.beliefs {
+		if now.Sub(b.at) > keptFor {
+			delete(s.beliefs, key)
+			delete(s.given, key)
+			delete(s.classes, key)
+		}
+	}
+}
+
+// logClasses logs which engines are believed to be of another class than before, by
+// the pause that was last asked for.
+func (s *Speeds) logClasses(now time.Time, service string, v *view) {
+	gap := s.gaps[service]
+	if gap == 0 {
+		return
+	}
+	for key, speed := range v.speeds {
+		class, was := speed.Class(gap), s.classes[key]
+		if class == was || class == Unknown {
+			continue
+		}
+		s.classes[key] = class
+		s.log.WithFields(logrus.Fields{
+			"upstream": key, "service": service, "class": class, "was": was, "gap_aim_ms": gap.Milliseconds(),
+			"alone_ms": speed.Alone().Milliseconds(), "beside_ms": speed.Beside().Milliseconds(), "read_us": speed.Read().Microseconds(),
+			"alone_weight": speed.alone.weight, "beside_weight": speed.beside.weight, "read_weight": speed.read.weight,
+			"age_ms": now.Sub(speed.seen).Milliseconds(),
+		}).Info("engine_class")
+	}
+}
--- /dev/null
+++ b/balance/speeds/view.go
@@ -0,0 +1,106 @@
+package speeds
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"petrelstep/fleet"
+)
+
+const (
+	// besideGuess is how many times as long an event takes beside a prompt that is
+	// read, until engines of the service were seen to do so; it counts as one engine.
+	besideGuess = 2.5
+	// enough is the weight from which on what was seen of an engine tells of its like.
+	enough = 0.5
+)
+
+// view is what is believed of the engines of a service at a time.
+type view struct {
+	at     time.Time
+	speeds map[string]Speed // by key
+	known  bool             // anything is, of any
+
+	mu    sync.Mutex
+	byGap map[time.Duration]risks
+}
+
+// risks are the chances that engines break a pause.
+type risks struct {
+	engines map[string]risk // by key
+	like    risk            // of one that nothing is known of: as its like
+}
+
+func (r risks) of(u fleet.Upstream) risk {
+	if known, ok := r.engines[keyOf(u)]; ok {
+		return known
+	}
+	return r.like
+}
+
+// risks returns the chances for a pause; they are made once for each view.
+func (v *view) risks(gap time.Duration) risks {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r, ok := v.byGap[gap]; ok {
+		return r
+	}
+	r := risks{engines: make(map[string]risk, len(v.speeds))}
+	for key, s := range v.speeds {
+		if s.known() {
+			one := s.risk(gap)
+			r.engines[key] = one
+			r.like.alone += one.alone
+			r.like.beside += one.beside
+		}
+	}
+	if n := float64(len(r.engines)); n > 0 {
+		r.like.alone /= n
+		r.like.beside /= n
+	}
+	v.byGap[gap] = r
+	return r
+}
+
+// newView forecasts what each engine does by what was seen of it and its like.
+func newView(now time.Time, records map[string]record, seen map[string]time.Time) *view {
+	v := &view{at: now, speeds: make(map[string]Speed, len(records)), byGap: map[time.Duration]risks{}}
+	aloneBeside := ratio(records, func(r record) (x, y sum) { return r.alone, r.beside }).and(forecast{math.Log(besideGuess), 1})
+	readAlone := ratio(records, func(r record) (x, y sum) { return r.read, r.alone })
+	for key, r := range records {
+		s := Speed{seen: seen[key], read: own(r.read), alone: own(r.alone)}
+		s.alone = s.alone.and(s.read.by(readAlone))
+		s.beside = own(r.beside).and(s.alone.by(aloneBeside))
+		v.speeds[key] = s
+		v.known = v.known || s.known()
+	}
+	return v
+}
+
+func own(s sum) forecast {
+	if s.weight < forgotten {
+		return forecast{}
+	}
+	return forecast{s.mean(), s.weight}
+}
+
+// by forecasts another kind of time by how many times as long that is.
+func (f forecast) by(ratio forecast) forecast {
+	if f.weight == 0 || ratio.weight == 0 {
+		return forecast{}
+	}
+	return forecast{f.log + ratio.log, other * f.weight}
+}
+
+// ratio returns how many times as long one kind of time is as another, as a
+// logarithm, in the mean of the engines of which both are known.
+func ratio(records map[string]record, kinds func(record) (x, y sum)) forecast {
+	f := forecast{}
+	for _, r := range records {
+		if x, y := kinds(r); x.weight >= enough && y.weight >= enough {
+			f = f.and(forecast{y.mean() - x.mean(), 1})
+		}
+	}
+	return f
+}
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"petrelstep/balance/speeds"
 	"petrelstep/fleet"
 	"petrelstep/reliability"
 	"petrelstep/route"
@@ -35,6 +36,9 @@
 	// slowing weighs each time of the usual pace that a slow one takes: streams
 	// there pause for longer than they may as soon as a prompt is read beside them.
 	slowing = 1.0
+	// late weighs a request that is made late: more than any load does, as what fits
+	// is served in time whatever else runs there.
+	late = 4.0
 	// failing weighs the share of sends that failed of late.
 	failing = 3.0
 	// missing is for one whose entry has lapsed and may come back.
@@ -70,7 +74,8 @@
 	Tally       *tally.Tally
 	Reliability *reliability.Reliability
 	Reading     reading
-	Hall        string // of the box
+	Speeds      *speeds.Speeds // nil: engines' paces are compared where they stream
+	Hall        string         // of the box
 	Random      *rand.Rand
 	Regions     map[string]string             // of halls
 	Warmup      *warmup.Warmup                // nil: cold upstreams are not spared
@@ -91,6 +96,7 @@
 	Tokens  int
 	Hall    string // to be near; the box's own where empty
 	Moves   bool   // it is for a run that moves there
+	Need    speeds.Need
 	Avoid   []string
 	Regions []string // the only ones that may be chosen; none for any
 	All     bool     // all are weighed: what others send there meanwhile is known
@@ -101,7 +107,8 @@
 	Upstream fleet.Upstream
 	Running  tally.Load
 	Load     float64
-	Held     bool // it is cold, and may get no more for now
+	Cost     float64 // requests that are made late if it goes there
+	Held     bool    // it is cold, and may get no more for now
 }
 
 // Choose returns the upstream with the most room, and its load as a share of
@@ -115,6 +122,9 @@
 	return fleet.Upstream{}, 0, false
 }
 
+// Gave notes that the keeper of a queue sends a request to an upstream.
+func (c *Chooser) Gave(now time.Time, u fleet.Upstream, n speeds.Need) { c.Speeds.Gave(now, u, n) }
+
 // Sent notes that a request goes to an upstream.
 func (c *Chooser) Sent(now time.Time, s route.Service, u fleet.Upstream) {
 	if c.Warmup != nil && now.Before(u.Cold) {
@@ -144,17 +154,17 @@
 	for i, u := range list {
 		loads[i] = c.Tally.Load(now, u.ID)
 	}
-	usual := usualPace(loads)
+	costs := c.costs(now, w, list, loads)
 	order := make([]scored, len(list))
 	for i, u := range list {
 		load := c.load(w, u, loads[i])
-		order[i] = scored{at: i, load: load, score: load + slowness(loads[i].Pace(), usual) + c.penalty(now, w, u)}
+		order[i] = scored{at: i, load: load, score: load + costs.score[i] + c.penalty(now, w, u)}
 	}
 	slices.SortFunc(order, func(a, b scored) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.at, b.at)) })
 	ranked := make([]Choice, len(list))
 	for i, s := range order {
 		u := list[s.at]
-		ranked[i] = Choice{Upstream: u, Running: loads[s.at], Load: s.load, Held: c.held(now, w, u)}
+		ranked[i] = Choice{Upstream: u, Running: loads[s.at], Load: s.load, Cost: costs.late[s.at], Held: c.held(now, w, u)}
 	}
 	return ranked
 }
@@ -229,6 +239,29 @@
 	return float64(l.Tokens+l.Coming+w.Tokens)/float64(e.Memory) + slots*places + waiting*c.Reading.Time(l.Prefill).Seconds()
 }
 
+// costs are what upstreams cost by how fast they are, in requests that are made late
+// and as scores.
+type costs struct{ late, score []float64 }
+
+// costs weighs how fast upstreams are: by what is known of them, or, where nothing is
+// or that is off, by the paces of what streams there.
+func (c *Chooser) costs(now time.Time, w Want, list []fleet.Upstream, loads []tally.Load) costs {
+	all := costs{score: make([]float64, len(list))}
+	all.late = c.Speeds.Costs(now, w.Service.Name, list, loads, w.Need)
+	if all.late != nil {
+		for i, cost := range all.late {
+			all.score[i] = late * cost
+		}
+		return all
+	}
+	all.late = make([]float64, len(list))
+	usual := usualPace(loads)
+	for i, l := range loads {
+		all.score[i] = slowness(l.Pace(), usual)
+	}
+	return all
+}
+
 // usualPace returns the middle time between events at upstreams; 0 if none is known.
 func usualPace(loads []tally.Load) time.Duration {
 	var paces []time.Duration
--- a/edge/admit.go
+++ b/edge/admit.go
@@ -88,7 +88,7 @@
 	var answer wire.AdmitAnswer
 	err = e.peers.Repeat(call, keeper.Address, peer.Admit, wire.AdmitAsk{
 		Request: ask.Request, Box: ask.Box, Hall: ask.Hall, Service: ask.Service.Name, Urgency: ask.Urgency,
-		Prompt: ask.Prompt, Answer: ask.Answer, AimMs: int(ask.Aim.Milliseconds()), WaitedMs: int(time.Since(ask.Arrived).Milliseconds()),
+		Prompt: ask.Prompt, Answer: ask.Answer, AimMs: int(ask.Aim.Milliseconds()), GapMs: int(ask.Gap.Milliseconds()), WaitedMs: int(time.Since(ask.Arrived).Milliseconds()),
 		DeadlineMs: int(ask.Deadline.Milliseconds()), PatienceMs: int(ask.Patience.Milliseconds()), Mark: strconv.FormatUint(ask.Mark, 36), Avoid: ask.Avoid, Regions: ask.Regions, WaitMs: int(admitWait.Milliseconds()),
 	}, &answer)
 	switch {
@@ -119,7 +119,7 @@
 	g, ok, err := e.admission.Take(ctx, admission.Ask{
 		Request: ask.Request, Box: ask.Box, Hall: ask.Hall, Service: service, Urgency: ask.Urgency, Prompt: ask.Prompt,
 		Answer: ask.Answer, Arrived: time.Now().Add(-time.Duration(ask.WaitedMs) * time.Millisecond),
-		Aim: time.Duration(ask.AimMs) * time.Millisecond, Deadline: time.Duration(ask.DeadlineMs) * time.Millisecond, Patience: time.Duration(ask.PatienceMs) * time.Millisecond, Mark: mark, Avoid: ask.Avoid,
+		Aim: time.Duration(ask.AimMs) * time.Millisecond, Gap: time.Duration(ask.GapMs) * time.Millisecond, Deadline: time.Duration(ask.DeadlineMs) * time.Millisecond, Patience: time.Duration(ask.PatienceMs) * time.Millisecond, Mark: mark, Avoid: ask.Avoid,
 		Regions: ask.Regions,
 	})
 	var refused refusal.Refusal
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -33,6 +33,9 @@
 	e.tally.Told(now, from.Sender.Box, from.Tallies)
 	e.reliability.Told(now, from.Sender.Box, from.Failures)
 	e.hearDeparting(now, from.Departing)
+	if from.WantsSpeeds {
+		e.speeds.Told(now, from.Sender.Box, from.Speeds)
+	}
 	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
@@ -41,6 +44,9 @@
 		a.Tallies, a.Failures = e.tally.Without(now, from.Sender.Box), e.reliability.Without(now, from.Sender.Box)
 		a.Hubs = e.hubRecords(now)
 	}
+	if from.WantsSpeeds {
+		a.Speeds = e.answerSpeeds(now, from.Sender.Box, a.Tells)
+	}
 	e.answerConfiguration(now, &a)
 	e.answerFleet(now, from, &a)
 	return a
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/admission"
+	"petrelstep/balance/speeds"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/config"
@@ -96,6 +97,7 @@
 	halls       *halls.Halls
 	tally       *tally.Tally
 	reliability *reliability.Reliability
+	speeds      *speeds.Speeds // nil where that is off
 	runs        *runs.Runs
 	members     *members.Members
 	peers       *peer.Peers
@@ -174,14 +176,17 @@
 	s := e.config.Edge
 	e.budget = retry.NewBudget(budgetPart*s.RetryRatio, e.slack(boxesGuess))
 	reading := prefill.New()
+	if e.config.Balances(wire.EdgeBalanceElemSpeeds) {
+		e.speeds = speeds.New(e.fleet, e.metrics, e.log)
+	}
 	chooser := choose.New(choose.Parts{
-		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall,
+		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall, Speeds: e.speeds,
 		Warmup: warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5))), Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
 	e.admission = admission.New(chooser, e.tally, reading, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
-		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
+		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Tally: e.tally, Reliability: e.reliability, Speeds: e.speeds, Sender: e.upstreams,
 		Budget: e.budget,
 		Runs:   e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, ServeStale: s.ServeStale, Log: e.log,
 	})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -31,9 +31,10 @@
 type mark struct {
 	incarnation int
 	change      int
-	whole       bool // all before the change is known too
-	telling     int  // last change of this box's fleet in the call under way
-	told        int  // and in the last one that was answered
+	whole       bool      // all before the change is known too
+	telling     int       // last change of this box's fleet in the call under way
+	told        int       // and in the last one that was answered
+	speeds      time.Time // when it was last told how fast engines are
 }
 
 // Say implements gossip.Box.
@@ -46,7 +47,9 @@
 	m := e.mark(hub.Name)
 	departing, last := e.departing(now, m.told)
 	e.telling(hub.Name, last)
+	speeds, due := e.tellSpeeds(now, hub.Name)
 	return wire.Gossip{
+		Speeds: speeds, WantsSpeeds: due,
 		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version, Tallies: e.tally.Own(),
 		Failures: e.reliability.Own(now), Departing: departing, WholeFleet: e.wantsFleet(now, hub), FleetOf: m.incarnation, FleetAfter: m.change,
 	}
@@ -113,9 +116,15 @@
 	case wire.GossipScopeOwn:
 		e.tally.Told(now, a.Sender.Box, a.Tallies)
 		e.reliability.Told(now, a.Sender.Box, a.Failures)
+		if len(a.Speeds) > 0 {
+			e.speeds.Told(now, a.Sender.Box, a.Speeds)
+		}
 	case wire.GossipScopeAll:
 		e.tally.ToldSum(now, a.Tallies)
 		e.reliability.ToldSum(now, a.Failures)
+		if len(a.Speeds) > 0 {
+			e.speeds.ToldSum(now, a.Speeds)
+		}
 	}
 	e.hearFleet(now, a, sent)
 	e.storeAnswered(sent.Add(-config.Millis(a.StoreSilentMs)))
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"petrelstep/balance/speeds"
 	"petrelstep/choose"
 	"petrelstep/exchange"
 	"petrelstep/fleet"
@@ -153,13 +154,13 @@
 	avoid := []string{u.ID}
 	err := ErrNoRoom
 	for tries := 0; tries < targetsMost && errors.Is(err, ErrNoRoom); tries++ {
-		ranked := e.Chooser.Ranked(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Moves: true, Avoid: avoid, Regions: run.Request.Regions})
+		ranked := e.Chooser.Ranked(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Moves: true, Need: speeds.Need{Gap: run.Gap, Long: true, Moves: true}, Avoid: avoid, Regions: run.Request.Regions})
 		if len(ranked) == 0 {
 			break
 		}
 		target, giveBack := e.take(ctx, run, u, ranked[:min(len(ranked), targetsNamed)])
 		avoid = append(avoid, target.Upstream.ID)
-		log = log.WithFields(logrus.Fields{"to": target.Upstream.ID, "load": target.Load, "waited_ms": time.Since(began).Milliseconds()})
+		log = log.WithFields(logrus.Fields{"to": target.Upstream.ID, "load": target.Load, "cost": target.Cost, "waited_ms": time.Since(began).Milliseconds()})
 		err = e.moveTo(ctx, run, u, target.Upstream)
 		giveBack()
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -53,6 +53,7 @@
 	moves    metric.Float64Histogram
 	dropped  metric.Int64Counter
 	halls    metric.Int64Counter
+	placed   metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -78,6 +79,7 @@
 	m.moves = b.histogram("petrelstep_move", "Time of a generation's move to another upstream, by outcome.")
 	m.dropped = b.counter("petrelstep_log_lines_dropped", "Log lines dropped because nobody read them.")
 	m.halls = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
+	m.placed = b.counter("petrelstep_long_answers_placed", "Long answers given room, by how their engine keeps their pause.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -148,6 +150,11 @@
 	m.halls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
 }
 
+// Placed counts a long answer that was given room on an engine of a class.
+func (m *Metrics) Placed(class string) {
+	m.placed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("class", class)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/admission"
+	"petrelstep/balance/speeds"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/exchange"
@@ -54,6 +55,7 @@
 	Admitter    Admitter // nil: straight to the emptiest engine
 	Tally       *tally.Tally
 	Reliability *reliability.Reliability
+	Speeds      *speeds.Speeds // nil where that is off
 	Sender      exchange.Sender
 	Budget      *retry.Budget
 	Runs        *runs.Runs
@@ -239,6 +241,7 @@
 	upstream fleet.Upstream
 	began    time.Time
 	entry    *tally.Entry
+	pace     *speeds.Stream
 	alone    int         // tokens of its prompt, if no other was to be read before
 	hung     *time.Timer // stopped by what comes first
 	close    func()
@@ -286,7 +289,7 @@
 	if j.service.Engine != nil && r.Admitter != nil {
 		g, err := r.Admitter.Admit(ctx, admission.Ask{
 			Request: j.req.ID, Service: j.service, Urgency: j.urgency, Prompt: j.req.Prompt, Answer: j.left(0), Arrived: j.req.Arrived,
-			Aim: j.route.Aim, Deadline: j.deadline.Sub(j.req.Arrived), Patience: min(j.route.Patience, j.deadline.Sub(j.req.Arrived)),
+			Aim: j.route.Aim, Gap: j.route.Gap, Deadline: j.deadline.Sub(j.req.Arrived), Patience: min(j.route.Patience, j.deadline.Sub(j.req.Arrived)),
 			Mark: j.mark(), Avoid: avoid, Regions: j.req.Regions,
 		})
 		return g.Upstream, g.Load, err
@@ -344,8 +347,10 @@
 		}
 		return nil, err
 	}
-	return &sent{answer: answer, upstream: u, began: began, entry: entry, alone: alone, hung: hung, close: func() {
+	pace := r.Speeds.Stream(u)
+	return &sent{answer: answer, upstream: u, began: began, entry: entry, pace: pace, alone: alone, hung: hung, close: func() {
 		hung.Stop()
+		pace.End(time.Now())
 		answer.Body.Close()
 		cancel()
 		entry.End()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -81,6 +81,7 @@
 			r.Budget.Succeeded()
 			f.sent = s
 			f.run = runs.NewRun(j.req, s.upstream, j.eventTokens(), j.left, s.began)
+			f.run.Gap = j.route.Gap
 			return nil
 		}
 		if err == nil && s.answer.Status == http.StatusOK {
@@ -211,9 +212,13 @@
 	if f.count == 0 {
 		f.sent.entry.Started()
 		r.Prefill.Read(f.sent.alone, now.Sub(f.sent.began))
+		r.Speeds.Read(now, f.sent.upstream, f.sent.alone, now.Sub(f.sent.began))
 	}
 	f.count++
 	f.grew()
+	if r.Speeds != nil {
+		f.sent.pace.Event(now, r.Tally.Load(now, f.sent.upstream.ID).Prefill > 0)
+	}
 	if e.ID != exchange.NoEvent {
 		f.last = e.ID
 	}
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -24,6 +24,7 @@
 type Run struct {
 	Request *exchange.Request
 	Began   time.Time
+	Gap     time.Duration // longest pause in time; 0 for any. Set before it is added
 
 	mu       sync.Mutex
 	upstream fleet.Upstream
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -110,6 +110,9 @@
 	// The caller's, since the request arrived.
 	DeadlineMs int `json:"deadline_ms,omitempty,omitzero"`
 
+	// Longest pause of a stream in time; 0 for any.
+	GapMs int `json:"gap_ms,omitempty,omitzero"`
+
 	// Of the box.
 	Hall string `json:"hall,omitempty,omitzero"`
 
@@ -176,6 +179,9 @@
 	if v, ok := raw["deadline_ms"]; !ok || v == nil {
 		plain.DeadlineMs = 0
 	}
+	if v, ok := raw["gap_ms"]; !ok || v == nil {
+		plain.GapMs = 0
+	}
 	if v, ok := raw["hall"]; !ok || v == nil {
 		plain.Hall = ""
 	}
@@ -1791,6 +1797,9 @@
 	// Sender corresponds to the JSON schema field "sender".
 	Sender BoxRecord `json:"sender"`
 
+	// How fast upstreams were that the sender met of late; about once a second.
+	Speeds []UpstreamSpeed `json:"speeds,omitempty,omitzero"`
+
 	// What the sender has running.
 	Tallies []UpstreamTally `json:"tallies,omitempty,omitzero"`
 
@@ -1800,6 +1809,9 @@
 	// Whose tallies and failures the answer is to hold.
 	Wants GossipScope `json:"wants"`
 
+	// The answer is to hold how fast upstreams are.
+	WantsSpeeds bool `json:"wants_speeds,omitempty,omitzero"`
+
 	// The sender wants the whole fleet where fleet_of is not the hub asked; else only
 	// what changes from now on.
 	WholeFleet bool `json:"whole_fleet,omitempty,omitzero"`
@@ -1835,6 +1847,9 @@
 	// Sender corresponds to the JSON schema field "sender".
 	Sender BoxRecord `json:"sender"`
 
+	// How fast upstreams were that the boxes met of late that the answer tells of.
+	Speeds []UpstreamSpeed `json:"speeds,omitempty,omitzero"`
+
 	// Since the store answered anyone that the hub hears of.
 	StoreSilentMs int `json:"store_silent_ms"`
 
@@ -1975,6 +1990,9 @@
 	if v, ok := raw["tallies"]; !ok || v == nil {
 		plain.Tallies = []UpstreamTally{}
 	}
+	if v, ok := raw["wants_speeds"]; !ok || v == nil {
+		plain.WantsSpeeds = false
+	}
 	if v, ok := raw["whole_fleet"]; !ok || v == nil {
 		plain.WholeFleet = false
 	}
@@ -4176,6 +4194,75 @@
 	return nil
 }
 
+// How fast an upstream was of late, in sums that can be added up: each observation
+// has a weight, in hundredths, and a logarithm of microseconds, in thousandths,
+// times its weight.
+type UpstreamSpeed struct {
+	// Weight of the times between events with no prompt read beside.
+	Alone int `json:"alone,omitempty,omitzero"`
+
+	// Their logarithms.
+	AloneLog int `json:"alone_log,omitempty,omitzero"`
+
+	// Weight of the times between events beside a prompt that is read.
+	Beside int `json:"beside,omitempty,omitzero"`
+
+	// Their logarithms.
+	BesideLog int `json:"beside_log,omitempty,omitzero"`
+
+	// When this incarnation of the upstream started, in Unix milliseconds; 0 where it
+	// is not known.
+	Born int `json:"born,omitempty,omitzero"`
+
+	// Weight of the times to read a thousand tokens of a prompt.
+	Read int `json:"read,omitempty,omitzero"`
+
+	// Their logarithms.
+	ReadLog int `json:"read_log,omitempty,omitzero"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *UpstreamSpeed) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field upstream in UpstreamSpeed: required")
+	}
+	type Plain UpstreamSpeed
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["alone"]; !ok || v == nil {
+		plain.Alone = 0
+	}
+	if v, ok := raw["alone_log"]; !ok || v == nil {
+		plain.AloneLog = 0
+	}
+	if v, ok := raw["beside"]; !ok || v == nil {
+		plain.Beside = 0
+	}
+	if v, ok := raw["beside_log"]; !ok || v == nil {
+		plain.BesideLog = 0
+	}
+	if v, ok := raw["born"]; !ok || v == nil {
+		plain.Born = 0
+	}
+	if v, ok := raw["read"]; !ok || v == nil {
+		plain.Read = 0
+	}
+	if v, ok := raw["read_log"]; !ok || v == nil {
+		plain.ReadLog = 0
+	}
+	*j = UpstreamSpeed(plain)
+	return nil
+}
+
 // What one box has running at an upstream.
 type UpstreamTally struct {
 	// When this incarnation of the upstream started, in Unix milliseconds; 0 where it
