--- a/balance/speeds/speed.go
+++ b/balance/speeds/speed.go
@@ -6,17 +6,17 @@
 )
 
 const (
-	// pauseMargin is how much longer than what it usually makes the longest event of
-	// a stream is: callers judge a stream by that one.
-	pauseMargin = 1.4
+	// pauseMargin is how many times the mean of the longest events of its windows the
+	// longest event of a stream is, which has some ten: callers judge it by that one.
+	pauseMargin = 2.0
 	// leastDoubt is the deviation of a forecast, as a logarithm, whatever was seen:
 	// loads differ.
 	leastDoubt = 0.15
-	// doubt is what one observation leaves open: requests that wait for others to be
-	// read are twice as late.
-	doubt = 0.35
+	// doubt is what one observation leaves open: a prompt may have
+	// waited for one that nobody had told of yet.
+	doubt = 0.2
 	// other is what a forecast from another kind of time counts for.
-	other = 0.5
+	other = 0.7
 	// clearly is the chance from which on an engine is said to break a pause.
 	clearly = 0.5
 )
--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -29,7 +29,7 @@
 	keptFor = 30 * time.Second
 	// readWeight is the weight of how long one prompt took to be read: others may have
 	// been read before it that nobody had told of yet.
-	readWeight = 0.5
+	readWeight = 0.25
 	// leastRead is the shortest prompt that tells how fast an engine reads: shorter
 	// ones are over within a few events.
 	leastRead = 256
@@ -105,17 +105,14 @@
 }
 
 // streamed takes an observation of a stream.
-func (s *Speeds) streamed(now time.Time, u fleet.Upstream, gap time.Duration, weight float64, beside bool) {
+func (s *Speeds) streamed(now time.Time, u fleet.Upstream, o observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := keyOf(u)
 	r := s.ownOf(now, key)
-	alone := r.alone.plus(s.beliefs[key].alone)
-	switch {
-	case !beside:
-		r.alone = r.alone.with(gap, weight)
-	case alone.weight < forgotten || math.Log(gap.Seconds()) > alone.mean()+math.Log(contrast):
-		r.beside = r.beside.with(gap, weight)
+	r.alone = r.alone.with(o.alone, o.weight)
+	if o.beside > time.Duration(contrast*float64(o.alone)) {
+		r.beside = r.beside.with(o.beside, o.weight)
 	}
 	s.own[key] = r
 }
@@ -234,7 +231,7 @@
 	last := s.beliefs[key]
 	late := s.ownOf(now, key).Plus(s.others.Of(now, key))
 	b := belief{at: now, seen: last.seen}
-	if late.weight() >= enough {
+	if late.weight() > forgotten {
 		b.seen = now
 	}
 	b.record = record{renewed(late.alone, last.alone), renewed(late.beside, last.beside), renewed(late.read, last.read)}
--- a/balance/speeds/stream.go
+++ b/balance/speeds/stream.go
@@ -8,15 +8,20 @@
 )
 
 const (
-	// window is how many times between events make one observation: half a second's
-	// at most engines.
-	window = 8
+	// window is how many times between events make one observation. Boxes hear up to
+	// half a second late of the prompts that others send; a window is as long at most
+	// engines, so that it holds the events that were slower for it.
+	window = 24
 	// leastWindow is how many do so at the end of a stream, for what they are worth:
 	// the streams of short answers have no more.
 	leastWindow = 2
-	// contrast is how many times the usual one an event takes beside a prompt, at
-	// least: boxes hear late of the prompts that others send, and one that has been
-	// read already makes nothing slower.
+	// wholeWindow is from how many on the middle one is as good as that of a window.
+	wholeWindow = 8
+	// lowPart is which part of a window is taken to have had no prompt beside. The least
+	// of all would be that of events that came together after a packet was lost.
+	lowPart = 5
+	// contrast is how many times as long an event takes beside a prompt, at
+	// least: one that has been read already makes nothing slower.
 	contrast = 1.5
 )
 
@@ -36,7 +41,7 @@
 		return
 	}
 	if !s.last.IsZero() {
-		s.gaps = append(s.gaps, now.Sub(s.last))
+		s.gaps = append(s.gaps, max(now.Sub(s.last), time.Millisecond))
 		s.beside = s.beside || reading
 	}
 	s.last = now
@@ -52,15 +57,23 @@
 	}
 }
 
-// observe turns the window into an observation: its middle time alone, beside a
-// prompt the second longest, as that may be read for a part of the window only and
-// one lost packet is no verdict.
+// observe turns the window into an observation: the end of its lowest fifth, as busy
+// engines read for the most of the time, and, where one did, its longest: callers judge streams by it, and
+// the mean of many is not moved by a packet that was lost.
 func (s *Stream) observe(now time.Time) {
 	slices.Sort(s.gaps)
-	at := len(s.gaps) / 2
-	if s.beside {
-		at = len(s.gaps) - 2
+	n := len(s.gaps)
+	o := observation{alone: s.gaps[n/lowPart], weight: min(float64(n)/wholeWindow, 1)}
+	if s.beside && n >= wholeWindow {
+		o.beside = s.gaps[n-1]
 	}
-	s.speeds.streamed(now, s.upstream, max(s.gaps[at], time.Millisecond), float64(len(s.gaps))/window, s.beside)
+	s.speeds.streamed(now, s.upstream, o)
 	s.gaps, s.beside = s.gaps[:0], false
 }
+
+// observation is what a window of a stream shows.
+type observation struct {
+	alone  time.Duration
+	beside time.Duration // 0 if no prompt was read
+	weight float64
+}
--- a/balance/speeds/view.go
+++ b/balance/speeds/view.go
@@ -11,7 +11,7 @@
 const (
 	// besideGuess is how many times as long an event takes beside a prompt that is
 	// read, until engines of the service were seen to do so; it counts as one engine.
-	besideGuess = 2.5
+	besideGuess = 3.0
 	// enough is the weight from which on what was seen of an engine tells of its like.
 	enough = 0.5
 )
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -47,6 +47,7 @@
 	count  int
 	passed time.Time     // when the last event went out
 	gap    time.Duration // the longest pause
+	gapAt  time.Time     // when it ended
 	moved  bool          // it has moved since the last event
 	moves  int
 	over   bool // the longest pause was over a move
@@ -229,7 +230,7 @@
 // paused notes a pause between two events.
 func (f *flow) paused(pause time.Duration) {
 	if pause > f.gap {
-		f.gap, f.over = pause, f.moved
+		f.gap, f.gapAt, f.over = pause, f.passed.Add(pause), f.moved
 	}
 	f.moved = false
 }
@@ -309,7 +310,7 @@
 	f.job.lengths.End(f.job.kind(), f.count*f.job.eventTokens(), err != nil)
 	log := f.job.log.WithFields(logrus.Fields{
 		"upstream": f.sent.upstream.ID, "events": f.count, "first_ms": f.job.first.Milliseconds(), "gap_ms": f.gap.Milliseconds(),
-		"waited_ms": f.job.waited.Milliseconds(), "gap_moved": f.over, "moves": f.moves, "hall": f.sent.upstream.Hall,
+		"waited_ms": f.job.waited.Milliseconds(), "gap_after_ms": max(f.gapAt.Sub(f.job.req.Arrived), 0).Milliseconds(), "gap_moved": f.over, "moves": f.moves, "hall": f.sent.upstream.Hall,
 		"aim_ms": f.job.route.Aim.Milliseconds(), "gap_aim_ms": f.job.route.Gap.Milliseconds(), "took_ms": time.Since(f.job.req.Arrived).Milliseconds(),
 	})
 	switch {
