--- a/admission/room.go
+++ b/admission/room.go
@@ -48,7 +48,7 @@
 	}
 	best, least := -1, 0
 	for i, c := range ranked {
-		if c.Held || !a.fits(now, ask, c.Running, c.Upstream.Slots) {
+		if c.Held || !a.fits(now, ask, c) {
 			continue
 		}
 		if !short || now.Sub(a.waited) > waitedFor {
@@ -101,11 +101,12 @@
 // fits tells whether an upstream has room for a request: a place, time to read
 // its prompt, and memory for it and for what all that run there make until the
 // next of them ends.
-func (a *Admission) fits(now time.Time, ask Ask, l tally.Load, slots int) bool {
+func (a *Admission) fits(now time.Time, ask Ask, c choose.Choice) bool {
+	l := c.Running
 	if l.Requests == 0 {
 		return true // there is no more room anywhere
 	}
-	if l.Requests >= slots || !a.readable(now, ask, l) {
+	if l.Requests >= c.Upstream.Slots || !a.readable(now, ask, c) {
 		return false
 	}
 	return l.Tokens+ask.Prompt+a.growth(ask, l) <= ask.Service.Engine.Memory
@@ -117,12 +118,12 @@
 // that can still be in time goes only where it is: it would hold memory for an
 // answer that is late (36 of 1,094 drafts of a crowded day were late by their first
 // event; 0.016 of the worth of three such days).
-func (a *Admission) readable(now time.Time, ask Ask, l tally.Load) bool {
-	left := a.left(now, ask)
+func (a *Admission) readable(now time.Time, ask Ask, c choose.Choice) bool {
+	left, l := a.left(now, ask), c.Running
 	if left < 0 {
 		return l.Prefill <= ask.Prompt
 	}
-	inTime := a.reading.Time(l.Prefill) <= left
+	inTime := c.Reading*a.reading.Time(l.Prefill+ask.Prompt).Seconds() <= (left + a.reading.Time(ask.Prompt)).Seconds()
 	return inTime && (l.Prefill <= ask.Prompt || a.short(ask))
 }
 
--- a/balance/speeds/cost.go
+++ b/balance/speeds/cost.go
@@ -88,15 +88,21 @@
 	return float64(min(g.inTime, lasting(l)))
 }
 
-// Costs returns how many requests a request makes late at each of some upstreams of
-// one service, itself included; nil where all cost the same for all that is known.
-func (s *Speeds) Costs(now time.Time, service string, list []fleet.Upstream, loads []tally.Load, n Need) []float64 {
+// Judged is what an upstream is worth to a request.
+type Judged struct {
+	Cost    float64 // requests that it makes late there, itself included
+	Reading float64 // how many times as long as usual a prompt takes to be read
+}
+
+// Judge weighs some upstreams of one service for a request; nil where nothing is known
+// of any.
+func (s *Speeds) Judge(now time.Time, service string, list []fleet.Upstream, loads []tally.Load, n Need) []Judged {
 	if s == nil || n.Gap == 0 || len(list) == 0 {
 		return nil
 	}
 	v := s.view(now, service)
 	risks := v.risks(n.Gap)
-	costs := make([]float64, len(list))
+	judged := make([]Judged, len(list))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gaps[service] = n.Gap
@@ -104,7 +110,7 @@
 		return nil
 	}
 	for i, u := range list {
-		costs[i] = risks.of(u).cost(n, loads[i], s.inTime(u, loads[i]))
+		judged[i] = Judged{risks.of(u).cost(n, loads[i], s.inTime(u, loads[i])), v.reading(u)}
 	}
-	return costs
+	return judged
 }
--- a/balance/speeds/speed.go
+++ b/balance/speeds/speed.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// pauseMargin is how many times the mean of the longest events of its windows the
-	// longest event of a stream is, which has some ten: callers judge it by that one.
-	pauseMargin = 2.0
+	// pauseMargin is how many times the mean of the longest events of its windows an
+	// engine has to keep: the longest event of a stream, by which callers judge it, is
+	// twice that mean, and one that is just below the pause today is above it when one
+	// more stream runs there.
+	pauseMargin = 2.6
 	// leastDoubt is the deviation of a forecast, as a logarithm, whatever was seen:
 	// loads differ.
 	leastDoubt = 0.15
--- a/balance/speeds/view.go
+++ b/balance/speeds/view.go
@@ -14,6 +14,9 @@
 	besideGuess = 3.0
 	// enough is the weight from which on what was seen of an engine tells of its like.
 	enough = 0.5
+	// readingMost bounds how much faster or slower than usual an engine is taken to
+	// read by few prompts, each of which may have waited for others.
+	readingMost = 3.0
 )
 
 // view is what is believed of the engines of a service at a time.
@@ -21,6 +24,7 @@
 	at     time.Time
 	speeds map[string]Speed // by key
 	known  bool             // anything is, of any
+	read   forecast         // how long the service's engines take for a token, in the mean
 
 	mu    sync.Mutex
 	byGap map[time.Duration]risks
@@ -73,6 +77,9 @@
 		s.alone = s.alone.and(s.read.by(readAlone))
 		s.beside = own(r.beside).and(s.alone.by(aloneBeside))
 		v.speeds[key] = s
+		if s.read.weight > 0 {
+			v.read = v.read.and(forecast{s.read.log, 1})
+		}
 		v.known = v.known || s.known()
 	}
 	return v
@@ -104,3 +111,12 @@
 	}
 	return f
 }
+
+// reading returns how many times as long as usual an engine takes to read a prompt.
+func (v *view) reading(u fleet.Upstream) float64 {
+	s := v.speeds[keyOf(u)]
+	if s.read.weight == 0 {
+		return 1
+	}
+	return min(max(math.Exp(s.read.log-v.read.log), 1/readingMost), readingMost)
+}
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -107,7 +107,7 @@
 	Upstream fleet.Upstream
 	Running  tally.Load
 	Load     float64
-	Cost     float64 // requests that are made late if it goes there
+	speeds.Judged
 	Held     bool    // it is cold, and may get no more for now
 }
 
@@ -154,17 +154,17 @@
 	for i, u := range list {
 		loads[i] = c.Tally.Load(now, u.ID)
 	}
-	costs := c.costs(now, w, list, loads)
+	judged, scores := c.judge(now, w, list, loads)
 	order := make([]scored, len(list))
 	for i, u := range list {
 		load := c.load(w, u, loads[i])
-		order[i] = scored{at: i, load: load, score: load + costs.score[i] + c.penalty(now, w, u)}
+		order[i] = scored{at: i, load: load, score: load + scores[i] + c.penalty(now, w, u)}
 	}
 	slices.SortFunc(order, func(a, b scored) int { return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.at, b.at)) })
 	ranked := make([]Choice, len(list))
 	for i, s := range order {
 		u := list[s.at]
-		ranked[i] = Choice{Upstream: u, Running: loads[s.at], Load: s.load, Cost: costs.late[s.at], Held: c.held(now, w, u)}
+		ranked[i] = Choice{Upstream: u, Running: loads[s.at], Load: s.load, Judged: judged[s.at], Held: c.held(now, w, u)}
 	}
 	return ranked
 }
@@ -239,27 +239,25 @@
 	return float64(l.Tokens+l.Coming+w.Tokens)/float64(e.Memory) + slots*places + waiting*c.Reading.Time(l.Prefill).Seconds()
 }
 
-// costs are what upstreams cost by how fast they are, in requests that are made late
-// and as scores.
-type costs struct{ late, score []float64 }
-
-// costs weighs how fast upstreams are: by what is known of them, or, where nothing is
-// or that is off, by the paces of what streams there.
-func (c *Chooser) costs(now time.Time, w Want, list []fleet.Upstream, loads []tally.Load) costs {
-	all := costs{score: make([]float64, len(list))}
-	all.late = c.Speeds.Costs(now, w.Service.Name, list, loads, w.Need)
-	if all.late != nil {
-		for i, cost := range all.late {
-			all.score[i] = late * cost
+// judge weighs how fast upstreams are for a request, and returns what that is in
+// scores: by what is known of them, or, where nothing is or that is off, by the paces of
+// what streams there.
+func (c *Chooser) judge(now time.Time, w Want, list []fleet.Upstream, loads []tally.Load) (judged []speeds.Judged, scores []float64) {
+	scores = make([]float64, len(list))
+	judged = c.Speeds.Judge(now, w.Service.Name, list, loads, w.Need)
+	if judged == nil {
+		judged = make([]speeds.Judged, len(list))
+		usual := usualPace(loads)
+		for i, l := range loads {
+			judged[i].Reading = 1
+			scores[i] = slowness(l.Pace(), usual)
 		}
-		return all
+		return judged, scores
 	}
-	all.late = make([]float64, len(list))
-	usual := usualPace(loads)
-	for i, l := range loads {
-		all.score[i] = slowness(l.Pace(), usual)
+	for i := range judged {
+		scores[i] = late * judged[i].Cost
 	}
-	return all
+	return judged, scores
 }
 
 // usualPace returns the middle time between events at upstreams; 0 if none is known.
