--- a/admission/admission.go
+++ b/admission/admission.go
@@ -64,6 +64,8 @@
 	Upstream fleet.Upstream
 	Load     float64 // part of its memory that is in use then
 	Cost     float64 // requests that are made late by it, as far as is known
+
+	running tally.Load // before
 }
 
 // ranking lists the upstreams of a service, the best first.
@@ -72,7 +74,7 @@
 	// Sent notes that a request goes to an upstream.
 	Sent(now time.Time, s route.Service, u fleet.Upstream)
 	// Gave notes that this box has decided so.
-	Gave(now time.Time, u fleet.Upstream, n speeds.Need)
+	Gave(now time.Time, u fleet.Upstream, n speeds.Need, running tally.Load)
 	// Leaving returns what runs at the upstreams of a service that leave.
 	Leaving(now time.Time, service string) tally.Load
 }
@@ -243,7 +245,7 @@
 	a.returns.came(w.ask.Mark)
 	a.wait.gave(now, a.rank(w.ask), w.ask.Prompt)
 	a.ranking.Sent(now, w.ask.Service, g.Upstream)
-	a.ranking.Gave(now, g.Upstream, a.need(w.ask))
+	a.ranking.Gave(now, g.Upstream, a.need(w.ask), g.running)
 	a.loads.Promise(now, w.ask.Box, g.Upstream.ID, loadOf(w.ask))
 	a.line(now, w).WithFields(logrus.Fields{"upstream": g.Upstream.ID, "load": g.Load, "cost": g.Cost}).Info("admitted")
 	w.settled <- outcome{grant: g}
--- a/admission/room.go
+++ b/admission/room.go
@@ -84,7 +84,7 @@
 func (a *Admission) need(ask Ask) speeds.Need { return speeds.Need{Gap: ask.Gap, Long: !a.short(ask)} }
 
 func grantOf(ask Ask, c choose.Choice) Grant {
-	return Grant{Upstream: c.Upstream, Cost: c.Cost, Load: float64(c.Running.Tokens) / float64(max(ask.Service.Engine.Memory, 1))}
+	return Grant{Upstream: c.Upstream, Cost: c.Cost, running: c.Running, Load: float64(c.Running.Tokens) / float64(max(ask.Service.Engine.Memory, 1))}
 }
 
 // leftOver is the memory that a request leaves at an upstream, in tokens, with what
--- a/balance/speeds/cost.go
+++ b/balance/speeds/cost.go
@@ -11,11 +11,14 @@
 const (
 	// lastingTokens is how much an answer has to come, at least, for its pauses to be
 	// at risk: what has less ends about as soon as the next prompt is read.
-	lastingTokens = 64
+	lastingTokens = 32
 	// besideLater is the chance that another prompt is read beside a long answer that
 	// has an engine to itself, and besideOthers where others stream.
-	besideLater  = 0.5
+	besideLater  = 0.3
 	besideOthers = 0.9
+	// hits is the chance that a prompt that is read beside a stream makes one of its
+	// events as long as they get: only whole pieces of prompts do.
+	hits = 0.7
 	// spent is what a short answer costs at an engine that keeps its pause beside
 	// prompts, in long ones that are late: its prompt slows all that streams there, so
 	// that they hold their memory for longer, and long answers have no other engine.
@@ -32,60 +35,67 @@
 // String names it.
 func (n Need) String() string { return fmt.Sprint(n.Gap, n.Long, n.Moves) }
 
-// cost is how many requests a request makes late at an engine, itself included.
+// cost is how many requests a request makes late at an engine where so many may yet be
+// made so, itself included.
 func (r risk) cost(n Need, l tally.Load, inTime float64) float64 {
 	cost := r.alone
 	if !n.Moves {
-		cost += r.beside * inTime
+		cost += r.beside * hits * inTime
 	}
 	if !n.Long {
 		return cost + spent*(1-r.beside)
 	}
+	return cost + r.later(n, l)
+}
+
+// later is the chance that a long answer is made late by a prompt that comes later.
+func (r risk) later(n Need, l tally.Load) float64 {
 	later := besideLater
 	if lasting(l) > 0 || n.Moves && l.Prefill > 0 {
 		later = besideOthers
 	}
-	return cost + (1-r.alone)*r.beside*later
+	return (1 - r.alone) * r.beside * later
 }
 
 // lasting is how many streams run there whose pauses are at risk.
-func lasting(l tally.Load) int { return min(l.Requests, l.Coming/lastingTokens) }
+func lasting(l tally.Load) float64 { return float64(min(l.Requests, l.Coming/lastingTokens)) }
 
-// gave is what the keeper of a queue knows of an engine: how many streams are in time
-// there, by what it sent there last.
-type gave struct{ inTime int }
-
-// Gave notes that a request goes to an upstream. On an engine that breaks its pause
-// beside a prompt, the last long answer alone is in time, until another prompt comes.
-func (s *Speeds) Gave(now time.Time, u fleet.Upstream, n Need) {
+// Gave notes that the keeper of a queue sends a request to an upstream where so much
+// runs. What it makes late costs nothing more, nor does what was expected of it when it
+// was placed itself: what must go beside others goes where they are late already, and
+// the other engines stay free for single long answers and for short ones.
+func (s *Speeds) Gave(now time.Time, u fleet.Upstream, n Need, l tally.Load) {
 	if s == nil || n.Gap == 0 {
 		return
 	}
 	v := s.view(now, u.Service)
-	breaks := v.risks(n.Gap).of(u).beside >= clearly
+	r := v.risks(n.Gap).of(u)
 	if n.Long {
 		s.counts.Placed(string(v.speeds[keyOf(u)].Class(n.Gap)))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := s.given[keyOf(u)]
-	if breaks {
-		g.inTime = 0
-	}
+	late := s.given[keyOf(u)] + r.beside*hits*s.inTime(u, l)
 	if n.Long {
-		g.inTime++
+		late += r.later(n, l)
 	}
-	s.given[keyOf(u)] = g
+	s.given[keyOf(u)] = late
 }
 
-// inTime returns how many streams at an upstream may be made late yet. Of one that
-// this box never sent to, one is.
+// inTime returns how many streams at an upstream may be made late yet. A keeper that
+// has just begun takes all of them for such, as well as runs that moved there.
 func (s *Speeds) inTime(u fleet.Upstream, l tally.Load) float64 {
-	g, ok := s.given[keyOf(u)]
-	if !ok {
-		g.inTime = 1
+	key, there := keyOf(u), lasting(l)
+	late, ok := s.given[key]
+	switch {
+	case !ok:
+		return there
+	case there == 0:
+		delete(s.given, key) // what was late has ended
+	case late > there:
+		s.given[key] = there
 	}
-	return float64(min(g.inTime, lasting(l)))
+	return max(there-late, 0)
 }
 
 // Judged is what an upstream is worth to a request.
--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -71,7 +71,7 @@
 	own     map[string]seen          // by key
 	beliefs map[string]belief        // by key
 	views   map[string]*view         // by service
-	given   map[string]gave          // by key
+	given   map[string]float64       // streams taken to be late, by what this box sent where, by key
 	gaps    map[string]time.Duration // last asked for, by service
 	classes map[string]Class         // last logged, by key
 }
@@ -80,7 +80,7 @@
 func New(f serving, c counter, log *logrus.Entry) *Speeds {
 	return &Speeds{
 		fleet: f, counts: c, log: log, others: told.New[record](), own: map[string]seen{}, beliefs: map[string]belief{}, views: map[string]*view{},
-		given: map[string]gave{}, gaps: map[string]time.Duration{}, classes: map[string]Class{},
+		given: map[string]float64{}, gaps: map[string]time.Duration{}, classes: map[string]Class{},
 	}
 }
 
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -123,7 +123,9 @@
 }
 
 // Gave notes that the keeper of a queue sends a request to an upstream.
-func (c *Chooser) Gave(now time.Time, u fleet.Upstream, n speeds.Need) { c.Speeds.Gave(now, u, n) }
+func (c *Chooser) Gave(now time.Time, u fleet.Upstream, n speeds.Need, running tally.Load) {
+	c.Speeds.Gave(now, u, n, running)
+}
 
 // Sent notes that a request goes to an upstream.
 func (c *Chooser) Sent(now time.Time, s route.Service, u fleet.Upstream) {
