--- a/admission/hold.go
+++ b/admission/hold.go
@@ -9,7 +9,7 @@
 const (
 	// costly is from how many requests made late on a place is one to wait for a
 	// better one: below, the wait may cost more than the pause.
-	costly = 0.25
+	costly = 0.2
 	// holdPart is the part of the time in which its prompt has to be begun that a long
 	// answer waits for a better place at most; the rest is left for lines at engines.
 	holdPart = 0.4
--- a/balance/speeds/cost.go
+++ b/balance/speeds/cost.go
@@ -12,13 +12,11 @@
 	// lastingTokens is how much an answer has to come, at least, for its pauses to be
 	// at risk: what has less ends about as soon as the next prompt is read.
 	lastingTokens = 32
-	// besideLater is the chance that another prompt is read beside a long answer that
-	// has an engine to itself, and besideOthers where others stream.
-	besideLater  = 0.3
-	besideOthers = 0.9
 	// hits is the chance that a prompt that is read beside a stream makes one of its
-	// events as long as they get: only whole pieces of prompts do.
-	hits = 0.7
+	// events as long as they get: only whole pieces of prompts do, and not all at a
+	// time when an event is due. Of streams on engines that do not keep their pause a
+	// fifth to a quarter was made late by each prompt.
+	hits = 0.25
 	// spent is what a short answer costs at an engine that keeps its pause beside
 	// prompts, in long ones that are late: its prompt slows all that streams there, so
 	// that they hold their memory for longer, and long answers have no other engine.
@@ -45,25 +43,14 @@
 	if !n.Long {
 		return cost + spent*(1-r.beside)
 	}
-	return cost + r.later(n, l)
-}
-
-// later is the chance that a long answer is made late by a prompt that comes later.
-func (r risk) later(n Need, l tally.Load) float64 {
-	later := besideLater
-	if lasting(l) > 0 || n.Moves && l.Prefill > 0 {
-		later = besideOthers
-	}
-	return (1 - r.alone) * r.beside * later
+	return cost + (1-r.alone)*r.beside*hits // by the next prompt that comes there
 }
 
 // lasting is how many streams run there whose pauses are at risk.
 func lasting(l tally.Load) float64 { return float64(min(l.Requests, l.Coming/lastingTokens)) }
 
 // Gave notes that the keeper of a queue sends a request to an upstream where so much
-// runs. What it makes late costs nothing more, nor does what was expected of it when it
-// was placed itself: what must go beside others goes where they are late already, and
-// the other engines stay free for single long answers and for short ones.
+// runs: what it makes late there costs the next one nothing more.
 func (s *Speeds) Gave(now time.Time, u fleet.Upstream, n Need, l tally.Load) {
 	if s == nil || n.Gap == 0 {
 		return
@@ -75,11 +62,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	late := s.given[keyOf(u)] + r.beside*hits*s.inTime(u, l)
-	if n.Long {
-		late += r.later(n, l)
-	}
-	s.given[keyOf(u)] = late
+	s.given[keyOf(u)] += r.beside * hits * s.inTime(u, l)
 }
 
 // inTime returns how many streams at an upstream may be made late yet. A keeper that
