--- a/admission/crowd_test.go
+++ b/admission/crowd_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/admission"
+	"petrelstep/balance/speeds"
 	"petrelstep/choose"
 	"petrelstep/fleet"
 	"petrelstep/logs"
@@ -60,11 +61,13 @@
 
 // scene is what befalls a crowd.
 type scene struct {
-	burst float64 // times the usual requests from 6 to 12 s
-	slow  int     // engines that are four times slower
-	load  float64 // times the usual requests all the time, in a wave of a quarter in 11 s; 0 for once, even
-	away  bool    // a sixth of the engines takes nothing new, for 4 s by turns
-	queue bool    // else each box sends straight to the engine that looks emptiest
+	burst  float64 // times the usual requests from 6 to 12 s
+	slow   int     // engines that are four times slower
+	load   float64 // times the usual requests all the time, in a wave of a quarter in 11 s; 0 for once, even
+	away   bool    // a sixth of the engines takes nothing new, for 4 s by turns
+	uneven bool    // every other engine is 2.2 times slower, and a sixth of all is replaced each 3.3 s
+	speeds bool    // how fast engines are is learned and weighed
+	queue  bool    // else each box sends straight to the engine that looks emptiest
 }
 
 type crowdEngineRun struct {
@@ -126,11 +129,14 @@
 	engines  map[string]*crowdEngineRun
 	tallies  []*tally.Tally
 	choosers []*choose.Chooser
+	speeds   []*speeds.Speeds // of the boxes
 	keeper   *admission.Admission
 
 	fleet *fleet.Fleet
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards engines too
+	drafts  int
+	paused  int // drafts that were late by a pause
 	worth   float64
 	asked   float64
 	sentOff int // at once
@@ -149,16 +155,23 @@
 		if i < s.slow {
 			slow = 4
 		}
-		c.engines[id] = &crowdEngineRun{core: batch.New(crowdEngine(slow)), wake: make(chan struct{}, 1), events: map[string]chan int{}}
+		c.engines[id] = newCrowdEngine(crowdEngine(slow))
+		if s.uneven {
+			c.engines[id] = newCrowdEngine(unevenEngine(i))
+		}
 		list = append(list, fleet.Upstream{ID: id, Service: "llm", Hall: fmt.Sprint("hall", i%parts), Slots: 24, State: fleet.Open})
 	}
 	f.Replace(time.Now(), list, 1, false)
 	c.fleet = f
 	reading := prefill.New()
 	for i := range crowdBoxes {
+		c.speeds = append(c.speeds, nil)
+		if s.speeds {
+			c.speeds[i] = speeds.New(f, noCount{}, logs.New(io.Discard, "info", "b"))
+		}
 		c.tallies = append(c.tallies, tally.New())
 		c.choosers = append(c.choosers, choose.New(choose.Parts{
-			Fleet: f, Tally: c.tallies[i], Reliability: reliability.New(), Reading: reading, Hall: "leith", Random: rand.New(rand.NewPCG(7, uint64(i))),
+			Fleet: f, Tally: c.tallies[i], Reliability: reliability.New(), Reading: reading, Speeds: c.speeds[i], Hall: "leith", Random: rand.New(rand.NewPCG(7, uint64(i))),
 		}))
 	}
 	c.keeper = admission.New(c.choosers[0], c.tallies[0], reading, rand.New(rand.NewPCG(7, 99)), logs.New(io.Discard, "info", "b0"))
@@ -244,12 +257,16 @@
 
 // serve lets an engine answer, and notes what the answer is worth.
 func (c *crowd) serve(ctx context.Context, engine string, box int, ask admission.Ask, length int, worth float64) {
-	e := c.engines[engine]
+	e := c.engine(engine)
+	upstream := fleet.Upstream{ID: engine, Service: "llm"}
+	alone := c.tallies[box].Load(time.Now(), engine).Prefill == 0
 	entry := c.tallies[box].Begin(engine, tally.Load{Requests: 1, Tokens: ask.Prompt, Coming: ask.Answer, Prefill: ask.Prompt})
 	defer entry.End()
 	defer e.cancel(ask.Request)
 	events := e.submit(time.Now(), batch.Job{Attempt: ask.Request, Prompt: ask.Prompt, Length: length, Priority: -ask.Urgency})
-	last, first, late := ask.Arrived, true, false
+	sent, pace := time.Now(), c.speeds[box].Stream(upstream)
+	defer func() { pace.End(time.Now()) }()
+	last, first, late, paused := ask.Arrived, true, false, false
 	for {
 		var made int
 		select {
@@ -263,20 +280,30 @@
 		if first {
 			entry.Started()
 			late = now.Sub(ask.Arrived) > ask.Aim
+			if alone {
+				c.speeds[box].Read(now, upstream, ask.Prompt, now.Sub(sent))
+			}
 		} else {
-			late = late || now.Sub(last) > pauseMost
+			paused = paused || now.Sub(last) > pauseMost
 		}
 		entry.Made(now, eventTokens, max(ask.Answer-made, 1))
+		pace.Event(now, c.tallies[box].Load(now, engine).Prefill > 0)
 		last, first = now, false
 		if made >= length {
 			break
 		}
 	}
-	if late {
+	if late || paused {
 		worth = min(worth, worthLate)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if ask.Answer > eventTokens*4 {
+		c.drafts++
+		if paused {
+			c.paused++
+		}
+	}
 	c.worth += worth
 }
 
@@ -286,6 +313,7 @@
 	preempted int
 	sentOff   float64 // at once; parts of those asked for
 	inVain    float64 // sent off after a wait
+	paused    float64 // parts of the drafts served that were late by a pause
 }
 
 func play(t *testing.T, s scene) (res result) {
@@ -298,6 +326,9 @@
 			engines.Go(func() { e.work(ctx) })
 		}
 		engines.Go(func() { c.tell(ctx) })
+		if s.uneven {
+			engines.Go(func() { c.replace(ctx, &engines) })
+		}
 		if s.away {
 			engines.Go(func() { c.takeAway(ctx) })
 		}
@@ -307,7 +338,7 @@
 			time.Sleep(time.Duration(random.ExpFloat64() / (times * (draftsRate + checksRate)) * float64(time.Second)))
 			id, box := fmt.Sprint("r", time.Since(began)), random.IntN(crowdBoxes)
 			ask := admission.Ask{
-				Box: fmt.Sprint("b", box), Hall: "leith", Service: crowdService, Urgency: 1, Prompt: 2000 + random.IntN(2000), Answer: 900, Aim: aim,
+				Box: fmt.Sprint("b", box), Hall: "leith", Service: crowdService, Urgency: 1, Gap: pauseMost, Prompt: 2000 + random.IntN(2000), Answer: 900, Aim: aim,
 				Deadline: 39 * time.Second, Patience: 4 * aim, Mark: random.Uint64(),
 			}
 			length := 1 + int(min(random.ExpFloat64()*900, 2200))
@@ -323,7 +354,7 @@
 		for _, e := range c.engines {
 			res.preempted += e.core.Preemptions()
 		}
-		res.worth = c.worth / c.asked
+		res.worth, res.paused = c.worth/c.asked, float64(c.paused)/float64(max(c.drafts, 1))
 		res.sentOff, res.inVain = float64(c.sentOff-c.inVain)/c.asked, float64(c.inVain)/c.asked
 	})
 	return res
@@ -337,6 +368,7 @@
 			for j, to := range c.tallies {
 				if i != j {
 					to.Told(time.Now(), fmt.Sprint("b", i), from.Own())
+					c.speeds[j].Told(time.Now(), fmt.Sprint("b", i), c.speeds[i].Own(time.Now()))
 				}
 			}
 		}
--- a/balance/speeds/cost.go
+++ b/balance/speeds/cost.go
@@ -35,7 +35,7 @@
 
 // cost is how many requests a request makes late at an engine where so many may yet be
 // made so, itself included.
-func (r risk) cost(n Need, l tally.Load, inTime float64) float64 {
+func (r risk) cost(n Need, inTime float64) float64 {
 	cost := r.alone
 	if !n.Moves {
 		cost += r.beside * hits * inTime
@@ -103,7 +103,7 @@
 		return nil
 	}
 	for i, u := range list {
-		judged[i] = Judged{risks.of(u).cost(n, loads[i], s.inTime(u, loads[i])), v.reading(u)}
+		judged[i] = Judged{risks.of(u).cost(n, s.inTime(u, loads[i])), v.reading(u)}
 	}
 	return judged
 }
