--- a/admission/admission.go
+++ b/admission/admission.go
@@ -227,7 +227,9 @@
 				r.clear()
 				return true
 			}
-			looks++
+			if !w.held {
+				looks++
+			}
 		}
 		return a.endure(now, r, w)
 	})
