--- a/admission/crowd_test.go
+++ b/admission/crowd_test.go
@@ -243,6 +243,16 @@
 	}
 }
 
+// befall starts what changes the engines.
+func (c *crowd) befall(ctx context.Context, engines *sync.WaitGroup) {
+	if c.scene.uneven {
+		engines.Go(func() { c.replace(ctx, engines) })
+	}
+	if c.scene.away {
+		engines.Go(func() { c.takeAway(ctx) })
+	}
+}
+
 // times returns how many times the usual requests come.
 func (s scene) times(at time.Duration) float64 {
 	times := 1.0
@@ -326,12 +336,7 @@
 			engines.Go(func() { e.work(ctx) })
 		}
 		engines.Go(func() { c.tell(ctx) })
-		if s.uneven {
-			engines.Go(func() { c.replace(ctx, &engines) })
-		}
-		if s.away {
-			engines.Go(func() { c.takeAway(ctx) })
-		}
+		c.befall(ctx, &engines)
 		random := rand.New(rand.NewPCG(11, 5))
 		for began := time.Now(); time.Since(began) < crowdFor; {
 			times := s.times(time.Since(began))
--- a/balance/speeds/record.go
+++ b/balance/speeds/record.go
@@ -57,15 +57,22 @@
 
 func (r record) weight() float64 { return r.alone.weight + r.beside.weight + r.read.weight }
 
-// keyOf names an incarnation of an upstream.
+// keyOf names an incarnation of an upstream. Until entries say when an upstream was
+// born, one that starts again under its id is taken for the same.
 func keyOf(u fleet.Upstream) string { return keyFor(u.ID, 0) }
 
 func keyFor(id string, born int) string { return id + "@" + strconv.Itoa(born) }
 
+// split undoes keyFor.
+func split(key string) (id string, born int) {
+	at := strings.LastIndex(key, "@")
+	born, _ = strconv.Atoi(key[at+1:])
+	return key[:at], born
+}
+
 func rowOf(key string, r record) wire.UpstreamSpeed {
-	id, born, _ := strings.Cut(key, "@")
-	at, _ := strconv.Atoi(born) // made by keyFor
-	row := wire.UpstreamSpeed{Upstream: id, Born: at}
+	row := wire.UpstreamSpeed{}
+	row.Upstream, row.Born = split(key)
 	row.Alone, row.AloneLog = worded(r.alone)
 	row.Beside, row.BesideLog = worded(r.beside)
 	row.Read, row.ReadLog = worded(r.read)
--- a/balance/speeds/speed.go
+++ b/balance/speeds/speed.go
@@ -34,6 +34,9 @@
 	Never   Class = "never"
 )
 
+// Classes lists all classes.
+func Classes() []Class { return []Class{Unknown, Beside, Alone, Never} }
+
 // forecast is a time that is expected, as a logarithm of seconds.
 type forecast struct{ log, weight float64 }
 
--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -203,6 +203,14 @@
 	return s.view(now, u.Service).speeds[keyOf(u)]
 }
 
+// Renew keeps what is believed of a service's engines: what others told lapses within
+// seconds, and a box that has weighed nothing meanwhile may have to keep the queue next.
+func (s *Speeds) Renew(now time.Time, service string) {
+	if s != nil {
+		s.view(now, service)
+	}
+}
+
 // view returns what is believed of the engines of a service.
 func (s *Speeds) view(now time.Time, service string) *view {
 	s.mu.Lock()
@@ -250,6 +258,11 @@
 
 // forget drops what is believed of engines that are gone.
 func (s *Speeds) forget(now time.Time) {
+	for key, r := range s.own {
+		if now.Sub(r.at) > keptFor {
+			delete(s.own, key)
+		}
+	}
 	for key, b := range s.beliefs {
 		if now.Sub(b.at) > keptFor {
 			delete(s.beliefs, key)
@@ -258,25 +271,3 @@
 		}
 	}
 }
-
-// logClasses logs which engines are believed to be of another class than before, by
-// the pause that was last asked for.
-func (s *Speeds) logClasses(now time.Time, service string, v *view) {
-	gap := s.gaps[service]
-	if gap == 0 {
-		return
-	}
-	for key, speed := range v.speeds {
-		class, was := speed.Class(gap), s.classes[key]
-		if class == was || class == Unknown {
-			continue
-		}
-		s.classes[key] = class
-		s.log.WithFields(logrus.Fields{
-			"upstream": key, "service": service, "class": class, "was": was, "gap_aim_ms": gap.Milliseconds(),
-			"alone_ms": speed.Alone().Milliseconds(), "beside_ms": speed.Beside().Milliseconds(), "read_us": speed.Read().Microseconds(),
-			"alone_weight": speed.alone.weight, "beside_weight": speed.beside.weight, "read_weight": speed.read.weight,
-			"age_ms": now.Sub(speed.seen).Milliseconds(),
-		}).Info("engine_class")
-	}
-}
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -108,7 +108,7 @@
 	Running  tally.Load
 	Load     float64
 	speeds.Judged
-	Held     bool    // it is cold, and may get no more for now
+	Held bool // it is cold, and may get no more for now
 }
 
 // Choose returns the upstream with the most room, and its load as a share of
--- a/edge/speeds.go
+++ b/edge/speeds.go
@@ -15,9 +15,22 @@
 	if e.speeds == nil || !e.speedsDue(now, hub) {
 		return nil, false
 	}
+	e.renewSpeeds(now)
 	return e.speeds.Own(now), true
 }
 
+// renewSpeeds keeps what is believed of all engines, as this box may be the next to
+// decide for all.
+func (e *Edge) renewSpeeds(now time.Time) {
+	table, _, _ := e.belief.Now(now)
+	if table == nil {
+		return
+	}
+	for _, service := range table.Engines() {
+		e.speeds.Renew(now, service)
+	}
+}
+
 func (e *Edge) speedsDue(now time.Time, hub string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/edge/view.go
+++ b/edge/view.go
@@ -28,6 +28,9 @@
 		v.Hubs = append(v.Hubs, b.Name)
 	}
 	if table, age, _ := e.belief.Now(now); table != nil {
+		for _, service := range table.Engines() {
+			v.Speeds = append(v.Speeds, e.speeds.Beliefs(now, service)...)
+		}
 		v.Version, v.ConfigurationAgeMs = table.Version(), int(age.Milliseconds())
 	}
 	if age, known := e.fleet.Age(now); known {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
+	"petrelstep/balance/speeds"
 	"petrelstep/refusal"
 )
 
@@ -95,6 +96,9 @@
 	for _, r := range RetryReasons() {
 		m.retries.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
+	for _, class := range speeds.Classes() {
+		m.placed.Add(ctx, 0, metric.WithAttributes(attribute.String("class", string(class))))
+	}
 	for _, change := range []string{hallEvacuated, hallTakenBack} {
 		m.halls.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -150,6 +150,9 @@
 	for _, engines := range []int{0, 9, 18, 61} {
 		messages[fmt.Sprint("gossip ", engines, " loads")] = gossip(engines)
 	}
+	for _, engines := range []int{9, 61} {
+		messages[fmt.Sprint("gossip ", engines, " speeds")] = speeds(engines)
+	}
 	for hubs, scope := range map[int]wire.GossipScope{0: wire.GossipScopeNone, 6: wire.GossipScopeAll} {
 		loads := gossip(11 * hubs)
 		a := wire.GossipAnswer{Sender: loads.Sender, Version: 4321, VersionAgeMs: 700, FleetAgeMs: 700, FleetAt: 300, Tells: scope, Tallies: loads.Tallies}
@@ -180,6 +183,18 @@
 	return g
 }
 
+// speeds is a box's word of how fast some engines are, once a second.
+func speeds(engines int) wire.Gossip {
+	g := gossip(0)
+	g.WantsSpeeds = true
+	for i := range engines {
+		g.Speeds = append(g.Speeds, wire.UpstreamSpeed{
+			Upstream: fmt.Sprintf("i-7f3a91c2%02d", i), Born: 1_790_000_000_000, Alone: 212, AloneLog: -7170, Beside: 148, BesideLog: -4010, Read: 42, ReadLog: -3710,
+		})
+	}
+	return g
+}
+
 func settle(n int) []wire.SettleItem {
 	items := make([]wire.SettleItem, n)
 	for i := range items {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -487,6 +487,9 @@
 	// Requests that it holds.
 	Serving int `json:"serving"`
 
+	// How fast engines are believed to be; empty where that is not learned.
+	Speeds []UpstreamBelief `json:"speeds,omitempty,omitzero"`
+
 	// Stopping corresponds to the JSON schema field "stopping".
 	Stopping bool `json:"stopping"`
 
@@ -4006,6 +4009,61 @@
 	Service string `json:"service,omitempty,omitzero"`
 }
 
+// How fast an engine is believed to be.
+type UpstreamBelief struct {
+	// Since anything was seen of it.
+	AgeMs int `json:"age_ms"`
+
+	// Between events, with no prompt read beside.
+	AloneMs int `json:"alone_ms"`
+
+	// The longest between events, beside a prompt.
+	BesideMs int `json:"beside_ms"`
+
+	// Whether it keeps the pause that was last asked for: beside a prompt that is
+	// read, alone, never, or unknown.
+	Class string `json:"class"`
+
+	// To read a token of a prompt; 0 where it is not known.
+	ReadUs int `json:"read_us"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *UpstreamBelief) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["age_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field age_ms in UpstreamBelief: required")
+	}
+	if _, ok := raw["alone_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field alone_ms in UpstreamBelief: required")
+	}
+	if _, ok := raw["beside_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field beside_ms in UpstreamBelief: required")
+	}
+	if _, ok := raw["class"]; raw != nil && !ok {
+		return fmt.Errorf("field class in UpstreamBelief: required")
+	}
+	if _, ok := raw["read_us"]; raw != nil && !ok {
+		return fmt.Errorf("field read_us in UpstreamBelief: required")
+	}
+	if _, ok := raw["upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field upstream in UpstreamBelief: required")
+	}
+	type Plain UpstreamBelief
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = UpstreamBelief(plain)
+	return nil
+}
+
 // The news that an upstream leaves.
 type UpstreamDeparture struct {
 	// When this incarnation of the upstream started, in Unix milliseconds; 0 where it
