--- a/balance/speeds/cost.go
+++ b/balance/speeds/cost.go
@@ -62,21 +62,21 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.given[keyOf(u)] += r.beside * hits * s.inTime(u, l)
+	s.given[u.ID] += r.beside * hits * s.inTime(u, l)
 }
 
 // inTime returns how many streams at an upstream may be made late yet. A keeper that
 // has just begun takes all of them for such, as well as runs that moved there.
 func (s *Speeds) inTime(u fleet.Upstream, l tally.Load) float64 {
-	key, there := keyOf(u), lasting(l)
-	late, ok := s.given[key]
+	there := lasting(l)
+	late, ok := s.given[u.ID]
 	switch {
 	case !ok:
 		return there
 	case there == 0:
-		delete(s.given, key) // what was late has ended
+		delete(s.given, u.ID) // what was late has ended
 	case late > there:
-		s.given[key] = there
+		s.given[u.ID] = there
 	}
 	return max(there-late, 0)
 }
@@ -103,7 +103,8 @@
 		return nil
 	}
 	for i, u := range list {
-		judged[i] = Judged{risks.of(u).cost(n, s.inTime(u, loads[i])), v.reading(u)}
+		r := risks.of(u)
+		judged[i] = Judged{r.cost(n, s.inTime(u, loads[i])), r.reading}
 	}
 	return judged
 }
--- a/balance/speeds/speed.go
+++ b/balance/speeds/speed.go
@@ -98,8 +98,9 @@
 	return Beside
 }
 
-// risk is the chance that an engine breaks a pause.
-type risk struct{ alone, beside float64 }
+// risk is the chance that an engine breaks a pause, and how many times as long as usual
+// it takes to read a prompt.
+type risk struct{ alone, beside, reading float64 }
 
 func (s Speed) risk(gap time.Duration) risk {
 	r := risk{}
--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -266,7 +266,8 @@
 	for key, b := range s.beliefs {
 		if now.Sub(b.at) > keptFor {
 			delete(s.beliefs, key)
-			delete(s.given, key)
+			id, _ := split(key)
+			delete(s.given, id)
 			delete(s.classes, key)
 		}
 	}
--- a/balance/speeds/view.go
+++ b/balance/speeds/view.go
@@ -32,12 +32,12 @@
 
 // risks are the chances that engines break a pause.
 type risks struct {
-	engines map[string]risk // by key
+	engines map[string]risk // by id
 	like    risk            // of one that nothing is known of: as its like
 }
 
 func (r risks) of(u fleet.Upstream) risk {
-	if known, ok := r.engines[keyOf(u)]; ok {
+	if known, ok := r.engines[u.ID]; ok {
 		return known
 	}
 	return r.like
@@ -50,11 +50,13 @@
 	if r, ok := v.byGap[gap]; ok {
 		return r
 	}
-	r := risks{engines: make(map[string]risk, len(v.speeds))}
+	r := risks{like: risk{reading: 1}, engines: make(map[string]risk, len(v.speeds))}
 	for key, s := range v.speeds {
 		if s.known() {
 			one := s.risk(gap)
-			r.engines[key] = one
+			one.reading = v.reading(s)
+			id, _ := split(key)
+			r.engines[id] = one
 			r.like.alone += one.alone
 			r.like.beside += one.beside
 		}
@@ -113,8 +115,7 @@
 }
 
 // reading returns how many times as long as usual an engine takes to read a prompt.
-func (v *view) reading(u fleet.Upstream) float64 {
-	s := v.speeds[keyOf(u)]
+func (v *view) reading(s Speed) float64 {
 	if s.read.weight == 0 {
 		return 1
 	}
