speeds: learn how far the longest event of a stream is above

Cause: a fixed margin puts engines that are alike at the edge where prompts are read in even pieces, so that long answers wait in vain. Learned by service from whole streams.

--- a/balance/speeds/speed.go
+++ b/balance/speeds/speed.go
@@ -6,11 +6,6 @@
 )
 
 const (
-	// pauseMargin is how many times the mean of the longest events of its windows an
-	// engine has to keep: the longest event of a stream, by which callers judge it, is
-	// twice that mean, and one that is just below the pause today is above it when one
-	// more stream runs there.
-	pauseMargin = 2.6
 	// leastDoubt is the deviation of a forecast, as a logarithm, whatever was seen:
 	// loads differ.
 	leastDoubt = 0.15
@@ -49,9 +44,10 @@
 	return forecast{(f.log*f.weight + o.log*o.weight) / weight, weight}
 }
 
-// breaks is the chance that a stream of such events has a pause longer than gap.
-func (f forecast) breaks(gap time.Duration) float64 {
-	over := f.log + math.Log(pauseMargin) - math.Log(gap.Seconds())
+// breaks is the chance that a stream of such events has a pause longer than gap, where
+// its longest is so much above, as a logarithm.
+func (f forecast) breaks(gap time.Duration, margin float64) float64 {
+	over := f.log + margin - math.Log(gap.Seconds())
 	dev := math.Sqrt(leastDoubt*leastDoubt + doubt*doubt/f.weight)
 	return 1 / (1 + math.Exp(-over/dev*math.Pi/math.Sqrt(3))) // logistic of that deviation
 }
@@ -66,6 +62,7 @@
 // Speed is what is believed of an engine. Values are immutable.
 type Speed struct {
 	alone, beside, read forecast
+	margin              float64   // by which the longest event of a stream is above, as a logarithm
 	seen                time.Time // for the last time
 }
 
@@ -105,10 +102,10 @@
 func (s Speed) risk(gap time.Duration) risk {
 	r := risk{}
 	if s.alone.weight > 0 {
-		r.alone = s.alone.breaks(gap)
+		r.alone = s.alone.breaks(gap, s.margin)
 	}
 	if s.beside.weight > 0 {
-		r.beside = max(s.beside.breaks(gap), r.alone)
+		r.beside = max(s.beside.breaks(gap, s.margin), r.alone)
 	}
 	return r
 }
--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -71,6 +71,7 @@
 	own     map[string]seen          // by key
 	beliefs map[string]belief        // by key
 	views   map[string]*view         // by service
+	spread  map[string]spread        // by service
 	given   map[string]float64       // streams taken to be late, by what this box sent where, by key
 	gaps    map[string]time.Duration // last asked for, by service
 	classes map[string]Class         // last logged, by key
@@ -80,7 +81,7 @@
 func New(f serving, c counter, log *logrus.Entry) *Speeds {
 	return &Speeds{
 		fleet: f, counts: c, log: log, others: told.New[record](), own: map[string]seen{}, beliefs: map[string]belief{}, views: map[string]*view{},
-		given: map[string]float64{}, gaps: map[string]time.Duration{}, classes: map[string]Class{},
+		given: map[string]float64{}, spread: map[string]spread{}, gaps: map[string]time.Duration{}, classes: map[string]Class{},
 	}
 }
 
@@ -117,6 +118,20 @@
 	s.own[key] = r
 }
 
+// spreads takes how much the longest event of a stream was above those of its windows.
+func (s *Speeds) spreads(service string, log float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spread[service] = s.spreadOf(service).with(log)
+}
+
+func (s *Speeds) spreadOf(service string) spread {
+	if known, ok := s.spread[service]; ok {
+		return known
+	}
+	return newSpread()
+}
+
 // ownOf returns this box's own record as of now.
 func (s *Speeds) ownOf(now time.Time, key string) seen {
 	r := s.own[key]
@@ -227,7 +242,7 @@
 		}
 	}
 	s.forget(now)
-	v := newView(now, records, at)
+	v := newView(now, records, at, s.spreadOf(service).margin())
 	s.views[service] = v
 	s.logClasses(now, service, v)
 	return v
--- a/balance/speeds/speeds_test.go
+++ b/balance/speeds/speeds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"testing"
 	"time"
 
@@ -237,3 +238,28 @@
 		})
 	}
 }
+
+// TestSpread shows how far the longest event of a stream is taken to be above the mean
+// of those of its windows: learned, where prompts are read in even pieces and where few
+// windows hold a large one.
+func TestSpread(t *testing.T) {
+	tests := map[string]struct {
+		logs []float64 // of streams, by turns
+		want float64   // times the mean, with the safety
+	}{
+		"a guess":      {nil, 2.65},
+		"even pieces":  {[]float64{0.05}, 1.35},
+		"large pieces": {[]float64{0.2, 0.8}, 2.8},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSpread()
+			for i := range 300 * len(tt.logs) {
+				s = s.with(tt.logs[i%len(tt.logs)])
+			}
+			got := math.Exp(s.margin())
+			t.Log(got)
+			is.New(t).True(got > 0.95*tt.want && got < 1.05*tt.want)
+		})
+	}
+}
--- a/balance/speeds/stream.go
+++ b/balance/speeds/stream.go
@@ -1,6 +1,7 @@
 package speeds
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +34,10 @@
 	last     time.Time
 	gaps     []time.Duration
 	beside   bool // a prompt was read there meanwhile
+
+	windows int           // in which one was
+	logs    float64       // of their longest events, summed
+	longest time.Duration // of these
 }
 
 // Event notes an event, and whether a prompt is being read beside as far as is known.
@@ -52,9 +57,16 @@
 
 // End notes that no more events come from there.
 func (s *Stream) End(now time.Time) {
-	if s != nil && len(s.gaps) >= leastWindow {
+	if s == nil {
+		return
+	}
+	if len(s.gaps) >= leastWindow {
 		s.observe(now)
 	}
+	if s.windows >= spreadWindows {
+		s.speeds.spreads(s.upstream.Service, math.Log(s.longest.Seconds())-s.logs/float64(s.windows))
+	}
+	s.windows, s.logs, s.longest = 0, 0, 0
 }
 
 // observe turns the window into an observation: the end of its lowest fifth, as busy
@@ -66,6 +78,9 @@
 	o := observation{alone: s.gaps[n/lowPart], weight: min(float64(n)/wholeWindow, 1)}
 	if s.beside && n >= wholeWindow {
 		o.beside = s.gaps[n-1]
+		s.windows++
+		s.logs += math.Log(o.beside.Seconds())
+		s.longest = max(s.longest, o.beside)
 	}
 	s.speeds.streamed(now, s.upstream, o)
 	s.gaps, s.beside = s.gaps[:0], false
--- a/balance/speeds/view.go
+++ b/balance/speeds/view.go
@@ -70,12 +70,12 @@
 }
 
 // newView forecasts what each engine does by what was seen of it and its like.
-func newView(now time.Time, records map[string]record, seen map[string]time.Time) *view {
+func newView(now time.Time, records map[string]record, seen map[string]time.Time, margin float64) *view {
 	v := &view{at: now, speeds: make(map[string]Speed, len(records)), byGap: map[time.Duration]risks{}}
 	aloneBeside := ratio(records, func(r record) (x, y sum) { return r.alone, r.beside }).and(forecast{math.Log(besideGuess), 1})
 	readAlone := ratio(records, func(r record) (x, y sum) { return r.read, r.alone })
 	for key, r := range records {
-		s := Speed{seen: seen[key], read: own(r.read), alone: own(r.alone)}
+		s := Speed{seen: seen[key], margin: margin, read: own(r.read), alone: own(r.alone)}
 		s.alone = s.alone.and(s.read.by(readAlone))
 		s.beside = own(r.beside).and(s.alone.by(aloneBeside))
 		v.speeds[key] = s
