--- a/admission/chance.go
+++ b/admission/chance.go
@@ -95,6 +95,8 @@
 	for _, w := range list {
 		switch {
 		case ended[w]:
+		case w.held: // it has room already
+			ahead += w.ask.Prompt
 		case a.undecided(now, w) == undecided && a.hopeless(now, r, w, ahead):
 			ended[w] = true
 		default:
--- a/admission/room.go
+++ b/admission/room.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"petrelstep/balance/speeds"
 	"petrelstep/choose"
 	"petrelstep/tally"
 )
@@ -18,6 +19,8 @@
 	// lineWeight weighs a token that is to be read before against one of memory left
 	// over: an engine that has no line goes before one that is a prompt fuller.
 	lineWeight = 2
+	// lateWeight weighs a request that is made late against an engine's memory.
+	lateWeight = 4
 	// farPart is the part of an engine's memory that another hall costs one that
 	// holds memory for a moment: a lost segment cannot make more than one event late.
 	farPart = 4
@@ -45,13 +48,13 @@
 	}
 	best, least := -1, 0
 	for i, c := range ranked {
-		if c.Held || !short && r.reserved[c.Upstream.ID] || !a.fits(now, ask, c.Running, c.Upstream.Slots) {
+		if c.Held || !short && r.reserved[c.Upstream.ID] || !a.fits(now, ask, c) {
 			continue
 		}
 		if !short || now.Sub(a.waited) > waitedFor {
 			return grantOf(ask, c), true
 		}
-		if over := a.leftOver(ask, c); best < 0 || over < least {
+		if over := a.leftOver(ask, c) + int(c.Cost*float64(lateWeight*ask.Service.Engine.Memory)); best < 0 || over < least {
 			best, least = i, over
 		}
 	}
@@ -78,8 +81,11 @@
 	return free >= leaving+ask.Prompt
 }
 
+// need is what a request needs of an engine.
+func (a *Admission) need(ask Ask) speeds.Need { return speeds.Need{Gap: ask.Gap, Long: !a.short(ask)} }
+
 func grantOf(ask Ask, c choose.Choice) Grant {
-	return Grant{Upstream: c.Upstream, Load: float64(c.Running.Tokens) / float64(max(ask.Service.Engine.Memory, 1))}
+	return Grant{Upstream: c.Upstream, Cost: c.Cost, running: c.Running, Load: float64(c.Running.Tokens) / float64(max(ask.Service.Engine.Memory, 1))}
 }
 
 // leftOver is the memory that a request leaves at an upstream, in tokens, with what
@@ -96,11 +102,12 @@
 // fits tells whether an upstream has room for a request: a place, time to read
 // its prompt, and memory for it and for what all that run there make until the
 // next of them ends.
-func (a *Admission) fits(now time.Time, ask Ask, l tally.Load, slots int) bool {
+func (a *Admission) fits(now time.Time, ask Ask, c choose.Choice) bool {
+	l := c.Running
 	if l.Requests == 0 {
 		return true // there is no more room anywhere
 	}
-	if l.Requests >= slots || !a.readable(now, ask, l) {
+	if l.Requests >= c.Upstream.Slots || !a.readable(now, ask, c) {
 		return false
 	}
 	return l.Tokens+ask.Prompt+a.growth(ask, l) <= ask.Service.Engine.Memory
@@ -112,12 +119,12 @@
 // that can still be in time goes only where it is: it would hold memory for an
 // answer that is late (36 of 1,094 drafts of a crowded day were late by their first
 // event; 0.016 of the worth of three such days).
-func (a *Admission) readable(now time.Time, ask Ask, l tally.Load) bool {
-	left := a.left(now, ask)
+func (a *Admission) readable(now time.Time, ask Ask, c choose.Choice) bool {
+	left, l := a.left(now, ask), c.Running
 	if left < 0 {
 		return l.Prefill <= ask.Prompt
 	}
-	inTime := a.reading.Time(l.Prefill) <= left
+	inTime := c.Reading*a.reading.Time(l.Prefill+ask.Prompt).Seconds() <= (left + a.reading.Time(ask.Prompt)).Seconds()
 	return inTime && (l.Prefill <= ask.Prompt || a.short(ask))
 }
 
--- /dev/null
+++ b/balance/speeds/cost.go
@@ -0,0 +1,110 @@
+package speeds
+
+import (
+	"fmt"
+	"time"
+
+	"petrelstep/fleet"
+	"petrelstep/tally"
+)
+
+const (
+	// lastingTokens is how much an answer has to come, at least, for its pauses to be
+	// at risk: what has less ends about as soon as the next prompt is read.
+	lastingTokens = 32
+	// hits is the chance that a prompt that is read beside a stream makes one of its
+	// events as long as they get: only whole pieces of prompts do, and not all at a
+	// time when an event is due. Of streams on engines that do not keep their pause a
+	// fifth to a quarter was made late by each prompt.
+	hits = 0.25
+	// spent is what a short answer costs at an engine that keeps its pause beside
+	// prompts, in long ones that are late: its prompt slows all that streams there, so
+	// that they hold their memory for longer, and long answers have no other engine.
+	spent = 0.05
+)
+
+// Need is what a request needs of an engine.
+type Need struct {
+	Gap   time.Duration // longest pause of a stream in time; 0 for any
+	Long  bool          // its answer streams for longer than its prompt is read
+	Moves bool          // it is a run that moves there: it has no prompt to be read
+}
+
+// String names it.
+func (n Need) String() string { return fmt.Sprint(n.Gap, n.Long, n.Moves) }
+
+// cost is how many requests a request makes late at an engine where so many may yet be
+// made so, itself included.
+func (r risk) cost(n Need, inTime float64) float64 {
+	cost := r.alone
+	if !n.Moves {
+		cost += r.beside * hits * inTime
+	}
+	if !n.Long {
+		return cost + spent*(1-r.beside)
+	}
+	return cost + (1-r.alone)*r.beside*hits // by the next prompt that comes there
+}
+
+// lasting is how many streams run there whose pauses are at risk.
+func lasting(l tally.Load) float64 { return float64(min(l.Requests, l.Coming/lastingTokens)) }
+
+// Gave notes that the keeper of a queue sends a request to an upstream where so much
+// runs: what it makes late there costs the next one nothing more.
+func (s *Speeds) Gave(now time.Time, u fleet.Upstream, n Need, l tally.Load) {
+	if s == nil || n.Gap == 0 {
+		return
+	}
+	v := s.view(now, u.Service)
+	r := v.risks(n.Gap).of(u)
+	if n.Long {
+		s.counts.LongPlaced(string(v.speeds[keyOf(u)].Class(n.Gap)))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.given[u.ID] += r.beside * hits * s.inTime(u, l)
+}
+
+// inTime returns how many streams at an upstream may be made late yet. A keeper that
+// has just begun takes all of them for such, as well as runs that moved there.
+func (s *Speeds) inTime(u fleet.Upstream, l tally.Load) float64 {
+	there := lasting(l)
+	late, ok := s.given[u.ID]
+	switch {
+	case !ok:
+		return there
+	case there == 0:
+		delete(s.given, u.ID) // what was late has ended
+	case late > there:
+		s.given[u.ID] = there
+	}
+	return max(there-late, 0)
+}
+
+// Judged is what an upstream is worth to a request.
+type Judged struct {
+	Cost    float64 // requests that it makes late there, itself included
+	Reading float64 // how many times as long as usual a prompt takes to be read
+}
+
+// Judge weighs some upstreams of one service for a request; nil where nothing is known
+// of any.
+func (s *Speeds) Judge(now time.Time, service string, list []fleet.Upstream, loads []tally.Load, n Need) []Judged {
+	if s == nil || n.Gap == 0 || len(list) == 0 {
+		return nil
+	}
+	v := s.view(now, service)
+	risks := v.risks(n.Gap)
+	judged := make([]Judged, len(list))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gaps[service] = n.Gap
+	if !v.known {
+		return nil
+	}
+	for i, u := range list {
+		r := risks.of(u)
+		judged[i] = Judged{r.cost(n, s.inTime(u, loads[i])), r.reading}
+	}
+	return judged
+}
--- a/edge/answers.go
+++ b/edge/answers.go
@@ -39,11 +39,11 @@
 	a := wire.GossipAnswer{Sender: e.record, Leaving: e.draining.Load(), Tells: e.tells(now, from.Wants), StoreSilentMs: e.storeAge(now)}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		w, boxes := e.partWords(now)
+		w, boxes := e.partWords(now, from.WantsSpeeds)
 		w.answer(&a)
 		a.Covers, a.Hubs = boxes, e.hubRecords(now)
 	case wire.GossipScopeAll:
-		e.wordsWithout(now, from.Sender.Box).answer(&a)
+		e.wordsWithout(now, from.Sender.Box, from.WantsSpeeds).answer(&a)
 		a.Hubs = e.hubRecords(now)
 	}
 	e.answerCrowd(now, &a)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"petrelstep/admission"
 	"petrelstep/balance/places"
+	"petrelstep/balance/speeds"
 	"petrelstep/belief"
 	"petrelstep/choose"
 	"petrelstep/config"
@@ -113,6 +114,7 @@
 	halls       *halls.Halls
 	tally       *tally.Tally
 	reliability *reliability.Reliability
+	speeds      *speeds.Speeds // nil where that is off
 	places      *places.Places // nil unless switched on
 	runs        *runs.Runs
 	members     *members.Members
@@ -198,10 +200,13 @@
 	e.budget = retry.NewBudget(budgetPart*s.RetryRatio, e.slack(boxesGuess))
 	e.buffers = e.newBuffers()
 	reading := prefill.New()
+	if e.config.Balances(wire.EdgeBalanceElemSpeeds) {
+		e.speeds = speeds.New(e.fleet, e.metrics, e.log)
+	}
 	warm := warmup.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 5)))
 	e.fleet.OnRestart(e.restarted(warm))
 	chooser := choose.New(choose.Parts{
-		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall,
+		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall, Speeds: e.speeds,
 		Warmup: warm, Part: e.part, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
@@ -214,7 +219,7 @@
 	e.sharing = newSharing(e.config.Balances(wire.EdgeBalanceElemShares))
 	e.admission = admission.New(chooser, e.tally, reading, e.sharing.keeper(), rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
-		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Places: e.places, Tally: e.tally, Reliability: e.reliability, Sender: e.upstreams,
+		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Places: e.places, Tally: e.tally, Reliability: e.reliability, Speeds: e.speeds, Sender: e.upstreams,
 		Budget: e.budget,
 		Runs:   e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, Buffers: e.buffers, ServeStale: s.ServeStale, Log: e.log,
 	})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -38,6 +38,7 @@
 	from        time.Time // only what came later is told by this hub, unless it is whole
 	telling     int       // last change of this box's fleet in the call under way
 	told        int       // and in the last one that was answered
+	speeds      time.Time // when it was last told how fast engines are
 }
 
 // Say implements gossip.Box.
@@ -68,7 +69,7 @@
 func (e *Edge) sayLoads(now time.Time, hub members.Box, g *wire.Gossip) {
 	switch {
 	case e.IsHub():
-		w, boxes := e.partWords(now)
+		w, boxes := e.partWords(now, e.speedsDue(now, hub.Name))
 		w.say(g)
 		g.Covers = boxes
 		return
@@ -78,7 +79,7 @@
 	default:
 		g.Counts = true
 	}
-	e.ownWords(now).say(g)
+	e.ownWords(now, e.speedsDue(now, hub.Name)).say(g)
 }
 
 // wantsFleet tells whether a hub is to send the whole fleet to this box, which
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
+	"petrelstep/balance/speeds"
 	"petrelstep/refusal"
 )
 
@@ -69,6 +70,7 @@
 	fleets   metric.Int64Counter
 	alone    metric.Int64Counter
 	placed   metric.Float64Histogram
+	classes  metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -103,6 +105,7 @@
 	m.fleets = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
 	m.placed = b.histogram("petrelstep_place_wait", "Wait for a place at a plain upstream, by outcome; those that did not wait are not counted.")
 	m.alone = b.counter("petrelstep_second_tries_not_sent", "Second tries that were due and not sent, by reason.")
+	m.classes = b.counter("petrelstep_long_answers_placed", "Long answers given room, by how their engine keeps their pause.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -121,6 +124,9 @@
 	for _, r := range []string{SlowBoxFull, SlowStalled} {
 		m.slow.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
+	for _, class := range speeds.Classes() {
+		m.classes.Add(ctx, 0, metric.WithAttributes(attribute.String("class", string(class))))
+	}
 	for _, change := range []string{hallEvacuated, hallTakenBack} {
 		m.halls.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
 	}
@@ -219,6 +225,11 @@
 	m.fleets.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// LongPlaced counts a long answer that was given room on an engine of a class.
+func (m *Metrics) LongPlaced(class string) {
+	m.classes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("class", class)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
