shares: tell of them only while a request waits

Weigh took any request among those that wait for a sign that room is short, also one that had come just now and found room in the same round.

The queue now notes a wait when a request found no room at once.

admission.TestCalm/room_for_all fails before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -92,6 +92,8 @@
 type Shares interface {
 	Gave(now time.Time, p shares.Party, work float64)
 	Refused(now time.Time, p shares.Party, work float64)
+	// Waited notes that a request found no room at once.
+	Waited(now time.Time)
 	// Weigh works the shares out, from the work that waits too.
 	Weigh(now time.Time, waits map[shares.Party]float64)
 	Standing(p shares.Party) shares.Standing
@@ -196,6 +198,9 @@
 	if !a.short(w.ask) {
 		a.waited = now
 	}
+	if a.shares != nil {
+		a.shares.Waited(now)
+	}
 	if a.hopeless(now, r, w, a.ahead(now, w)) {
 		a.drop(w)
 	}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -320,6 +320,7 @@
 
 func (fares) Gave(time.Time, shares.Party, float64)     {}
 func (fares) Refused(time.Time, shares.Party, float64)  {}
+func (fares) Waited(time.Time)                          {}
 func (fares) Weigh(time.Time, map[shares.Party]float64) {}
 func (f fares) Standing(p shares.Party) shares.Standing { return f[p.Organisation] }
 
@@ -366,6 +367,33 @@
 	}
 }
 
+// TestCalm shows that others are told what organisations were given while requests wait,
+// and not while each finds room at once.
+func TestCalm(t *testing.T) {
+	for name, full := range map[string]bool{"room for all": false, "one waits": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := shares.New(nil)
+				w := newWorldOf(1, s)
+				if full {
+					runs := w.fill("e0", slots, 1000)
+					time.AfterFunc(time.Second, func() {
+						for _, r := range runs {
+							r.End()
+						}
+					})
+				}
+				is := is.New(t)
+				ask := draft("a")
+				ask.Organisation = "acme"
+				s.Took(time.Now(), shares.Party{Organisation: "acme", Rank: ask.Urgency}, 1000, true)
+				is.NoErr(w.ask(t.Context(), ask))
+				is.Equal(len(s.Own(time.Now())) > 0, full)
+			})
+		})
+	}
+}
+
 // TestOverShare shows that an organisation that asks for more than its share is told
 // so.
 func TestOverShare(t *testing.T) {
--- a/balance/shares/shares.go
+++ b/balance/shares/shares.go
@@ -145,14 +145,20 @@
 	s.own.add(now, p, use{refused: work})
 }
 
+// Waited notes that room is short: a request of any organisation found none at once.
+// Weigh cannot tell, as among those that wait are some that have come just now and
+// find room.
+func (s *Shares) Waited(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.short = now
+}
+
 // Weigh works the shares out anew: from the work that was given, and the work that
 // waits. What more urgent ranks take is not there for the others.
 func (s *Shares) Weigh(now time.Time, waits map[Party]float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(waits) > 0 {
-		s.short = now
-	}
 	s.waits, s.demand = waits, s.uses(now)
 	sum, given, ranks := use{}, map[int]float64{}, map[int][]asker{}
 	for p, asks := range s.asks() {
