shares: hold nobody to a share before anything was given

A box that has just begun to keep a queue, and was told nothing, had 0 to share: all who asked were bound, refused as over_share, and their waits forecast twice as long, as nothing was left for those who ask for more. The same forecast held for a rank that had been given nothing yet, though nobody of it takes room before the others there.

Nothing known now binds nobody, and of nothing those who ask for more have all. What a rank of which something was given may have is unchanged.

--- a/balance/shares/shares.go
+++ b/balance/shares/shares.go
@@ -169,6 +169,9 @@
 	}
 	s.served = sum.given / max(sum.given+sum.refused, leastWork)
 	s.levels = map[int]level{}
+	if sum.given+sum.refused < leastWork {
+		return // a box that has just begun knows of no shares, and holds nobody to one
+	}
 	room := sum.given
 	for _, rank := range slices.Sorted(maps.Keys(ranks)) {
 		s.levels[rank] = fill(ranks[rank], room)
@@ -226,14 +229,14 @@
 // weight, so that all together take the room; what one does not ask for goes to the
 // others.
 func fill(list []asker, room float64) level {
-	weights, all := 0.0, max(room, leastWork)
+	weights, all := 0.0, room
 	for _, a := range list {
 		weights += a.weight
 	}
 	slices.SortFunc(list, func(a, b asker) int { return cmp.Compare(a.asks*b.weight, b.asks*a.weight) })
 	for _, a := range list {
 		if a.asks*weights > room*a.weight {
-			return level{work: max(room, 0) / weights, part: max(room, 0) / all}
+			return level{work: max(room, 0) / weights, part: part(room, all)}
 		}
 		room -= a.asks
 		weights -= a.weight
@@ -241,6 +244,15 @@
 	return level{work: math.Inf(1), part: 1}
 }
 
+// part returns what part of all the room is left for those who ask for more. Where a
+// rank was given nothing, nobody takes any of it before them.
+func part(room, all float64) float64 {
+	if all < leastWork {
+		return 1
+	}
+	return max(room, 0) / all
+}
+
 // Standing returns how a party fares, as of the last time that shares were worked out.
 func (s *Shares) Standing(p Party) Standing {
 	s.mu.Lock()
