admission: say in TestNoChance what becomes of who comes back

The comment said that nobody is sent off once more; since waits are judged, who comes back is refused at once where no room comes before its caller leaves, as the test's own lines hold.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -414,8 +414,8 @@
 }
 
 // TestNoChance shows that a request that cannot be in time is told so at once,
-// and when to come back; those who come back are spread, and are not sent off
-// once more.
+// and when to come back; those who come back are spread, and wait only where they can be
+// served before their callers leave.
 func TestNoChance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
