balance/places: learn nothing of work from refusals at once

A place that is given back without an answer tells that an answer would have taken longer. Where nothing was known of an upstream, any time was longer than that, also the millisecond of a refusal or of a port that nobody listens on. What was known of its work is bounded by this mean, so that after 40 answers of 60 ms three upstreams counted as able to do 945 requests a second in place of 300, and a crowd was not seen.

Such a time now counts only if it is longer than answers of the upstream, or of all where it has not answered yet.

--- a/balance/places/line_test.go
+++ b/balance/places/line_test.go
@@ -244,6 +244,28 @@
 	})
 }
 
+// TestNotRun learns nothing of how long work takes from an upstream that refused the
+// first requests at once.
+func TestNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(load{boxes: 1, work: work, aim: aim})
+		b := w.boxes[0]
+		for id := range w.upstreams {
+			u, _ := b.fleet.Get(id)
+			b.places.Crowded(time.Now(), w.service)
+			b.places.Dropped(w.request(0, time.Second), u, time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		b.places.Crowded(time.Now(), w.service)
+		_, err := w.drawn(b, 40) // more than metLeast
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		b.places.Crowded(time.Now(), w.service)
+		is.Equal(b.places.View(time.Now())[0].Can, 300)
+	})
+}
+
 // TestSum is told of the same demand by a hub as by each box.
 func TestSum(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/balance/places/places.go
+++ b/balance/places/places.go
@@ -244,7 +244,9 @@
 }
 
 // Dropped notes that a request ended at an upstream that did not run it, failed, or
-// was not waited for any longer: an answer would have taken more than that.
+// was not waited for any longer. If that took longer than answers do, an answer would
+// have taken longer still; a refusal at once tells nothing, least of all where nothing
+// is known yet.
 func (p *Places) Dropped(ask Ask, upstream fleet.Upstream, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,7 +254,7 @@
 		u := s.upstream(upstream.ID)
 		u.own = max(u.own-1, 0)
 		s.tokens = min(s.tokens+1, saved)
-		if took > u.takes {
+		if known := cmp.Or(u.takes, s.takes); known > 0 && took > known {
 			learn(&u.takes, took)
 		}
 	}
