relay: pass by what a second try does not reach

Cause: a second try that reached nothing, while the first ran, counted as one of the tries that the request may have, and no other was sent. If the first then broke, its caller got no answer, though nothing but that one had been tried; before second tries ran beside the first, such an upstream was passed by.

Change: the upstream is passed by and, if the budget has one more and an upstream has a place free, another is tried.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -428,6 +428,7 @@
 		"the second answers first":           {"/safe/", []reply{{takes: slow, body: "1"}, {takes: before, body: "2"}}, false, false, 2, "2", 200, 90 * time.Millisecond},
 		"the first breaks, the second runs":  {"/safe/", []reply{{takes: after, err: errReset}, {takes: slow, body: "2"}}, false, false, 2, "2", 200, 550 * time.Millisecond},
 		"the second is full, the first runs": {"/safe/", []reply{{takes: slow, body: "1"}, {status: 503, notRun: true}}, false, false, 2, "1", 200, slow},
+		"the second reaches nothing":         {"/safe/", []reply{{takes: after, err: errReset}, {notSent: true, err: errReset}, {takes: before, body: "3"}}, false, false, 3, "3", 200, 90 * time.Millisecond},
 		"may not run twice":                  {"/unsafe2/", []reply{{takes: slow, body: "1"}}, false, false, 1, "1", 200, slow},
 		"its upstream hangs, no budget":      {"/safe/", []reply{{hang: true}}, true, false, 1, "", 0, time.Second},
 	}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -69,6 +69,7 @@
 			race.running--
 			if race.running > 0 && retryReason(j, o) != "" {
 				o.drop()
+				r.instead(ctx, race, o)
 				continue // the other try may still be answered
 			}
 			if !r.next(ctx, race, o) {
@@ -153,6 +154,15 @@
 	}
 }
 
+// instead sends another try in place of one that reached nothing while the other runs:
+// it took none of the tries that the request may have.
+func (r *Relay) instead(ctx context.Context, race *race, o outcome) {
+	if notReached(o.err) && len(race.job.passed) < unreachedMost && ctx.Err() == nil {
+		r.notReached(race.job, o.upstream, o.err)
+		r.beside(ctx, race)
+	}
+}
+
 // giveUp ends the tries but the one whose answer is passed on.
 func (race *race) giveUp(but string) {
 	for upstream, cancel := range race.cancels {
