edge: wait for the configuration that TestView asserts on

Cause: TestView waited until both boxes knew each other and the engine, and then asserted on a configuration, which comes by another way; a box that had the engine first had Version 0, and no queue had a keeper. With a pause of 1.5 s before a box takes its configuration (a trial) it failed three times of three.

Change: it waits for a configuration at both boxes as well; what it asserts is the same. With the same pause it passes three times of three.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -413,14 +413,15 @@
 	s := newSite(t, 2)
 	s.worker("e1", "llm", 10)
 	var views []wire.BoxView
-	until(t, "both know each other and the engine", func() bool {
+	until(t, "both know each other, the engine and the configuration", func() bool {
 		views = nil
 		for _, b := range s.boxes {
 			var v wire.BoxView
 			is.NoErr(client.New([]string{"http://" + b.admin}, "").Call(t.Context(), http.MethodGet, "/v1/view", nil, &v))
 			views = append(views, v)
 		}
-		return views[0].Boxes == 2 && views[1].Boxes == 2 && views[0].Upstreams == 1 && views[1].Upstreams == 1 && slices.Equal(views[0].Hubs, views[1].Hubs)
+		known := views[0].Version > 0 && views[1].Version > 0 // else no queue has a keeper
+		return known && views[0].Boxes == 2 && views[1].Boxes == 2 && views[0].Upstreams == 1 && views[1].Upstreams == 1 && slices.Equal(views[0].Hubs, views[1].Hubs)
 	})
 	is.Equal(len(views[0].Keeps)+len(views[1].Keeps), 1)
 	for _, v := range views {
