relay: count a try that has ended no longer while the next one waits

Cause: since tries may run beside each other, a try that was refused or failed was closed only once the next one had begun. Where that waited in line, for an engine or in a crowd of a plain service, its upstream counted one request too many at all boxes, and its connection was held, for as long as the wait: the more, the fuller all was.

Change: it is closed before, as it was; what is passed on if no other can be sent is in memory.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"petrelstep/admission"
 	"petrelstep/balance/places"
 	"petrelstep/belief"
 	"petrelstep/choose"
@@ -456,6 +458,60 @@
 	}
 }
 
+// TestLeft ends both tries as soon as their caller leaves.
+func TestLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, reply{hang: true})
+		w.share()
+		const leaves = 70 * time.Millisecond
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(leaves, leave)
+		began := time.Now()
+		c := w.serve(ctx, "/safe/")
+		is.Equal(time.Since(began), leaves)
+		is.Equal(len(w.sender.sends), 2)
+		is.Equal(c.refused.Reason(), refusal.CallerGone)
+		is.Equal(len(w.tally.Own()), 0)
+	})
+}
+
+// room is an admitter that notes what runs while a request asks for room.
+type room struct {
+	w       *world
+	running []int
+}
+
+func (r *room) Admit(_ context.Context, ask admission.Ask) (admission.Grant, error) {
+	r.running = append(r.running, len(r.w.tally.Own()))
+	for _, u := range r.w.fleet.Serving(ask.Service.Name) {
+		if !slices.Contains(ask.Avoid, u.ID) {
+			return admission.Grant{Upstream: u}, nil
+		}
+	}
+	return admission.Grant{}, refusal.New(refusal.NoUpstream, "all were asked")
+}
+
+// TestNotHeld counts a try that has ended no longer while the next one waits.
+func TestNotHeld(t *testing.T) {
+	for name, first := range map[string]reply{"not run": {status: 503, notRun: true}, "failed": {status: 500}, "broken": {err: errReset}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, first, reply{body: "ok"})
+				w.belief.Take(route.New(8, []route.Route{
+					{Name: "whole", Host: "h", Prefix: "/whole/", Repeatable: true, Attempts: 2, Timeout: time.Second, Aim: 100 * time.Millisecond, Split: split("llm")},
+				}, []route.Service{{Name: "llm", Engine: &route.Engine{Slots: 8, Memory: 30000, EventTokens: 4}}}, []route.Organisation{{Name: "council", Keys: []string{"key"}}}, route.Limits{}))
+				r := &room{w: w}
+				w.relay.Admitter = r
+				c := w.serve(t.Context(), "/whole/")
+				is.Equal(c.body.String(), "ok")
+				is.Equal(r.running, []int{0, 0})
+			})
+		})
+	}
+}
+
 // fill takes every place of a service's upstreams, and returns how many there are.
 func (w *world) fill(service string) (upstreams int) {
 	for _, u := range w.fleet.Serving(service) {
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -88,6 +88,9 @@
 	} else if !r.again(ctx, j, o) {
 		return false
 	}
+	if !o.more {
+		o.drop() // its answer is held here: nobody has to count it while the next one waits
+	}
 	err := r.begin(ctx, race)
 	if err != nil {
 		j.log.WithError(err).Info("not_sent_again")
