metrics: second tries that were not sent stand at zero from the start

Cause: the counter had no series until its first count, so that a rate over it missed that one; counters by reason promise otherwise. Its reasons were bare words in relay.

Change: the reasons are named in metrics and stand at zero; TestEveryReason holds it, and that the operators' page tells of them. It fails without.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -28,6 +28,12 @@
 	RetryBeside       = "beside"
 )
 
+// Reasons for a second try that was due and not sent.
+const (
+	NotBesideBudget = "budget"
+	NotBesideNoRoom = "no_room"
+)
+
 // Changes of a hall.
 const (
 	hallEvacuated = "evacuated"
@@ -39,6 +45,9 @@
 	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside}
 }
 
+// NotBesideReasons lists every reason for a second try that was not sent.
+func NotBesideReasons() []string { return []string{NotBesideBudget, NotBesideNoRoom} }
+
 // Metrics holds the instruments of one box.
 type Metrics struct {
 	registry *prometheus.Registry
@@ -98,6 +107,9 @@
 	for _, r := range RetryReasons() {
 		m.retries.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
+	for _, r := range NotBesideReasons() {
+		m.alone.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
+	}
 	for _, change := range []string{hallEvacuated, hallTakenBack} {
 		m.halls.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
 	}
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -31,6 +31,12 @@
 		m.Retried(r)
 		is.Equal(value(m, "petrelstep_retries_total", r), "1")
 	}
+	for _, r := range metrics.NotBesideReasons() {
+		is.Equal(value(m, "petrelstep_second_tries_not_sent_total", r), "0")
+		m.NotBeside(r)
+		is.Equal(value(m, "petrelstep_second_tries_not_sent_total", r), "1")
+		is.True(strings.Contains(string(page), "`"+r+"`"))
+	}
 }
 
 func scrape(m *metrics.Metrics) string {
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -141,11 +141,11 @@
 		return
 	}
 	_, load, ok := r.Chooser.Choose(time.Now(), j.want())
-	why := "budget"
+	why := metrics.NotBesideBudget
 	if !ok || load >= 1 || r.sharesPlaces(j) && r.Places.Crowded(time.Now(), j.service) {
-		why = "no_room"
+		why = metrics.NotBesideNoRoom
 	}
-	if why == "no_room" || !r.Budget.Spend() {
+	if why == metrics.NotBesideNoRoom || !r.Budget.Spend() {
 		r.Metrics.NotBeside(why)
 		j.log.WithFields(logrus.Fields{"why": why, "load": load, "tried": len(j.tried)}).Info("first_goes_on")
 		return
