--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,6 +35,12 @@
 	SlowStalled = "stalled"  // the caller took nothing for long
 )
 
+// Reasons for a second try that was due and not sent.
+const (
+	NotBesideBudget = "budget"
+	NotBesideNoRoom = "no_room"
+)
+
 // Changes of a hall.
 const (
 	hallEvacuated = "evacuated"
@@ -46,6 +52,9 @@
 	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside}
 }
 
+// NotBesideReasons lists every reason for a second try that was not sent.
+func NotBesideReasons() []string { return []string{NotBesideBudget, NotBesideNoRoom} }
+
 // Metrics holds the instruments of one box.
 type Metrics struct {
 	registry *prometheus.Registry
@@ -127,6 +136,9 @@
 	for _, class := range speeds.Classes() {
 		m.classes.Add(ctx, 0, metric.WithAttributes(attribute.String("class", string(class))))
 	}
+	for _, r := range NotBesideReasons() {
+		m.alone.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
+	}
 	for _, change := range []string{hallEvacuated, hallTakenBack} {
 		m.halls.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
 	}
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -69,6 +69,7 @@
 			race.running--
 			if race.running > 0 && retryReason(j, o) != "" {
 				o.drop()
+				r.instead(ctx, race, o)
 				continue // the other try may still be answered
 			}
 			if !r.next(ctx, race, o) {
@@ -87,6 +88,9 @@
 	} else if !r.again(ctx, j, o) {
 		return false
 	}
+	if !o.more {
+		o.drop() // its answer is held here: nobody has to count it while the next one waits
+	}
 	err := r.begin(ctx, race)
 	if err != nil {
 		j.log.WithError(err).Info("not_sent_again")
@@ -137,11 +141,11 @@
 		return
 	}
 	_, load, ok := r.Chooser.Choose(time.Now(), j.want())
-	why := "budget"
+	why := metrics.NotBesideBudget
 	if !ok || load >= 1 || r.sharesPlaces(j) && r.Places.Crowded(time.Now(), j.service) {
-		why = "no_room"
+		why = metrics.NotBesideNoRoom
 	}
-	if why == "no_room" || !r.Budget.Spend() {
+	if why == metrics.NotBesideNoRoom || !r.Budget.Spend() {
 		r.Metrics.NotBeside(why)
 		j.log.WithFields(logrus.Fields{"why": why, "load": load, "tried": len(j.tried)}).Info("first_goes_on")
 		return
@@ -153,6 +157,15 @@
 	}
 }
 
+// instead sends another try in place of one that reached nothing while the other runs:
+// it took none of the tries that the request may have.
+func (r *Relay) instead(ctx context.Context, race *race, o outcome) {
+	if notReached(o.err) && len(race.job.passed) < unreachedMost && ctx.Err() == nil {
+		r.notReached(race.job, o.upstream, o.err)
+		r.beside(ctx, race)
+	}
+}
+
 // giveUp ends the tries but the one whose answer is passed on.
 func (race *race) giveUp(but string) {
 	for upstream, cancel := range race.cancels {
