members: forget a told crowd when it lapses

A hub's count of a hall's boxes holds for 5 s, but the hubs that are kept were worked out anew only when a box changed or a failure lapsed: a box that had once been told of a crowd stayed in it. After a count had lapsed and been forgotten, the same count told again changed nothing either, so that a box whose hub had been silent for 5 s called all hubs that it knew and missed those of the crowd.

The lapse of a count now ends what is kept as that of a failure does, and a count that is told after its lapse counts as a change. TestToldCrowdLapses failed before (a crowd 6 s after the last count).

--- a/members/hubs.go
+++ b/members/hubs.go
@@ -73,6 +73,7 @@
 }
 
 func (m *Members) chooseHubs(now time.Time) []Box {
+	m.hubsUntil = time.Time{}
 	m.known = m.byHall()
 	m.crowd = m.crowded(now)
 	hubs, others := []Box{}, []Box{}
@@ -116,12 +117,13 @@
 }
 
 // crowded returns how many boxes each hall has by all that is known; nil unless they
-// are too many for each to call all hubs.
+// are too many for each to call all hubs. It notes until when that holds.
 func (m *Members) crowded(now time.Time) map[string]int {
 	halls, all := maps.Clone(m.known), 0
 	for hall, c := range m.told {
-		if now.Sub(c.at) <= crowdFor {
-			halls[hall] = max(halls[hall], c.boxes)
+		if lapses := c.at.Add(crowdFor); now.Before(lapses) && c.boxes > halls[hall] {
+			halls[hall] = c.boxes
+			m.hold(lapses)
 		}
 	}
 	for _, boxes := range halls {
@@ -165,11 +167,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.told[hall]
-	if boxes < old.boxes && now.Sub(old.at) <= crowdFor {
+	lapsed := !now.Before(old.at.Add(crowdFor))
+	if boxes < old.boxes && !lapsed {
 		return
 	}
 	m.told[hall] = count{boxes, now}
-	if boxes != old.boxes {
+	if boxes != old.boxes || lapsed {
 		m.changed()
 	}
 }
@@ -194,10 +197,16 @@
 	return !is && m.Crowd(now) != nil && m.Nearest(now).Name != hub.Name
 }
 
+// hold notes that the hubs are to be worked out anew at a time, if not before.
+func (m *Members) hold(until time.Time) {
+	if m.hubsUntil.IsZero() || until.Before(m.hubsUntil) {
+		m.hubsUntil = until
+	}
+}
+
 // candidates returns the boxes that may be hubs, the fittest first, and notes
 // until when that holds.
 func (m *Members) candidates(now time.Time) []candidate {
-	m.hubsUntil = time.Time{}
 	list := make([]candidate, 0, len(m.boxes)+1)
 	if m.self.State != Leaving {
 		list = append(list, candidate{m.self, weight(hubsKey, m.self.Name)})
@@ -208,8 +217,8 @@
 		case r.box.Address == "" || r.box.State == Leaving:
 		case r.failed.IsZero(), !now.Before(lapses), m.starting(now, r):
 			list = append(list, candidate{r.box, r.weight})
-		case m.hubsUntil.IsZero() || lapses.Before(m.hubsUntil):
-			m.hubsUntil = lapses
+		default:
+			m.hold(lapses)
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
--- a/members/members.go
+++ b/members/members.go
@@ -66,7 +66,7 @@
 	// hubs are those of today's boxes; nil until they are asked for. A box asks
 	// some hundred times a second, while boxes change a few times a minute.
 	hubs      []Box
-	hubsUntil time.Time        // a failure lapses then; zero if there is none
+	hubsUntil time.Time        // a failure or a told count lapses then; zero if there is none
 	hubSince  time.Time        // this box is one of them; zero if it is not
 	known     map[string]int   // boxes by hall as of then, as far as this one knows
 	crowd     map[string]int   // and as others know too; nil unless they are a crowd
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -472,6 +472,21 @@
 	is.Equal(len(m.Hubs(later)), hubs)
 }
 
+// TestToldCrowdLapses shows that a told count is forgotten though no box changes, and
+// taken again when it is told after that.
+func TestToldCrowdLapses(t *testing.T) {
+	is := is.New(t)
+	m := crowd(100)
+	m.ToldCrowd(start, "hall0", 250)
+	is.True(m.Crowd(start.Add(4*time.Second)) != nil)
+	m.ToldCrowd(start.Add(4*time.Second), "hall0", 250)
+	is.True(m.Crowd(start.Add(8*time.Second)) != nil)
+	later := start.Add(10 * time.Second)
+	is.Equal(m.Crowd(later), nil)
+	m.ToldCrowd(later, "hall0", 250)
+	is.True(m.Crowd(later) != nil)
+}
+
 // TestCrowdOfWeak shows that boxes that are not fit are hubs only where a hall has no
 // other.
 func TestCrowdOfWeak(t *testing.T) {
