members: count boxes that leave among a crowd

Whether boxes are a crowd was decided without those that leave, of which only the hubs hear that they call. Where 20 or 40 of 245 boxes left, as in a planned stop of some, some or all hubs took the rest for no crowd, while the other boxes still named seven hubs, most of which were none in their own eyes: these pass on nothing and tell no sums, so that the work of 130 of 205 boxes was known to no hub, and no box of those was told again of how many there are.

Boxes that leave count now, as they do for each that lists the store's table, whose rows they stay in: all agree, and a box that comes back changes nothing. They are still never hubs. TestCrowdLeft failed before at 20 and 40 of 245; two guards.

--- a/members/hubs.go
+++ b/members/hubs.go
@@ -135,14 +135,13 @@
 	return halls
 }
 
-// byHall counts the boxes that this one knows, those that leave left out.
+// byHall counts the boxes that this one knows. Those that leave count too: only hubs
+// that they called hear of it, which would else take a crowd for none while its boxes
+// name more hubs, and most come back under their names.
 func (m *Members) byHall() map[string]int {
-	halls := map[string]int{}
-	if m.self.State != Leaving {
-		halls[m.self.Hall]++
-	}
+	halls := map[string]int{m.self.Hall: 1}
 	for _, r := range m.boxes {
-		if r.box.State != Leaving && r.box.Address != "" {
+		if r.box.Address != "" {
 			halls[r.box.Hall]++
 		}
 	}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -487,6 +487,46 @@
 	is.True(m.Crowd(later) != nil)
 }
 
+// TestCrowdLeft lets boxes of a small crowd leave, as in a planned stop of some of them,
+// of which only the hubs hear that they called: the others' hubs stay hubs in their own
+// eyes, as who is none passes on nothing of what it is told.
+func TestCrowdLeft(t *testing.T) {
+	for _, gone := range []int{6, 20, 40} {
+		t.Run(fmt.Sprint(gone, " of 245"), func(t *testing.T) {
+			is := is.New(t)
+			all, boxes := alike(245)
+			is.Equal(len(all["box0"].Hubs(start)), 7)
+			others := slices.DeleteFunc(boxes, func(b members.Box) bool { return all["box0"].Hub(start, b.Name) })
+			for _, b := range others[:gone] {
+				b.State = members.Leaving
+				for _, hub := range all[b.Name].Asks(start) {
+					all[hub.Name].Heard(start, b)
+				}
+			}
+			for _, b := range others[gone:] {
+				_, hub := all[all[b.Name].Nearest(start).Name].IsHub(start)
+				is.True(hub)
+			}
+		})
+	}
+}
+
+// alike returns the memberships of boxes of one hall that have all listed all.
+func alike(n int) (all map[string]*members.Members, boxes []members.Box) {
+	var list []wire.Member
+	for i := range n {
+		name := fmt.Sprint("box", i)
+		boxes = append(boxes, members.Box{Name: name, Hall: "h", Address: name + ":1", State: members.Live, Strong: true})
+		list = append(list, wire.Member{Box: name, Hall: "h", Address: name + ":1", State: wire.MemberStateLive, Strong: true})
+	}
+	all = map[string]*members.Members{}
+	for _, b := range boxes {
+		all[b.Name] = members.New(b)
+		all[b.Name].Listed(start, list)
+	}
+	return all, boxes
+}
+
 // TestCrowdOfWeak shows that boxes that are not fit are hubs only where a hall has no
 // other.
 func TestCrowdOfWeak(t *testing.T) {
