edge, members: tell the boxes of a crowd what other hubs know of it

A hub told its boxes the count that it knows itself.

A hub tells its boxes the highest count told of late too. To hubs it tells its own as before, so that none is reminded for good of boxes that are gone. TestCrowdToldOn failed before for a box (2 in place of 250); a guard.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -60,12 +60,17 @@
 }
 
 // answerCrowd tells how many boxes there are, and which hubs are alive, where boxes
-// do not call all hubs: by that they know whom to call, and which keeper to ask.
+// do not call all hubs: by that they know whom to call, and which keeper to ask. A box
+// is told what other hubs know too, as it hears none of them; a hub only what this one
+// knows, as two would else remind each other for good of boxes that are gone.
 func (e *Edge) answerCrowd(now time.Time, a *wire.GossipAnswer) {
 	crowd := e.members.Crowd(now)
 	if crowd == nil || a.Tells == wire.GossipScopeNone {
 		return
 	}
+	if a.Tells == wire.GossipScopeAll {
+		crowd = e.members.CrowdOfAll(now)
+	}
 	for hall, boxes := range crowd {
 		a.Crowd = append(a.Crowd, wire.HallBoxes{Hall: hall, Boxes: boxes})
 	}
--- a/edge/gossip_test.go
+++ b/edge/gossip_test.go
@@ -235,3 +235,27 @@
 		})
 	}
 }
+
+// TestCrowdToldOn shows how many boxes a hub tells of that knows fewer itself than
+// another does: its boxes, which ask no other, of all, and hubs of those that it knows.
+func TestCrowdToldOn(t *testing.T) {
+	for name, tt := range map[string]struct {
+		wants wire.GossipScope
+		boxes int
+	}{
+		"a box": {wants: wire.GossipScopeAll, boxes: 250},
+		"a hub": {wants: wire.GossipScopeOwn, boxes: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := alone(t, "b1", "leith", false)
+				is.True(e.IsHub())
+				time.Sleep(1250 * time.Millisecond) // a hub knows then
+				e.Hear(wire.GossipAnswer{Sender: record("hub", "leith", true), Crowd: []wire.HallBoxes{{Hall: "leith", Boxes: 250}}}, time.Now())
+				a := e.Heard(wire.Gossip{Sender: record("hub", "leith", true), Wants: tt.wants})
+				is.Equal(a.Crowd, []wire.HallBoxes{{Hall: "leith", Boxes: tt.boxes}})
+			})
+		})
+	}
+}
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -160,6 +160,14 @@
 	return m.known
 }
 
+// CrowdOfAll returns what Crowd does, by all that others told of late too.
+func (m *Members) CrowdOfAll(now time.Time) map[string]int {
+	m.Hubs(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.crowd
+}
+
 // ToldCrowd takes a hub's count of the boxes of a hall: a box that started among many
 // has read only those that had joined before it.
 func (m *Members) ToldCrowd(now time.Time, hall string, boxes int) {
