speeds: sum in the order of the fleet, so that a view does not vary

Two plays of one scene in virtual time differed (admission.TestUneven, overfull and nearly full), though the queue without the part gave the same figures to the last digit each time. One cause: ratios and means were summed in the order of a map, so that their last bits varied and ties fell differently. Plays still differ after this: that is not its only cause.

--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -233,16 +233,16 @@
 	if v, ok := s.views[service]; ok && now.Sub(v.at) < viewEvery {
 		return v
 	}
-	records, at := map[string]record{}, map[string]time.Time{}
+	var list []believed
 	for _, u := range s.fleet.Serving(service) {
 		key := keyOf(u)
 		b := s.renew(now, key)
 		if b.weight() > 0 {
-			records[key], at[key] = b.record, b.seen
+			list = append(list, believed{key, b})
 		}
 	}
 	s.forget(now)
-	v := newView(now, records, at, s.spreadOf(service).margin())
+	v := newView(now, list, s.spreadOf(service).margin())
 	s.views[service] = v
 	s.logClasses(now, service, v)
 	return v
--- a/balance/speeds/view.go
+++ b/balance/speeds/view.go
@@ -19,9 +19,16 @@
 	readingMost = 3.0
 )
 
+// believed is what is believed of one engine.
+type believed struct {
+	key string
+	belief
+}
+
 // view is what is believed of the engines of a service at a time.
 type view struct {
 	at     time.Time
+	keys   []string         // in the order of the fleet: sums that are rounded differ by order
 	speeds map[string]Speed // by key
 	known  bool             // anything is, of any
 	read   forecast         // how long the service's engines take for a token, in the mean
@@ -51,8 +58,8 @@
 		return r
 	}
 	r := risks{like: risk{reading: 1}, engines: make(map[string]risk, len(v.speeds))}
-	for key, s := range v.speeds {
-		if s.known() {
+	for _, key := range v.keys {
+		if s := v.speeds[key]; s.known() {
 			one := s.risk(gap)
 			one.reading = v.reading(s)
 			id, _ := split(key)
@@ -70,15 +77,16 @@
 }
 
 // newView forecasts what each engine does by what was seen of it and its like.
-func newView(now time.Time, records map[string]record, seen map[string]time.Time, margin float64) *view {
-	v := &view{at: now, speeds: make(map[string]Speed, len(records)), byGap: map[time.Duration]risks{}}
-	aloneBeside := ratio(records, func(r record) (x, y sum) { return r.alone, r.beside }).and(forecast{math.Log(besideGuess), 1})
-	readAlone := ratio(records, func(r record) (x, y sum) { return r.read, r.alone })
-	for key, r := range records {
-		s := Speed{seen: seen[key], margin: margin, read: own(r.read), alone: own(r.alone)}
+func newView(now time.Time, list []believed, margin float64) *view {
+	v := &view{at: now, speeds: make(map[string]Speed, len(list)), byGap: map[time.Duration]risks{}}
+	aloneBeside := ratio(list, func(r record) (x, y sum) { return r.alone, r.beside }).and(forecast{math.Log(besideGuess), 1})
+	readAlone := ratio(list, func(r record) (x, y sum) { return r.read, r.alone })
+	for _, b := range list {
+		s := Speed{seen: b.seen, margin: margin, read: own(b.read), alone: own(b.alone)}
 		s.alone = s.alone.and(s.read.by(readAlone))
-		s.beside = own(r.beside).and(s.alone.by(aloneBeside))
-		v.speeds[key] = s
+		s.beside = own(b.beside).and(s.alone.by(aloneBeside))
+		v.keys = append(v.keys, b.key)
+		v.speeds[b.key] = s
 		if s.read.weight > 0 {
 			v.read = v.read.and(forecast{s.read.log, 1})
 		}
@@ -104,10 +112,10 @@
 
 // ratio returns how many times as long one kind of time is as another, as a
 // logarithm, in the mean of the engines of which both are known.
-func ratio(records map[string]record, kinds func(record) (x, y sum)) forecast {
+func ratio(list []believed, kinds func(record) (x, y sum)) forecast {
 	f := forecast{}
-	for _, r := range records {
-		if x, y := kinds(r); x.weight >= enough && y.weight >= enough {
+	for _, b := range list {
+		if x, y := kinds(b.record); x.weight >= enough && y.weight >= enough {
 			f = f.and(forecast{y.mean() - x.mean(), 1})
 		}
 	}
