speeds: a prompt read in no time by the clock says nothing

No engine does that; a clock in virtual time does, and what is told to other boxes would have spread it. Such times are passed by; TestReadAtOnce fails before.

--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -95,8 +95,8 @@
 
 // Read notes how long a prompt took to be read that found no other before it.
 func (s *Speeds) Read(now time.Time, u fleet.Upstream, tokens int, took time.Duration) {
-	if s == nil || tokens < leastRead || took <= 0 {
-		return
+	if s == nil || tokens < leastRead || took < time.Duration(tokens) {
+		return // less than can be told by the clock has no logarithm
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/balance/speeds/speeds_test.go
+++ b/balance/speeds/speeds_test.go
@@ -263,3 +263,17 @@
 		})
 	}
 }
+
+// TestReadAtOnce shows that a prompt that took no time by the clock says nothing: its
+// logarithm would make all costs of the service infinite or none.
+func TestReadAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSpeeds("e")
+	now := streams(s, time.Now(), "e", ms(16), 0, 180)
+	for _, took := range []time.Duration{-time.Second, 0, 1, 2999} {
+		s.Read(now, engine("e"), 3000, took)
+	}
+	is.Equal(s.Of(now, engine("e")).Read(), 0*time.Second)
+	judged := s.Judge(now, "llm", []fleet.Upstream{engine("e")}, make([]tally.Load, 1), Need{Gap: gap, Long: true})
+	is.Equal(judged[0].Reading, 1.0)
+}
