--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -335,18 +335,21 @@
 // long is a body that goes out in several pieces.
 var long = strings.Repeat("0123456789", 2000)
 
+// wholeCase is what becomes of a request whose answer is no stream.
+type wholeCase struct {
+	path   string
+	script []reply
+	sends  int
+	status int            // of an upstream's answer that is passed on
+	want   refusal.Reason // else
+	ending refusal.Ending
+}
+
 // TestWhole is the fault matrix of requests whose answers are no streams.
 func TestWhole(t *testing.T) {
 	ok := reply{body: "ok"}
 	full := reply{status: 503, notRun: true}
-	tests := map[string]struct {
-		path   string
-		script []reply
-		sends  int
-		status int            // of an upstream's answer that is passed on
-		want   refusal.Reason // else
-		ending refusal.Ending
-	}{
+	tests := map[string]wholeCase{
 		"answered":                              {"/once/", []reply{ok}, 1, 200, "", ""},
 		"safe, reset":                           {"/safe/", []reply{{err: errReset}, ok}, 2, 200, "", ""},
 		"safe, its own failure":                 {"/safe/", []reply{{status: 500}, ok}, 2, 200, "", ""},
@@ -377,35 +380,40 @@
 		for places, share := range map[string]func(w *world){"": func(*world) {}, ", places shared out": (*world).share} {
 			t.Run(name+places, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
 					w := newWorld(t, tt.script...)
 					w.relay.Buffers = buffered(name)
 					share(w)
-					c := w.serve(t.Context(), tt.path)
-					is.Equal(len(w.sender.sends), tt.sends)
-					is.Equal(c.status, tt.status)
-					seen := map[string]bool{}
-					for _, s := range w.sender.sends {
-						is.True(!seen[s.Upstream]) // never the same upstream again
-						seen[s.Upstream] = true
-						is.Equal(s.Organisation, "council")
-						is.True(s.Left <= time.Second) // the route's bound, not the caller's minute
-					}
-					if tt.want != "" {
-						is.Equal(c.refused.Reason(), tt.want)
-						is.Equal(c.refused.Ending(), tt.ending)
-					} else {
-						last := tt.script[min(tt.sends, len(tt.script))-1]
-						is.Equal(c.body.String(), last.body+last.rest)
-					}
-					is.True(w.relay.Buffers == nil || w.relay.Buffers.Held() == 0)
-					is.Equal(len(w.tally.Own()), 0)
+					tt.check(t, w)
 				})
 			})
 		}
 	}
 }
 
+// check serves the request and looks at what was sent and answered.
+func (tt wholeCase) check(t *testing.T, w *world) {
+	is := is.New(t)
+	c := w.serve(t.Context(), tt.path)
+	is.Equal(len(w.sender.sends), tt.sends)
+	is.Equal(c.status, tt.status)
+	seen := map[string]bool{}
+	for _, s := range w.sender.sends {
+		is.True(!seen[s.Upstream]) // never the same upstream again
+		seen[s.Upstream] = true
+		is.Equal(s.Organisation, "council")
+		is.True(s.Left <= time.Second) // the route's bound, not the caller's minute
+	}
+	if tt.want != "" {
+		is.Equal(c.refused.Reason(), tt.want)
+		is.Equal(c.refused.Ending(), tt.ending)
+	} else {
+		last := tt.script[min(tt.sends, len(tt.script))-1]
+		is.Equal(c.body.String(), last.body+last.rest)
+	}
+	is.True(w.relay.Buffers == nil || w.relay.Buffers.Held() == 0)
+	is.Equal(len(w.tally.Own()), 0)
+}
+
 // share lets the boxes share the places of plain upstreams out.
 func (w *world) share() {
 	w.relay.Places = places.New(places.Parts{
