edge, told: parted crowds count only boxes that were just heard

Cause: above 240 boxes a keeper of a limit counted boxes that other hubs had heard up to 3 s ago, so that parted halves gave out the whole limit each for so long; and boxes that call two hubs each did not agree on which hubs were gone, so that each half had two keepers by turns, each with what it had saved up while the other gave out.

Change: hubs tell how many of their boxes they heard in the last 0.4 s (covers_near), and a keeper counts what hubs told in the last 0.4 s. The keeper of a plain upstream is the first hub that is heard; one that hears a hub that goes before it gives nothing out (elsewhere). Who sees another go before it forgets what it had saved up.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -3,7 +3,9 @@
 package allowance
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -144,6 +146,28 @@
 	return u
 }
 
+// Keep forgets the upstreams that are kept elsewhere: what was saved up here goes there
+// meanwhile.
+func (a *Allowance) Keep(here func(id string) bool) {
+	for _, id := range a.known() {
+		if !here(id) {
+			a.forget(id)
+		}
+	}
+}
+
+func (a *Allowance) known() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Keys(a.list))
+}
+
+func (a *Allowance) forget(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.list, id)
+}
+
 // drawn returns a time within that of the next request.
 func (a *Allowance) drawn(now time.Time, r Rate) time.Time {
 	return now.Add(time.Duration(a.random.Float64() * float64(r.each())))
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -117,3 +117,29 @@
 		a.Take(now, ids[i%len(ids)], Ask{Rate: Rate{PerSecond: 16, Saved: 2}})
 	}
 }
+
+// TestKeep shows that nothing is saved up of what is kept elsewhere for a while.
+func TestKeep(t *testing.T) {
+	tests := map[string]struct {
+		here bool
+		goes int
+	}{
+		"kept here":      {here: true, goes: 2},
+		"kept elsewhere": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			rate := Rate{PerSecond: 2, Saved: 1}
+			a := rested(now, rate)
+			a.Keep(func(string) bool { return tt.here })
+			goes := 0
+			for range 4 {
+				if a.Take(now, "u", Ask{Rate: rate}).Granted {
+					goes++
+				}
+			}
+			is.New(t).Equal(goes, tt.goes)
+		})
+	}
+}
--- a/balance/places/places.go
+++ b/balance/places/places.go
@@ -412,7 +412,7 @@
 }
 
 // Covers notes, before a box's word is taken, whether it tells this box alone.
-func (p *Places) Covers(box string, only bool) { p.others.Covers(box, only, 0) }
+func (p *Places) Covers(box string, only bool) { p.others.Covers(box, only, told.Cover{}) }
 
 // Told takes another box's word of what it is asked for.
 func (p *Places) Told(now time.Time, box string, list []wire.ServicePlaces) {
--- a/balance/shares/shares.go
+++ b/balance/shares/shares.go
@@ -320,7 +320,7 @@
 }
 
 // Covers notes, before a box's word is taken, whether it tells this box alone.
-func (s *Shares) Covers(box string, only bool) { s.others.Covers(box, only, 0) }
+func (s *Shares) Covers(box string, only bool) { s.others.Covers(box, only, told.Cover{}) }
 
 // listOf returns the parties with the most work.
 func listOf(uses map[string]use) []wire.OrganisationUse {
--- a/balance/speeds/speeds.go
+++ b/balance/speeds/speeds.go
@@ -204,7 +204,7 @@
 // Covers notes, before a box's word is taken, whether it tells this box alone.
 func (s *Speeds) Covers(box string, only bool) {
 	if s != nil {
-		s.others.Covers(box, only, 0)
+		s.others.Covers(box, only, told.Cover{})
 	}
 }
 
--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -380,7 +380,7 @@
 	go e.timer.Every(ctx, "tick", tickEvery, func(now time.Time) {
 		e.fleet.Tick(now)
 		e.quarantine.Tick(now)
-		e.limits.Tick(now, e.knowsUpstream)
+		e.limiter.tick(now)
 	})
 	go e.restoreQuarantine(ctx)
 	go gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx)
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -28,6 +28,9 @@
 	// reachWithin is how recently a keeper has heard the boxes that it gives their part
 	// of a limit to: three of their periods of gossip.
 	reachWithin = 800 * time.Millisecond
+	// reachLeg is how recently each of two has heard the next where a box is heard by way
+	// of another hub, so that a parted box counts no longer than one that is heard itself.
+	reachLeg = reachWithin / 2
 	// reachOver is how much more than the share of the boxes that it hears a keeper gives
 	// out. Of boxes that have parted, all keepers together give out as many times the
 	// limit, 1.5 times being borne; while all hear each other, a quarter of them may be lost
@@ -72,6 +75,12 @@
 	return ok
 }
 
+// tick lets what is known of limits age.
+func (l *limiter) tick(now time.Time) {
+	l.limits.Tick(now, l.knowsUpstream)
+	l.whole.Keep(func(upstream string) bool { return l.keeps(now, upstream) })
+}
+
 // Limit implements places.Limits.
 func (l *limiter) Limit(upstream string) (perSecond float64, limited bool) {
 	perSecond, _, limited = l.limits.Of(time.Now(), upstream)
@@ -99,14 +108,24 @@
 }
 
 // keeper returns the box that gives out what an upstream takes: that which gives room
-// on engines to all, or one hub for each plain upstream.
+// on engines to all, or one hub for each plain upstream, the first that is heard.
 func (l *limiter) keeper(now time.Time, service route.Service, upstream string) (keeper members.Box, own bool) {
-	key := "limit/" + upstream
 	if service.Engine != nil {
-		key = "admission/" + service.Name
+		keeper, ok := l.members.Keeper(now, "admission/"+service.Name)
+		return keeper, !ok || keeper.Name == l.config.Box
 	}
-	keeper, ok := l.members.Keeper(now, key)
-	return keeper, !ok || keeper.Name == l.config.Box
+	keeper, _ = l.members.KeeperHeard(now, "limit/"+upstream, l.hears)
+	return keeper, keeper.Name == l.config.Box
+}
+
+// keeps tells whether this box gives out what an upstream takes. Boxes of a crowd call two
+// hubs each, and may not agree on which of the others are gone: a hub that hears one that
+// goes before it leaves it to that.
+func (l *limiter) keeps(now time.Time, upstream string) bool {
+	u, _ := l.fleet.Get(upstream)
+	service, _ := l.service(u.Service)
+	_, own := l.keeper(now, service, upstream)
+	return own
 }
 
 // reach returns the part of a limit that this box may give out as its keeper.
@@ -115,7 +134,7 @@
 	defer l.mu.Unlock()
 	if now.Sub(l.reachAt) >= reachLasts {
 		known := max(l.members.Count()-l.members.Leaving(), 1)
-		heard := l.tally.Heard(now, reachWithin) + 1
+		heard := 1 + l.tally.Heard(now, reachWithin) + l.tally.HeardBehind(now, reachLeg)
 		l.reached, l.reachAt = min(reachOver*float64(heard)/float64(known), 1), now
 	}
 	return l.reached
@@ -209,10 +228,13 @@
 	call, cancel := context.WithTimeout(ctx, allowTime)
 	defer cancel()
 	err := l.peers.Repeat(call, keeper.Address, peer.Allow, ask, &answer)
-	if err == nil {
+	switch {
+	case err == nil && answer.Elsewhere:
+		l.log.WithFields(logrus.Fields{"keeper": keeper.Name, "upstream": ask.Limit.Upstream}).Info("limit_kept_elsewhere")
+		return wire.AllowAnswer{}, ""
+	case err == nil:
 		return answer, keeper.Name
-	}
-	if ctx.Err() == nil {
+	case ctx.Err() == nil:
 		l.unheard(keeper.Name)
 		l.log.WithError(err).WithFields(logrus.Fields{"keeper": keeper.Name, "upstream": ask.Limit.Upstream}).Warn("limit_not_asked")
 	}
@@ -235,6 +257,9 @@
 		l.whole.Press(now, id, rate)
 		return wire.AllowAnswer{Granted: true}
 	}
+	if !l.keeps(now, id) {
+		return wire.AllowAnswer{Elsewhere: true}
+	}
 	turn := l.whole.Take(now, id, allowance.Ask{Rate: rate, Urgency: ask.Urgency, Wait: time.Duration(ask.WaitMs) * time.Millisecond})
 	return wire.AllowAnswer{Granted: turn.Granted, InMs: int((turn.In + time.Millisecond - 1) / time.Millisecond)}
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -279,3 +279,80 @@
 var balanced = []wire.EdgeBalanceElem{
 	wire.EdgeBalanceElemPlaces, wire.EdgeBalanceElemShares, wire.EdgeBalanceElemSpeeds,
 }
+
+// TestReach shows which boxes a keeper counts: those that it hears, and those that other
+// hubs had just heard when they told it, and not those that they heard before a cut.
+func TestReach(t *testing.T) {
+	tests := map[string]struct {
+		silent time.Duration // of the other hub's boxes
+		parted time.Duration // of the other hub
+		heard  int
+	}{
+		"all are heard":             {heard: 40},
+		"the hub's boxes are not":   {silent: 500 * time.Millisecond, heard: 1},
+		"the hub is not, just now":  {parted: 500 * time.Millisecond, heard: 1},
+		"the hub is not any longer": {parted: 900 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrowd(t, 300, 1, 0)
+				var records []wire.BoxRecord
+				for _, e := range c.all {
+					records = append(records, e.record)
+				}
+				for _, e := range c.all {
+					e.listed(records)
+				}
+				hubs := c.hubs()
+				keeper, hub := hubs[0], hubs[1]
+				boxes := slices.DeleteFunc(slices.Clone(c.all), func(e *Edge) bool { return e.IsHub() })[:39]
+				for _, e := range boxes {
+					g := e.Say(hub.members.Self())
+					g.Counts = true
+					hub.Heard(g)
+				}
+				time.Sleep(tt.silent)
+				keeper.Heard(hub.Say(keeper.members.Self()))
+				time.Sleep(tt.parted)
+				now := time.Now()
+				is.New(t).Equal(keeper.tally.Heard(now, reachWithin)+keeper.tally.HeardBehind(now, reachLeg), tt.heard)
+			})
+		})
+	}
+}
+
+// TestElsewhere shows which hub gives out what an upstream takes where boxes do not agree
+// on it: the first, and the next once that is not heard.
+func TestElsewhere(t *testing.T) {
+	tests := map[string]struct {
+		first     bool          // the one that is asked
+		silent    time.Duration // the first has been
+		elsewhere bool
+	}{
+		"the first":               {first: true},
+		"the next":                {elsewhere: true},
+		"the first is not heard":  {silent: 900 * time.Millisecond},
+		"the first is just heard": {silent: 700 * time.Millisecond, elsewhere: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrowd(t, 2, 2, 1)
+				records := []wire.BoxRecord{c.all[0].record, c.all[1].record}
+				now := time.Now()
+				for i, e := range c.all {
+					e.listed(records)
+					e.heardBox(now, records[1-i], false)
+					_, err := e.configuration.List(t.Context(), false)
+					is.New(t).NoErr(err)
+				}
+				keeper, _ := c.all[0].members.KeeperHeard(now, "limit/u0", func(string) bool { return true })
+				at := slices.IndexFunc(c.all, func(e *Edge) bool { return (e.Name() == keeper.Name) == tt.first })
+				time.Sleep(tt.silent)
+				answer := c.all[at].AllowFor(wire.AllowAsk{Box: "asker", Limit: wire.UpstreamLimit{Upstream: "u0", PerSecond: 2, Period: 1, Holds: true}})
+				is.New(t).Equal(answer.Elsewhere, tt.elsewhere)
+			})
+		})
+	}
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 	"petrelstep/halls"
 	"petrelstep/members"
 	"petrelstep/peer"
+	"petrelstep/told"
 	"petrelstep/wire"
 )
 
@@ -73,9 +74,9 @@
 func (e *Edge) sayLoads(now time.Time, hub members.Box, g *wire.Gossip) {
 	switch {
 	case e.IsHub():
-		w, boxes := e.partWords(now, e.speedsDue(now, hub.Name))
+		w, covers := e.partWords(now, e.speedsDue(now, hub.Name))
 		w.say(g)
-		g.Covers = boxes
+		g.Covers, g.CoversNear = covers.Boxes, covers.Near
 		return
 	case e.members.Crowd(now) == nil:
 	case e.members.Nearest(now).Name != hub.Name:
@@ -170,7 +171,7 @@
 	e.hearFleet(now, a, sent) // which incarnations there are, before what is told of them
 	switch a.Tells {
 	case wire.GossipScopeOwn:
-		e.hearWords(now, a.Sender.Box, wordsOfAnswer(a), false, a.Covers)
+		e.hearWords(now, a.Sender.Box, wordsOfAnswer(a), false, told.Cover{Boxes: a.Covers, Near: a.CoversNear})
 	case wire.GossipScopeAll:
 		e.hearSums(now, wordsOfAnswer(a))
 	}
--- a/edge/run.go
+++ b/edge/run.go
@@ -192,7 +192,7 @@
 func (e *Edge) tick(now time.Time) {
 	e.fleet.Tick(now)
 	e.quarantine.Tick(now)
-	e.limits.Tick(now, e.knowsUpstream)
+	e.limiter.tick(now)
 	if e.joined.Load() {
 		e.budget.Resize(e.slack(e.Count()))
 		e.noteRole()
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -263,6 +263,21 @@
 	return slices.MaxFunc(hubs, func(a, b Box) int { return cmp.Compare(weight(key, a.Name), weight(key, b.Name)) }), true
 }
 
+// KeeperHeard returns the hub that is first in the rendezvous order of a key among this
+// box and those that it hears; false if there is none. Boxes that have parted agree on
+// one each side as soon as they no longer hear the other.
+func (m *Members) KeeperHeard(now time.Time, key string, hears func(name string) bool) (Box, bool) {
+	self := m.Self().Name
+	first, found, most := Box{}, false, uint64(0)
+	for _, b := range m.Hubs(now) {
+		w := weight(key, b.Name)
+		if (!found || w > most) && (b.Name == self || hears(b.Name)) {
+			first, found, most = b, true, w
+		}
+	}
+	return first, found
+}
+
 // Nearest returns the hub that tells this box of all others: one of its own hall
 // where there is one. Where several are alike, boxes are shared out among them.
 func (m *Members) Nearest(now time.Time) Box {
--- a/reliability/reliability.go
+++ b/reliability/reliability.go
@@ -146,7 +146,7 @@
 }
 
 // Covers notes, before a box's word is taken, whether it tells this box alone.
-func (r *Reliability) Covers(box string, only bool) { r.others.Covers(box, only, 0) }
+func (r *Reliability) Covers(box string, only bool) { r.others.Covers(box, only, told.Cover{}) }
 
 // Told takes another box's word of what it met.
 func (r *Reliability) Told(now time.Time, box string, list []wire.UpstreamFailures) {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -218,9 +218,9 @@
 	return listOf(sum), boxes
 }
 
-// Covers notes, before a box's word is taken, whether it tells this box alone, and how
-// many boxes besides it the word holds.
-func (t *Tally) Covers(box string, only bool, boxes int) { t.others.Covers(box, only, boxes) }
+// Covers notes, before a box's word is taken, whether it tells this box alone, and whom
+// besides it the word holds.
+func (t *Tally) Covers(box string, only bool, c told.Cover) { t.others.Covers(box, only, c) }
 
 // Told takes another box's word of what it has running.
 func (t *Tally) Told(now time.Time, box string, list []wire.UpstreamTally) {
@@ -270,6 +270,17 @@
 // Heard returns how many other boxes have told this one within a time what they run.
 func (t *Tally) Heard(now time.Time, within time.Duration) int { return t.others.Heard(now, within) }
 
+// HeardAlone returns how many of them tell this box alone.
+func (t *Tally) HeardAlone(now time.Time, within time.Duration) int {
+	return t.others.HeardAlone(now, within)
+}
+
+// HeardBehind returns how many boxes had just told others that told this one within a
+// time.
+func (t *Tally) HeardBehind(now time.Time, within time.Duration) int {
+	return t.others.HeardBehind(now, within)
+}
+
 // Pace returns the mean time between events of this box's streams; 0 while it has
 // none.
 func (t *Tally) Pace() time.Duration {
--- a/told/told.go
+++ b/told/told.go
@@ -33,6 +33,12 @@
 	boxes int // that told of it
 }
 
+// Cover is how many boxes a word holds besides the one that tells it.
+type Cover struct {
+	Boxes int
+	Near  int // of these, that had just told it
+}
+
 // Book is safe for use by several goroutines. It keeps the sum of all words as
 // they come and lapse: with 195 boxes that tell of 13 upstreams each, what all
 // but one told costs 13 us in place of 143, and one upstream's sum 0.07 us in
@@ -44,12 +50,12 @@
 	oldest time.Time           // no word of others is older
 	sum    word[T]             // of all other boxes, as a hub tells it
 	only   map[string]bool     // boxes that tell this one alone, by name
-	covers map[string]int      // how many more boxes the words of others hold, by name
+	covers map[string]Cover    // whom else the words of others hold, by name
 }
 
 // New returns an empty book.
 func New[T Sum[T]]() *Book[T] {
-	return &Book[T]{others: map[string]word[T]{}, totals: map[string]total[T]{}, only: map[string]bool{}, covers: map[string]int{}}
+	return &Book[T]{others: map[string]word[T]{}, totals: map[string]total[T]{}, only: map[string]bool{}, covers: map[string]Cover{}}
 }
 
 // Told takes another box's word.
@@ -68,15 +74,15 @@
 }
 
 // Covers notes, before a box's word is taken, whether the box tells this one alone,
-// and how many boxes besides it the word holds.
-func (b *Book[T]) Covers(box string, only bool, boxes int) {
+// and whom besides it the word holds.
+func (b *Book[T]) Covers(box string, only bool, c Cover) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.only[box], b.covers[box] = only, boxes
+	b.only[box], b.covers[box] = only, c
 	if !only {
 		delete(b.only, box)
 	}
-	if boxes == 0 {
+	if c.Boxes == 0 {
 		delete(b.covers, box)
 	}
 }
@@ -153,22 +159,49 @@
 	defer b.mu.Unlock()
 	b.lapse(now)
 	boxes := len(b.others)
-	for box, n := range b.covers {
+	for box, c := range b.covers {
 		if _, told := b.others[box]; told {
-			boxes += n
+			boxes += c.Boxes
 		}
 	}
 	return boxes
 }
 
-// Heard returns how many other boxes have told within a time, by themselves or by others.
+// Heard returns how many other boxes have told this one within a time.
 func (b *Book[T]) Heard(now time.Time, within time.Duration) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	boxes := 0
-	for box, o := range b.others {
+	for _, o := range b.others {
 		if now.Sub(o.at) <= within {
-			boxes += 1 + b.covers[box]
+			boxes++
+		}
+	}
+	return boxes
+}
+
+// HeardAlone returns how many of them tell this one alone.
+func (b *Book[T]) HeardAlone(now time.Time, within time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	boxes := 0
+	for box := range b.only {
+		if o, ok := b.others[box]; ok && now.Sub(o.at) <= within {
+			boxes++
+		}
+	}
+	return boxes
+}
+
+// HeardBehind returns how many boxes had just told others that told this one within a
+// time.
+func (b *Book[T]) HeardBehind(now time.Time, within time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	boxes := 0
+	for box, c := range b.covers {
+		if o, ok := b.others[box]; ok && now.Sub(o.at) <= within {
+			boxes += c.Near
 		}
 	}
 	return boxes
--- a/told/told_test.go
+++ b/told/told_test.go
@@ -159,24 +159,24 @@
 		}, want: map[string]count{}, all: 1},
 		"two tell it alone": {words: func(b *told.Book[count], now time.Time) {
 			for _, box := range []string{"b1", "b2"} {
-				b.Covers(box, true, 0)
+				b.Covers(box, true, told.Cover{})
 				b.Told(now, box, map[string]count{"u1": 1})
 			}
 		}, want: map[string]count{"u1": 2}, part: 2, all: 2},
 		"one has another hub now": {words: func(b *told.Book[count], now time.Time) {
-			b.Covers("b1", true, 0)
+			b.Covers("b1", true, told.Cover{})
 			b.Told(now, "b1", map[string]count{"u1": 1})
-			b.Covers("b1", false, 0)
+			b.Covers("b1", false, told.Cover{})
 			b.Told(now, "b1", nil)
 		}, want: map[string]count{}, all: 1},
 		"a hub tells of its boxes": {words: func(b *told.Book[count], now time.Time) {
-			b.Covers("hub", false, 40)
+			b.Covers("hub", false, told.Cover{Boxes: 40})
 			b.Told(now, "hub", map[string]count{"u1": 30})
 		}, want: map[string]count{}, all: 41},
 		"words that have lapsed": {words: func(b *told.Book[count], now time.Time) {
-			b.Covers("b1", true, 0)
+			b.Covers("b1", true, told.Cover{})
 			b.Told(now, "b1", map[string]count{"u1": 1})
-			b.Covers("hub", false, 40)
+			b.Covers("hub", false, told.Cover{Boxes: 40})
 			b.Told(now, "hub", map[string]count{"u1": 30})
 		}, after: 4 * time.Second, want: map[string]count{}},
 	}
@@ -194,3 +194,33 @@
 		})
 	}
 }
+
+// TestHeard shows which boxes count as heard of late: those that told this one, and
+// those that had just told the ones that did.
+func TestHeard(t *testing.T) {
+	tests := map[string]struct {
+		after                 time.Duration
+		itself, alone, behind int
+	}{
+		"just now":        {itself: 3, alone: 1, behind: 30},
+		"one is silent":   {after: 200 * time.Millisecond, itself: 1, behind: 30},
+		"all are silent":  {after: time.Second},
+		"all have lapsed": {after: 4 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			b := told.New[count]()
+			b.Covers("b1", true, told.Cover{})
+			b.Told(now, "b1", words(1))
+			b.Told(now, "b2", words(1))
+			b.Covers("hub", false, told.Cover{Boxes: 40, Near: 30})
+			b.Told(now.Add(300*time.Millisecond), "hub", words(1))
+			now = now.Add(300*time.Millisecond + tt.after)
+			is.Equal(b.Heard(now, 400*time.Millisecond), tt.itself)
+			is.Equal(b.HeardAlone(now, 400*time.Millisecond), tt.alone)
+			is.Equal(b.HeardBehind(now, 400*time.Millisecond), tt.behind)
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -215,6 +215,9 @@
 
 // Whether the request may go.
 type AllowAnswer struct {
+	// Another hub, which the box asked hears, gives out what the upstream takes.
+	Elsewhere bool `json:"elsewhere,omitempty,omitzero"`
+
 	// Granted corresponds to the JSON schema field "granted".
 	Granted bool `json:"granted"`
 
@@ -236,6 +239,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["elsewhere"]; !ok || v == nil {
+		plain.Elsewhere = false
+	}
 	if v, ok := raw["in_ms"]; !ok || v == nil {
 		plain.InMs = 0
 	}
@@ -1927,6 +1933,9 @@
 	// Boxes besides the sender whose loads the tallies and failures hold.
 	Covers int `json:"covers,omitempty,omitzero"`
 
+	// How many of these told the sender within 0.4 s.
+	CoversNear int `json:"covers_near,omitempty,omitzero"`
+
 	// Upstreams known to leave that the hub was not told of yet.
 	Departing []UpstreamDeparture `json:"departing,omitempty,omitzero"`
 
@@ -1997,6 +2006,9 @@
 	// its own.
 	Covers int `json:"covers,omitempty,omitzero"`
 
+	// How many of these told the hub within 0.4 s.
+	CoversNear int `json:"covers_near,omitempty,omitzero"`
+
 	// Boxes by hall that the hub knows, where they are too many for each to call all
 	// hubs; empty otherwise.
 	Crowd []HallBoxes `json:"crowd,omitempty,omitzero"`
@@ -2109,6 +2121,9 @@
 	if v, ok := raw["covers"]; !ok || v == nil {
 		plain.Covers = 0
 	}
+	if v, ok := raw["covers_near"]; !ok || v == nil {
+		plain.CoversNear = 0
+	}
 	if v, ok := raw["crowd"]; !ok || v == nil {
 		plain.Crowd = []HallBoxes{}
 	}
@@ -2207,6 +2222,9 @@
 	if v, ok := raw["covers"]; !ok || v == nil {
 		plain.Covers = 0
 	}
+	if v, ok := raw["covers_near"]; !ok || v == nil {
+		plain.CoversNear = 0
+	}
 	if v, ok := raw["ends_after"]; !ok || v == nil {
 		plain.EndsAfter = 0
 	}
