fleet: a word of one upstream costs what it changes

Cause: each word of any upstream, also one that said nothing new, threw the sorted lists of all services away, and the next request built its own anew; ticks, and each call to or from a hub after a change, walked all upstreams.

Change: lists are kept, and made anew from the one before by those that have changed; who is missing or leaves, and the order of changes, are kept too.

--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -297,13 +297,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCrowd(t, 300, 1, 0)
-				var records []wire.BoxRecord
-				for _, e := range c.all {
-					records = append(records, e.record)
-				}
-				for _, e := range c.all {
-					e.listed(records)
-				}
+				c.allListed()
 				hubs := c.hubs()
 				keeper, hub := hubs[0], hubs[1]
 				boxes := slices.DeleteFunc(slices.Clone(c.all), func(e *Edge) bool { return e.IsHub() })[:39]
@@ -322,6 +316,17 @@
 	}
 }
 
+// allListed lets all boxes read who they are.
+func (c *crowd) allListed() {
+	var records []wire.BoxRecord
+	for _, e := range c.all {
+		records = append(records, e.record)
+	}
+	for _, e := range c.all {
+		e.listed(records)
+	}
+}
+
 // TestElsewhere shows which hub gives out what an upstream takes where boxes do not agree
 // on it: the first, and the next once that is not heard.
 func TestElsewhere(t *testing.T) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,7 +8,8 @@
 package fleet
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -46,6 +47,16 @@
 	Born    int64 // when it started, in Unix ms by its own clock; 0 where it is not known
 }
 
+func (u Upstream) withVersion(version int64) Upstream {
+	u.Version = version
+	return u
+}
+
+func (u Upstream) withState(s State) Upstream {
+	u.State = s
+	return u
+}
+
 // Departure is the news that an upstream leaves. Values are immutable.
 type Departure struct {
 	ID      string
@@ -70,8 +81,8 @@
 	mu        sync.Mutex
 	grace     time.Duration
 	all       map[string]*entry
-	serving   map[string][]Upstream // those that take new work by service, as far as asked for since the last change
-	closed    map[string]time.Time  // halls whose upstreams take no new work, since when
+	index     index
+	closed    map[string]time.Time // halls whose upstreams take no new work, since when
 	listeners []Listener
 	restarted []Listener
 	changes   int
@@ -83,7 +94,7 @@
 // New returns an empty fleet. An upstream that is missing from a listing after
 // the store was away has grace to come back.
 func New(grace time.Duration) *Fleet {
-	return &Fleet{grace: grace, all: map[string]*entry{}, serving: map[string][]Upstream{}, closed: map[string]time.Time{}}
+	return &Fleet{grace: grace, all: map[string]*entry{}, index: newIndex(), closed: map[string]time.Time{}}
 }
 
 // Subscribe calls l, on a goroutine of its own, for each upstream that leaves or
@@ -110,7 +121,6 @@
 func (f *Fleet) Replace(now time.Time, list []Upstream, version int64, outage bool, spoilt ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.serving)
 	listed := map[string]bool{}
 	for _, id := range spoilt {
 		listed[id] = true
@@ -123,7 +133,7 @@
 		if listed[id] || !e.listed || e.upstream.Version > version {
 			continue
 		}
-		e.upstream.Version = version
+		f.set(e, e.upstream.withVersion(version))
 		f.unlist(now, e, outage, "listing")
 	}
 }
@@ -132,7 +142,6 @@
 func (f *Fleet) Put(now time.Time, u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.serving)
 	f.put(now, u)
 }
 
@@ -141,9 +150,10 @@
 	e, ok := f.all[u.ID]
 	switch {
 	case !ok:
-		e = &entry{since: now, upstream: u, listed: true}
-		e.upstream.State = Open
+		e = &entry{since: now, listed: true}
+		u.State = Open
 		f.all[u.ID] = e
+		f.set(e, u)
 		f.change(e)
 	case e.older(u.Born):
 		return
@@ -168,7 +178,8 @@
 	if !u.Said && old.State != Open {
 		u.State, e.since = Open, now
 	}
-	e.upstream, e.listed = u, true
+	e.listed = true
+	f.set(e, u)
 	if old.State == Leaving && u.State == Open {
 		f.tell(e, "entry")
 	}
@@ -186,12 +197,12 @@
 // restart takes the first word of a newer incarnation: nothing of the one before
 // holds, nor does the order of its versions.
 func (f *Fleet) restart(now time.Time, e *entry, u Upstream, source string) {
-	clear(f.serving)
 	leaves := u.State == Leaving
 	if leaves {
 		u.State = Open
 	}
-	e.upstream, e.since = u, now
+	e.since = now
+	f.set(e, u)
 	e.listed = e.listed || !leaves // one without an entry that leaves is to be forgotten
 	f.change(e)
 	for _, l := range f.restarted {
@@ -230,9 +241,8 @@
 func (f *Fleet) Remove(now time.Time, id string, version int64, outage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.serving)
 	if e, ok := f.all[id]; ok && version >= e.upstream.Version {
-		e.upstream.Version = version
+		f.set(e, e.upstream.withVersion(version))
 		f.unlist(now, e, outage, "removed")
 	}
 }
@@ -240,7 +250,8 @@
 func (f *Fleet) unlist(now time.Time, e *entry, outage bool, source string) {
 	e.listed = false
 	if outage && e.upstream.State == Open {
-		e.upstream.State, e.since = Missing, now
+		e.since = now
+		f.set(e, e.upstream.withState(Missing))
 		f.change(e)
 		return
 	}
@@ -254,7 +265,6 @@
 func (f *Fleet) Leaves(now time.Time, d Departure, source string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.serving)
 	e, ok := f.all[d.ID]
 	if !ok || e.older(d.Born) {
 		return
@@ -269,11 +279,12 @@
 	if !d.Said && d.Version < e.upstream.Version {
 		return
 	}
-	if d.Said && !e.upstream.Said {
-		e.upstream.Said = true
+	u := e.upstream.withVersion(max(e.upstream.Version, d.Version))
+	u.Said = u.Said || d.Said
+	if u.Said != e.upstream.Said {
 		f.change(e)
 	}
-	e.upstream.Version = max(e.upstream.Version, d.Version)
+	f.set(e, u)
 	f.leave(now, e, source)
 }
 
@@ -281,8 +292,8 @@
 	if e.upstream.State == Leaving {
 		return
 	}
-	clear(f.serving)
-	e.upstream.State, e.since = Leaving, now
+	e.since = now
+	f.set(e, e.upstream.withState(Leaving))
 	f.change(e)
 	f.tell(e, source)
 }
@@ -297,12 +308,12 @@
 func (f *Fleet) Tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, e := range f.all {
+	for id, e := range f.index.parting {
 		switch {
 		case e.upstream.State == Missing && now.Sub(e.since) >= f.grace:
 			f.leave(now, e, "missing")
 		case e.upstream.State == Leaving && !e.listed && now.Sub(e.since) >= keptFor:
-			delete(f.all, id) // which took no new work
+			f.forget(id, e)
 		}
 	}
 	f.note(now)
@@ -340,10 +351,11 @@
 func (f *Fleet) Since(change int) (changed []Upstream, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if change == f.changes { // looking at 3,000 took 30 us, some hundred times a second
-		return nil, f.changes
+	for _, e := range f.index.since(change) {
+		changed = append(changed, e.upstream)
 	}
-	return f.list(func(e *entry) bool { return e.changed > change }), f.changes
+	sortByID(changed)
+	return changed, f.changes
 }
 
 // Told takes another box's knowledge of an upstream, unless what is known here
@@ -351,14 +363,15 @@
 func (f *Fleet) Told(now time.Time, u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.serving)
 	e, ok := f.all[u.ID]
 	if !ok {
 		if u.State == Leaving {
 			return // nothing of this box can be there
 		}
-		f.all[u.ID] = &entry{since: now, upstream: u, listed: true}
-		f.change(f.all[u.ID])
+		e = &entry{since: now, listed: true}
+		f.all[u.ID] = e
+		f.set(e, u)
+		f.change(e)
 		return
 	}
 	if e.older(u.Born) {
@@ -371,33 +384,53 @@
 	if u.Version < e.upstream.Version && !u.Said {
 		return
 	}
-	if u.Born > e.upstream.Born { // it is known only now
-		e.upstream.Born = u.Born
-		f.change(e)
+	f.hear(now, e, u)
+}
+
+// hear takes another box's word of the known incarnation that is no older than what is
+// known here.
+func (f *Fleet) hear(now time.Time, e *entry, u Upstream) {
+	old := e.upstream
+	is, newer := old.withVersion(max(old.Version, u.Version)), u.Version > old.Version
+	is.Born, is.Said = max(old.Born, u.Born), old.Said || u.Said
+	if newer {
+		is.Cold = u.Cold
 	}
-	newer := u.Version > e.upstream.Version
-	if newer && !u.Cold.Equal(e.upstream.Cold) {
-		e.upstream.Cold = u.Cold
+	if is.Born != old.Born || !is.Cold.Equal(old.Cold) {
 		f.change(e)
 	}
-	e.upstream.Version = max(e.upstream.Version, u.Version)
-	e.upstream.Said = e.upstream.Said || u.Said
+	f.set(e, is)
 	switch {
 	case u.State == Leaving:
 		f.leave(now, e, "hub")
-	case newer && !e.upstream.Said && e.upstream.State != u.State, e.upstream.State == Open && u.State == Missing:
-		back := e.upstream.State == Leaving && u.State == Open
-		e.upstream.State, e.since = u.State, now
+	case newer && !is.Said && old.State != u.State, old.State == Open && u.State == Missing:
+		e.since = now
+		f.set(e, is.withState(u.State))
 		f.change(e)
-		if back {
+		if old.State == Leaving && u.State == Open {
 			f.tell(e, "hub")
 		}
 	}
 }
 
+// set changes what is known of an upstream.
+func (f *Fleet) set(e *entry, u Upstream) {
+	f.index.touch(e.upstream, u)
+	e.upstream = u
+	f.index.part(e)
+}
+
+// forget drops an upstream that left, and took no new work.
+func (f *Fleet) forget(id string, e *entry) {
+	e.changed = 0
+	delete(f.all, id)
+	delete(f.index.parting, id)
+}
+
 func (f *Fleet) change(e *entry) {
 	f.changes++
 	e.changed = f.changes
+	f.index.change(e, len(f.all))
 }
 
 // Get returns an upstream by its id.
@@ -422,8 +455,8 @@
 func (f *Fleet) CloseHall(now time.Time, hall string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.serving)
 	f.closed[hall] = now
+	clear(f.index.serving)
 }
 
 // OpenHall notes that the upstreams of a hall take new work again, and counts them
@@ -431,8 +464,8 @@
 func (f *Fleet) OpenHall(hall string, cold time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.serving)
 	delete(f.closed, hall)
+	clear(f.index.serving)
 	for _, e := range f.all {
 		if e.upstream.Hall == hall && e.upstream.Cold.Before(cold) {
 			e.upstream.Cold = cold
@@ -475,17 +508,24 @@
 }
 
 // Serving returns the upstreams of a service that take new work, by id. The list
-// is shared and not to be changed: it is made anew when an upstream changes, some
-// times a second, and asked for with each request (sorting 2,200 of them took 1 ms).
+// is shared and not to be changed: each request asks for it, and it is made anew, from
+// the one before, when one of them has changed.
 func (f *Fleet) Serving(service string) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list, ok := f.serving[service]
+	s, ok := f.index.serving[service]
 	if !ok {
-		list = f.list(func(e *entry) bool { return e.upstream.Service == service && f.takes(e.upstream) })
-		f.serving[service] = list
-	}
-	return list
+		list := f.list(func(e *entry) bool { return e.upstream.Service == service && f.takes(e.upstream) })
+		s = &serving{list: list, moved: map[string]bool{}}
+		f.index.serving[service] = s
+	}
+	return s.renewed(func(id string) (Upstream, bool) {
+		e, known := f.all[id]
+		if !known {
+			return Upstream{}, false
+		}
+		return e.upstream, e.upstream.Service == service && f.takes(e.upstream)
+	})
 }
 
 // Leavers returns the upstreams of a service that leave, as far as that became known
@@ -493,9 +533,14 @@
 func (f *Fleet) Leavers(now time.Time, service string, within time.Duration) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.list(func(e *entry) bool {
-		return e.upstream.Service == service && e.upstream.State == Leaving && now.Sub(e.since) < within
-	})
+	var list []Upstream
+	for _, e := range f.index.parting {
+		if e.upstream.Service == service && e.upstream.State == Leaving && now.Sub(e.since) < within {
+			list = append(list, e.upstream)
+		}
+	}
+	sortByID(list)
+	return list
 }
 
 // Open returns how many upstreams take new work.
@@ -516,15 +561,12 @@
 func (f *Fleet) Departing(now time.Time, within time.Duration, after int) (list []Departure, last int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if after == f.changes { // as in Since
-		return nil, f.changes
-	}
-	for id, e := range f.all {
-		if e.upstream.State == Leaving && e.changed > after && now.Sub(e.since) < within {
-			list = append(list, Departure{ID: id, Version: e.upstream.Version, Said: e.upstream.Said, Born: e.upstream.Born})
+	for _, e := range f.index.since(after) {
+		if e.upstream.State == Leaving && now.Sub(e.since) < within {
+			list = append(list, Departure{ID: e.upstream.ID, Version: e.upstream.Version, Said: e.upstream.Said, Born: e.upstream.Born})
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	slices.SortFunc(list, func(a, b Departure) int { return strings.Compare(a.ID, b.ID) })
 	return list, f.changes
 }
 
@@ -535,6 +577,10 @@
 			list = append(list, e.upstream)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	sortByID(list)
 	return list
 }
+
+func sortByID(list []Upstream) {
+	slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -421,3 +424,116 @@
 		})
 	}
 }
+
+// TestListIsKept shows what makes the list of a service anew, which costs as much as the
+// service has upstreams: a word that changes one of them, and no other.
+func TestListIsKept(t *testing.T) {
+	tests := map[string]struct {
+		word func(f *fleet.Fleet)
+		anew bool
+	}{
+		"known already":               {word: told(one(1, fleet.Open, 1))},
+		"an older word":               {word: leaves(gone("u1", 0))},
+		"one that is unknown":         {word: leaves(gone("u99", 2))},
+		"it left before":              {word: leaves(gone("u5", 3))},
+		"another service's":           {word: put(fleet.Upstream{ID: "p1", Service: "plain", State: fleet.Leaving, Version: 2})},
+		"an entry of another":         {word: func(f *fleet.Fleet) { f.Remove(now, "u99", 9, false) }},
+		"one leaves":                  {word: leaves(said("u1")), anew: true},
+		"one comes":                   {word: put(one(30, fleet.Open, 2)), anew: true},
+		"one is cold":                 {word: put(cold(one(1, fleet.Open, 2))), anew: true},
+		"one starts again":            {word: put(born(7, one(1, fleet.Open, 1))), anew: true},
+		"one's entry is gone":         {word: func(f *fleet.Fleet) { f.Remove(now, "u1", 9, false) }, anew: true},
+		"one goes to another service": {word: put(fleet.Upstream{ID: "u1", Service: "plain", Hall: "hall1", State: fleet.Open, Version: 2}), anew: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := many(20)
+			f.Leaves(now, gone("u5", 3), "peer")
+			before := f.Serving("llm")
+			tt.word(f)
+			after := f.Serving("llm")
+			is.Equal(&before[0] != &after[0], tt.anew)
+			is.True(slices.IsSortedFunc(after, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) }))
+		})
+	}
+}
+
+func cold(u fleet.Upstream) fleet.Upstream {
+	u.Cold = now.Add(time.Second)
+	return u
+}
+
+// TestListsAgree holds the lists that are kept by change against what each upstream says
+// of itself, under many words of all kinds.
+func TestListsAgree(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 3))
+	f, at, mark := many(60), now, 0
+	known := map[string]fleet.State{} // as one that is told by change knows it
+	for step := range 4000 {
+		at = at.Add(time.Duration(random.IntN(100)) * time.Millisecond)
+		anyWord(f, at, step, random)
+		var changed []fleet.Upstream
+		changed, mark = f.Since(mark)
+		for _, u := range changed {
+			known[u.ID] = u.State
+		}
+		for _, service := range []string{"llm", "plain"} {
+			list := f.Serving(service)
+			is.Equal(ids(list), takers(f, service))
+			for _, u := range list {
+				now, _ := f.Get(u.ID)
+				is.Equal(now, u)
+				is.Equal(known[u.ID], u.State)
+			}
+		}
+	}
+}
+
+// anyWord draws a word of one of 80 upstreams.
+func anyWord(f *fleet.Fleet, at time.Time, step int, random *rand.Rand) {
+	i, version := random.IntN(80), int64(random.IntN(step+1))
+	id := fmt.Sprint("u", i)
+	switch random.IntN(6) {
+	case 0:
+		f.Told(at, one(i, []fleet.State{fleet.Open, fleet.Leaving, fleet.Missing}[random.IntN(3)], version))
+	case 1:
+		u := one(i, fleet.Open, version)
+		u.Service = []string{"llm", "plain"}[random.IntN(2)]
+		f.Put(at, born(int64(step/500), u))
+	case 2:
+		f.Leaves(at, gone(id, version), "peer")
+	case 3:
+		f.Remove(at, id, version, random.IntN(2) == 0)
+	case 4:
+		f.CloseHall(at, "hall1")
+		f.OpenHall([]string{"hall1", "hall2"}[random.IntN(2)], at)
+	case 5:
+		f.Tick(at)
+	}
+}
+
+// takers returns the ids of the upstreams of a service that take new work.
+func takers(f *fleet.Fleet, service string) []string {
+	list := []string{}
+	for i := range 80 {
+		u, ok := f.Get(fmt.Sprint("u", i))
+		if ok && u.Service == service && f.Takes(u.ID) {
+			list = append(list, u.ID)
+		}
+	}
+	if u, _ := f.Get("p1"); u.Service == service && f.Takes("p1") {
+		list = append(list, "p1")
+	}
+	slices.Sort(list)
+	return list
+}
+
+func ids(list []fleet.Upstream) []string {
+	ids := []string{}
+	for _, u := range list {
+		ids = append(ids, u.ID)
+	}
+	return ids
+}
