edge, members, reading: a crowd that starts at once registers by its hubs

Cause: the store takes 200 rows a second into the table of boxes, one after the other.

Change: a box that is refused, and finds boxes fit to be hubs in the table, leaves its row to its hub, which writes a hundred by a call. A box whose row stands there already writes nothing. At a first start those fit to be hubs write first; who knows that boxes are a crowd waits to be told. In a crowd a box counts as many as hubs tell of.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -36,6 +36,9 @@
 	e.timer.Check()
 	now := time.Now()
 	e.heardBox(now, from.Sender, from.Leaving)
+	if from.Unlisted {
+		e.registrar.asked(from.Sender)
+	}
 	e.hearDeparting(now, from.Departing)
 	e.quarantine.Told(now, from.Ends)
 	e.limits.Told(now, from.Limits, e.members.Hub(now, from.Sender.Box))
@@ -88,7 +91,7 @@
 	if wanted != wire.GossipScopeAll {
 		return wanted
 	}
-	others := e.members.Count() - e.members.Leaving() - 1
+	others := e.members.Count(now) - e.members.Leaving() - 1
 	told := float64(e.tally.Boxes(now)) >= hubTold*float64(others)
 	since, hub := e.members.IsHub(now)
 	if hub && (told || since >= hubKnows) {
--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -50,6 +50,8 @@
 	changed chan struct{} // closed at the next change
 	free    time.Time
 	lists   map[string]int // by box
+	fleets  map[string]int // of the upstreams, by box
+	writes  writes
 }
 
 // put changes a row, or adds it.
@@ -102,6 +104,9 @@
 	rows = slices.DeleteFunc(rows, func(o store.Row) bool { return o.Gone })
 	r.mu.Lock()
 	r.lists[r.box]++
+	if of.Table == "servers" {
+		r.fleets[r.box]++
+	}
 	now := time.Now()
 	if r.free.Before(now) {
 		r.free = now
@@ -177,6 +182,8 @@
 	ends  map[*Edge]context.CancelFunc
 	slow  func() time.Duration // of a call, besides what it takes
 
+	weak func(box string) bool // boxes that are not fit to be hubs; nil for none
+
 	kept    *keptList
 	balance []wire.EdgeBalanceElem // what is switched on
 
@@ -306,7 +313,7 @@
 	t.Helper()
 	c := &crowd{
 		balance: balance,
-		table:   &table{changed: make(chan struct{}), lists: map[string]int{}},
+		table:   &table{changed: make(chan struct{}), lists: map[string]int{}, fleets: map[string]int{}},
 		kept:    &keptList{rows: map[fingerprint.Fingerprint][]string{}},
 		ends:    map[*Edge]context.CancelFunc{}, slow: func() time.Duration { return 0 },
 		cut: map[string]bool{}, up: map[string]*Edge{}, cpu: map[string]*processor{}, calls: map[string]map[string]int{},
@@ -354,9 +361,13 @@
 	t.Helper()
 	counts, err := metrics.New()
 	is.New(t).NoErr(err)
+	processors, link := 0.4, 1000.0
+	if c.weak != nil && c.weak(name) {
+		processors, link = 0.2, 20
+	}
 	e := New(config.Config{Settings: wire.Settings{
 		Box: name, Hall: hall, Listen: wire.Listen{Peers: name + ":1"},
-		Edge: &wire.Edge{KeyAgeMs: 5000, LeaveMs: 2000, RetryRatio: 0.2, RetrySlack: 50, MemoryMb: 134, Descriptors: 4100, Processors: 0.4, LinkMbit: 1000, Balance: c.balance},
+		Edge: &wire.Edge{KeyAgeMs: 5000, LeaveMs: 2000, RetryRatio: 0.2, RetrySlack: 50, MemoryMb: 134, Descriptors: 4100, Processors: processors, LinkMbit: link, Balance: c.balance},
 	}}, logs.New(io.Discard, "error", name), counts)
 	e.peers = way{c, name}
 	e.kept.list = c.kept
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -142,6 +142,8 @@
 	configuration *manifest.Configuration
 	catching      atomic.Bool // a newer configuration is being asked for
 	joined        atomic.Bool // the other boxes are known
+	unlisted      atomic.Bool // a hub is to put this box into the table of boxes
+	registrar     *registrar
 	others        atomic.Bool // they were read, at least before this box joined
 	random        *rand.Rand
 
@@ -198,6 +200,7 @@
 	e.quarantine = quarantine.New(counts, e.kept, log)
 	e.limits = limits.New(counts, log)
 	e.limiter = newLimiter(e)
+	e.registrar = newRegistrar(e)
 	e.halls = halls.New(e.hallChanged)
 	e.configuration = manifest.NewConfiguration(e.store, e.belief, e.halls, log)
 	e.members = members.New(members.Box{
@@ -254,7 +257,7 @@
 	}
 	boxes := boxesGuess
 	if e.joined.Load() {
-		boxes = e.members.Count()
+		boxes = e.Count()
 	}
 	return 1 / float64(max(boxes, 1))
 }
@@ -344,7 +347,7 @@
 		return relay.Stop{}, false
 	}
 	now := time.Now()
-	most := 2*e.members.Leaving() >= e.members.Count()
+	most := 2*e.members.Leaving() >= e.members.Count(now)
 	return relay.Stop{Since: now.Sub(s.began), Left: s.until.Sub(now), Most: most}, true
 }
 
--- a/edge/join.go
+++ b/edge/join.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"petrelstep/members"
+	"petrelstep/platform/manifest"
 	"petrelstep/wire"
 )
 
@@ -18,16 +19,25 @@
 	// settleTime is how long after its start a box that takes itself for a hub
 	// reads the table again: all start within 0.3 s, and their programs within 1 s.
 	settleTime = 2 * time.Second
+	// strongFirst is how long, and up to twice as long, boxes that are not fit to be hubs
+	// let those that are write their rows first, where all start for the first time.
+	strongFirst = 400 * time.Millisecond
+	// registerSettles is how long after that all boxes of a crowd that started at once
+	// stand in the table: hubs write a hundred rows in each registerEvery.
+	registerSettles = 4 * time.Second
 )
 
 // join puts this box into the table of boxes and reads who else is there. A box
 // that starts later finds this one, and tells it of itself. All boxes may start
 // at once: one that takes itself for a hub, as it found few others, reads again
-// once all must have joined; at a cold start nothing else is read before.
+// once all must have joined; at a cold start nothing else is read before. In a crowd
+// hubs read once more when they have put the boxes into the table that could not
+// do so themselves.
 //
 // A box that restarts lists the others before it writes, which takes a second where
 // many do: that tells how many may have restarted with it. Where its own row of before
-// is among them, those who join meanwhile find it, and it need not list again.
+// is among them, those who join meanwhile find it: it need not list again, nor write
+// what stands there already.
 func (e *Edge) join(ctx context.Context) {
 	var before []wire.BoxRecord
 	if !e.config.Edge.ColdStart {
@@ -37,25 +47,69 @@
 		}
 		e.restarts(before)
 	}
-	write := func(ctx context.Context) error { return e.boxes.Join(ctx, e.record) }
-	if !e.insist(ctx, write) {
-		return
+	if e.config.Edge.ColdStart && !e.record.Strong {
+		e.timer.Sleep(ctx, strongFirst+rand.N(strongFirst))
 	}
-	if slices.ContainsFunc(before, func(r wire.BoxRecord) bool { return r.Box == e.config.Box }) {
-		e.listed(before)
-	} else if !e.insist(ctx, e.readBoxes) {
+	switch at := slices.IndexFunc(before, e.isOwn); {
+	case at < 0:
+		if !e.enter(ctx) {
+			return
+		}
+	case !sameRow(before[at], e.record) && !e.insist(ctx, e.write):
 		return
+	default:
+		e.listed(before)
 	}
 	if !e.config.Edge.ColdStart {
 		e.joined.Store(true)
 	}
 	e.timer.Sleep(ctx, settleTime)
-	defer e.joined.Store(true)
+	e.readAsHub(ctx)
+	e.joined.Store(true)
+	if e.members.Crowd(time.Now()) != nil {
+		e.timer.Sleep(ctx, registerSettles)
+		e.readAsHub(ctx)
+	}
+}
+
+func (e *Edge) isOwn(r wire.BoxRecord) bool { return r.Box == e.config.Box }
+
+// sameRow tells whether a row would tell others the same of a box.
+func sameRow(a, b wire.BoxRecord) bool {
+	return a.Hall == b.Hall && a.Address == b.Address && a.Strong == b.Strong
+}
+
+func (e *Edge) write(ctx context.Context) error { return e.boxes.Join(ctx, e.record) }
+
+// readAsHub reads the table of boxes where this box is a hub.
+func (e *Edge) readAsHub(ctx context.Context) {
 	if e.IsHub() {
 		e.insist(ctx, e.readBoxes)
 	}
 }
 
+// enter writes this box's row and reads who else is there. The store takes 200 rows a
+// second, one after the other: where so many start that it refuses more, a box that
+// finds boxes fit to be hubs leaves its row to them, which write up to a hundred by a
+// call; those fit to be hubs try on, as the others look for them.
+func (e *Edge) enter(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		err := e.once(ctx, e.write)
+		if err == nil {
+			return e.insist(ctx, e.readBoxes)
+		}
+		if manifest.Busy(err) && !e.record.Strong {
+			e.timer.Sleep(ctx, joinEvery/4+rand.N(joinEvery/4)) // those that find none would all write again
+			if e.once(ctx, e.readBoxes) == nil && e.members.AnyStrong() {
+				e.unlisted.Store(true)
+				return true
+			}
+		}
+		e.timer.Sleep(ctx, joinEvery/2+rand.N(joinEvery)) // not all at once again
+	}
+	return false
+}
+
 // restarts takes who the others were when this box started. A crowd is known at once,
 // whose boxes are not to read all together; fewer boxes when this one has joined: hubs
 // that restart with it would be called before they are up, and passed by for 3 s.
@@ -69,18 +123,25 @@
 // insist makes a call until it succeeds; it reports false if ctx ended first.
 func (e *Edge) insist(ctx context.Context, call func(context.Context) error) bool {
 	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, joinTime)
-		err := call(limited)
-		cancel()
-		if err == nil {
+		if e.once(ctx, call) == nil {
 			return true
 		}
-		e.log.WithError(err).Warn("boxes_not_read")
 		e.timer.Sleep(ctx, joinEvery/2+rand.N(joinEvery)) // not all at once again
 	}
 	return false
 }
 
+// once makes a call.
+func (e *Edge) once(ctx context.Context, call func(context.Context) error) error {
+	limited, cancel := context.WithTimeout(ctx, joinTime)
+	defer cancel()
+	err := call(limited)
+	if err != nil {
+		e.log.WithError(err).Warn("boxes_not_read")
+	}
+	return err
+}
+
 func (e *Edge) readBoxes(ctx context.Context) error {
 	list, err := e.boxes.List(ctx)
 	if err == nil {
@@ -114,14 +175,14 @@
 func (e *Edge) Reads() bool { return e.members.Reads(time.Now()) }
 
 // Count implements reading.Boxes.
-func (e *Edge) Count() int { return e.members.Count() }
+func (e *Edge) Count() int { return e.members.Count(time.Now()) }
 
 // Crowded implements reading.Boxes.
 func (e *Edge) Crowded() bool { return e.members.Crowd(time.Now()) != nil }
 
 // AllRead implements reading.Boxes.
 func (e *Edge) AllRead() bool {
-	count := e.members.Count()
+	count := e.Count()
 	return count <= members.ReadersMost && len(e.members.Hubs(time.Now())) == count
 }
 
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -133,7 +133,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.Sub(l.reachAt) >= reachLasts {
-		known := max(l.members.Count()-l.members.Leaving(), 1)
+		known := max(l.members.Count(now)-l.members.Leaving(), 1)
 		heard := 1 + l.tally.Heard(now, reachWithin) + l.tally.HeardBehind(now, reachLeg)
 		l.reached, l.reachAt = min(reachOver*float64(heard)/float64(known), 1), now
 	}
@@ -147,7 +147,7 @@
 
 // partRate is what this box may send by itself while it does not hear the keeper.
 func (l *limiter) partRate(perSecond float64) allowance.Rate {
-	return allowance.Rate{PerSecond: max(perSecond, leastRate) / float64(max(l.members.Count(), 1)), Part: true}
+	return allowance.Rate{PerSecond: max(perSecond, leastRate) / float64(max(l.Count(), 1)), Part: true}
 }
 
 // May implements choose.Limits: on engines this box gives room to all, or sends its part.
@@ -207,7 +207,7 @@
 // loose tells whether a limit is so far above all that the boxes are asked for that it
 // binds nobody.
 func (l *limiter) loose(now time.Time, service route.Service, perSecond float64) bool {
-	return l.places != nil && perSecond >= looseFrom*max(l.places.Asked(now, service), float64(l.members.Count()))
+	return l.places != nil && perSecond >= looseFrom*max(l.places.Asked(now, service), float64(l.members.Count(now)))
 }
 
 // ask asks the keeper, which is returned; empty if it is not heard.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -59,6 +59,7 @@
 		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version,
 		Departing: departing, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
 	}
+	g.Unlisted = e.unlisted.Load() && e.members.Nearest(now).Name == hub.Name
 	if age, known := e.fleet.Age(now); known {
 		g.FleetKnownMs = int(age.Milliseconds()) + 1
 	}
--- a/edge/run.go
+++ b/edge/run.go
@@ -153,6 +153,9 @@
 		e.timer.Every(ctx, "watch", watch.Period, func(now time.Time) { look.Look(ctx, now) })
 	})
 	all.Go(func() { e.join(ctx) })
+	all.Go(func() {
+		e.timer.Every(ctx, "register", registerEvery, func(time.Time) { e.registrar.write(ctx) })
+	})
 	all.Go(func() { e.restoreQuarantine(ctx) })
 	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
 }
--- /dev/null
+++ b/edge/start_test.go
@@ -0,0 +1,148 @@
+// Hundreds of boxes started in one moment before thousands of upstreams, most of them too
+// weak to be hubs. The store takes 200 rows a second into one table, so that the last had
+// written their own after 5 s and after several refusals each; those that had not after
+// 3 s read the whole fleet for themselves, all at once, and none of them to its end.
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/follow"
+	"petrelstep/gossip"
+	"petrelstep/members"
+	"petrelstep/platform/manifest"
+	"petrelstep/platform/store"
+)
+
+// txWaits is from how long a line of writes the store refuses more.
+const txWaits = time.Second
+
+// writes is how many writing calls a store has had.
+type writes struct {
+	free          time.Time
+	done, refused int
+}
+
+// Transact implements manifest.List: rows are written one transaction after the other.
+func (r reader) Transact(ctx context.Context, tx store.Transaction) (done bool, now []store.Row, err error) {
+	r.mu.Lock()
+	at := time.Now()
+	if r.writes.free.Before(at) {
+		r.writes.free = at
+	}
+	wait := r.writes.free.Sub(at)
+	if wait > txWaits {
+		r.writes.refused++
+		r.mu.Unlock()
+		return false, nil, &store.Error{Call: "rows-tx", Status: http.StatusTooManyRequests, NoEffect: true}
+	}
+	r.writes.free = r.writes.free.Add(joinCost)
+	r.writes.done++
+	r.mu.Unlock()
+	if err := pass(ctx, wait+joinCost); err != nil {
+		return false, nil, &store.Error{Call: "rows-tx", Err: err}
+	}
+	for _, row := range tx.Put {
+		r.put(row.Table, row.Key, string(row.Value))
+	}
+	return true, nil, nil
+}
+
+// startReal starts a box with all that it does by itself at its start.
+func (c *crowd) startReal(ctx context.Context, e *Edge) {
+	c.mu.Lock()
+	c.up[e.record.Address] = e
+	c.mu.Unlock()
+	rows := reader{c.table, e.Name()}
+	e.boxes = manifest.NewBoxes(rows, e.metrics, e.log)
+	e.configuration = manifest.NewConfiguration(rows, e.belief, e.halls, e.log)
+	workers := manifest.NewWorkers(rows, e.fleet, e.names, e.metrics, e.log)
+	go follow.New("configuration", e.configuration, heard{e.belief.Confirm, e.storeAnswered}, e.reading("configuration", e.belief.Age), e.log).Run(ctx)
+	go follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading("upstreams", e.fleet.Age), e.log).Run(ctx)
+	go e.timer.Every(ctx, "tick", tickEvery, e.tick)
+	go e.timer.Every(ctx, "register", registerEvery, func(time.Time) { e.registrar.write(ctx) })
+	go e.join(ctx)
+	go gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx)
+}
+
+// newStart puts boxes together that have not started: one in ten is fit to be a hub.
+// Their names are addresses.
+func newStart(t *testing.T, boxes, halls, upstreams int) *crowd {
+	t.Helper()
+	c := newCrowd(t, 0, halls, upstreams)
+	c.weak = func(box string) bool { return !strings.HasSuffix(box, "0") }
+	for i := range boxes {
+		c.all = append(c.all, c.box(t, fmt.Sprintf("10.9.%d.%d", i/250, i%250), fmt.Sprint("hall", i%halls)))
+	}
+	return c
+}
+
+// registered puts all boxes into the table, as after an earlier start.
+func (c *crowd) registered(t *testing.T) {
+	t.Helper()
+	for _, e := range c.all {
+		is.New(t).NoErr(manifest.NewBoxes(reader{c.table, e.Name()}, e.metrics, e.log).Join(t.Context(), e.record))
+	}
+	c.table.writes = writes{}
+}
+
+// startAllReal starts all boxes within 0.3 s.
+func (c *crowd) startAllReal(ctx context.Context, cold bool) {
+	for i, e := range c.all {
+		e.config.Edge.ColdStart = cold
+		time.AfterFunc(time.Duration(i%300)*time.Millisecond, func() { c.startReal(ctx, e) })
+	}
+}
+
+// read returns how many boxes read the upstreams, and how many calls wrote.
+func (t *table) read() (fleets, wrote int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.fleets), t.writes.done + t.writes.refused
+}
+
+// TestManyStart starts many boxes at once, for the first time and again after all were
+// killed: all serve within seconds, hubs alone read the upstreams, each box costs the store
+// few calls, and in the end the table and each box name all of them.
+func TestManyStart(t *testing.T) {
+	const boxes, halls = 600, 3
+	tests := map[string]struct {
+		again  bool
+		writes int // calls of a hundred boxes
+	}{
+		"for the first time": {writes: 120},
+		"again":              {again: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newStart(t, boxes, halls, 2000)
+				if tt.again {
+					c.registered(t)
+				}
+				ctx, end := c.context(t)
+				defer end()
+				c.startAllReal(ctx, !tt.again)
+				t.Log("all serve after", c.until(t, "serves", 10*time.Second, (*Edge).ready))
+				time.Sleep(8 * time.Second)
+				fleets, wrote := c.table.read()
+				t.Log("boxes that read the upstreams:", fleets, "calls that write:", wrote)
+				is.True(fleets <= 2*members.ReadersMost)
+				is.True(wrote <= tt.writes*boxes/100)
+				list, err := c.all[0].boxes.List(t.Context())
+				is.NoErr(err)
+				is.Equal(len(list), boxes)
+				c.until(t, "knows how many there are", time.Second, func(e *Edge) bool { return e.Count() == boxes })
+			})
+		})
+	}
+}
--- a/edge/view.go
+++ b/edge/view.go
@@ -20,7 +20,7 @@
 	now := time.Now()
 	v := wire.BoxView{
 		Box: e.config.Box, Hall: e.config.Hall, Hub: e.IsHub(), Reads: e.Reads(), Keeps: e.keeps(), Hubs: []string{}, Asks: []string{},
-		Nearest: e.members.Nearest(now).Name, Boxes: e.members.Count(), Leaving: e.members.Leaving(), Told: e.tally.Boxes(now),
+		Nearest: e.members.Nearest(now).Name, Boxes: e.members.Count(now), Leaving: e.members.Leaving(), Told: e.tally.Boxes(now),
 		ConfigurationAgeMs: unknownAge, UpstreamsAgeMs: unknownAge, StoreSilentMs: unknownAge, LoadsAgeMs: unknownAge,
 		Upstreams: e.fleet.Open(), Waiting: e.admission.Waiting(), Serving: int(e.serving.Load()), Stopping: e.draining.Load(),
 		Halls: e.hallWords(now), Places: e.viewPlaces(now), Quarantine: e.quarantine.View(now), Limits: e.limiter.View(now),
@@ -84,5 +84,5 @@
 	}
 	e.role = role
 	_, tells := e.tally.Part(now)
-	e.log.WithFields(role).WithFields(logrus.Fields{"boxes": e.members.Count(), "tells": tells, "loads_age_ms": min(e.tally.SumAge(now), neverAge).Milliseconds()}).Info("role")
+	e.log.WithFields(role).WithFields(logrus.Fields{"boxes": e.members.Count(now), "tells": tells, "loads_age_ms": min(e.tally.SumAge(now), neverAge).Milliseconds()}).Info("role")
 }
--- a/members/members.go
+++ b/members/members.go
@@ -204,11 +204,46 @@
 	return all
 }
 
-// Count returns how many boxes there are, this one included.
-func (m *Members) Count() int {
+// Count returns how many boxes there are, this one included: those that it knows, or, in
+// a crowd, as many as hubs told of, which hear of more than one box does.
+func (m *Members) Count(now time.Time) int {
+	m.Hubs(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.boxes) + 1
+	all := 0
+	for _, boxes := range m.crowd {
+		all += boxes
+	}
+	return max(all, len(m.boxes)+1)
+}
+
+// AnyStrong tells whether another box is known that is fit to be a hub.
+func (m *Members) AnyStrong() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.boxes {
+		if r.box.Strong && r.box.State != Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// IsListed tells whether the table of boxes was read with a box in it.
+func (m *Members) IsListed(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.boxes[name]
+	return ok && r.listed
+}
+
+// Registered notes that a box was put into the table.
+func (m *Members) Registered(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.boxes[name]; ok {
+		r.listed = true
+	}
 }
 
 // Leaving returns how many of the boxes leave.
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -343,9 +343,9 @@
 	is := is.New(t)
 	m := crowd(10)
 	m.Heard(start, inHall(3, members.Leaving))
-	is.Equal([2]int{m.Leaving(), m.Count()}, [2]int{1, 10})
+	is.Equal([2]int{m.Leaving(), m.Count(start)}, [2]int{1, 10})
 	m.Leave()
-	is.Equal([2]int{m.Leaving(), m.Count()}, [2]int{2, 10})
+	is.Equal([2]int{m.Leaving(), m.Count(start)}, [2]int{2, 10})
 }
 
 func TestHubs(t *testing.T) {
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -135,7 +135,7 @@
 	age, known := r.age(now)
 	reads := r.boxes.Reads()
 	silent := now.Sub(r.boxes.HubHeard()) > unheard
-	joined := r.boxes.Known() || r.until.IsZero() && r.boxes.Crowded() && (reads || !silent) // joining takes many a second
+	joined := r.boxes.Known() || r.boxes.Crowded() && (reads && r.until.IsZero() || !silent) // joining takes many a second
 	switch {
 	case !joined && known:
 		return Unjoined.when(age > unheard)
@@ -165,6 +165,8 @@
 func (r *Reading) unjoined(now time.Time) Reason {
 	waited := now.Sub(r.start)
 	switch {
+	case r.boxes.Crowded() && !r.until.IsZero():
+		return Unjoined.when(waited >= coldMost+crowdTold+r.crowds(crowdSpread))
 	case !r.until.IsZero():
 		return Unjoined.when(now.After(r.until))
 	case !r.boxes.Listed():
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1983,6 +1983,9 @@
 	// What the sender has running.
 	Tallies []UpstreamTally `json:"tallies,omitempty,omitzero"`
 
+	// The sender has no row in the table of boxes; the hub puts it there.
+	Unlisted bool `json:"unlisted,omitempty,omitzero"`
+
 	// What the sender's callers were given and refused of late, while room is short.
 	Uses []OrganisationUse `json:"uses,omitempty,omitzero"`
 
@@ -2249,6 +2252,9 @@
 	if v, ok := raw["tallies"]; !ok || v == nil {
 		plain.Tallies = []UpstreamTally{}
 	}
+	if v, ok := raw["unlisted"]; !ok || v == nil {
+		plain.Unlisted = false
+	}
 	if v, ok := raw["uses"]; !ok || v == nil {
 		plain.Uses = []OrganisationUse{}
 	}
