--- a/edge/answers.go
+++ b/edge/answers.go
@@ -22,12 +22,11 @@
 	askTime = 600 * time.Millisecond
 	// neverAge is told where there is no knowledge: older than all that counts.
 	neverAge = time.Hour
-	// rowsASecond is how many rows of whole fleets a box with one processor tells in
-	// a second: a row takes 1.5 us to encode, so that it is a fifth of what it has. Of
-	// 300 boxes that start before 3,000 upstreams each hub is asked for 75 tables of
-	// 280 KB at once; all of them together passed its memory of 134 MB, it ended, and
-	// all boxes read the store.
-	rowsASecond = 150000
+	// fleetLink is the part of its link that a box takes for whole fleets: many are asked
+	// for at once, and each waits in memory until it has gone out.
+	fleetLink = 0.25
+	// fleetCall is what a whole fleet takes of it besides its bytes, in bytes.
+	fleetCall = 1000
 )
 
 // Heard implements edgepoint.Box: it answers as a hub does, as the asker holds
@@ -142,7 +141,7 @@
 }
 
 // answerFleet tells what changed since the asker's mark; the whole fleet to one
-// that has none and wants it, as fast as rowsASecond allows; to the few that are hubs
+// that has none and wants it, as fast as fleetLink allows; to the few that are hubs
 // at once, as their part of the boxes waits for them.
 func (e *Edge) answerFleet(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
 	age, known := e.fleet.Age(now)
@@ -152,27 +151,61 @@
 		return
 	}
 	after := e.after(now, from)
+	switch {
+	case after == 0 && from.WholeFleet:
+		e.answerWhole(now, from, a)
+		return
+	case from.WholeFleet && from.FleetAfter == 0:
+		e.metrics.FleetTold("changes")
+	}
 	changed, at := e.fleet.Since(after)
 	a.FleetAt = at
-	switch {
-	case after == 0 && !from.WholeFleet:
+	if after == 0 {
 		a.FleetFromNow = true
 		return
-	case after == 0 && !e.tables.allow(now, len(changed)) && !e.members.Hub(now, from.Sender.Box):
+	}
+	a.Upstreams = e.upstreamRecords(now, changed)
+}
+
+// answerWhole tells the whole fleet, packed once for all that ask together.
+func (e *Edge) answerWhole(now time.Time, from wire.Gossip, a *wire.GossipAnswer) {
+	packed, at, err := e.snapshot.Packed(now)
+	if err != nil {
+		e.log.WithError(err).Error("fleet_not_packed")
+		a.FleetLater = true
+		return
+	}
+	if !e.tables.allow(now, len(packed)+fleetCall) && !e.members.Hub(now, from.Sender.Box) {
 		a.FleetLater = true
 		e.metrics.FleetTold("later")
 		return
-	case after == 0:
-		e.metrics.FleetTold("whole")
-	case from.WholeFleet && from.FleetAfter == 0:
-		e.metrics.FleetTold("changes")
 	}
-	for _, u := range changed {
-		a.Upstreams = append(a.Upstreams, wire.UpstreamRecord{
+	e.metrics.FleetTold("whole")
+	a.FleetAt = at
+	if from.Unpacks {
+		a.Fleet = packed
+		return
+	}
+	var changed []fleet.Upstream
+	changed, a.FleetAt = e.fleet.Since(0)
+	a.Upstreams = e.upstreamRecords(now, changed)
+}
+
+func (e *Edge) upstreamRecords(now time.Time, list []fleet.Upstream) []wire.UpstreamRecord {
+	records := make([]wire.UpstreamRecord, 0, len(list))
+	for _, u := range list {
+		records = append(records, wire.UpstreamRecord{
 			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, ColdMs: coldMs(now, u),
 			State: string(u.State), Version: int(u.Version), Said: u.Said, Born: int(u.Born),
 		})
 	}
+	return records
+}
+
+// wholeFleet is the source of the snapshot.
+func (e *Edge) wholeFleet() ([]wire.UpstreamRecord, int) {
+	list, change := e.fleet.Since(0)
+	return e.upstreamRecords(time.Now(), list), change
 }
 
 // after returns the change after which an asker is to be told: its mark, or where it
--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -36,6 +36,8 @@
 	// callCost and rowCost are what a call and a row in it take of a box's processor.
 	callCost = 750 * time.Microsecond
 	rowCost  = 4 * time.Microsecond
+	// packedRow is the bytes of a row of a fleet that is packed.
+	packedRow = 20
 	// joinCost is what a box's row takes of the store, and listTime a listing of all.
 	joinCost = 5 * time.Millisecond
 	listTime = 20 * time.Millisecond
@@ -253,6 +255,9 @@
 		answer := e.Heard(args.(wire.Gossip))
 		*reply.(*wire.GossipAnswer) = answer
 		rows = len(answer.Tallies) + len(answer.Upstreams)
+		if err := own.work(ctx, time.Duration(len(answer.Fleet)/packedRow)*rowCost); err != nil {
+			return &peer.Error{Address: address, Method: method, Err: err}
+		}
 		w.count(w.box, e.Name())
 	case peer.Configuration:
 		*reply.(*wire.Configuration) = e.Configuration()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,6 +40,7 @@
 	"petrelstep/retry"
 	"petrelstep/route"
 	"petrelstep/runs"
+	"petrelstep/snapshot"
 	"petrelstep/tally"
 	"petrelstep/timer"
 	"petrelstep/turns"
@@ -90,9 +91,11 @@
 	// strongProcessors and strongLink are what a hub needs, in cores and megabits
 	// a second: at 78 boxes it answers 310 calls a second, with 3 KB each.
 	strongProcessors = 0.3
-	// leastProcessors is what a box is taken to have whose settings say less.
-	leastProcessors = 0.05
-	strongLink      = 100
+	// leastLink is what a box's link is taken to bear whose settings say less, in Mbit a
+	// second, and bytesMbit are the bytes of one.
+	leastLink  = 1
+	bytesMbit  = 125000
+	strongLink = 100
 )
 
 // calls reaches the other boxes.
@@ -144,6 +147,7 @@
 	joined        atomic.Bool // the other boxes are known
 	unlisted      atomic.Bool // a hub is to put this box into the table of boxes
 	registrar     *registrar
+	snapshot      *snapshot.Snapshot
 	others        atomic.Bool // they were read, at least before this box joined
 	random        *rand.Rand
 
@@ -188,7 +192,7 @@
 		turns:       turns.New(),
 		trials:      turns.New(),
 		upstreams:   upstream.New(),
-		tables:      pacer{rate: rowsASecond * max(s.Processors, leastProcessors)},
+		tables:      pacer{rate: fleetLink * max(s.LinkMbit, leastLink) * bytesMbit},
 		drain:       make(chan struct{}),
 		random:      rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
 		heard:       map[string]time.Time{},
@@ -201,6 +205,7 @@
 	e.limits = limits.New(counts, log)
 	e.limiter = newLimiter(e)
 	e.registrar = newRegistrar(e)
+	e.snapshot = snapshot.New(e.wholeFleet)
 	e.halls = halls.New(e.hallChanged)
 	e.configuration = manifest.NewConfiguration(e.store, e.belief, e.halls, log)
 	e.members = members.New(members.Box{
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 	"petrelstep/halls"
 	"petrelstep/members"
 	"petrelstep/peer"
+	"petrelstep/snapshot"
 	"petrelstep/told"
 	"petrelstep/wire"
 )
@@ -57,7 +58,7 @@
 	e.telling(hub.Name, last)
 	g := wire.Gossip{
 		Sender: e.record, Leaving: e.draining.Load(), Wants: e.wants(now, hub), Version: version,
-		Departing: departing, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
+		Departing: departing, Unpacks: true, WholeFleet: whole, FleetOf: m.incarnation, FleetAfter: m.change,
 	}
 	g.Unlisted = e.unlisted.Load() && e.members.Nearest(now).Name == hub.Name
 	if age, known := e.fleet.Age(now); known {
@@ -221,6 +222,14 @@
 	}
 	age := config.Millis(a.FleetAgeMs)
 	old := age > oldFleet
+	if a.Fleet != "" {
+		list, err := snapshot.Unpack(a.Fleet)
+		if err != nil {
+			e.log.WithError(err).WithField("peer", a.Sender.Box).Warn("fleet_not_taken")
+			return
+		}
+		a.Upstreams = list
+	}
 	for _, u := range a.Upstreams {
 		if old && fleet.State(u.State) != fleet.Leaving {
 			continue
--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -116,10 +116,11 @@
 	const boxes, halls = 600, 3
 	tests := map[string]struct {
 		again  bool
+		within time.Duration
 		writes int // calls of a hundred boxes
 	}{
-		"for the first time": {writes: 120},
-		"again":              {again: true},
+		"for the first time": {within: 5 * time.Second, writes: 120},
+		"again":              {again: true, within: 2 * time.Second}, // callers come back within seconds
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -132,7 +133,7 @@
 				ctx, end := c.context(t)
 				defer end()
 				c.startAllReal(ctx, !tt.again)
-				t.Log("all serve after", c.until(t, "serves", 10*time.Second, (*Edge).ready))
+				t.Log("all serve after", c.until(t, "serves", tt.within, (*Edge).ready))
 				time.Sleep(8 * time.Second)
 				fleets, wrote := c.table.read()
 				t.Log("boxes that read the upstreams:", fleets, "calls that write:", wrote)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1986,6 +1986,9 @@
 	// The sender has no row in the table of boxes; the hub puts it there.
 	Unlisted bool `json:"unlisted,omitempty,omitzero"`
 
+	// The sender takes a whole fleet packed.
+	Unpacks bool `json:"unpacks,omitempty,omitzero"`
+
 	// What the sender's callers were given and refused of late, while room is short.
 	Uses []OrganisationUse `json:"uses,omitempty,omitzero"`
 
@@ -2025,6 +2028,9 @@
 	// Failures corresponds to the JSON schema field "failures".
 	Failures []UpstreamFailures `json:"failures,omitempty,omitzero"`
 
+	// The whole fleet as of fleet_at, packed (snapshot).
+	Fleet string `json:"fleet,omitempty,omitzero"`
+
 	// Since the store confirmed the fleet.
 	FleetAgeMs int `json:"fleet_age_ms"`
 
@@ -2133,6 +2139,9 @@
 	if v, ok := raw["ends_at"]; !ok || v == nil {
 		plain.EndsAt = 0
 	}
+	if v, ok := raw["fleet"]; !ok || v == nil {
+		plain.Fleet = ""
+	}
 	if v, ok := raw["fleet_from_now"]; !ok || v == nil {
 		plain.FleetFromNow = false
 	}
@@ -2255,6 +2264,9 @@
 	if v, ok := raw["unlisted"]; !ok || v == nil {
 		plain.Unlisted = false
 	}
+	if v, ok := raw["unpacks"]; !ok || v == nil {
+		plain.Unpacks = false
+	}
 	if v, ok := raw["uses"]; !ok || v == nil {
 		plain.Uses = []OrganisationUse{}
 	}
