--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -156,3 +156,34 @@
 		})
 	}
 }
+
+// TestManyAdded adds two thirds as many boxes to a crowd at once: each costs the store one
+// call but those fit to be hubs, and all count all of them within seconds.
+func TestManyAdded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const boxes, more, halls = 360, 240, 3
+		c := newStart(t, boxes+more, halls, 200)
+		all := c.all
+		c.all = all[:boxes]
+		c.registered(t)
+		ctx, end := c.context(t)
+		defer end()
+		c.startAllReal(ctx, false)
+		c.until(t, "serves", 3*time.Second, (*Edge).ready)
+		time.Sleep(8 * time.Second)
+		_, _, before := c.table.read()
+		c.all = all[boxes:]
+		c.startAllReal(ctx, false)
+		c.all = all
+		c.until(t, "serves", 3*time.Second, (*Edge).ready)
+		t.Log("all count all after", c.until(t, "counts all", 10*time.Second, func(e *Edge) bool { return e.Count() == boxes+more }))
+		_, _, after := c.table.read()
+		t.Log("calls that write:", after-before)
+		is.True(after-before <= more/10+2*len(c.hubs())+halls*registerCalls)
+	})
+}
+
+// registerCalls is how many calls the hubs of a hall make at most, to write the rows of
+// boxes that came and how many the hall has then.
+const registerCalls = 20
