store, follow: a listing is bounded by its pages, not as a whole

Cause: a listing of a table had 1.8 s, of boxes 1.5 s, whatever their size. 10,002 upstreams are 21 pages: with a store that takes 0.24 s an answer, as when it is 60 times slower, 5 s, so that it was cut off and begun anew for good; over 20 Mbit/s and 0.192 of a core too.

--- a/edge/join.go
+++ b/edge/join.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// joinTime bounds a call for the table of boxes; a slow store takes 0.3 s.
+	// joinTime bounds a call that writes rows of boxes; a slow store takes 0.3 s.
 	joinTime = 1500 * time.Millisecond
 	// joinEvery is the wait after a call that failed, in the mean.
 	joinEvery = time.Second
@@ -122,7 +122,7 @@
 // countHall writes how many boxes this one's hall has, where it is a hub of a crowd.
 func (e *Edge) countHall(ctx context.Context) {
 	if halls := e.ownHall(); e.IsHub() && len(halls) > 0 {
-		e.insist(ctx, func(ctx context.Context) error { return e.boxes.Join(ctx, halls) })
+		e.insist(ctx, func(ctx context.Context) error { return e.writeRows(ctx, halls) })
 	}
 }
 
@@ -142,7 +142,14 @@
 	return a.Hall == b.Hall && a.Address == b.Address && a.Strong == b.Strong
 }
 
-func (e *Edge) write(ctx context.Context) error { return e.boxes.Join(ctx, nil, e.record) }
+func (e *Edge) write(ctx context.Context) error { return e.writeRows(ctx, nil, e.record) }
+
+// writeRows puts rows of boxes and halls into the table.
+func (e *Edge) writeRows(ctx context.Context, halls []wire.HallBoxes, boxes ...wire.BoxRecord) error {
+	limited, cancel := context.WithTimeout(ctx, joinTime)
+	defer cancel()
+	return e.boxes.Join(limited, halls, boxes...)
+}
 
 // readAsHub reads the table of boxes where this box is a hub.
 func (e *Edge) readAsHub(ctx context.Context) {
@@ -195,9 +202,7 @@
 
 // once makes a call.
 func (e *Edge) once(ctx context.Context, call func(context.Context) error) error {
-	limited, cancel := context.WithTimeout(ctx, joinTime)
-	defer cancel()
-	err := call(limited)
+	err := call(ctx)
 	if err != nil {
 		e.log.WithError(err).Warn("boxes_not_read")
 	}
--- a/edge/register.go
+++ b/edge/register.go
@@ -43,7 +43,7 @@
 	if len(rows) == 0 {
 		return
 	}
-	join := func(ctx context.Context) error { return r.boxes.Join(ctx, r.ownHall(), rows...) }
+	join := func(ctx context.Context) error { return r.writeRows(ctx, r.ownHall(), rows...) }
 	if r.once(ctx, join) != nil {
 		return
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -15,8 +15,6 @@
 	// slack is how much longer than its wait a call may take. A slow store
 	// takes some 300 ms an answer.
 	slack = 600 * time.Millisecond
-	// listTime bounds a listing, of several pages.
-	listTime = 1800 * time.Millisecond
 	// idleLook is how often a follower that is not needed looks whether it is, and
 	// idleFirst how soon it does again at its start: a box that restarts has learned
 	// within some 10 ms whether it reads, and callers are refused until it has.
@@ -36,7 +34,8 @@
 // Source reads a table and applies what it reads. unsure says that the store
 // was away until just now, so that an entry that is gone may only have lapsed.
 type Source interface {
-	// List reads and applies all of it; mark is where changes go on from.
+	// List reads and applies all of it; mark is where changes go on from. It takes as long
+	// as the table is large, and ends when a call of it brings nothing.
 	List(ctx context.Context, unsure bool) (mark int64, err error)
 	// Next waits for changes after mark, applies them, and returns the new mark.
 	Next(ctx context.Context, mark int64, wait time.Duration, unsure bool) (int64, error)
@@ -128,9 +127,7 @@
 		next, err = f.source.Next(call, *mark, wait, unsure)
 		cancel()
 	} else {
-		call, cancel := context.WithTimeout(ctx, listTime)
-		next, err = f.source.List(call, unsure)
-		cancel()
+		next, err = f.source.List(ctx, unsure)
 	}
 	switch {
 	case errors.Is(err, ErrForgotten):
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -80,6 +80,18 @@
 	return func(context.Context) (int64, error) { return mark, err }
 }
 
+// takes is a call that gets there in the end, if it is let.
+func takes(d time.Duration, mark int64) func(context.Context) (int64, error) {
+	return func(ctx context.Context) (int64, error) {
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(d):
+			return mark, nil
+		}
+	}
+}
+
 func hangs(ctx context.Context) (int64, error) {
 	<-ctx.Done()
 	return 0, ctx.Err()
@@ -102,6 +114,9 @@
 		"a call that hangs is given up": {
 			[]func(context.Context) (int64, error){gives(5, nil), hangs, gives(6, nil)},
 			[]call{{list: true}, {mark: 5}, {mark: 5, unsure: true}}},
+		"a listing takes as long as its table is large": {
+			[]func(context.Context) (int64, error){takes(6*time.Second, 5), gives(8, nil)},
+			[]call{{list: true}, {mark: 5}, {mark: 8}}},
 		"a first listing is tried again": {
 			[]func(context.Context) (int64, error){gives(0, errDown), gives(0, errDown), gives(7, nil)},
 			[]call{{list: true}, {list: true, unsure: true}, {list: true, unsure: true}, {mark: 7, unsure: true}}},
