members, gossip, reading: the loss of all strong boxes of a hall

Cause: a box of a crowd called two hubs of its own hall; were all of that hall's gone it had no news, found them failed two by two, turned back to each after 3 s for two more calls, and read the whole store for itself. One that had read only which boxes are fit to be hubs would have taken itself for its hall's hub, with all others.

Change: the spare hub is one of another hall where there is one. A hub that failed is asked beside the others after 3 s, and is one again once it answers. Who knows only the boxes fit to be hubs is none itself unless others name it. In a crowd no hub is unheard before 1.8 s, as the spare one is called each second.

--- a/edge/join.go
+++ b/edge/join.go
@@ -91,8 +91,7 @@
 	for _, h := range halls {
 		e.members.ToldCrowd(time.Now(), h.Hall, h.Boxes)
 	}
-	e.listed(hubs)
-	e.unlisted.Store(true)
+	e.leaveRow(hubs)
 	e.others.Store(true)
 	e.joined.Store(true)
 	return true
@@ -114,9 +113,15 @@
 	if e.once(ctx, read) != nil || len(hubs) == 0 {
 		return false
 	}
+	e.leaveRow(hubs)
+	return true
+}
+
+// leaveRow takes the boxes that are fit to be hubs for all that there are to be known here.
+func (e *Edge) leaveRow(hubs []wire.BoxRecord) {
+	e.members.HubsOnly()
 	e.listed(hubs)
 	e.unlisted.Store(true)
-	return true
 }
 
 // countHall writes how many boxes this one's hall has, where it is a hub of a crowd.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -159,6 +160,9 @@
 	for _, r := range a.Hubs {
 		e.introduce(now, r)
 	}
+	if slices.ContainsFunc(a.Hubs, e.isOwn) {
+		e.members.Named(now)
+	}
 	e.hearCrowd(now, a, sent)
 	for _, w := range a.Halls { // before the configuration, with which they are known
 		e.halls.Take(now, halls.Word{Hall: w.Hall, Evacuated: w.Evacuated, Version: int64(w.Version)}, a.Sender.Box)
--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -187,3 +187,47 @@
 // registerCalls is how many calls the hubs of a hall make at most, to write the rows of
 // boxes that came and how many the hall has then.
 const registerCalls = 20
+
+// TestStrongGone cuts all boxes of a hall off that are fit to be hubs, once a crowd has
+// restarted: the others of that hall, of whom none knows the rest, do not all take
+// themselves for hubs, and have what is new from those of other halls.
+func TestStrongGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const boxes, halls = 300, 3
+		c := newStart(t, boxes, halls, 100)
+		c.registered(t)
+		ctx, end := c.context(t)
+		defer end()
+		c.startAllReal(ctx, false)
+		c.until(t, "serves", 3*time.Second, (*Edge).ready)
+		time.Sleep(8 * time.Second)
+		c.mu.Lock()
+		var left []*Edge
+		for _, e := range c.all {
+			if e.record.Strong && e.config.Hall == "hall0" {
+				c.cut[e.record.Address] = true
+				continue
+			}
+			left = append(left, e)
+		}
+		c.all = left
+		c.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		t.Log("hubs:", len(c.hubs()), "of", len(c.all), "boxes")
+		is.True(len(c.hubs()) <= halls*3) // one for 40 boxes of a hall
+		const spareCalls = 2 * time.Second // two calls to a spare hub, and some
+		c.table.put("servers", "u5", string(worker(5, 1, "draining")))
+		c.until(t, "knows the departure", spareCalls, func(e *Edge) bool { return e.fleet.Leaving("u5") })
+		c.table.put("op", "config", `{"version":4,"routes":[],"services":[],"limits":{"max_body_bytes":4096},"tenants":[]}`)
+		c.until(t, "knows the version", spareCalls, func(e *Edge) bool { return e.View().Version == 4 })
+		readers := 0
+		for _, e := range c.all {
+			if c.table.fleets[e.Name()] > 0 {
+				readers++
+			}
+		}
+		t.Log("boxes that read the upstreams:", readers)
+		is.True(readers <= 2*members.ReadersMost)
+	})
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -110,6 +110,7 @@
 		}
 		if err == nil {
 			silent = 0
+			g.members.Answered(b.Name)
 			g.heard(b)
 			g.box.Hear(answer, sent)
 			return
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -76,9 +76,33 @@
 	m.hubsUntil = time.Time{}
 	m.known = m.byHall()
 	m.crowd = m.crowded(now)
+	sound, lapsed := m.candidates(now)
+	hubs := m.choose(sound)
+	m.probes = nil
+	if len(lapsed) > 0 {
+		m.probes = without(m.choose(sorted(append(slices.Clone(sound), lapsed...))), hubs)
+	}
+	switch {
+	case !slices.ContainsFunc(hubs, func(b Box) bool { return b.Name == m.self.Name }):
+		m.hubSince = time.Time{}
+	case m.hubSince.IsZero():
+		m.hubSince = now
+	}
+	return hubs
+}
+
+// without returns the boxes that are none of the others.
+func without(boxes, others []Box) []Box {
+	return slices.DeleteFunc(boxes, func(b Box) bool {
+		return slices.ContainsFunc(others, func(o Box) bool { return o.Name == b.Name })
+	})
+}
+
+// choose returns the hubs among candidates, of which the fittest come first.
+func (m *Members) choose(list []candidate) []Box {
 	hubs, others := []Box{}, []Box{}
 	halls := map[string]int{} // hubs named
-	for _, c := range m.candidates(now) {
+	for _, c := range list {
 		if halls[c.box.Hall] > 0 {
 			others = append(others, c.box)
 			continue
@@ -94,14 +118,7 @@
 	if m.crowd != nil {
 		hubs = m.more(hubs, others[missing:], halls)
 	}
-	hubs = slices.Clip(hubs)
-	switch {
-	case !slices.ContainsFunc(hubs, func(b Box) bool { return b.Name == m.self.Name }):
-		m.hubSince = time.Time{}
-	case m.hubSince.IsZero():
-		m.hubSince = now
-	}
-	return hubs
+	return slices.Clip(hubs)
 }
 
 // more adds the hubs that a crowd needs. Only fit boxes help: a weak one that tells
@@ -185,16 +202,36 @@
 }
 
 // Asks returns the hubs that this box calls: all others, or in a crowd, unless it is
-// one of them, the one that tells it of all boxes and the one that would if that
-// failed. A hub is called by hubBoxes boxes so, and by as many that do not need it
-// yet, however many there are.
+// one of them, the one that tells it of all boxes and one that tells it the news if that
+// fails. A hub is called by hubBoxes boxes so, and by as many that do not need it
+// yet, however many there are. Boxes that would be hubs had they not failed some time ago
+// are called beside them, and are hubs again once they answer: while a hall is cut off for
+// long, its boxes would else turn back to it every few seconds, each time for two calls
+// that are not answered.
 func (m *Members) Asks(now time.Time) []Box {
 	hubs := m.Hubs(now)
-	self := m.Self().Name
+	m.mu.Lock()
+	self, probes := m.self.Name, m.probes
+	m.mu.Unlock()
 	if _, hub := m.IsHub(now); !hub && m.Crowd(now) != nil {
-		return m.nearest(hubs)[:min(len(hubs), 2)]
+		probes = m.nearest(probes)
+		return append(m.nearestAndSpare(hubs), probes[:min(len(probes), 1)]...)
+	}
+	return slices.DeleteFunc(append(slices.Clone(hubs), probes...), func(b Box) bool { return b.Name == self })
+}
+
+// nearestAndSpare returns the hub that tells this box, and one of another hall: the links of
+// a hall, or all its boxes that are fit to be hubs, may be gone at once.
+func (m *Members) nearestAndSpare(hubs []Box) []Box {
+	near := m.nearest(hubs)
+	if len(near) < 2 {
+		return near
+	}
+	spare := slices.IndexFunc(near, func(b Box) bool { return b.Hall != near[0].Hall })
+	if spare < 0 {
+		spare = 1
 	}
-	return slices.DeleteFunc(slices.Clone(hubs), func(b Box) bool { return b.Name == self })
+	return []Box{near[0], near[spare]}
 }
 
 // Spare tells whether a hub tells this box nothing, as another does and boxes are too
@@ -211,29 +248,52 @@
 	}
 }
 
-// candidates returns the boxes that may be hubs, the fittest first, and notes
-// until when that holds.
-func (m *Members) candidates(now time.Time) []candidate {
-	list := make([]candidate, 0, len(m.boxes)+1)
-	if m.self.State != Leaving {
-		list = append(list, candidate{m.self, weight(hubsKey, m.self.Name)})
-	}
+// candidates returns the boxes that may be hubs, the fittest first, and those that may be
+// once they answer, as they failed some time ago; it notes until when that holds.
+func (m *Members) candidates(now time.Time) (sound, lapsed []candidate) {
+	sound = make([]candidate, 0, len(m.boxes)+1)
 	for _, r := range m.boxes {
 		lapses := r.failed.Add(failedFor)
 		switch {
 		case r.box.Address == "" || r.box.State == Leaving:
-		case r.failed.IsZero(), !now.Before(lapses), m.starting(now, r):
-			list = append(list, candidate{r.box, r.weight})
+		case r.failed.IsZero(), m.starting(now, r):
+			sound = append(sound, candidate{r.box, r.weight})
+		case !now.Before(lapses):
+			lapsed = append(lapsed, candidate{r.box, r.weight})
 		default:
 			m.hold(lapses)
 		}
 	}
+	if m.mayBeHub(now, len(sound)) {
+		sound = append(sound, candidate{m.self, weight(hubsKey, m.self.Name)})
+	}
+	return sorted(sound), lapsed
+}
+
+// sorted sorts candidates, the fittest first.
+func sorted(list []candidate) []candidate {
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
 	strong := func(c candidate) bool { return c.box.Strong }
 	weak := slices.DeleteFunc(slices.Clone(list), strong)
 	return append(slices.DeleteFunc(list, func(c candidate) bool { return !strong(c) }), weak...)
 }
 
+// mayBeHub tells whether this box may be a hub beside so many others, and notes until when
+// that holds.
+func (m *Members) mayBeHub(now time.Time, others int) bool {
+	lapses := m.named.Add(namedFor)
+	switch {
+	case m.self.State == Leaving:
+		return false
+	case !m.hubsOnly || others == 0:
+		return true
+	case !now.Before(lapses):
+		return false
+	}
+	m.hold(lapses)
+	return true
+}
+
 // ReadersMost bounds how many of the hubs follow the store for all others. Two
 // may be lost at once, and news goes by way of every hub, so that each hears of
 // it within a quarter of a second; three that read in place of six halve the
--- a/members/members.go
+++ b/members/members.go
@@ -28,13 +28,17 @@
 	suspectAfter = 3500 * time.Millisecond
 	// goneAfter is the silence after which a box that is off the list is dropped.
 	goneAfter = 30 * time.Second
-	// failedFor is how long a box that refused a connection is passed by.
+	// failedFor is how long a box that refused a connection is passed by, before it is asked
+	// whether it is back.
 	failedFor = 3 * time.Second
 	// startsFor is how long a box of a crowd that was listed and never heard here may
 	// still be starting: all may have been started at once, and are up within some 2 s.
 	// It stays a hub meanwhile though it refuses: passed by, the first of 300 boxes to
 	// be up took themselves for hubs, and 137 of them read the whole store.
 	startsFor = 5 * time.Second
+	// namedFor is how long a box is a hub after others took it for one: they tell each other
+	// four times a second.
+	namedFor = 3 * time.Second
 )
 
 // Box is what is known of one box. Values are immutable.
@@ -66,11 +70,15 @@
 	// hubs are those of today's boxes; nil until they are asked for. A box asks
 	// some hundred times a second, while boxes change a few times a minute.
 	hubs      []Box
+	probes    []Box            // would be hubs had they not failed some time ago
 	hubsUntil time.Time        // a failure or a told count lapses then; zero if there is none
 	hubSince  time.Time        // this box is one of them; zero if it is not
 	known     map[string]int   // boxes by hall as of then, as far as this one knows
 	crowd     map[string]int   // and as others know too; nil unless they are a crowd
 	told      map[string]count // boxes by hall that others know
+
+	hubsOnly bool      // of the others this one has read those alone that are fit to be hubs
+	named    time.Time // others last took this box for a hub
 }
 
 // New returns a membership that knows only this box.
@@ -177,6 +185,16 @@
 	}
 }
 
+// Answered notes that a box answered that had refused a connection.
+func (m *Members) Answered(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.boxes[name]; ok && !r.failed.IsZero() {
+		r.failed = time.Time{}
+		m.changed()
+	}
+}
+
 // Older makes all signs of life older: this box's machine was suspended, which the
 // steady clock leaves out.
 func (m *Members) Older(by time.Duration) {
@@ -217,6 +235,26 @@
 	return max(all, len(m.boxes)+1)
 }
 
+// HubsOnly notes that this box has read none of the others but those that are fit to be
+// hubs: it does not know who else of its hall might be one, and is none unless others name
+// it, or it knows of nobody else.
+func (m *Members) HubsOnly() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hubsOnly = true
+	m.changed()
+}
+
+// Named notes that another box takes this one for a hub.
+func (m *Members) Named(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hubsOnly && now.Sub(m.named) >= namedFor {
+		m.changed()
+	}
+	m.named = now
+}
+
 // AnyStrong tells whether another box is known that is fit to be a hub.
 func (m *Members) AnyStrong() bool {
 	m.mu.Lock()
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -31,6 +31,8 @@
 	// unheard is how long no hub may answer, three of the periods of gossip,
 	// before a box reads.
 	unheard = 800 * time.Millisecond
+	// spareCalled is the time between calls to a hub beside the nearest, in a crowd.
+	spareCalled = time.Second
 	// firstTold is how long a box that knows nothing yet waits to be told by the
 	// hubs before it reads all for itself, two calls at least: hubs have read within
 	// 0.1 s and tell it within 0.25 s more. At a cold start, with nobody to serve
@@ -134,7 +136,7 @@
 func (r *Reading) Reason(now time.Time) Reason {
 	age, known := r.age(now)
 	reads := r.boxes.Reads()
-	silent := now.Sub(r.boxes.HubHeard()) > unheard
+	silent := now.Sub(r.boxes.HubHeard()) > r.unheard()
 	joined := r.boxes.Known() || r.boxes.Crowded() && (reads && r.until.IsZero() || !silent) // joining takes many a second
 	switch {
 	case !joined && known:
@@ -153,6 +155,15 @@
 	return Old.when(age > told+r.spread)
 }
 
+// unheard is for how long no hub may have answered: of a crowd one may be left that is
+// called each second.
+func (r *Reading) unheard() time.Duration {
+	if r.boxes.Crowded() {
+		return unheard + spareCalled
+	}
+	return unheard
+}
+
 // when returns the reason if it holds.
 func (r Reason) when(holds bool) Reason {
 	if holds {
