--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -215,7 +215,7 @@
 		c.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		t.Log("hubs:", len(c.hubs()), "of", len(c.all), "boxes")
-		is.True(len(c.hubs()) <= halls*3) // one for 40 boxes of a hall
+		is.True(len(c.hubs()) <= halls*3)  // one for 40 boxes of a hall
 		const spareCalls = 2 * time.Second // two calls to a spare hub, and some
 		c.table.put("servers", "u5", string(worker(5, 1, "draining")))
 		c.until(t, "knows the departure", spareCalls, func(e *Edge) bool { return e.fleet.Leaving("u5") })
