--- a/edge/join.go
+++ b/edge/join.go
@@ -14,8 +14,10 @@
 const (
 	// joinTime bounds a call that writes rows of boxes; a slow store takes 0.3 s.
 	joinTime = 1500 * time.Millisecond
-	// joinEvery is the wait after a call that failed, in the mean.
+	// joinEvery is the wait after a call that failed, in the mean, and joinAgain after the
+	// first: where all start at once the store refuses connections for some 0.1 s.
 	joinEvery = time.Second
+	joinAgain = 200 * time.Millisecond
 	// settleTime is how long after its start a box that takes itself for a hub
 	// reads the table again: all start within 0.3 s, and their programs within 1 s.
 	settleTime = 2 * time.Second
@@ -196,11 +198,13 @@
 
 // insist makes a call until it succeeds; it reports false if ctx ended first.
 func (e *Edge) insist(ctx context.Context, call func(context.Context) error) bool {
+	wait := joinAgain
 	for ctx.Err() == nil {
 		if e.once(ctx, call) == nil {
 			return true
 		}
-		e.timer.Sleep(ctx, joinEvery/2+rand.N(joinEvery)) // not all at once again
+		e.timer.Sleep(ctx, wait/2+rand.N(wait)) // not all at once again
+		wait = joinEvery
 	}
 	return false
 }
