admission: rounds that weigh all pay for each time that they do

Cause: a round that weighs all of many engines does so again for each room it gives; its cost was counted once, so that room for hundreds in one moment would have been a keeper's whole second.

Change: what was weighed is what the next such round is put off by.

3,000 engines that all come free for 200 who wait: bounded by TestMuchRoomAtOnce.

--- a/admission/many_test.go
+++ b/admission/many_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,3 +142,36 @@
 		is.True(w.ranking.weighed <= 200000) // some tenth of a processor
 	})
 }
+
+// TestMuchRoomAtOnce bounds the same where room comes for all who wait in one moment.
+func TestMuchRoomAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const engines, waiting = 3000, 200
+		w := newManyEngines(engines)
+		var runs []*tally.Entry
+		for i := range engines {
+			runs = append(runs, w.tally.Begin(fmt.Sprint("e", i), tally.Load{Requests: slots, Tokens: memory, Coming: 100}))
+		}
+		var given atomic.Int64
+		for i := range waiting {
+			go func() {
+				ask := draft(string(rune('a' + i)))
+				ask.Aim, ask.Patience = time.Minute, time.Hour
+				if _, ok, _ := w.Take(t.Context(), ask); ok {
+					given.Add(1)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		for _, r := range runs {
+			r.End()
+		}
+		w.ranking.weighed = 0
+		time.Sleep(time.Second)
+		synctest.Wait()
+		t.Logf("%d weighed in a second, %d of %d given room", w.ranking.weighed, given.Load(), waiting)
+		is.Equal(int(given.Load()), waiting)
+		is.True(w.ranking.weighed <= 200000)
+	})
+}
--- a/admission/round.go
+++ b/admission/round.go
@@ -17,8 +17,8 @@
 	draws    bool            // of many upstreams a draw is weighed
 }
 
-// allEvery is how long a round that weighs all of many upstreams is put off, for each of
-// them: such rounds take up to a tenth of a processor, however many upstreams there are.
+// allEvery is for how long the next round that weighs all of many upstreams is put off, for
+// each that was weighed: such rounds take a tenth of a processor, however many there are.
 const allEvery = 10 * time.Microsecond
 
 func newRound(draws bool) round {
@@ -38,11 +38,7 @@
 	for _, w := range a.waiting {
 		many = max(many, a.ranking.Drawn(w.ask.Service))
 	}
-	if many > 0 && now.Before(a.allAt) {
-		return newRound(true)
-	}
-	a.allAt = now.Add(time.Duration(many) * allEvery)
-	return newRound(false)
+	return newRound(many > 0 && now.Before(a.allAt))
 }
 
 func (r round) clear() {
@@ -70,6 +66,18 @@
 			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Need: need, Avoid: ask.Avoid, Regions: ask.Regions, All: !r.draws, Draw: r.draws,
 		})
 		r.ranked[key] = list
+		a.putOff(now, r, len(list))
 	}
 	return list
 }
+
+// putOff puts the next round off that weighs all, by what this one weighed.
+func (a *Admission) putOff(now time.Time, r round, upstreams int) {
+	if r.draws {
+		return
+	}
+	if a.allAt.Before(now) {
+		a.allAt = now
+	}
+	a.allAt = a.allAt.Add(time.Duration(upstreams) * allEvery)
+}
