reading, edge: a box that is turned away at its start does not read all

Cause: a box that restarts waits 0.4 s to learn who the others are and then reads all upstreams.

Change: while its call for the others is turned away it waits as long as a box of a crowd does that hears no hub, 4 to 8 s; the call is made again after 0.2, 0.4, 0.8 s, then each second.

--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -56,6 +56,7 @@
 	fleets  map[string]int // of the upstreams, by box
 	boxRows int            // of boxes that were read
 	writes  writes
+	refuse  func() bool // whether the next connection is refused; nil: none is
 }
 
 // put changes a row, or adds it.
@@ -104,6 +105,9 @@
 
 // Rows implements manifest.Rows.
 func (r reader) Rows(ctx context.Context, of store.Range) ([]store.Row, int64, error) {
+	if r.refuse != nil && r.refuse() {
+		return nil, 0, &store.Error{Call: "rows-get", NoEffect: true, Err: io.EOF}
+	}
 	rows, last, _ := r.after(of.Table, 0)
 	rows = slices.DeleteFunc(rows, func(o store.Row) bool { return o.Gone })
 	r.mu.Lock()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -145,6 +145,7 @@
 	configuration *manifest.Configuration
 	catching      atomic.Bool // a newer configuration is being asked for
 	joined        atomic.Bool // the other boxes are known
+	turnedAway    atomic.Bool // by the store, when this box last asked who the others are
 	unlisted      atomic.Bool // a hub is to put this box into the table of boxes
 	registrar     *registrar
 	snapshot      *snapshot.Snapshot
--- a/edge/join.go
+++ b/edge/join.go
@@ -204,7 +204,7 @@
 			return true
 		}
 		e.timer.Sleep(ctx, wait/2+rand.N(wait)) // not all at once again
-		wait = joinEvery
+		wait = min(2*wait, joinEvery)
 	}
 	return false
 }
@@ -212,6 +212,7 @@
 // once makes a call.
 func (e *Edge) once(ctx context.Context, call func(context.Context) error) error {
 	err := call(ctx)
+	e.turnedAway.Store(err != nil)
 	if err != nil {
 		e.log.WithError(err).Warn("boxes_not_read")
 	}
@@ -241,6 +242,9 @@
 // Listed implements reading.Boxes.
 func (e *Edge) Listed() bool { return e.others.Load() }
 
+// TurnedAway implements reading.Boxes.
+func (e *Edge) TurnedAway() bool { return e.turnedAway.Load() }
+
 // IsHub tells whether this box knows for others.
 func (e *Edge) IsHub() bool {
 	_, is := e.members.IsHub(time.Now())
--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -7,8 +7,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -231,3 +233,27 @@
 		is.True(readers <= 2*members.ReadersMost)
 	})
 }
+
+// TestManyRefused restarts a crowd while the store refuses every other connection for a
+// second and a half: still none but the readers reads the upstreams.
+func TestManyRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStart(t, 300, 1, 3000)
+		c.registered(t)
+		ctx, end := c.context(t)
+		defer end()
+		var mu sync.Mutex
+		began, random := time.Now(), rand.New(rand.NewPCG(1, 1))
+		c.table.refuse = func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Since(began) < 1500*time.Millisecond && random.IntN(2) == 0
+		}
+		c.startAllReal(ctx, false)
+		t.Log("all serve after", c.until(t, "serves", 10*time.Second, (*Edge).ready))
+		fleets, _, _ := c.table.read()
+		t.Log("boxes that read the upstreams:", fleets)
+		is.True(fleets <= 2*members.ReadersMost)
+	})
+}
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -77,6 +77,8 @@
 	Known() bool
 	// Listed tells whether it has read who the others were, joined or not.
 	Listed() bool
+	// TurnedAway tells whether the store has turned its last call for them away.
+	TurnedAway() bool
 	// Reads tells whether this box reads for others.
 	Reads() bool
 	// Count returns how many boxes there are.
@@ -180,6 +182,8 @@
 		return Unjoined.when(waited >= coldMost+crowdTold+r.crowds(crowdSpread))
 	case !r.until.IsZero():
 		return Unjoined.when(now.After(r.until))
+	case !r.boxes.Listed() && r.boxes.TurnedAway(): // as any other call would be; it may be of a crowd
+		return Unjoined.when(waited >= crowdTold+crowdSpread*r.spread)
 	case !r.boxes.Listed():
 		return Unjoined.when(waited >= listedIn+r.spread)
 	case !r.boxes.Crowded():
--- a/reading/reading_test.go
+++ b/reading/reading_test.go
@@ -17,6 +17,7 @@
 	known, reads    bool
 	crowded         bool
 	unlisted        bool // the others were never read
+	away            bool // the store turned its last call for them away
 	count           int
 	heard, promised time.Time
 }
@@ -25,6 +26,7 @@
 func (b boxes) Reads() bool         { return b.reads }
 func (b boxes) Count() int          { return b.count }
 func (b boxes) Listed() bool        { return !b.unlisted }
+func (b boxes) TurnedAway() bool    { return b.away }
 func (b boxes) Crowded() bool       { return b.crowded }
 func (b boxes) AllRead() bool       { return b.count <= 8 }
 func (b boxes) HubHeard() time.Time { return b.heard }
@@ -47,6 +49,8 @@
 		"a box that restarts, the others not yet read": {age: never, want: true},
 		"it does not know yet how many they are":       {boxes: boxes{unlisted: true}, age: never, after: 300 * time.Millisecond},
 		"it cannot learn how many they are":            {boxes: boxes{unlisted: true}, age: never, after: 1300 * time.Millisecond, want: true},
+		"it was turned away when it asked":             {boxes: boxes{unlisted: true, away: true}, age: never, after: 3900 * time.Millisecond},
+		"it was turned away for long":                  {boxes: boxes{unlisted: true, away: true}, age: never, after: 8100 * time.Millisecond, want: true},
 		"many restart, and have not joined":            {boxes: boxes{crowded: true}, heard: never, age: never, after: 3 * time.Second},
 		"many restart, and cannot join":                {boxes: boxes{crowded: true}, heard: never, age: never, after: 8100 * time.Millisecond, want: true},
 		"many restart, told before it has joined":      {boxes: boxes{crowded: true}, age: 2 * time.Second},
