--- a/admission/room.go
+++ b/admission/room.go
@@ -38,9 +38,8 @@
 // room returns the best upstream that has room for a request: the emptiest, but
 // while drafts wait, for one that holds memory for a moment, that with the least
 // room left over. Prompts of such requests then use what is too small for any draft,
-// and engines that have just come are filled by drafts: 0.03 of a day's worth under
-// a lasting shortage. While nobody waits they would only slow what runs at full
-// engines: 0.017 of a day's worth with reclaimed engines and no crowd.
+// and engines that have just come are filled by drafts. While nobody waits they would
+// only slow what runs at full engines.
 func (a *Admission) room(now time.Time, r round, ask Ask) (Grant, bool) {
 	ranked, short := a.ranked(now, r, ask), a.short(ask)
 	if !short && !a.overdue(now, ask) && !a.spare(ranked, ask, a.leaving(now, r, ask.Service.Name), a.among(r, ask, ranked)) {
@@ -68,10 +67,8 @@
 // tokens that run at those that leave and move. Where a sixth of the engines leaves
 // at once, their runs need more than what is free; newcomers that took it would have
 // them, or each other, preempted, which costs a second of silence and a prompt read
-// anew. They wait for the engines that come: 0.02 to 0.04 of a day's worth there. One
-// whose caller is about to leave does not.
-//
-// What was weighed stands for so many times as many.
+// anew. They wait for the engines that come; one whose caller is about to leave does not.
+// What was weighed stands for so many times as many upstreams.
 func (a *Admission) spare(ranked []choose.Choice, ask Ask, leaving int, times float64) bool {
 	if leaving == 0 || !ask.Service.Engine.Moves {
 		return true
@@ -129,8 +126,7 @@
 // prompt may be read while the next is there already, so that no engine waits;
 // what takes but a moment may have more before it, as engines read it first. One
 // that can still be in time goes only where it is: it would hold memory for an
-// answer that is late (36 of 1,094 drafts of a crowded day were late by their first
-// event; 0.016 of the worth of three such days).
+// answer that is late.
 func (a *Admission) readable(now time.Time, ask Ask, c choose.Choice) bool {
 	left, l := a.left(now, ask), c.Running
 	if left < 0 {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -139,9 +139,8 @@
 }
 
 // wants returns what a hub is to tell of boxes' loads. All boxes' loads come from
-// one hub, the nearest, as long as that tells them: an answer has 2.8 KB with the
-// loads of 65 engines and 0.1 KB without (BenchmarkMessages), and a box of a fleet
-// of six halls asks six hubs.
+// one hub, the nearest, as long as that tells them: they are most of an answer, and a box
+// of a fleet of six halls asks six hubs.
 func (e *Edge) wants(now time.Time, hub members.Box) wire.GossipScope {
 	switch {
 	case e.IsHub():
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -43,9 +43,8 @@
 // heard may be one: it is asked, and fails if it is not there. The value is
 // shared and not to be changed.
 //
-// It is worked out anew when a box changes or a failure lapses, and costs the
-// same however many boxes there are in between: 0.2 us with 350 of them, where
-// sorting 195 boxes each time took 262 us and 100 KB (BenchmarkHubs).
+// It is worked out anew when a box changes or a failure lapses, and costs the same however
+// many boxes there are in between: it is asked for some hundred times a second.
 func (m *Members) Hubs(now time.Time) []Box {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/told/told.go
+++ b/told/told.go
@@ -39,10 +39,8 @@
 	Near  int // of these, that had just told it
 }
 
-// Book is safe for use by several goroutines. It keeps the sum of all words as
-// they come and lapse: with 195 boxes that tell of 13 upstreams each, what all
-// but one told costs 13 us in place of 143, and one upstream's sum 0.07 us in
-// place of 8 (BenchmarkWithout, BenchmarkOf); 350 boxes cost the same.
+// Book is safe for use by several goroutines. It keeps the sum of all words as they come
+// and lapse, so that what is asked of it costs the same however many boxes tell.
 type Book[T Sum[T]] struct {
 	mu     sync.Mutex
 	others map[string]word[T]
