--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -96,6 +96,7 @@
 	slept    metric.Float64Counter
 	limits   metric.Int64Counter
 	allowed  metric.Int64Counter
+	unread   metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -136,6 +137,7 @@
 	m.breaks = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
 	m.limits = b.counter("petrelstep_upstream_limit_changes", "Upstreams that name how many requests they take, by what changed.")
 	m.allowed = b.counter("petrelstep_limit_asks", "Requests that were about to go to a limited upstream, by outcome.")
+	m.unread = b.counter("petrelstep_words_unread", "Words of other systems that are not read, by place and word.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -298,6 +300,11 @@
 	m.allowed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// WordUnread counts a word of another system that is not read.
+func (m *Metrics) WordUnread(place, word string) {
+	m.unread.Add(context.Background(), 1, metric.WithAttributes(attribute.String("place", place), attribute.String("word", word)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -190,6 +190,14 @@
 	}
 }
 
+// fields name the upstream of an outcome and its status, for the log.
+func (o outcome) fields() logrus.Fields {
+	if o.sent == nil {
+		return logrus.Fields{"upstream": o.upstream}
+	}
+	return logrus.Fields{"upstream": o.sent.upstream.ID, "status": o.sent.answer.Status}
+}
+
 // drop closes an answer that is not passed on.
 func (o outcome) drop() {
 	if o.sent != nil {
@@ -245,12 +253,13 @@
 		}
 		return false
 	}
+	log := j.log.WithFields(o.fields())
 	if !r.Budget.Spend() {
-		j.log.WithField("why", reason).Warn("budget_spent")
+		log.WithField("why", reason).Warn("budget_spent")
 		return false
 	}
 	r.Metrics.Retried(reason)
-	j.log.WithFields(logrus.Fields{"why": reason, "tried": len(j.tried)}).Info("sent_again")
+	log.WithFields(logrus.Fields{"why": reason, "tried": len(j.tried)}).Info("sent_again")
 	return true
 }
 
@@ -277,12 +286,12 @@
 	}
 	defer o.sent.close()
 	if o.sent.answer.NotRun {
-		r.refuse(j.log.WithField("status", o.sent.answer.Status), j.req, c,
+		r.refuse(j.log.WithFields(o.fields()), j.req, c,
 			j.truthful(refusal.New(refusal.UpstreamFull, "the upstream did not run it").WithRetryAfter(comeAgain)))
 		return
 	}
 	if promisesNotRun(o.sent.answer.Status) && !j.route.Repeatable && !j.route.Resumable {
-		r.refuse(j.log.WithField("status", o.sent.answer.Status), j.req, c,
+		r.refuse(j.log.WithFields(o.fields()), j.req, c,
 			refusal.New(refusal.NoAnswer, "the upstream does not say that it did not run it"))
 		return
 	}
