edge: failing test of workers that leave by their answers alone

TestLeavesByItsAnswers brings DRAIN about: a plain worker says in its answers that it leaves, its entry does not (or the store is silent, or the entry is written anew). Workers speak the platform's protocol to the platform's client over connections in memory, as no other test of boxes does.

--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -57,6 +57,25 @@
 	boxRows int            // of boxes that were read
 	writes  writes
 	refuse  func() bool // whether the next connection is refused; nil: none is
+	silent  bool        // no call is answered
+}
+
+// setSilent lets calls go without an answer, or be answered again.
+func (t *table) setSilent(silent bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent = silent
+}
+
+// mute waits for ctx to end while the table is silent.
+func (t *table) mute(ctx context.Context) error {
+	t.mu.Lock()
+	silent := t.silent
+	t.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+	}
+	return ctx.Err()
 }
 
 // put changes a row, or adds it.
@@ -108,6 +127,9 @@
 	if r.refuse != nil && r.refuse() {
 		return nil, 0, &store.Error{Call: "rows-get", NoEffect: true, Err: io.EOF}
 	}
+	if err := r.mute(ctx); err != nil {
+		return nil, 0, err
+	}
 	rows, last, _ := r.after(of.Table, 0)
 	rows = slices.DeleteFunc(rows, func(o store.Row) bool { return o.Gone })
 	r.mu.Lock()
@@ -132,6 +154,9 @@
 func (r reader) Feed(ctx context.Context, of string, mark int64, wait time.Duration) ([]store.Row, int64, error) {
 	end := time.After(wait)
 	for {
+		if err := r.mute(ctx); err != nil {
+			return nil, 0, err
+		}
 		rows, last, changed := r.after(of, mark)
 		if len(rows) > 0 {
 			return rows, last, nil
--- /dev/null
+++ b/edge/leaving_test.go
@@ -0,0 +1,85 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// leftMost is how long after a box has passed on a worker's word that it leaves a caller
+// may send what still reaches it.
+const leftMost = 2 * time.Second
+
+// late returns how many requests reached a worker that had said that it leaves: of those
+// that their callers sent later than leftMost after their own box had passed that on, and
+// after any box had.
+func (p *protocol) late(w *protocolWorker) (own, others int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := time.Time{}
+	for _, at := range p.told {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.arrivals {
+		if told, ok := p.told[a.box+" seal-"+w.id]; ok && a.sent.After(told.Add(leftMost)) {
+			own++
+		}
+		if !first.IsZero() && a.sent.After(first.Add(leftMost)) {
+			others++
+		}
+	}
+	return own, others
+}
+
+// TestLeavesByItsAnswers guards against sending to a worker whose answers say that it
+// leaves while its entry does not.
+func TestLeavesByItsAnswers(t *testing.T) {
+	tests := map[string]struct {
+		boxes  int
+		demand float64
+		path   string
+		during func(p *protocol, w *protocolWorker)
+	}{
+		"6 boxes":   {boxes: 6, demand: 40},
+		"77 boxes":  {boxes: 77, demand: 100},
+		"300 boxes": {boxes: 300, demand: 300},
+		"the store is silent": {boxes: 6, demand: 40, path: "/open/", during: func(p *protocol, _ *protocolWorker) {
+			p.crowd.table.setSilent(true)
+		}},
+		"its entry is written anew": {boxes: 6, demand: 40, during: func(p *protocol, w *protocolWorker) {
+			p.enter(w, "ready")
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, end := context.WithCancel(t.Context())
+				p := newProtocol(ctx, t, tt.boxes, 4)
+				p.press(ctx, tt.path, tt.demand, 3*time.Second)
+				w := p.workers[0]
+				w.set(func(w *protocolWorker) { w.leaves = true })
+				p.press(ctx, tt.path, tt.demand, time.Second)
+				if tt.during != nil {
+					tt.during(p, w)
+				}
+				asked, served := p.press(ctx, tt.path, tt.demand, 8*time.Second)
+				own, others := p.late(w)
+				t.Log("reached it later than", leftMost, "after its word:", own, "by the same box,", others, "by any; served", served, "of", asked)
+				p.crowd.table.setSilent(false)
+				p.stop(end)
+				is.Equal(own, 0)
+				is.Equal(others, 0)
+				is.True(served*100 >= asked*99)
+			})
+		})
+	}
+}
