relay: an upstream's answer that says that it leaves is heard

What callers saw: nothing; workers that were leaving went on getting requests from boxes that had passed on their word, for as long as the store was silent or listed them as open (DRAIN, 2.7 to 5.5 s after it).

Cause: no line read the header. A box learned of a departure from entries, from reports of engines where it had runs, and from other boxes.

Fix: what a head says is read in one place, whatever the answer, and handed to the fleet as the upstream's own word, which nothing takes back but another life; so all that follows departures follows it: other boxes hear it, runs move. A send is checked just before it goes, in one place for all kinds (relay/check.go), as a request may be placed before the word and go after it. Reports' heads count too. Values that cannot be read are counted and logged.

--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"petrelstep/fleet"
 )
 
 // leftMost is how long after a box has passed on a worker's word that it leaves a caller
@@ -83,3 +85,37 @@
 		})
 	}
 }
+
+// TestLeavingIsTold shows how soon all boxes pass a worker by of which one box has heard
+// that it leaves, with all that may happen to some of them meanwhile.
+func TestLeavingIsTold(t *testing.T) {
+	nothing := func(context.Context, testing.TB, *crowd, *Edge) {}
+	tests := map[string]struct {
+		boxes     int
+		meanwhile func(ctx context.Context, t testing.TB, c *crowd, at *Edge)
+	}{
+		"6 boxes":                       {6, nothing},
+		"77 boxes":                      {77, nothing},
+		"300 boxes":                     {300, nothing},
+		"the hubs of 77 boxes die":      {77, hubsDie},
+		"two hubs of 300 boxes die":     {300, hubsDie},
+		"a box of 6 starts":             {6, boxStarts},
+		"a box of 300 starts":           {300, boxStarts},
+		"a box of 6 is cut off a while": {6, boxIsCut},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, end := context.WithCancel(t.Context())
+				p := newProtocol(ctx, t, tt.boxes, 4)
+				c := p.crowd
+				at := c.all[len(c.all)-1]
+				at.fleet.Leaves(time.Now(), fleet.Departure{ID: "w0", Said: true}, "answer")
+				tt.meanwhile(ctx, t, c, at)
+				t.Log("all pass it by after", c.until(t, "passes it by", leftMost, func(e *Edge) bool { return !e.fleet.Takes("w0") }))
+				p.stop(end)
+			})
+		})
+	}
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -63,7 +63,8 @@
 	Whole   bool // it carries the upstream's seal
 	Framed  bool // its end is told apart from a broken connection
 	Limit   Limit
-	Message any // what only the adapters read
+	Leaves  bool // the upstream says that it leaves
+	Message any  // what only the adapters read
 	Body    Body
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -30,6 +30,7 @@
 	RetryIdempotent   = "idempotent_call"
 	RetryMoved        = "moved"
 	RetryBeside       = "beside"
+	RetryLeft         = "upstream_left" // before the request went
 )
 
 // Reasons to end a stream whose caller reads slowly.
@@ -60,7 +61,7 @@
 
 // RetryReasons lists every reason for a retry.
 func RetryReasons() []string {
-	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside}
+	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside, RetryLeft}
 }
 
 // NotBesideReasons lists every reason for a second try that was not sent.
@@ -97,6 +98,7 @@
 	limits   metric.Int64Counter
 	allowed  metric.Int64Counter
 	unread   metric.Int64Counter
+	spoilt   metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -138,6 +140,7 @@
 	m.limits = b.counter("petrelstep_upstream_limit_changes", "Upstreams that name how many requests they take, by what changed.")
 	m.allowed = b.counter("petrelstep_limit_asks", "Requests that were about to go to a limited upstream, by outcome.")
 	m.unread = b.counter("petrelstep_words_unread", "Words of other systems that are not read, by place and word.")
+	m.spoilt = b.counter("petrelstep_words_unreadable", "Words of other systems whose values cannot be read, by place and word.")
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -305,6 +308,11 @@
 	m.unread.Add(context.Background(), 1, metric.WithAttributes(attribute.String("place", place), attribute.String("word", word)))
 }
 
+// WordUnreadable counts a word of another system whose value cannot be read.
+func (m *Metrics) WordUnreadable(place, word string) {
+	m.spoilt.Add(context.Background(), 1, metric.WithAttributes(attribute.String("place", place), attribute.String("word", word)))
+}
+
 // Handler serves the counts.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- /dev/null
+++ b/relay/check.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"errors"
+
+	"petrelstep/exchange"
+	"petrelstep/fleet"
+	"petrelstep/metrics"
+)
+
+// LeavingError says that an upstream leaves, or that its hall was evacuated.
+type LeavingError struct{ Upstream string }
+
+// Error implements error.
+func (e *LeavingError) Error() string { return "upstream " + e.Upstream + " takes nothing new" }
+
+// check tells why a request may not go to an upstream that was picked for it: time has
+// passed since. A run that has moved goes to the copy of its memory. The error is a
+// refusal, or says that nothing was sent.
+func (r *Relay) check(j *job, u fleet.Upstream, from *exchange.Copy) error {
+	if refused, ok := r.quarantined(j); ok {
+		return refused
+	}
+	if from == nil && !r.Fleet.Takes(u.ID) {
+		return &exchange.FailedError{NotSent: true, Err: &LeavingError{Upstream: u.ID}}
+	}
+	return nil
+}
+
+// unsentReason tells why nothing reached an upstream, for the counter of retries.
+func unsentReason(err error) string {
+	if errors.As(err, new(*LeavingError)) {
+		return metrics.RetryLeft
+	}
+	return metrics.RetryNeverStarted
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,8 @@
 	hungPart = 2
 	// urgencyMost is the last rank that engines know.
 	urgencyMost = 9
+	// sourceAnswer names an upstream's answer in the log as where news came from.
+	sourceAnswer = "answer"
 )
 
 // Parts are what a relay works with.
@@ -316,8 +318,9 @@
 func (r *Relay) notReached(j *job, upstream string, err error) {
 	j.tried = slices.DeleteFunc(j.tried, func(id string) bool { return id == upstream })
 	j.passed = append(j.passed, upstream)
-	r.Metrics.Retried(metrics.RetryNeverStarted)
-	j.log.WithError(err).WithField("upstream", upstream).Warn("not_reached")
+	reason := unsentReason(err)
+	r.Metrics.Retried(reason)
+	j.log.WithError(err).WithFields(logrus.Fields{"upstream": upstream, "why": reason}).Warn("not_reached")
 }
 
 // place finds an upstream for a request; for one that an engine answers it waits
@@ -404,8 +407,8 @@
 
 // sendTo sends to one upstream.
 func (r *Relay) sendTo(ctx context.Context, j *job, u fleet.Upstream, after int, from *exchange.Copy) (*sent, error) {
-	if refused, ok := r.quarantined(j); ok { // the word came since it was placed, or its run is moved
-		return nil, refused
+	if err := r.check(j, u, from); err != nil {
+		return nil, err
 	}
 	load := j.loadOf(after, from)
 	alone := 0
@@ -468,13 +471,26 @@
 // headCame takes what the head of an answer says.
 func (r *Relay) headCame(j *job, u fleet.Upstream, sent time.Time, answer *exchange.Answer) {
 	if answer.Status != http.StatusMisdirectedRequest { // that is another upstream's
-		r.Limits.Heard(time.Now(), sent, u, answer.Limit, answer.Whole && !answer.NotRun)
+		now := time.Now()
+		r.Limits.Heard(now, sent, u, answer.Limit, answer.Whole && !answer.NotRun)
+		r.heardLeaving(now, j, u, answer)
 	}
 	if !answer.NotRun {
 		j.ran.Store(true)
 	}
 }
 
+// heardLeaving takes an upstream's word that it leaves.
+func (r *Relay) heardLeaving(now time.Time, j *job, u fleet.Upstream, answer *exchange.Answer) {
+	if !answer.Leaves {
+		return
+	}
+	if !r.Fleet.Leaving(u.ID) {
+		j.log.WithFields(logrus.Fields{"upstream": u.ID, "born": u.Born, "status": answer.Status}).Info("leaving_heard")
+	}
+	r.Fleet.Leaves(now, fleet.Departure{ID: u.ID, Said: true, Born: u.Born}, sourceAnswer)
+}
+
 // RestartedError says that an upstream has started again, and lost what it had.
 type RestartedError struct{ Upstream string }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -55,6 +55,7 @@
 	wait     func()        // before the stream ends
 	silent   bool          // nothing comes after the events until the sender gives up
 	limit    float64       // that the upstream names; 0 for none
+	leaves   bool          // the upstream says so
 }
 
 func (r reply) says() exchange.Limit {
@@ -93,7 +94,7 @@
 		r.status = http.StatusOK
 	}
 	return &exchange.Answer{
-		Status: r.status, NotRun: r.notRun, Whole: !r.unsealed, Framed: !r.unframed, Limit: r.says(), Body: &bodyOf{ctx: ctx, reply: r},
+		Status: r.status, NotRun: r.notRun, Whole: !r.unsealed, Framed: !r.unframed, Limit: r.says(), Leaves: r.leaves, Body: &bodyOf{ctx: ctx, reply: r},
 	}, nil
 }
 
@@ -950,6 +951,7 @@
 // placed admits to one upstream after it has started again.
 type placed struct {
 	fleet *fleet.Fleet
+	news  func(u fleet.Upstream) // that comes once the first was placed
 	asked int
 }
 
@@ -958,27 +960,38 @@
 	p.asked++
 	u, _ := p.fleet.Get(id)
 	if p.asked == 1 {
-		p.fleet.Started(time.Now(), id, u.Born+1, "report")
+		p.news(u)
 	}
 	return admission.Grant{Upstream: u}, nil
 }
 
-// TestRestartedBeforeSent holds that nothing is sent to an incarnation that ended after
-// a request was placed there: the news that cuts requests off came before this one.
-func TestRestartedBeforeSent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t, reply{events: []int{0}})
-		for i := range 2 {
-			u, _ := w.fleet.Get(fmt.Sprint("llm", i))
-			u.Born = 100
-			w.fleet.Told(time.Now(), u)
-		}
-		w.relay.Admitter = &placed{fleet: w.fleet}
-		c := w.serve(t.Context(), "/draft/")
-		is.Equal(c.body.String(), "0;")
-		is.Equal(len(w.sender.sends), 1)
-		is.Equal(w.sender.first(), "llm1")
-		is.Equal(len(w.tally.Own()), 0)
-	})
+// TestNewsBeforeSent holds that nothing is sent to an upstream of which the news came
+// after a request was placed there that it has started again, or takes nothing new.
+func TestNewsBeforeSent(t *testing.T) {
+	tests := map[string]func(w *world, u fleet.Upstream){
+		"it has started again": func(w *world, u fleet.Upstream) { w.fleet.Started(time.Now(), u.ID, u.Born+1, "report") },
+		"it leaves": func(w *world, u fleet.Upstream) {
+			w.fleet.Leaves(time.Now(), fleet.Departure{ID: u.ID, Said: true}, "answer")
+		},
+		"its hall is evacuated": func(w *world, u fleet.Upstream) { w.fleet.CloseHall(time.Now(), u.Hall) },
+	}
+	for name, news := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, reply{events: []int{0}})
+				for i := range 2 {
+					u, _ := w.fleet.Get(fmt.Sprint("llm", i))
+					u.Born, u.Hall, u.Version = 100, fmt.Sprint("hall", i), u.Version+1
+					w.fleet.Put(time.Now(), u)
+				}
+				w.relay.Admitter = &placed{fleet: w.fleet, news: func(u fleet.Upstream) { news(w, u) }}
+				c := w.serve(t.Context(), "/draft/")
+				is.Equal(c.body.String(), "0;")
+				is.Equal(len(w.sender.sends), 1)
+				is.Equal(w.sender.first(), "llm1")
+				is.Equal(len(w.tally.Own()), 0)
+			})
+		})
+	}
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -92,7 +92,7 @@
 	w.faults = append(w.faults, faults...)
 }
 
-// Leave makes its report say that it leaves.
+// Leave makes its report and all its answers say that it leaves.
 func (w *Worker) Leave() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -113,13 +113,16 @@
 	w.limit = limit
 }
 
-// nameLimit names the limit in an answer's head.
-func (w *Worker) nameLimit(out http.ResponseWriter) {
+// speak puts what the worker says of itself into an answer's head.
+func (w *Worker) speak(out http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.limit != "" {
 		out.Header().Set("Server-Limit", w.limit)
 	}
+	if w.leaving {
+		out.Header().Set("Server-Leaving", "1")
+	}
 }
 
 // EndsOn lets the worker call end, which is to end it without a word, once it has begun
@@ -152,7 +155,7 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.nameLimit(out)
+	w.speak(out)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	state, left := "ready", 0
@@ -214,7 +217,7 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.nameLimit(out)
+	w.speak(out)
 	fault := w.fault()
 	if fault == Full || fault == Early {
 		out.Header().Set("Not-Executed", "1")
@@ -251,8 +254,10 @@
 func (w *Worker) whole(out http.ResponseWriter, id string, fault Fault) {
 	body := "answer to " + id + " by " + w.id
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: seal-" + w.id + "\r\n"
-	if limit := out.Header().Get("Server-Limit"); limit != "" { // in all its answers
-		head += "Server-Limit: " + limit + "\r\n"
+	for _, word := range []string{"Server-Limit", "Server-Leaving"} { // in all its answers
+		if said := out.Header().Get(word); said != "" {
+			head += word + ": " + said + "\r\n"
+		}
 	}
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
 	switch fault {
--- a/vocabulary/vocabulary.go
+++ b/vocabulary/vocabulary.go
@@ -23,9 +23,10 @@
 // Other stands for words beyond the first wordsMost.
 const Other = "other"
 
-// Counter counts words that are not read.
+// Counter counts words that are not read, and values that cannot be.
 type Counter interface {
 	WordUnread(place, word string)
+	WordUnreadable(place, word string)
 }
 
 // Vocabulary is that of one place, such as the heads of one system's answers. It is safe
@@ -58,10 +59,26 @@
 	counted, due := v.note(now, word)
 	v.counter.WordUnread(v.place, counted)
 	if due {
-		v.log.WithFields(logrus.Fields{"place": v.place, "word": quoted(word), "value": quoted(value), "speaker": speaker}).Warn("word_unread")
+		v.line(speaker, word, value).Warn("word_unread")
 	}
 }
 
+// Unreadable counts a known word whose value cannot be read, and logs it once a minute.
+func (v *Vocabulary) Unreadable(now time.Time, speaker, word, value string) {
+	if v == nil {
+		return
+	}
+	counted, due := v.note(now, word)
+	v.counter.WordUnreadable(v.place, counted)
+	if due {
+		v.line(speaker, word, value).Warn("word_unreadable")
+	}
+}
+
+func (v *Vocabulary) line(speaker, word, value string) *logrus.Entry {
+	return v.log.WithFields(logrus.Fields{"place": v.place, "word": quoted(word), "value": quoted(value), "speaker": speaker})
+}
+
 // note returns the name under which a word is counted, and whether it is to be logged.
 func (v *Vocabulary) note(now time.Time, word string) (counted string, due bool) {
 	v.mu.Lock()
--- a/vocabulary/vocabulary_test.go
+++ b/vocabulary/vocabulary_test.go
@@ -18,6 +18,9 @@
 // WordUnread implements vocabulary.Counter.
 func (c counts) WordUnread(place, word string) { c[place+"/"+word]++ }
 
+// WordUnreadable implements vocabulary.Counter.
+func (c counts) WordUnreadable(place, word string) { c["unreadable "+place+"/"+word]++ }
+
 // TestHear shows which words are counted and logged.
 func TestHear(t *testing.T) {
 	now := time.Now()
@@ -65,4 +68,5 @@
 	is.True(out.Len() < 32*400)
 	var none *vocabulary.Vocabulary
 	none.Hear(time.Now(), "u1", "word", "")
+	none.Unreadable(time.Now(), "u1", "word", "")
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -108,7 +108,7 @@
 	word, err := w.reports.Word(ctx, u.Address)
 	if err != nil {
 		w.log.WithError(err).WithField("upstream", u.ID).Debug("report_not_read")
-		return
+		word.Born = 0 // only the answer's head holds
 	}
 	w.limits.Heard(time.Now(), sent, u, word.Limit, false) // a report may leave out what still holds
 	w.fleet.Started(time.Now(), u.ID, word.Born, sourceReport)
