fleet: leaving upstreams told before their entry, and forgotten

A hub's word that an upstream says that it leaves was dropped by a box that did not know it yet; the entry, read later, made it open there (TestToldBeforeListed, failed before). And boxes that do not read the table themselves were never told that an entry went, so that they kept each upstream that ever left (TestForgottenUnread, failed before): they forget it after an hour now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,10 @@
 // for some seconds, and an old entry told late must not bring it back.
 const keptFor = 60 * time.Second
 
+// keptMost is how long an upstream that leaves is known at most: who does not read the
+// table is not told that its entry went.
+const keptMost = time.Hour
+
 // BornMost bounds what an upstream may say of its start, in Unix ms: decades from now.
 // A later one is of another unit or another writer, and no later start would ever count
 // as newer.
@@ -298,6 +302,14 @@
 	f.tell(e, source)
 }
 
+// keptTime returns for how long an upstream that leaves is known.
+func keptTime(e *entry) time.Duration {
+	if e.listed {
+		return keptMost
+	}
+	return keptFor
+}
+
 func (f *Fleet) tell(e *entry, source string) {
 	for _, l := range f.listeners {
 		go l(e.upstream, source)
@@ -312,7 +324,7 @@
 		switch {
 		case e.upstream.State == Missing && now.Sub(e.since) >= f.grace:
 			f.leave(now, e, "missing")
-		case e.upstream.State == Leaving && !e.listed && now.Sub(e.since) >= keptFor:
+		case e.upstream.State == Leaving && now.Sub(e.since) >= keptTime(e):
 			f.forget(id, e)
 		}
 	}
@@ -365,7 +377,7 @@
 	defer f.mu.Unlock()
 	e, ok := f.all[u.ID]
 	if !ok {
-		if u.State == Leaving {
+		if u.State == Leaving && !u.Said {
 			return // nothing of this box can be there
 		}
 		e = &entry{since: now, listed: true}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -127,6 +127,49 @@
 	}
 }
 
+// TestForgottenUnread bounds for how long an upstream that left is known to a box that does not
+// read the table itself, and so is not told that its entry went.
+func TestForgottenUnread(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New(grace)
+	f.Told(now, up("u", fleet.Open, 5))
+	f.Told(now, up("u", fleet.Leaving, 6))
+	f.Tick(now.Add(10 * time.Minute))
+	_, known := f.Get("u")
+	is.True(known)
+	f.Tick(now.Add(2 * time.Hour))
+	_, known = f.Get("u")
+	is.True(!known)
+}
+
+// TestToldBeforeListed guards against taking up an upstream that has said that it leaves
+// where a hub tells so before the upstream's entry is read.
+func TestToldBeforeListed(t *testing.T) {
+	tests := map[string]struct {
+		said  bool
+		after time.Duration // until the entry is read
+		want  bool          // it takes new work
+	}{
+		"it said so itself":       {said: true},
+		"only its entry was gone": {want: true},
+		"a while before":          {said: true, after: 10 * time.Minute},
+		"long before":             {said: true, after: 2 * time.Hour, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := fleet.New(grace)
+			u := up("u", fleet.Leaving, 6)
+			u.Said = tt.said
+			f.Told(now, u)
+			is.Equal(len(f.Serving("s")), 0)
+			f.Tick(now.Add(tt.after))
+			f.Put(now.Add(tt.after), up("u", fleet.Open, 7))
+			is.Equal(len(f.Serving("s")) == 1, tt.want)
+		})
+	}
+}
+
 func TestDepartureIsToldOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
