rest: upstreams that ask a box for rest are left alone

Cause: no line read Retry-After in an upstream's answer. A refusal counted as a failure, which makes an upstream less likely by its failures of late and excludes nothing. Evidence: load=0 and try=1 in each send within the rest; TestRestAskedFor failed with up to 13 requests of one box at 6 boxes, 5 at 77.

Fix: the time is read with the other words of a head, kept at the box that was asked (rest) for as long as the latest of them lasts, and asked for at the two places that decide: choose leaves out who rests here, for all kinds of sends, and the check just before a send holds what was placed before the word came. The keeper of a queue is told with each ask. At its end a box takes the upstream up again at a drawn time, with one request until that is answered. Where all rest, who cannot wait is refused at once, as not run, with when the first is back. A rest counts as no failure: that is told to all boxes.

Passes: TestRestAskedFor, 0 within a rest at 6, 77 and 300 boxes; TestRestEnds (with failures still counted the worker got 186, 586, 1,133 requests in the 10 s after, where 205, 613, 1,407 are usual; without 208, 582, 1,617; at most 7, 13, 35 in a tenth of a second), TestAllRest, TestEnginesRest, relay.TestRest*, TestMoved (three rows), package rest.

--- a/choose/choose.go
+++ b/choose/choose.go
@@ -11,6 +11,7 @@
 	"petrelstep/balance/speeds"
 	"petrelstep/fleet"
 	"petrelstep/reliability"
+	"petrelstep/rest"
 	"petrelstep/route"
 	"petrelstep/tally"
 	"petrelstep/warmup"
@@ -81,6 +82,7 @@
 	Warmup      *warmup.Warmup                // nil: cold upstreams are not spared
 	Part        func(s route.Service) float64 // of what a cold upstream bears that this box may send
 	Limits      Limits                        // nil: nobody names a limit
+	Rest        *rest.Rest                    // that upstreams have asked this box for; nil: none
 }
 
 // New returns a chooser of a box in a hall.
@@ -112,6 +114,7 @@
 	Regions []string // the only ones that may be chosen; none for any
 	All     bool     // all are weighed: what others send there meanwhile is known
 	Draw    bool     // of many a draw of most of a hall is weighed, in place of all
+	Own     bool     // this box sends it: upstreams that have asked it for rest are left out
 }
 
 // Choice is an upstream, what runs there, and that as a share of its capacity.
@@ -179,7 +182,7 @@
 	if w.Hall == "" {
 		w.Hall = c.Hall
 	}
-	list := c.candidates(w)
+	list := c.candidates(now, w)
 	loads := make([]tally.Load, len(list))
 	for i, u := range list {
 		loads[i] = c.Tally.Load(now, u.ID)
@@ -216,8 +219,11 @@
 }
 
 // candidates returns the upstreams to weigh.
-func (c *Chooser) candidates(w Want) []fleet.Upstream {
+func (c *Chooser) candidates(now time.Time, w Want) []fleet.Upstream {
 	list := c.Fleet.Serving(w.Service.Name)
+	if w.Own {
+		list = c.Rest.Without(now, list)
+	}
 	if w.Draw && len(list) > drawnFrom {
 		list = c.few(list, w.Hall)
 	}
--- a/edge/admit.go
+++ b/edge/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,7 +24,8 @@
 	// admitSlack is for the way to the keeper and back.
 	admitSlack = 100 * time.Millisecond
 	// admitTries bounds how often the keeper is asked anew because it named an
-	// upstream that this box does not know, that leaves or whose hall is evacuated.
+	// upstream that this box does not know, that leaves, whose hall is evacuated or that
+	// has asked this box for rest.
 	admitTries = 3
 )
 
@@ -43,7 +45,7 @@
 		if err != nil {
 			return admission.Grant{}, err
 		}
-		if u, ok := e.fleet.Get(g.Upstream.ID); ok && e.fleet.Takes(u.ID) {
+		if u, ok := e.fleet.Get(g.Upstream.ID); ok && e.fleet.Takes(u.ID) && e.rest.Wait(time.Now(), u.ID) == 0 {
 			g.Upstream = u
 			return g, nil
 		}
@@ -72,9 +74,34 @@
 	return e.admitAlone(ctx, ask)
 }
 
+// avoidResting returns an ask that passes by whom this box is to leave alone for now.
+func (e *Edge) avoidResting(ask admission.Ask) (with admission.Ask, some bool) {
+	resting := e.rest.Names(time.Now(), ask.Service.Name)
+	ask.Avoid = append(slices.Clone(ask.Avoid), resting...)
+	return ask, len(resting) > 0
+}
+
+// takeAlone waits in this box's own queue; while upstreams rest it asks anew as the
+// keeper is asked, so that those are not passed by that rest no longer.
+func (e *Edge) takeAlone(ctx context.Context, ask admission.Ask) (g admission.Grant, ok bool, err error) {
+	for ctx.Err() == nil {
+		with, some := e.avoidResting(ask)
+		if !some {
+			return e.admission.Take(ctx, ask)
+		}
+		waits, end := context.WithTimeout(ctx, admitWait)
+		g, ok, err = e.admission.Take(waits, with)
+		end()
+		if ok || err != nil {
+			return g, ok, err
+		}
+	}
+	return g, false, nil
+}
+
 // admitAlone waits in this box's own queue.
 func (e *Edge) admitAlone(ctx context.Context, ask admission.Ask) (admission.Grant, error) {
-	g, ok, err := e.admission.Take(ctx, ask)
+	g, ok, err := e.takeAlone(ctx, ask)
 	switch {
 	case err != nil:
 		return admission.Grant{}, err
@@ -92,11 +119,12 @@
 func (e *Edge) admitAt(ctx context.Context, keeper members.Box, ask admission.Ask) (g admission.Grant, ok bool, err error) {
 	call, cancel := context.WithTimeout(ctx, admitWait+admitSlack)
 	defer cancel()
+	with, _ := e.avoidResting(ask)
 	var answer wire.AdmitAnswer
 	err = e.peers.Repeat(call, keeper.Address, peer.Admit, wire.AdmitAsk{
 		Request: ask.Request, Box: ask.Box, Hall: ask.Hall, Service: ask.Service.Name, Urgency: ask.Urgency,
 		Prompt: ask.Prompt, Answer: ask.Answer, AimMs: int(ask.Aim.Milliseconds()), GapMs: int(ask.Gap.Milliseconds()), WaitedMs: int(time.Since(ask.Arrived).Milliseconds()),
-		DeadlineMs: int(ask.Deadline.Milliseconds()), PatienceMs: int(ask.Patience.Milliseconds()), Mark: strconv.FormatUint(ask.Mark, 36), Organisation: ask.Organisation, Avoid: ask.Avoid, Regions: ask.Regions, WaitMs: int(admitWait.Milliseconds()),
+		DeadlineMs: int(ask.Deadline.Milliseconds()), PatienceMs: int(ask.Patience.Milliseconds()), Mark: strconv.FormatUint(ask.Mark, 36), Organisation: ask.Organisation, Avoid: with.Avoid, Regions: ask.Regions, WaitMs: int(admitWait.Milliseconds()),
 	}, &answer)
 	switch {
 	case err != nil && ctx.Err() == nil:
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -37,6 +37,7 @@
 	"petrelstep/quarantine"
 	"petrelstep/relay"
 	"petrelstep/reliability"
+	"petrelstep/rest"
 	"petrelstep/retry"
 	"petrelstep/route"
 	"petrelstep/runs"
@@ -131,6 +132,7 @@
 	quarantine  *quarantine.Quarantine
 	kept        *kept
 	limits      *limits.Limits
+	rest        *rest.Rest
 	limiter     *limiter
 	admission   *admission.Admission
 	sharing     *sharing
@@ -205,6 +207,7 @@
 	e.quarantine = quarantine.New(counts, e.kept, log)
 	e.limits = limits.New(counts, log)
 	e.limiter = newLimiter(e)
+	e.rest = rest.New(rand.New(rand.NewPCG(uint64(e.record.Incarnation), 8)), counts, log)
 	e.registrar = newRegistrar(e)
 	e.snapshot = snapshot.New(e.wholeFleet)
 	e.halls = halls.New(e.hallChanged)
@@ -232,7 +235,7 @@
 	e.fleet.OnRestart(e.restarted(warm))
 	chooser := choose.New(choose.Parts{
 		Fleet: e.fleet, Tally: e.tally, Reliability: e.reliability, Reading: reading, Hall: e.config.Hall, Speeds: e.speeds,
-		Warmup: warm, Part: e.part, Limits: e.limiter, Regions: s.Regions,
+		Warmup: warm, Part: e.part, Limits: e.limiter, Rest: e.rest, Regions: s.Regions,
 		Random: rand.New(rand.NewPCG(uint64(e.record.Incarnation), 1)),
 	})
 	if e.config.Balances(wire.EdgeBalanceElemPlaces) {
@@ -245,7 +248,7 @@
 	e.admission = admission.New(chooser, e.tally, reading, e.sharing.keeper(), rand.New(rand.NewPCG(uint64(e.record.Incarnation), 3)), e.log)
 	e.relay = relay.New(relay.Parts{
 		Belief: e.belief, Fleet: e.fleet, Chooser: chooser, Admitter: e, Places: e.places, Tally: e.tally, Reliability: e.reliability, Speeds: e.speeds, Sender: e.upstreams,
-		Liveness: liveness.New(e.upstreams, e.fleet), Quarantine: e.quarantine, Trials: e.newTrials(), Limits: e.limits, Limiter: e.limiter, Budget: e.budget,
+		Liveness: liveness.New(e.upstreams, e.fleet), Quarantine: e.quarantine, Trials: e.newTrials(), Limits: e.limits, Limiter: e.limiter, Rest: e.rest, Budget: e.budget,
 		Runs: e.runs, Lengths: length.New(), Prefill: reading, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, Buffers: e.buffers, ServeStale: s.ServeStale, Log: e.log,
 	})
 	e.callers = callers.New(e.relay, e.bodyMost, e.draining.Load)
@@ -396,6 +399,7 @@
 		e.tally.Forget(u.ID)
 		e.reliability.Forget(u.ID)
 		e.limits.Forget(u.ID)
+		e.rest.Forget(u.ID)
 		warm.Forget(u.ID)
 		e.turns.Forget(u.ID)
 		cut, copies := e.runs.Restarted(u)
--- a/edge/engines_test.go
+++ b/edge/engines_test.go
@@ -45,6 +45,8 @@
 	ended    chan struct{} // closed when its connections break
 	runs     map[*exchange.Request]bool
 	said     exchange.Limit
+	rest     time.Duration // that it asks for as it turns all away; 0: it serves
+	refusals []refused
 }
 
 // arrival is a request that has reached an engine.
@@ -155,6 +157,13 @@
 		s.mu.Unlock()
 		return nil, &exchange.FailedError{NotSent: true, Refused: true, Err: errBroke}
 	}
+	if e.rest > 0 {
+		e.refusals = append(e.refusals, refused{time.Now(), s.box.Name(), e.rest})
+		s.arrivals = append(s.arrivals, arrival{time.Now(), send.Request.Content, s.box.Name(), e.id})
+		rest := e.rest
+		s.mu.Unlock()
+		return &exchange.Answer{Status: http.StatusServiceUnavailable, NotRun: true, Framed: true, Rest: rest, Body: portalBody{}}, nil
+	}
 	e.runs[send.Request] = true
 	s.arrivals = append(s.arrivals, arrival{time.Now(), send.Request.Content, s.box.Name(), e.id})
 	ended, said := e.ended, e.said
--- a/edge/protocol_test.go
+++ b/edge/protocol_test.go
@@ -35,12 +35,13 @@
 	server   *http.Server
 	opened   chan net.Conn
 
-	mu       sync.Mutex
-	arrivals []arrived
-	refusals []refused
-	leaves   bool          // its answers say so
-	rest     time.Duration // that it asks for as it turns all away; 0: it serves
-	says     http.Header   // what its answers carry besides
+	mu        sync.Mutex
+	arrivals  []arrived
+	refusals  []refused
+	leaves    bool          // its answers say so
+	rest      time.Duration // that it asks for as it turns all away; 0: it serves
+	restUntil time.Time     // it turns all away until then, and asks for that much rest
+	says      http.Header   // what its answers carry besides
 }
 
 // arrived is a request that has reached a worker.
@@ -163,7 +164,7 @@
 	p.mu.Unlock()
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, arrived{time.Now(), sent, box})
-	leaves, rest, says := w.leaves, w.rest, w.says.Clone()
+	leaves, rest, says := w.leaves, cmp.Or(w.rest, max(time.Until(w.restUntil), 0)), w.says.Clone()
 	w.mu.Unlock()
 	h := out.Header()
 	h.Set("Request-Id", id)
--- a/edge/run.go
+++ b/edge/run.go
@@ -148,7 +148,7 @@
 	upstreams := follow.New("upstreams", workers, heard{e.fleet.Confirm, e.storeAnswered}, e.reading("upstreams", e.fleet.Age), e.log)
 	all.Go(func() { upstreams.Run(ctx) })
 	all.Go(func() { e.timer.Every(ctx, "tick", tickEvery, e.tick) })
-	look := watch.New(e.fleet, e.storeSilent, e.runs, e.upstreams, e.limits, e.log)
+	look := watch.New(e.fleet, e.storeSilent, e.runs, e.upstreams, e.limits, e.rest, e.log)
 	all.Go(func() {
 		e.timer.Every(ctx, "watch", watch.Period, func(now time.Time) { look.Look(ctx, now) })
 	})
@@ -196,6 +196,7 @@
 	e.fleet.Tick(now)
 	e.quarantine.Tick(now)
 	e.limiter.tick(now)
+	e.rest.Tick(now)
 	if e.joined.Load() {
 		e.budget.Resize(e.slack(e.Count()))
 		e.noteRole()
--- a/edge/suspend.go
+++ b/edge/suspend.go
@@ -30,6 +30,7 @@
 	e.speeds.Older(slept)
 	e.quarantine.Older(slept)
 	e.limits.Older(slept)
+	e.rest.Older(slept)
 	if e.places != nil {
 		e.places.Older(slept)
 	}
--- a/edge/view.go
+++ b/edge/view.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"petrelstep/fleet"
 	"petrelstep/wire"
 )
 
@@ -24,6 +26,7 @@
 		ConfigurationAgeMs: unknownAge, UpstreamsAgeMs: unknownAge, StoreSilentMs: unknownAge, LoadsAgeMs: unknownAge,
 		Upstreams: e.fleet.Open(), Waiting: e.admission.Waiting(), Serving: int(e.serving.Load()), Stopping: e.draining.Load(),
 		Halls: e.hallWords(now), Places: e.viewPlaces(now), Quarantine: e.quarantine.View(now), Limits: e.limiter.View(now),
+		Rests: e.rest.View(now), LeavingUpstreams: e.leavingUpstreams(now),
 	}
 	for _, b := range e.members.Asks(now) {
 		v.Asks = append(v.Asks, b.Name)
@@ -50,6 +53,16 @@
 	return v
 }
 
+// leavingUpstreams returns the upstreams to which this box sends nothing new as they leave.
+func (e *Edge) leavingUpstreams(now time.Time) []wire.LeavingView {
+	list := []wire.LeavingView{}
+	e.fleet.EachLeaving(now, func(u fleet.Upstream, since time.Duration) {
+		list = append(list, wire.LeavingView{Upstream: u.ID, SinceMs: int(since.Milliseconds()), Said: u.Said})
+	})
+	slices.SortFunc(list, func(a, b wire.LeavingView) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return list
+}
+
 // keeps returns the services whose queue this box keeps, as it sees it.
 func (e *Edge) keeps() []string {
 	keeps := []string{}
--- a/evacuate/evacuate.go
+++ b/evacuate/evacuate.go
@@ -154,7 +154,7 @@
 	avoid := []string{u.ID}
 	err := ErrNoRoom
 	for tries := 0; tries < targetsMost && errors.Is(err, ErrNoRoom); tries++ {
-		ranked := e.Chooser.Ranked(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Moves: true, Need: speeds.Need{Gap: run.Gap, Long: true, Moves: true}, Avoid: avoid, Regions: run.Request.Regions})
+		ranked := e.Chooser.Ranked(time.Now(), choose.Want{Service: service, Tokens: run.Tokens(), Hall: u.Hall, Moves: true, Need: speeds.Need{Gap: run.Gap, Long: true, Moves: true}, Avoid: avoid, Regions: run.Request.Regions, Own: true})
 		ranked = slices.DeleteFunc(ranked, func(c choose.Choice) bool { return c.Held })
 		if len(ranked) == 0 {
 			break
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -63,8 +63,9 @@
 	Whole   bool // it carries the upstream's seal
 	Framed  bool // its end is told apart from a broken connection
 	Limit   Limit
-	Leaves  bool // the upstream says that it leaves
-	Message any  // what only the adapters read
+	Leaves  bool          // the upstream says that it leaves
+	Rest    time.Duration // for so long it wants nothing from this box; 0 if it does not say so
+	Message any           // what only the adapters read
 	Body    Body
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -555,6 +555,18 @@
 	return list
 }
 
+// EachLeaving calls a function for each upstream that leaves, with how long that is known.
+// It may not call the fleet.
+func (f *Fleet) EachLeaving(now time.Time, each func(u Upstream, since time.Duration)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.index.parting {
+		if e.upstream.State == Leaving {
+			each(e.upstream, now.Sub(e.since))
+		}
+	}
+}
+
 // Open returns how many upstreams take new work.
 func (f *Fleet) Open() int {
 	f.mu.Lock()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -19,6 +19,7 @@
 	"petrelstep/liveness"
 	"petrelstep/quarantine"
 	"petrelstep/refusal"
+	"petrelstep/rest"
 )
 
 // Retry reasons, each with its own counter series.
@@ -31,6 +32,7 @@
 	RetryMoved        = "moved"
 	RetryBeside       = "beside"
 	RetryLeft         = "upstream_left" // before the request went
+	RetryRests        = "upstream_rests"
 )
 
 // Reasons to end a stream whose caller reads slowly.
@@ -61,7 +63,7 @@
 
 // RetryReasons lists every reason for a retry.
 func RetryReasons() []string {
-	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside, RetryLeft}
+	return []string{RetryNeverStarted, RetryEngineLost, RetryResume, RetryHomeGone, RetryIdempotent, RetryMoved, RetryBeside, RetryLeft, RetryRests}
 }
 
 // NotBesideReasons lists every reason for a second try that was not sent.
@@ -99,6 +101,7 @@
 	allowed  metric.Int64Counter
 	unread   metric.Int64Counter
 	spoilt   metric.Int64Counter
+	rests    metric.Int64Counter
 }
 
 // New returns instruments whose every series exists from the start at zero,
@@ -137,10 +140,7 @@
 	m.slept = b.seconds("petrelstep_suspended", "Time in which the machine was suspended.")
 	m.closed = b.counter("petrelstep_quarantine_changes", "Requests under which upstreams ended, by what became of them.")
 	m.breaks = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
-	m.limits = b.counter("petrelstep_upstream_limit_changes", "Upstreams that name how many requests they take, by what changed.")
-	m.allowed = b.counter("petrelstep_limit_asks", "Requests that were about to go to a limited upstream, by outcome.")
-	m.unread = b.counter("petrelstep_words_unread", "Words of other systems that are not read, by place and word.")
-	m.spoilt = b.counter("petrelstep_words_unreadable", "Words of other systems whose values cannot be read, by place and word.")
+	m.words(&b)
 	if b.err != nil {
 		return nil, &SetupError{Err: b.err}
 	}
@@ -148,6 +148,15 @@
 	return m, nil
 }
 
+// words makes the instruments of what other systems say.
+func (m *Metrics) words(b *builder) {
+	m.limits = b.counter("petrelstep_upstream_limit_changes", "Upstreams that name how many requests they take, by what changed.")
+	m.allowed = b.counter("petrelstep_limit_asks", "Requests that were about to go to a limited upstream, by outcome.")
+	m.unread = b.counter("petrelstep_words_unread", "Words of other systems that are not read, by place and word.")
+	m.spoilt = b.counter("petrelstep_words_unreadable", "Words of other systems whose values cannot be read, by place and word.")
+	m.rests = b.counter("petrelstep_upstream_rests", "Upstreams that ask this box to send them nothing for a time, by what changed.")
+}
+
 func (m *Metrics) zero() {
 	ctx := context.Background()
 	for _, r := range refusal.Reasons() {
@@ -162,6 +171,9 @@
 	for _, outcome := range []string{LimitGranted, LimitUsedUp, LimitUnheard} {
 		m.allowed.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
 	}
+	for _, change := range rest.Changes() {
+		m.rests.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
+	}
 	for _, change := range limits.Changes() {
 		m.limits.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
 	}
@@ -303,6 +315,11 @@
 	m.allowed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// Rested counts a change of a rest that an upstream asked this box for.
+func (m *Metrics) Rested(change string) {
+	m.rests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
+}
+
 // WordUnread counts a word of another system that is not read.
 func (m *Metrics) WordUnread(place, word string) {
 	m.unread.Add(context.Background(), 1, metric.WithAttributes(attribute.String("place", place), attribute.String("word", word)))
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -30,6 +30,7 @@
 	NoUpstream         Reason = "no_upstream"
 	UpstreamCold       Reason = "upstream_cold"
 	UpstreamLimited    Reason = "upstream_limited"
+	UpstreamResting    Reason = "upstream_resting"
 	UpstreamLost       Reason = "upstream_lost"
 	GenerationLost     Reason = "generation_lost"
 	GenerationCancel   Reason = "generation_cancelled"
@@ -90,6 +91,7 @@
 	NoUpstream:         {NotRun, http.StatusServiceUnavailable},
 	UpstreamCold:       {NotRun, http.StatusServiceUnavailable},
 	UpstreamLimited:    {NotRun, http.StatusServiceUnavailable},
+	UpstreamResting:    {NotRun, http.StatusServiceUnavailable},
 	UpstreamLost:       {Failed, http.StatusBadGateway},
 	GenerationLost:     {Failed, http.StatusGone},
 	GenerationCancel:   {Failed, http.StatusGone},
--- a/relay/broke.go
+++ b/relay/broke.go
@@ -24,7 +24,10 @@
 		return
 	}
 	now := time.Now()
-	found := r.Liveness.Look(ctx, s.upstream, j.service.Engine != nil)
+	engine, found := j.service.Engine != nil, liveness.Unknown
+	if !engine || r.Rest.Except(now, s.upstream.ID) { // a look at an engine is a request
+		found = r.Liveness.Look(ctx, s.upstream, engine)
+	}
 	r.Metrics.Broke(found)
 	held := found == liveness.Ended && !s.lived
 	j.log.WithError(err).WithFields(logrus.Fields{
--- a/relay/check.go
+++ b/relay/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"petrelstep/exchange"
 	"petrelstep/fleet"
@@ -14,6 +15,12 @@
 // Error implements error.
 func (e *LeavingError) Error() string { return "upstream " + e.Upstream + " takes nothing new" }
 
+// RestingError says that an upstream has asked this box to send it nothing for a time.
+type RestingError struct{ Upstream string }
+
+// Error implements error.
+func (e *RestingError) Error() string { return "upstream " + e.Upstream + " has asked for rest" }
+
 // check tells why a request may not go to an upstream that was picked for it: time has
 // passed since. A run that has moved goes to the copy of its memory. The error is a
 // refusal, or says that nothing was sent.
@@ -24,13 +31,23 @@
 	if from == nil && !r.Fleet.Takes(u.ID) {
 		return &exchange.FailedError{NotSent: true, Err: &LeavingError{Upstream: u.ID}}
 	}
+	may := r.Rest.Go
+	if from != nil {
+		may = r.Rest.Except
+	}
+	if !may(time.Now(), u.ID) {
+		return &exchange.FailedError{NotSent: true, Err: &RestingError{Upstream: u.ID}}
+	}
 	return nil
 }
 
 // unsentReason tells why nothing reached an upstream, for the counter of retries.
 func unsentReason(err error) string {
-	if errors.As(err, new(*LeavingError)) {
+	switch {
+	case errors.As(err, new(*LeavingError)):
 		return metrics.RetryLeft
+	case errors.As(err, new(*RestingError)):
+		return metrics.RetryRests
 	}
 	return metrics.RetryNeverStarted
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -74,7 +74,10 @@
 			return u, 0, err
 		}
 		if u, load, err = r.place(ctx, j); err != nil {
-			return u, load, err
+			if err = r.awaitRest(ctx, j, err); err != nil {
+				return u, load, err
+			}
+			continue
 		}
 		placed := time.Now()
 		err = r.enter(ctx, j)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,6 +30,7 @@
 	"petrelstep/quarantine"
 	"petrelstep/refusal"
 	"petrelstep/reliability"
+	"petrelstep/rest"
 	"petrelstep/retry"
 	"petrelstep/route"
 	"petrelstep/runs"
@@ -73,6 +74,7 @@
 	Trials      Trials                 // of suspects; nil: as they come
 	Limits      *limits.Limits         // that upstreams name
 	Limiter     Limiter                // nil: nothing is held back for them
+	Rest        *rest.Rest             // that upstreams ask for; nil: none is kept
 	Budget      *retry.Budget
 	Runs        *runs.Runs
 	Lengths     *length.Lengths // of answers, in tokens
@@ -378,7 +380,7 @@
 
 // want is what an upstream is chosen for.
 func (j *job) want() choose.Want {
-	return choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: j.avoid(), Regions: j.req.Regions}
+	return choose.Want{Service: j.service, Tokens: j.req.Prompt, Avoid: j.avoid(), Regions: j.req.Regions, Own: true}
 }
 
 // avoid lists the upstreams that the request is not sent to again.
@@ -474,6 +476,11 @@
 		now := time.Now()
 		r.Limits.Heard(now, sent, u, answer.Limit, answer.Whole && !answer.NotRun)
 		r.heardLeaving(now, j, u, answer)
+		if answer.Rest > 0 {
+			r.Rest.Asked(now, u, answer.Rest)
+		} else {
+			r.Rest.Answered(now, sent, u)
+		}
 	}
 	if !answer.NotRun {
 		j.ran.Store(true)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -56,6 +56,7 @@
 	silent   bool          // nothing comes after the events until the sender gives up
 	limit    float64       // that the upstream names; 0 for none
 	leaves   bool          // the upstream says so
+	asks     time.Duration // of rest, that the upstream wants
 }
 
 func (r reply) says() exchange.Limit {
@@ -94,7 +95,7 @@
 		r.status = http.StatusOK
 	}
 	return &exchange.Answer{
-		Status: r.status, NotRun: r.notRun, Whole: !r.unsealed, Framed: !r.unframed, Limit: r.says(), Leaves: r.leaves, Body: &bodyOf{ctx: ctx, reply: r},
+		Status: r.status, NotRun: r.notRun, Whole: !r.unsealed, Framed: !r.unframed, Limit: r.says(), Leaves: r.leaves, Rest: r.asks, Body: &bodyOf{ctx: ctx, reply: r},
 	}, nil
 }
 
@@ -654,6 +655,7 @@
 	abort  bool
 	asked  []string      // upstreams that were asked to go on
 	closed time.Duration // the target's hall was evacuated so long before
+	broken int           // one more than the sends that the target's rest was broken by before; 0: it does not rest
 }
 
 func (m move) check(t *testing.T, name string, from exchange.Copy) {
@@ -671,6 +673,12 @@
 	if m.closed > 0 {
 		w.fleet.CloseHall(time.Now().Add(-m.closed), "leith")
 	}
+	if m.broken > 0 {
+		w.rested().Asked(time.Now(), fleet.Upstream{ID: "llm3", Service: "llm"}, time.Minute)
+		for range m.broken - 1 {
+			is.True(w.relay.Rest.Except(time.Now(), "llm3"))
+		}
+	}
 	c := w.serve(t.Context(), "/draft/")
 	time.Sleep(time.Second) // the stop is answered
 	is.Equal(c.body.String(), m.body)
@@ -709,6 +717,9 @@
 		"the stop failed, it is lost":                   {during: stop(runs.Handoff{}), ends: errReset, body: "0;1;", abort: true},
 		"the target's hall was evacuated just now":      {during: stop(handoff), closed: time.Second, ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3"}},
 		"the target's hall was evacuated some time ago": {during: stop(handoff), closed: 3 * time.Second, ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm0"}},
+		"the target has asked for rest":                 {during: stop(handoff), broken: 1, ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3"}},
+		"the target has, and one run went there since":  {during: stop(handoff), broken: 2, ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm3"}},
+		"the target has, and two runs went there since": {during: stop(handoff), broken: 3, ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{2}}}, body: "0;1;2;", asked: []string{"llm0"}},
 		"the target repeats an event":                   {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{1, 2}}}, body: "0;1;2;", asked: []string{"llm3"}},
 		"the target leaves a gap":                       {during: stop(handoff), ends: io.ErrUnexpectedEOF, next: []reply{{events: []int{3}}}, body: "0;1;", abort: true, asked: []string{"llm3"}},
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -98,7 +98,7 @@
 			s.close()
 			o = outcome{err: &SealError{}}
 		}
-		if o.err == nil {
+		if o.err == nil && s.answer.Rest == 0 {
 			r.record(s.upstream, true)
 		}
 		if r.again(ctx, j, o) || o.err != nil && j.route.Resumable && r.mayResume(ctx, j) {
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -221,7 +221,7 @@
 	s.hung.Stop()
 	bad := err != nil || s.answer.Status == http.StatusOK && !s.answer.Whole
 	failed := bad || s.answer.NotRun || s.answer.Status >= http.StatusInternalServerError
-	if !errors.Is(ctx.Err(), context.Canceled) {
+	if !errors.Is(ctx.Err(), context.Canceled) && s.answer.Rest == 0 { // a rest is asked of this box alone
 		r.record(u, failed)
 	}
 	if bad {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -47,6 +47,13 @@
 	Leaves bool
 	Born   int64 // when it started; 0 where it does not say so
 	Limit  exchange.Limit
+	Rest   time.Duration // for so long it wants nothing from this box; 0 if it does not say so
+}
+
+// Rests knows who has asked this box for rest.
+type Rests interface {
+	Asked(now time.Time, u fleet.Upstream, d time.Duration)
+	Wait(now time.Time, upstream string) time.Duration
 }
 
 // Limits takes what upstreams say that they take.
@@ -71,14 +78,15 @@
 	runs    Runs
 	reports Reports
 	limits  Limits
+	rests   Rests
 	log     *logrus.Entry
 	until   time.Time // upstreams may not have reached the store again
 }
 
 // New returns a watch; Look is to be called each Period. silent tells for how
 // long the store has answered nobody that this box hears of.
-func New(f *fleet.Fleet, silent func(now time.Time) time.Duration, runs Runs, reports Reports, limits Limits, log *logrus.Entry) *Watch {
-	return &Watch{fleet: f, silent: silent, runs: runs, reports: reports, limits: limits, log: log}
+func New(f *fleet.Fleet, silent func(now time.Time) time.Duration, runs Runs, reports Reports, limits Limits, rests Rests, log *logrus.Entry) *Watch {
+	return &Watch{fleet: f, silent: silent, runs: runs, reports: reports, limits: limits, rests: rests, log: log}
 }
 
 // Look reads the reports of the upstreams that matter, if the store is silent or
@@ -96,6 +104,9 @@
 		if known, ok := w.fleet.Get(id); ok && known.State == fleet.Leaving {
 			continue
 		}
+		if w.rests.Wait(now, id) > 0 {
+			continue
+		}
 		all.Go(func() { w.look(ctx, u) })
 	}
 	all.Wait()
@@ -110,6 +121,7 @@
 		w.log.WithError(err).WithField("upstream", u.ID).Debug("report_not_read")
 		word.Born = 0 // only the answer's head holds
 	}
+	w.rests.Asked(time.Now(), u, word.Rest)
 	w.limits.Heard(time.Now(), sent, u, word.Limit, false) // a report may leave out what still holds
 	w.fleet.Started(time.Now(), u.ID, word.Born, sourceReport)
 	if word.Leaves {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -592,6 +592,9 @@
 	// Of them, those that are being stopped.
 	Leaving int `json:"leaving"`
 
+	// Upstreams that leave.
+	LeavingUpstreams []LeavingView `json:"leaving_upstreams,omitempty,omitzero"`
+
 	// Upstreams that name how much they take.
 	Limits []LimitView `json:"limits,omitempty,omitzero"`
 
@@ -610,6 +613,9 @@
 	// It follows the store for all.
 	Reads bool `json:"reads"`
 
+	// Upstreams that have asked it to send them nothing.
+	Rests []RestView `json:"rests,omitempty,omitzero"`
+
 	// Requests that it holds.
 	Serving int `json:"serving"`
 
@@ -715,6 +721,9 @@
 	if v, ok := raw["halls"]; !ok || v == nil {
 		plain.Halls = []HallWord{}
 	}
+	if v, ok := raw["leaving_upstreams"]; !ok || v == nil {
+		plain.LeavingUpstreams = []LeavingView{}
+	}
 	if v, ok := raw["limits"]; !ok || v == nil {
 		plain.Limits = []LimitView{}
 	}
@@ -724,6 +733,9 @@
 	if v, ok := raw["quarantine"]; !ok || v == nil {
 		plain.Quarantine = []Quarantined{}
 	}
+	if v, ok := raw["rests"]; !ok || v == nil {
+		plain.Rests = []RestView{}
+	}
 	if v, ok := raw["tells"]; !ok || v == nil {
 		plain.Tells = 0
 	}
@@ -2614,6 +2626,42 @@
 	return nil
 }
 
+// An upstream that leaves, to which a box sends nothing new.
+type LeavingView struct {
+	// The upstream says so itself, by whatever way; else its entry went.
+	Said bool `json:"said"`
+
+	// Since the box knows it.
+	SinceMs int `json:"since_ms"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *LeavingView) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["said"]; raw != nil && !ok {
+		return fmt.Errorf("field said in LeavingView: required")
+	}
+	if _, ok := raw["since_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field since_ms in LeavingView: required")
+	}
+	if _, ok := raw["upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field upstream in LeavingView: required")
+	}
+	type Plain LeavingView
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = LeavingView(plain)
+	return nil
+}
+
 // The state of a call that must not be repeated.
 type LedgerRecord struct {
 	// AtMs corresponds to the JSON schema field "at_ms".
@@ -3878,6 +3926,48 @@
 	return nil
 }
 
+// An upstream that has asked a box to send it nothing for a time.
+type RestView struct {
+	// Since it first asked for it.
+	AskedMs int `json:"asked_ms"`
+
+	// Requests that went meanwhile, as they could go nowhere else.
+	Exceptions int `json:"exceptions,omitempty,omitzero"`
+
+	// Until the box sends there again; 0 where the next request may go.
+	LeftMs int `json:"left_ms"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *RestView) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["asked_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field asked_ms in RestView: required")
+	}
+	if _, ok := raw["left_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field left_ms in RestView: required")
+	}
+	if _, ok := raw["upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field upstream in RestView: required")
+	}
+	type Plain RestView
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["exceptions"]; !ok || v == nil {
+		plain.Exceptions = 0
+	}
+	*j = RestView(plain)
+	return nil
+}
+
 // A row of the table service.
 type Row struct {
 	// Key corresponds to the JSON schema field "key".
