soak: workers that leave by their answers, and ask for rest

The stand-in worker says both words and keeps what reached it; the soak draws workers that say them under all other strikes, and its verdict holds what reached a worker against what it had said to the box (DRAIN: 2 s after the box passed the word on; REST: two within a rest).

--- a/cmd/petrelstep-soak/main.go
+++ b/cmd/petrelstep-soak/main.go
@@ -26,6 +26,7 @@
 	flag.BoolVar(&o.Crowds, "crowds", false, "callers press the plain service at times")
 	flag.BoolVar(&o.Ends, "ends", false, "one caller comes with a request under which workers end")
 	flag.BoolVar(&o.Needs, "needs", false, "workers name limits")
+	flag.BoolVar(&o.Words, "words", false, "workers leave by their answers, and ask for rest")
 	flag.DurationVar(&o.Last, "for", 20*time.Second, "how long to strike")
 	flag.Parse()
 	os.Exit(run(o))
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -54,6 +54,18 @@
 	Link    *relay.Relay
 	server  *http.Server
 	ended   sync.Once // by a strike, or by what it runs
+
+	mu     sync.Mutex
+	broken []verdict.Span // when its link was
+}
+
+// Break breaks the worker's link, and notes that for as long as it takes.
+func (w *Worker) Break(do func()) {
+	from := time.Now()
+	do()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.broken = append(w.broken, verdict.Span{From: from, Until: time.Now()})
 }
 
 // Site is safe for use by several goroutines.
@@ -390,6 +402,22 @@
 	return nil
 }
 
+// LeaveByAnswers takes a worker away that says so in its answers only, once another has
+// joined.
+func (s *Site) LeaveByAnswers(w *Worker, notice time.Duration) error {
+	if err := s.Join(w.Service); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	delete(s.workers, w.ID)
+	s.mu.Unlock()
+	w.SayLeaving()
+	time.Sleep(notice)
+	s.Platform.Withdraw(w.ID)
+	w.end()
+	return nil
+}
+
 // Crash ends a worker without a word; its row goes some heartbeats later.
 func (s *Site) Crash(w *Worker) error {
 	s.mu.Lock()
@@ -424,6 +452,23 @@
 	return ran
 }
 
+// Arrived returns all requests that reached workers, and when the workers' links were
+// broken.
+func (s *Site) Arrived() (arrived []verdict.Arrived, broken map[string][]verdict.Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	broken = map[string][]verdict.Span{}
+	for _, w := range slices.Concat(s.past, s.all) {
+		for _, a := range w.Arrivals() {
+			arrived = append(arrived, verdict.Arrived{Worker: w.ID, Life: w.Born(), Arrival: a})
+		}
+		w.mu.Lock()
+		broken[w.ID] = append(broken[w.ID], w.broken...)
+		w.mu.Unlock()
+	}
+	return arrived, broken
+}
+
 // Struck returns when each box's process was ended, stopped or held.
 func (s *Site) Struck() map[string][]verdict.Span {
 	struck := map[string][]verdict.Span{}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,7 @@
 	Crowds  bool          // callers press plain services at times
 	Ends    bool          // one comes with a request under which workers end
 	Needs   bool          // workers name limits
+	Words   bool          // workers leave by their answers, and ask for rest
 	Last    time.Duration // of the strikes
 	Out     io.Writer     // is told of each strike
 }
@@ -64,13 +65,14 @@
 	Evacuations                       int // likewise
 	Ends                              int // of workers, under the request that ends them
 	Limited                           int // requests at workers that named limits
+	Heard                             int // words of workers that leave or ask for rest
 	Breaks                            []verdict.Break
 }
 
 // String returns the closing line.
 func (t Tally) String() string {
-	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d calm_evacuations=%d ends=%d limited=%d promises_broken=%d",
-		t.Requests, t.Served, t.Refused, t.Broken, t.Runs, t.Moved, t.Stops, t.Evacuations, t.Ends, t.Limited, len(t.Breaks))
+	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d calm_evacuations=%d ends=%d limited=%d heard=%d promises_broken=%d",
+		t.Requests, t.Served, t.Refused, t.Broken, t.Runs, t.Moved, t.Stops, t.Evacuations, t.Ends, t.Limited, t.Heard, len(t.Breaks))
 }
 
 // Soak is one run.
@@ -103,8 +105,13 @@
 	defer cancel()
 	needs := make(chan []verdict.Need, 1)
 	go func() { needs <- s.needs(striking, strikes) }()
+	words := make(chan error, 1)
+	go func() { words <- s.words(striking, strikes) }()
 	err = strikes.Run(striking)
 	named := <-needs
+	if err == nil {
+		err = <-words
+	}
 	if err == nil {
 		err = s.recovered(at, callers)
 	}
@@ -114,9 +121,20 @@
 	t := s.check(attempts, ran, strikes)
 	broken, counted := verdict.New(site.Events, 0, 0).Limited(attempts, ran, named, at.Struck())
 	t.Limited, t.Breaks = counted, append(t.Breaks, broken...)
+	arrived, links := at.Arrived()
+	broken, t.Heard = verdict.New(site.Events, 0, 0).Heard(attempts, arrived, at.Struck(), links)
+	t.Breaks = append(t.Breaks, broken...)
 	return t, err
 }
 
+// words lets workers leave by their answers and ask for rest, if they are to.
+func (s *Soak) words(ctx context.Context, strikes *strike.Strikes) error {
+	if !s.Words {
+		return nil
+	}
+	return strikes.Words(ctx)
+}
+
 // needs lets workers name limits, if they are to.
 func (s *Soak) needs(ctx context.Context, strikes *strike.Strikes) []verdict.Need {
 	if !s.Needs {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,12 +28,14 @@
 		seed uint64
 		ends bool // workers end under a request
 		need bool // workers name limits
+		word bool // workers leave by their answers, and ask for rest
 		last time.Duration
 	}{
 		"a first seed":                      {seed: 1, last: 6 * time.Second},
 		"a second seed":                     {seed: 14, last: 6 * time.Second},
 		"a request under which workers end": {seed: 3, ends: true, last: 6 * time.Second},
 		"workers that name limits":          {seed: 5, need: true, last: 12 * time.Second},
+		"workers that leave by their words": {seed: 7, word: true, last: 12 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -43,6 +45,7 @@
 				Seed:    tt.seed,
 				Ends:    tt.ends,
 				Needs:   tt.need,
+				Words:   tt.word,
 				Callers: 12,
 				Last:    tt.last,
 				Out:     t.Output(),
--- a/soak/strike/strike.go
+++ b/soak/strike/strike.go
@@ -65,6 +65,7 @@
 	halls  *rand.Rand // which are evacuated
 	entry  *rand.Rand // whose entries are struck; drawn apart, so that the other strikes of a seed stay the same
 	need   *rand.Rand // who names limits
+	word   *rand.Rand // who leaves by its answers, and who asks for rest
 	out    io.Writer
 
 	mu      sync.Mutex
@@ -78,7 +79,7 @@
 
 // New returns strikes at a site; out is told of each.
 func New(s *site.Site, seed uint64, out io.Writer) *Strikes {
-	return &Strikes{site: s, random: rand.New(rand.NewPCG(seed, 0)), halls: rand.New(rand.NewPCG(seed, 1)), entry: rand.New(rand.NewPCG(seed, 2)), need: rand.New(rand.NewPCG(seed, 3)), out: out}
+	return &Strikes{site: s, random: rand.New(rand.NewPCG(seed, 0)), halls: rand.New(rand.NewPCG(seed, 1)), entry: rand.New(rand.NewPCG(seed, 2)), need: rand.New(rand.NewPCG(seed, 3)), word: rand.New(rand.NewPCG(seed, 4)), out: out}
 }
 
 // plan is one strike, drawn.
@@ -265,11 +266,13 @@
 		{"a worker crashes: " + d.service, site.Notice, s.at(d, s.site.Crash)},
 		{"a worker's row lapses: " + d.service, d.short, s.at(d, func(w *site.Worker) error { s.site.Lapse(w, d.short); return nil })},
 		{fmt.Sprint("silence a worker of ", d.service, " way ", d.way), d.short, s.at(d, func(w *site.Worker) error {
-			w.Link.Silence(d.way, d.short)
-			time.Sleep(d.short)
+			w.Break(func() {
+				w.Link.Silence(d.way, d.short)
+				time.Sleep(d.short)
+			})
 			return nil
 		})},
-		{"reset a worker's connections: " + d.service, 0, s.at(d, func(w *site.Worker) error { w.Link.Cut(0); return nil })},
+		{"reset a worker's connections: " + d.service, 0, s.at(d, func(w *site.Worker) error { w.Break(func() { w.Link.Cut(0) }); return nil })},
 	}
 }
 
--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -81,6 +81,8 @@
 	Closed  = "CLOSED"  // a run begun in an evacuated hall
 	Limits  = "LIMIT"   // a worker got more than it named
 	Ends    = "ENDS"    // a request under which workers end reached too many
+	Drain   = "DRAIN"   // a worker got requests long after it had told the box that it leaves
+	Rest    = "REST"    // a worker got requests in a rest that it had asked the box for
 )
 
 // Break is one broken promise.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -51,6 +51,14 @@
 	At           time.Time
 }
 
+// Arrival is one request that has reached the worker, and what the answer said.
+type Arrival struct {
+	ID     string
+	At     time.Time
+	Leaves bool
+	Rest   time.Duration // that was asked for as the request was turned away
+}
+
 type state struct {
 	events  int           // made so far
 	stop    chan struct{} // closed by the last of a move
@@ -67,9 +75,12 @@
 	mu      sync.Mutex
 	faults  []Fault
 	runs    []Run
+	came    []Arrival
 	streams map[string]*state
 	copies  map[string]int // events made, by handle
-	leaving bool
+	leaving bool           // its report says so
+	says    bool           // its answers do
+	rests   time.Time      // it turns all away until then
 	noRoom  bool
 	limit   string // that its answers name; empty for none
 	endsOn  string // a body; empty for none
@@ -96,7 +107,38 @@
 func (w *Worker) Leave() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.leaving = true
+	w.leaving, w.says = true, true
+}
+
+// SayLeaving makes its answers say that it leaves, and nothing else.
+func (w *Worker) SayLeaving() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.says = true
+}
+
+// Rest lets it turn all away for a time, and ask for as much rest as is left of it.
+func (w *Worker) Rest(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rests = time.Now().Add(d)
+}
+
+// Arrivals returns the requests that have reached it.
+func (w *Worker) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Arrival(nil), w.came...)
+}
+
+// arrive notes a request, and returns for how long it is to be left alone instead.
+func (w *Worker) arrive(id string) (rest time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	rest = max(w.rests.Sub(now), 0)
+	w.came = append(w.came, Arrival{ID: id, At: now, Leaves: w.says, Rest: rest})
+	return rest
 }
 
 // NoRoom makes it refuse copies.
@@ -120,7 +162,7 @@
 	if w.limit != "" {
 		out.Header().Set("Server-Limit", w.limit)
 	}
-	if w.leaving {
+	if w.says {
 		out.Header().Set("Server-Leaving", "1")
 	}
 }
@@ -218,6 +260,12 @@
 		return
 	}
 	w.speak(out)
+	if rest := w.arrive(id); rest > 0 {
+		out.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
+		out.Header().Set("Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	fault := w.fault()
 	if fault == Full || fault == Early {
 		out.Header().Set("Not-Executed", "1")
