--- a/front/front_test.go
+++ b/front/front_test.go
@@ -15,9 +15,11 @@
 	"petrelstep/flight"
 	"petrelstep/generation"
 	"petrelstep/length"
+	"petrelstep/metrics"
 	"petrelstep/sse"
 	"petrelstep/standin/text"
 	"petrelstep/upstream/engine"
+	"petrelstep/upstream/service"
 	"petrelstep/wire"
 )
 
@@ -172,3 +174,14 @@
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
 }
+
+// TestAnswerAgain guards against a caller that is not told when a service wants it back.
+func TestAnswerAgain(t *testing.T) {
+	is := is.New(t)
+	counts, err := metrics.New()
+	is.NoErr(err)
+	w := httptest.NewRecorder()
+	New(Parts{Metrics: counts}).answer(w, service.Answer{Status: http.StatusServiceUnavailable, Again: "7"})
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Retry-After"), "7")
+}
--- a/front/service.go
+++ b/front/service.go
@@ -164,6 +164,9 @@
 	if a.Type != "" {
 		w.Header().Set("Content-Type", a.Type)
 	}
+	if a.Again != "" {
+		w.Header().Set("Retry-After", a.Again)
+	}
 	w.Header().Set("Petrelstep-Ending", string(refusal.Done))
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body) // the caller may be gone by now
--- a/upstream/service/service.go
+++ b/upstream/service/service.go
@@ -25,6 +25,7 @@
 type Answer struct {
 	Status int
 	Type   string
+	Again  string // when to come back, as its head says; empty where it does not
 	Body   []byte
 }
 
@@ -86,5 +87,5 @@
 	if err != nil {
 		return Answer{}, &Error{Err: err}
 	}
-	return Answer{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: body}, nil
+	return Answer{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Again: resp.Header.Get("Retry-After"), Body: body}, nil
 }
