relay: callers come back after an outage of the store, not into it

Where the store has answered no box that this one hears of, they are told to come back after about as long as it has been silent, ten seconds at most, spread by a third. A box that hears no other still says 50 ms.

--- a/edge/run.go
+++ b/edge/run.go
@@ -26,6 +26,9 @@
 	idleTime    = 90 * time.Second
 	headerBytes = 64 << 10
 	drainLook   = 50 * time.Millisecond
+	// hearsOthers is how recently a box must have heard another to know what the store
+	// does for all.
+	hearsOthers = time.Second
 	// leaveNotice is how long a stopping box goes on taking requests: the
 	// balancer asks once a second and takes a box out after two bad answers.
 	leaveNotice = 3 * time.Second
@@ -191,6 +194,19 @@
 	return now.Sub(e.storeHeard)
 }
 
+// silentForAll returns for how long the store has answered no box, as far as this one hears
+// others; 0 if it hears none.
+func (e *Edge) silentForAll() time.Duration {
+	now := time.Now()
+	e.mu.Lock()
+	hears := now.Sub(e.hubHeard) < hearsOthers
+	e.mu.Unlock()
+	if !hears && e.tally.Heard(now, hearsOthers) == 0 {
+		return 0
+	}
+	return e.storeSilent(now)
+}
+
 // tick lets what is known age.
 func (e *Edge) tick(now time.Time) {
 	e.fleet.Tick(now)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,10 +80,11 @@
 	Lengths     *length.Lengths // of answers, in tokens
 	Prefill     *prefill.Prefill
 	Metrics     *metrics.Metrics
-	Stopping    func() (Stop, bool) // false unless this box is being stopped
-	Full        func() bool         // this box holds as much as it can
-	Buffers     *buffers.Buffers    // between upstreams and callers; nil: events are written before the next is read
-	ServeStale  bool                // what a belief allows is served however old that is
+	Stopping    func() (Stop, bool)  // false unless this box is being stopped
+	Full        func() bool          // this box holds as much as it can
+	Buffers     *buffers.Buffers     // between upstreams and callers; nil: events are written before the next is read
+	ServeStale  bool                 // what a belief allows is served however old that is
+	Silent      func() time.Duration // for how long the store has answered no box, as far as this one hears others; 0 if it hears none. nil: not known
 	Log         *logrus.Entry
 }
 
@@ -159,7 +160,7 @@
 	}
 	log := r.Log.WithFields(logrus.Fields{"request": req.ID, "version": table.Version(), "age_ms": age.Milliseconds()})
 	rt, ok := table.Match(req.Host, req.Path)
-	tooOld := refusal.New(refusal.StaleConfiguration, "the configuration was confirmed too long ago").WithRetryAfter(comeAgain)
+	tooOld := refusal.New(refusal.StaleConfiguration, "the configuration was confirmed too long ago").WithRetryAfter(r.comeStale(req.ID))
 	if stale && !r.ServeStale && !(ok && rt.Public) {
 		return nil, tooOld
 	}
