choose, admission, fleet: the field's terms for samples and departures

drawnFrom, few and parting are sampleAbove, sampleByHall and departing, with what follows from them; no behaviour changes.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -77,8 +77,9 @@
 // ranking lists the upstreams of a service, the best first.
 type ranking interface {
 	Ranked(now time.Time, w choose.Want) []choose.Choice
-	// Drawn returns of how many upstreams of a service a draw is ranked; 0 where all are.
-	Drawn(s route.Service) int
+	// SampledFrom returns the number of upstreams of a service of which a sample is ranked;
+	// 0 where all are.
+	SampledFrom(s route.Service) int
 	// Sent notes that a request goes to an upstream.
 	Sent(now time.Time, s route.Service, u fleet.Upstream)
 	// Gave notes that this box has decided so.
@@ -191,7 +192,7 @@
 		w.settled <- outcome{err: refusal.New(refusal.TooLarge, "the prompt is larger than an engine's memory")}
 		return
 	}
-	r := a.drawn(w.ask.Service)
+	r := a.sampled(w.ask.Service)
 	if len(a.ranked(now, r, w.ask)) == 0 {
 		r = newRound(false)
 	}
@@ -206,7 +207,7 @@
 	a.waiting = append(a.waiting, w)
 	a.weigh(now, w)
 	a.grant(now, r)
-	if r.draws && slices.Contains(a.waiting, w) {
+	if r.sampled && slices.Contains(a.waiting, w) {
 		r = a.nextRound(now)
 		a.grant(now, r)
 	}
@@ -219,7 +220,7 @@
 	if a.shares != nil {
 		a.shares.Waited(now)
 	}
-	if !r.draws && a.hopeless(now, r, w, a.ahead(now, w)) {
+	if !r.sampled && a.hopeless(now, r, w, a.ahead(now, w)) {
 		a.drop(w)
 	}
 }
@@ -249,7 +250,7 @@
 			w.held = false
 			return false
 		}
-		if !r.draws && len(a.ranked(now, r, w.ask)) == 0 {
+		if !r.sampled && len(a.ranked(now, r, w.ask)) == 0 {
 			a.line(now, w).Info("no_upstream")
 			w.settled <- outcome{err: noUpstream(w.ask)}
 			return true
@@ -262,7 +263,7 @@
 		case ok:
 			a.give(now, w, g)
 			r.clear()
-			r.draws = a.ranking.Drawn(w.ask.Service) > 0 // all are weighed for one of those who wait
+			r.sampled = a.ranking.SampledFrom(w.ask.Service) > 0 // all are ranked for one of those who wait
 			return true
 		}
 		looks++
@@ -271,7 +272,7 @@
 		}
 		return false
 	})
-	if !all.draws {
+	if !all.sampled {
 		a.judge(now, all)
 	}
 	if len(a.waiting) > 0 && a.next == nil {
--- a/admission/room.go
+++ b/admission/room.go
@@ -82,10 +82,10 @@
 
 // among returns how many times as many upstreams there are as were weighed.
 func (a *Admission) among(r round, ask Ask, ranked []choose.Choice) float64 {
-	if !r.draws || len(ranked) == 0 {
+	if !r.sampled || len(ranked) == 0 {
 		return 1
 	}
-	return float64(a.ranking.Drawn(ask.Service)) / float64(len(ranked))
+	return float64(a.ranking.SampledFrom(ask.Service)) / float64(len(ranked))
 }
 
 // need is what a request needs of an engine.
--- a/admission/round.go
+++ b/admission/round.go
@@ -15,29 +15,29 @@
 	leaving map[string]int             // tokens that run at those that leave, by service
 
 	reserved map[string]bool // upstreams that are kept for who is overdue, in this round
-	draws    bool            // of many upstreams a draw is weighed
+	sampled  bool            // of many upstreams a sample is ranked
 }
 
 // allEvery is for how long the next round that weighs all of many upstreams is put off, for
 // each that was weighed: such rounds take a tenth of a processor, however many there are.
 const allEvery = 10 * time.Microsecond
 
-func newRound(draws bool) round {
-	return round{ranked: map[string][]choose.Choice{}, leaving: map[string]int{}, reserved: map[string]bool{}, draws: draws}
+func newRound(sampled bool) round {
+	return round{ranked: map[string][]choose.Choice{}, leaving: map[string]int{}, reserved: map[string]bool{}, sampled: sampled}
 }
 
-// drawn returns a round that weighs draws where upstreams are many: what is idle is
+// sampled returns a round that ranks samples where upstreams are many: what is idle is
 // found so at a cost that does not grow with them. Who finds nothing waits for a round
 // that weighs all.
-func (a *Admission) drawn(service route.Service) round {
-	return newRound(a.ranking.Drawn(service) > 0)
+func (a *Admission) sampled(service route.Service) round {
+	return newRound(a.ranking.SampledFrom(service) > 0)
 }
 
 // nextRound returns the next round of those who wait: one that weighs all, if that is due.
 func (a *Admission) nextRound(now time.Time) round {
 	many := 0
 	for _, w := range a.waiting {
-		many = max(many, a.ranking.Drawn(w.ask.Service))
+		many = max(many, a.ranking.SampledFrom(w.ask.Service))
 	}
 	return newRound(many > 0 && now.Before(a.allAt))
 }
@@ -60,11 +60,11 @@
 // ranked returns the upstreams that a request may go to, the emptiest first.
 func (a *Admission) ranked(now time.Time, r round, ask Ask) []choose.Choice {
 	need := a.need(ask)
-	key := strings.Join(append([]string{strconv.FormatBool(r.draws), ask.Service.Name, ask.Hall, strings.Join(ask.Regions, ","), need.String()}, ask.Avoid...), "/")
+	key := strings.Join(append([]string{strconv.FormatBool(r.sampled), ask.Service.Name, ask.Hall, strings.Join(ask.Regions, ","), need.String()}, ask.Avoid...), "/")
 	list, ok := r.ranked[key]
 	if !ok {
 		list = a.ranking.Ranked(now, choose.Want{
-			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Need: need, Avoid: ask.Avoid, Regions: ask.Regions, All: !r.draws, Draw: r.draws,
+			Service: ask.Service, Tokens: ask.Prompt + ask.Answer, Hall: ask.Hall, Need: need, Avoid: ask.Avoid, Regions: ask.Regions, All: !r.sampled, Sample: r.sampled,
 		})
 		r.ranked[key] = list
 		a.putOff(now, r, len(list))
@@ -74,7 +74,7 @@
 
 // putOff puts the next round off that weighs all, by what this one weighed.
 func (a *Admission) putOff(now time.Time, r round, upstreams int) {
-	if r.draws {
+	if r.sampled {
 		return
 	}
 	if a.allAt.Before(now) {
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -50,16 +50,14 @@
 	leavingFor = 4 * time.Second
 	// noise breaks ties otherwise on each box.
 	noise = 0.02
-	// sampleOf is from how many upstreams on only some, drawn anew each time, are
-	// weighed: many boxes that see the same least loaded one would all send there.
-	sampleOf = 16
-	// sampled is how many are weighed then.
-	sampled = 5
-	// sampledMost is how many are weighed for a run that moves, which is worth
-	// more care; most of them of its own hall.
-	sampledMost = 8
-	// sampledFar is how many of them are of other halls, should the own be full.
-	sampledFar = 2
+	// spreadAbove is the list length from which a box ranks a random sample of spreadSize:
+	// many boxes with the same view would all pick the same upstream.
+	spreadAbove = 16
+	spreadSize  = 5
+	// targetSample is the sample's size for a run that moves, and targetFar how many of it
+	// are of other halls, should its own be full.
+	targetSample = 8
+	targetFar    = 2
 )
 
 // Chooser is safe for use by several goroutines.
@@ -112,8 +110,8 @@
 	Need    speeds.Need
 	Avoid   []string
 	Regions []string // the only ones that may be chosen; none for any
-	All     bool     // all are weighed: what others send there meanwhile is known
-	Draw    bool     // of many a draw of most of a hall is weighed, in place of all
+	All     bool     // all are ranked: what others send there meanwhile is known
+	Sample  bool     // of a long list a random sample, most of it of Hall, is ranked
 	Own     bool     // this box sends it: upstreams that have asked it for rest are left out
 }
 
@@ -224,8 +222,8 @@
 	if w.Own {
 		list = c.Rest.Without(now, list)
 	}
-	if w.Draw && len(list) > drawnFrom {
-		list = c.few(list, w.Hall)
+	if w.Sample && len(list) > sampleAbove {
+		list = c.sampleByHall(list, w.Hall)
 	}
 	if len(w.Avoid) > 0 {
 		list = slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return slices.Contains(w.Avoid, u.ID) })
@@ -233,7 +231,7 @@
 	if len(w.Regions) > 0 {
 		list = slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return !slices.Contains(w.Regions, c.Regions[u.Hall]) })
 	}
-	if w.All || w.Draw || len(list) < sampleOf {
+	if w.All || w.Sample || len(list) < spreadAbove {
 		return list
 	}
 	c.mu.Lock()
@@ -246,11 +244,11 @@
 	return c.sample(list)
 }
 
-// sample draws some of a list.
+// sample returns a small random sample of a list.
 func (c *Chooser) sample(list []fleet.Upstream) []fleet.Upstream {
-	drawn := make([]fleet.Upstream, 0, sampled)
-	taken := make([]int, 0, sampled)
-	for len(drawn) < sampled {
+	drawn := make([]fleet.Upstream, 0, spreadSize)
+	taken := make([]int, 0, spreadSize)
+	for len(drawn) < spreadSize {
 		at := c.Random.IntN(len(list))
 		if !slices.Contains(taken, at) {
 			taken = append(taken, at)
@@ -264,8 +262,8 @@
 func mostlyNear(list []fleet.Upstream, hall string) []fleet.Upstream {
 	near := slices.DeleteFunc(slices.Clone(list), func(u fleet.Upstream) bool { return u.Hall != hall })
 	far := slices.DeleteFunc(list, func(u fleet.Upstream) bool { return u.Hall == hall })
-	near = near[:min(len(near), max(sampledMost-sampledFar, sampledMost-len(far)))]
-	return append(near, far[:sampledMost-len(near)]...)
+	near = near[:min(len(near), max(targetSample-targetFar, targetSample-len(far)))]
+	return append(near, far[:targetSample-len(near)]...)
 }
 
 // load is the share of an upstream's capacity that is in use.
--- a/edge/ends_test.go
+++ b/edge/ends_test.go
@@ -1,12 +1,3 @@
-// An engine's run of a check ended with the engine, before its first event. The box
-// sent the check on, and the next engine ended; its caller asked another box, with a new
-// id, and two more ended. So it went on for as long as the caller asked: 33 engines.
-//
-// Tries were counted by the request's id, by the box and by the engine, and nowhere by
-// what was asked: each box met each try as if it were the first.
-//
-// What proved it: the same caller's other checks ended well between the ends, and each
-// engine that this one reached, no other, refused connections some ms later.
 package edge
 
 import (
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -1,12 +1,3 @@
-// Two of four plain upstreams that do the same work named in their answers how few
-// requests a second they take. For as long as it was seen they got as many as before:
-// 24 and 34 in four seconds, where 16 and 19 were allowed.
-//
-// A box took an answer apart into its status, its seal and whether it was run; what else
-// the upstream says of itself went to the caller, unread, and no box heard of it.
-//
-// What proved it: sends to both went on at the same rates and from the same boxes after
-// the word as before it, nearly all of them first tries, and no box noted anything.
 package edge
 
 import (
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -320,7 +320,7 @@
 func (f *Fleet) Tick(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, e := range f.index.parting {
+	for id, e := range f.index.departing {
 		switch {
 		case e.upstream.State == Missing && now.Sub(e.since) >= f.grace:
 			f.leave(now, e, "missing")
@@ -436,7 +436,7 @@
 func (f *Fleet) forget(id string, e *entry) {
 	e.changed = 0
 	delete(f.all, id)
-	delete(f.index.parting, id)
+	delete(f.index.departing, id)
 }
 
 func (f *Fleet) change(e *entry) {
@@ -546,7 +546,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []Upstream
-	for _, e := range f.index.parting {
+	for _, e := range f.index.departing {
 		if e.upstream.Service == service && e.upstream.State == Leaving && now.Sub(e.since) < within {
 			list = append(list, e.upstream)
 		}
@@ -560,7 +560,7 @@
 func (f *Fleet) EachLeaving(now time.Time, each func(u Upstream, since time.Duration)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range f.index.parting {
+	for _, e := range f.index.departing {
 		if e.upstream.State == Leaving {
 			each(e.upstream, now.Sub(e.since))
 		}
--- a/fleet/index.go
+++ b/fleet/index.go
@@ -9,9 +9,9 @@
 // index keeps what is asked of the fleet many times a second, so that a word of one
 // upstream costs what it changes, and not a walk over all.
 type index struct {
-	serving map[string]*serving // by service, as far as asked for
-	parting map[string]*entry   // those that are missing or leave, by id
-	order   []place             // by their last changes; an entry's older places are stale
+	serving   map[string]*serving // by service, as far as asked for
+	departing map[string]*entry   // those that are missing or leave, by id
+	order     []place             // by their last changes; an entry's older places are stale
 }
 
 // place is an entry's in the order of changes.
@@ -33,7 +33,7 @@
 const staleMost = 2
 
 func newIndex() index {
-	return index{serving: map[string]*serving{}, parting: map[string]*entry{}}
+	return index{serving: map[string]*serving{}, departing: map[string]*entry{}}
 }
 
 // touch notes that an upstream is no longer what it was.
@@ -51,10 +51,10 @@
 // part notes whether an entry is one that Tick and Leavers look at.
 func (x *index) part(e *entry) {
 	if e.upstream.State == Open {
-		delete(x.parting, e.upstream.ID)
+		delete(x.departing, e.upstream.ID)
 		return
 	}
-	x.parting[e.upstream.ID] = e
+	x.departing[e.upstream.ID] = e
 }
 
 // change puts an entry last in the order.
