gossip: a box whose nearest hub is silent hears its spare as often

Boxes of the hall whose hubs were cut off heard their spare hub once a second only while they found out that three hubs one after the other do not answer; that hub's knowledge was 1.95 s old, a second later 2.93 s, and those whose drawn spread was below 0.1 s then took it for older than hubs ever tell (2.9 s) and read the store: up to 64 boxes.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -22,7 +22,8 @@
 	// fast. Two hubs call each other, and hear of each other twice as often.
 	period = 250 * time.Millisecond
 	// sparePeriod is the time between calls to a hub of a crowd that tells this box
-	// nothing as long as the nearest does. It answers as many such boxes as others.
+	// nothing as long as the nearest does. While that does not answer, the spare is called
+	// as often as the nearest: what it tells would else be too old to do without the store.
 	sparePeriod = time.Second
 	// callTime bounds a call: a link loses a packet now and then, and it is sent
 	// again within 0.3 s.
@@ -68,13 +69,14 @@
 	timer   tasks.Timer
 	log     *logrus.Entry
 
-	mu   sync.Mutex
-	lost map[string]bool // hubs that do not answer, by name
+	mu      sync.Mutex
+	lost    map[string]bool // hubs that do not answer, by name
+	answers map[string]bool // hubs whose last call was answered, by name
 }
 
 // New returns gossip that Run passes on.
 func New(m *members.Members, p Peers, box Box, t tasks.Timer, log *logrus.Entry) *Gossip {
-	return &Gossip{members: m, peers: p, box: box, timer: t, log: log, lost: map[string]bool{}}
+	return &Gossip{members: m, peers: p, box: box, timer: t, log: log, lost: map[string]bool{}, answers: map[string]bool{}}
 }
 
 // Run talks to hubs, by a task for each, until ctx ends.
@@ -96,7 +98,7 @@
 	silent := 0
 	var last time.Time
 	g.timer.Every(ctx, b.Name, period, func(now time.Time) {
-		if g.members.Spare(now, b) && now.Sub(last) < sparePeriod-period/2 {
+		if g.members.Spare(now, b) && g.answered(g.members.Nearest(now).Name) && now.Sub(last) < sparePeriod-period/2 {
 			return
 		}
 		last = now
@@ -108,6 +110,7 @@
 		if err == nil && answer.Sender.Box != b.Name {
 			err = &StrangerError{Address: b.Address, Asked: b.Name, Answered: answer.Sender.Box}
 		}
+		g.note(b.Name, err == nil)
 		if err == nil {
 			silent = 0
 			g.members.Answered(b.Name)
@@ -128,6 +131,24 @@
 	})
 }
 
+// note notes whether a hub has answered the last call.
+func (g *Gossip) note(hub string, answers bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !answers {
+		delete(g.answers, hub)
+		return
+	}
+	g.answers[hub] = true
+}
+
+// answered tells whether a hub has answered the last call.
+func (g *Gossip) answered(hub string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.answers[hub]
+}
+
 // missed notes that a hub does not answer. Its task ends, as it is passed by,
 // and begins anew some seconds later.
 func (g *Gossip) missed(b members.Box, err error) {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -316,3 +316,29 @@
 	cancel()
 	<-done
 }
+
+// TestSpareInPlaceOfNearest guards against a box of a crowd hearing its spare hub so seldom,
+// while the nearest does not answer, that it reads the store for what it could be told.
+func TestSpareInPlaceOfNearest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := fleet(300)
+		n := &network{struck: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+		b := &box{heard: map[string]time.Time{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			gossip.New(m, n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+		}()
+		time.Sleep(6 * time.Second)
+		nearest, spare := m.Asks(time.Now())[0], m.Asks(time.Now())[1]
+		n.strike(nearest.Address, "silent")
+		struck := time.Now()
+		time.Sleep(1250 * time.Millisecond) // two calls that are not answered, and what was left of a pause
+		calls := n.since(spare.Address, struck)
+		cancel()
+		<-done
+		is.True(calls >= 3) // one each quarter of a second from the first of them on
+	})
+}
