edge, lifeline: all workers of a service leave; explain shows rests

TestAllLeave: refused at once as not run, another service goes on, new workers are taken as they come. The tests' table gave a version out twice where the last row went. explain shows a box's rests around a request.

--- a/edge/crowd_test.go
+++ b/edge/crowd_test.go
@@ -82,8 +82,9 @@
 func (t *table) put(table, key, value string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	version := t.last() + 1 // also where the row that goes is the last
 	t.rows = slices.DeleteFunc(t.rows, func(r store.Row) bool { return r.Table == table && r.Key == key })
-	t.rows = append(t.rows, store.Row{Table: table, Key: key, Value: []byte(value), Version: t.last() + 1})
+	t.rows = append(t.rows, store.Row{Table: table, Key: key, Value: []byte(value), Version: version})
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -86,6 +86,39 @@
 	}
 }
 
+// TestAllLeave guards against callers that wait, or are sent to who has said that it leaves,
+// where all workers of a service say so within a second; new ones are taken as they come.
+func TestAllLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, end := context.WithCancel(t.Context())
+		p := newProtocol(ctx, t, 6, 3)
+		w3 := p.workers[2]
+		p.crowd.table.drop("servers", w3.id) // it comes in place of the others
+		p.press(ctx, "", 60, 3*time.Second)
+		for _, w := range p.workers[:2] {
+			w.set(func(w *protocolWorker) { w.leaves = true })
+		}
+		p.press(ctx, "", 60, time.Second)
+		p.mu.Lock()
+		p.worst, p.backs = 0, nil
+		p.mu.Unlock()
+		asked, served := p.press(ctx, "", 60, 3*time.Second)
+		is.Equal(served, 0)
+		is.Equal(len(p.backs), asked)
+		is.True(p.worst <= 25*time.Millisecond) // a quarter of the aim
+		beside, besideServed := p.press(ctx, "/beside/", 60, time.Second)
+		is.Equal(besideServed, beside)
+		p.enter(w3, "ready")
+		p.press(ctx, "", 60, time.Second)
+		asked, served = p.press(ctx, "", 60, 3*time.Second)
+		own, others := p.late(p.workers[0])
+		p.stop(end)
+		is.Equal(served, asked)
+		is.Equal(own+others, 0)
+	})
+}
+
 // TestLeavingIsTold shows how soon all boxes pass a worker by of which one box has heard
 // that it leaves, with all that may happen to some of them meanwhile.
 func TestLeavingIsTold(t *testing.T) {
--- a/lifeline/lifeline.go
+++ b/lifeline/lifeline.go
@@ -75,7 +75,7 @@
 var beliefs = map[string]bool{
 	"configured": true, "upstreams_listed": true, "history_forgotten": true, "store_lost": true, "store_regained": true,
 	"peer_lost": true, "peer_regained": true, "draining": true, "started": true, "stopped": true, "upstream_leaves": true,
-	"configuration_stale": true, "configuration_confirmed": true,
+	"configuration_stale": true, "configuration_confirmed": true, "upstream_rest": true,
 }
 
 // before is how long before a request's first line a box's beliefs are told:
--- a/lifeline/lifeline_test.go
+++ b/lifeline/lifeline_test.go
@@ -12,6 +12,7 @@
 const log = `
    1.0 b1 time="2026-06-16T05:30:24.000Z" level=info event=configured box=b1 version=2 source=store
    2.0 b1 time="2026-06-16T05:30:25.000Z" level=info event=upstream_leaves box=b1 upstream=u9 source=entry
+   2.0 b1 time="2026-06-16T05:30:25.050Z" level=info event=upstream_rest box=b1 upstream=u7 change=asked rest_ms=3000
    2.1 b1 time="2026-06-16T05:30:25.100Z" level=info event=sent box=b1 request=r1 upstream=u1 load=0.5
    2.1 b2 time="2026-06-16T05:30:25.150Z" level=warning event=store_lost box=b2 error="store: down"
    2.2 b1 time="2026-06-16T05:30:25.200Z" level=info event=sent box=b1 request=r2 upstream=u1
@@ -26,13 +27,13 @@
 	is := is.New(t)
 	lines, err := lifeline.Read(strings.NewReader(log))
 	is.NoErr(err)
-	is.Equal(len(lines), 8)
+	is.Equal(len(lines), 9)
 	var events []string
 	for _, l := range lifeline.Of(lines, "r1") {
 		events = append(events, l.Event+" "+l.Fields["upstream"])
 	}
-	is.Equal(strings.Join(events, ", "), "configured , sent u1, upstream_leaves u1, stream_lost u1")
-	is.Equal(lines[6].Fields["error"], `unexpected "EOF"`)
+	is.Equal(strings.Join(events, ", "), "configured , upstream_rest u7, sent u1, upstream_leaves u1, stream_lost u1")
+	is.Equal(lines[7].Fields["error"], `unexpected "EOF"`)
 	is.Equal(len(lifeline.Of(lines, "unknown")), 0)
 }
 
