--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -28,10 +28,8 @@
 // at which room is given to its rank and those behind it, as whatever is more
 // urgent goes on coming.
 //
-// By the pieces of room that engines have, and the time to read what is in line
-// there, a fifth of all drafts of a day of lasting shortage were told to come back
-// while those that were let wait had room within 0.2 s: this forecast earns 0.05 to
-// 0.1 of such a day's worth (six days, by what callers received).
+// The pieces of room that engines have, and the time to read what is in line there,
+// say too little under a lasting shortage: what has been given says more.
 type forecast struct {
 	given map[rank]*given
 	began time.Time // room was given for the first time
--- a/admission/room.go
+++ b/admission/room.go
@@ -14,7 +14,7 @@
 	// stepGuess is how long an engine takes for a token until a stream was seen there.
 	stepGuess = 12 * time.Millisecond
 	// waitedFor is how long after a draft has waited room counts as short: crowds come
-	// and go in seconds; 4 s earn no more.
+	// and go in seconds.
 	waitedFor = time.Second
 	// lineWeight weighs a token that is to be read before against one of memory left
 	// over: an engine that has no line goes before one that is a prompt fuller.
--- a/balance/places/service.go
+++ b/balance/places/service.go
@@ -45,8 +45,8 @@
 	leastCorrection = 0.7
 	mostCorrection  = 1.5
 	// goMore is how many times what limited upstreams take is let go to them: what is too
-	// much is refused by who gives it out. Without it 77 boxes used 0.81 of it, as some
-	// found nothing at one upstream while another had something (TestAllLimited).
+	// much is refused by who gives it out. A box that finds nothing at one upstream does
+	// not know which other has something.
 	goMore = 2
 	// saved is how many requests a box may send at once after a pause: with fewer, what
 	// a box is not asked for in one moment could not be made up for in the next.
@@ -213,8 +213,7 @@
 
 // passes tells whether who waits at this box is passed by those who come, who can be in
 // time: where limits are most of what there is, it is little and known, and no crowd
-// that ends by itself. Of 804 requests for a third of that, 115 waited in vain for all
-// their 600 ms (TestAllLimited).
+// that ends by itself.
 func (s *service) passes(now time.Time) bool {
 	return s.limited > s.can*s.correction && s.asked.a(now) > s.rate
 }
--- a/balance/speeds/cost.go
+++ b/balance/speeds/cost.go
@@ -92,9 +92,6 @@
 // WithLine returns it for a request that has usually so long to wait there for prompts
 // before it. Engines read more slowly than was reckoned where much runs beside, so that
 // the chance to be late grows with the square of the part of its time that they take.
-// Without it short answers were sent to lines of prompts of 2 s, wherever streams were
-// late already: in a crowd 116 of 1,566 were late by their first event, and 32 where
-// speeds were off.
 func (j Judged) WithLine(n Need, line time.Duration) Judged {
 	if n.First > 0 && !n.Moves {
 		part := min(j.Reading*line.Seconds()/n.First.Seconds(), 1)
--- a/choose/choose.go
+++ b/choose/choose.go
@@ -246,16 +246,16 @@
 
 // sample returns a small random sample of a list.
 func (c *Chooser) sample(list []fleet.Upstream) []fleet.Upstream {
-	drawn := make([]fleet.Upstream, 0, spreadSize)
+	picked := make([]fleet.Upstream, 0, spreadSize)
 	taken := make([]int, 0, spreadSize)
-	for len(drawn) < spreadSize {
+	for len(picked) < spreadSize {
 		at := c.Random.IntN(len(list))
 		if !slices.Contains(taken, at) {
 			taken = append(taken, at)
-			drawn = append(drawn, list[at])
+			picked = append(picked, list[at])
 		}
 	}
-	return drawn
+	return picked
 }
 
 // mostlyNear returns the sample of a shuffled list for a run that moves.
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -19,8 +19,8 @@
 
 const (
 	// leastRate is how many requests a second go to an upstream at least, whatever it
-	// names: only an answer tells that its need is over, which all know within some 3 s
-	// (TestLimitEnds). Two in four seconds lie within the five beyond the limit.
+	// names: only an answer tells that its need is over. Two in four seconds lie within the
+	// five that the rule allows beyond the limit.
 	leastRate = 0.5
 	// allowTime bounds an ask: a lost packet is sent again within 0.3 s, and callers of
 	// plain services want their answers within 0.1 s.
--- a/edge/suspend.go
+++ b/edge/suspend.go
@@ -17,10 +17,8 @@
 // slept returns for how long the machine was suspended since a time.
 func (e *Edge) slept(since time.Time) time.Duration { return e.timer.Slept(since) }
 
-// woke makes all that this box knows as old as it is. The steady clock stands still
-// while a machine is suspended: a key that had been taken away for six seconds was
-// served as if it had just been confirmed, and dead boxes and upstreams' loads counted
-// as just heard. What is told from then on is as new as it seems.
+// woke makes all that this box knows as old as it is: the steady clock stands still while
+// a machine is suspended. What is told from then on is as new as it seems.
 func (e *Edge) woke(slept time.Duration) {
 	e.metrics.Slept(slept)
 	e.log.WithField("slept_ms", slept.Milliseconds()).Warn("was_suspended")
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -24,16 +24,12 @@
 	// less than that the sum stays below one and a half times the limit.
 	fallsTo = 0.75
 	// roughFrom is by which part a value must change to be told to other boxes, and
-	// roughEvery how often it is: what they do with it comes out right without it, as the
-	// keeper has the value with each ask. Of 2,200 upstreams that name another limit
-	// each second a box hears 11 KB a second in place of 75 (BenchmarkLimitsTold, over
-	// nine seconds, which hold not all of what is told every twenty).
+	// roughEvery how often it is: the keeper has the exact value with each ask.
 	roughFrom  = 0.5
 	roughEvery = 20 * time.Second
 	// easesFor is how long a limit that has ended eases off, as one answer may lack the
 	// word that the next has: it is twice as high each easesTwice, from what it was and
-	// easesFrom requests a second more. Of eight answers of which one left it out, 20
-	// requests came in 4 s where 17 are allowed, all between that and the next.
+	// easesFrom requests a second more.
 	easesFor   = 500 * time.Millisecond
 	easesTwice = 100 * time.Millisecond
 	easesFrom  = 4
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,9 +16,7 @@
 
 const (
 	// endsMost is how many lives of upstreams may end under a request before it is
-	// quarantined: each costs callers all that runs on an engine, up to 48 requests. With
-	// it one such caller ends 5 engines in half a minute in place of 76, and 5 end 20
-	// in place of 109 (BenchmarkBadCallers).
+	// quarantined: each costs callers all that runs on an engine.
 	endsMost = 3
 	// aloneLeast is how many of them must have had no other request that met as many
 	// ends: what is not to blame shares its ends with others.
@@ -54,8 +52,7 @@
 	// one that ends all that run it has had none.
 	goodFor = 5 * time.Second
 	// suspectsMost bounds the requests that are remembered: 100 engines with 40
-	// requests each may end in an hour. A request and three ends take 740 bytes
-	// (BenchmarkMemory).
+	// requests each may end in an hour.
 	suspectsMost = 4096
 	// livesMost bounds the ends that are kept of one request: more say no more.
 	livesMost = 16
--- a/reading/reading.go
+++ b/reading/reading.go
@@ -36,8 +36,7 @@
 	// firstTold is how long a box that knows nothing yet waits to be told by the
 	// hubs before it reads all for itself, two calls at least: hubs have read within
 	// 0.1 s and tell it within 0.25 s more. At a cold start, with nobody to serve
-	// yet, it is firstToldCold, as hubs look for each other first. It saves 390 of
-	// 1,915 calls of a calm day of 195 boxes.
+	// yet, it is firstToldCold, as hubs look for each other first.
 	firstTold     = 350 * time.Millisecond
 	firstToldCold = 1500 * time.Millisecond
 	// promisedMost bounds the wait to be told where hubs say that they tell all
@@ -45,8 +44,8 @@
 	promisedMost = 6 * time.Second
 	// crowdTold is how long a box of a crowd that knows nothing waits to be told, where
 	// no hub answers: all may have started at once, and a hub that was called before it
-	// was up is passed by for 3 s. A whole fleet of 3,000 upstreams has 450 KB at the
-	// store, so that 300 boxes which read together wait for each other in vain.
+	// was up is passed by for 3 s. Boxes that read the whole fleet together wait for each
+	// other in vain.
 	crowdTold = 4 * time.Second
 	// crowdSpread is over how many times its spread a box of a crowd puts off what it
 	// would read with all others: over 4 s where it knows nothing.
--- a/relay/check.go
+++ b/relay/check.go
@@ -31,9 +31,9 @@
 	if from == nil && !r.Fleet.Takes(u.ID) {
 		return &exchange.FailedError{NotSent: true, Err: &LeavingError{Upstream: u.ID}}
 	}
-	may := r.Rest.Go
+	may := r.Rest.MaySend
 	if from != nil {
-		may = r.Rest.Except
+		may = r.Rest.MayExcept
 	}
 	if !may(time.Now(), u.ID) {
 		return &exchange.FailedError{NotSent: true, Err: &RestingError{Upstream: u.ID}}
--- a/relay/limited.go
+++ b/relay/limited.go
@@ -48,8 +48,7 @@
 
 // placeLimited finds an upstream for a request that no engine answers, however it comes
 // there: first, again, beside another try or resumed. A limit holds for the sum over all
-// boxes, so that its keeper is asked before each: boxes that did not read what upstreams
-// named sent twice what they were allowed to.
+// boxes, so that its keeper is asked before each.
 func (r *Relay) placeLimited(ctx context.Context, j *job) (u fleet.Upstream, load float64, err error) {
 	var used []string // up, by what this request found
 	for first := true; ; first = false {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -65,9 +65,8 @@
 func (*QuarantinedError) Error() string { return "quarantined while it was on its way" }
 
 // placeSuspect finds an upstream for a request, however it comes there: first, again or
-// resumed. Upstreams end under some requests, whoever sends them: without it one such
-// request ended 33 engines in a minute. Who waits for room holds no turn, as
-// others may find room before.
+// resumed. One under which upstreams have ended goes alone, or not at all. Who waits for
+// room holds no turn, as others may find room before.
 func (r *Relay) placeSuspect(ctx context.Context, j *job) (u fleet.Upstream, load float64, err error) {
 	for {
 		if err := r.judged(ctx, j); err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -84,7 +84,7 @@
 	Full        func() bool          // this box holds as much as it can
 	Buffers     *buffers.Buffers     // between upstreams and callers; nil: events are written before the next is read
 	ServeStale  bool                 // what a belief allows is served however old that is
-	Silent      func() time.Duration // for how long the store has answered no box, as far as this one hears others; 0 if it hears none. nil: not known
+	Silent      func() time.Duration // since the store answered any box that this one hears; 0 if it hears none. nil: not known
 	Log         *logrus.Entry
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -676,7 +676,7 @@
 	if m.broken > 0 {
 		w.rested().Asked(time.Now(), fleet.Upstream{ID: "llm3", Service: "llm"}, time.Minute)
 		for range m.broken - 1 {
-			is.True(w.relay.Rest.Except(time.Now(), "llm3"))
+			is.True(w.relay.Rest.MayExcept(time.Now(), "llm3"))
 		}
 	}
 	c := w.serve(t.Context(), "/draft/")
--- a/reliability/reliability.go
+++ b/reliability/reliability.go
@@ -76,8 +76,7 @@
 }
 
 // Gone notes that an upstream was found to have ended. The others are told as of any
-// failure: one that was found so by a box was else offered by all until its entry went
-// (TestEndedIsPassedBy: 3 to 0 of 60 requests a second, 0.75 to 3 s after the end).
+// failure, and pass it by until its entry goes.
 func (r *Reliability) Gone(now time.Time, upstream string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -171,9 +171,9 @@
 	return slices.DeleteFunc(slices.Clone(list), rests)
 }
 
-// Go tells whether a request that is about to go to an upstream may. The first after a
+// MaySend tells whether a request that is about to go to an upstream may. The first after a
 // rest goes alone until it is answered.
-func (r *Rest) Go(now time.Time, upstream string) bool {
+func (r *Rest) MaySend(now time.Time, upstream string) bool {
 	if r.none() {
 		return true
 	}
@@ -190,9 +190,9 @@
 	return true
 }
 
-// Except tells whether what can go nowhere else may go to an upstream: where it rests, as
+// MayExcept tells whether what can go nowhere else may go to an upstream: where it rests, as
 // long as there are few exceptions.
-func (r *Rest) Except(now time.Time, upstream string) bool {
+func (r *Rest) MayExcept(now time.Time, upstream string) bool {
 	if r.none() {
 		return true
 	}
--- a/rest/rest_test.go
+++ b/rest/rest_test.go
@@ -102,28 +102,28 @@
 			now := time.Now()
 			r.Asked(now, u, time.Second)
 			now = now.Add(3 * time.Second)
-			is.True(r.Go(now, "u"))
-			is.True(!r.Go(now, "u"))
+			is.True(r.MaySend(now, "u"))
+			is.True(!r.MaySend(now, "u"))
 			now = now.Add(50 * time.Millisecond)
 			tt.heard(r, now, now.Add(-50*time.Millisecond))
-			is.Equal(r.Go(now.Add(tt.after), "u"), tt.goes)
+			is.Equal(r.MaySend(now.Add(tt.after), "u"), tt.goes)
 		})
 	}
 }
 
-// TestExcept bounds what may go to an upstream that rests.
-func TestExcept(t *testing.T) {
+// TestMayExcept bounds what may go to an upstream that rests.
+func TestMayExcept(t *testing.T) {
 	is := is.New(t)
 	r, c := box()
 	now := time.Now()
 	u := fleet.Upstream{ID: "u"}
-	is.True(r.Except(now, "u"))
+	is.True(r.MayExcept(now, "u"))
 	r.Asked(now, u, time.Minute)
-	is.True(r.Except(now, "u"))
+	is.True(r.MayExcept(now, "u"))
 	r.Asked(now.Add(time.Second), u, 2*time.Minute) // the first is not over
-	is.True(r.Except(now.Add(time.Second), "u"))
-	is.True(!r.Except(now.Add(time.Second), "u"))
-	is.True(r.Except(now.Add(time.Hour), "u"))
+	is.True(r.MayExcept(now.Add(time.Second), "u"))
+	is.True(!r.MayExcept(now.Add(time.Second), "u"))
+	is.True(r.MayExcept(now.Add(time.Hour), "u"))
 	is.Equal(c[Excepted], 2)
 }
 
@@ -174,8 +174,8 @@
 	var none *Rest
 	none.Asked(time.Now(), fleet.Upstream{ID: "u"}, time.Minute)
 	none.Answered(time.Now(), time.Now(), fleet.Upstream{ID: "u"})
-	is.True(none.Go(time.Now(), "u"))
-	is.True(none.Except(time.Now(), "u"))
+	is.True(none.MaySend(time.Now(), "u"))
+	is.True(none.MayExcept(time.Now(), "u"))
 	is.Equal(none.Wait(time.Now(), "u"), time.Duration(0))
 	is.Equal(len(none.Names(time.Now(), "s")), 0)
 	none.Tick(time.Now())
@@ -191,8 +191,8 @@
 	is.New(t).Equal(len(r.Names(now, "s")), namesMost)
 }
 
-// BenchmarkGo is the look of a send before 1,000 upstreams, by others that rest.
-func BenchmarkGo(b *testing.B) {
+// BenchmarkMaySend is the look of a send before 1,000 upstreams, by others that rest.
+func BenchmarkMaySend(b *testing.B) {
 	for _, resting := range []int{0, 10, 1000} {
 		b.Run(fmt.Sprint(resting, " rest"), func(b *testing.B) {
 			r, _ := box()
@@ -206,7 +206,7 @@
 			}
 			for b.Loop() {
 				r.Without(now, list)
-				r.Go(now, "other")
+				r.MaySend(now, "other")
 			}
 		})
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -32,8 +32,7 @@
 	// afterwards is how long after an outage a box goes on looking: upstreams are
 	// listed again within 2 s of the store's return, and until then the store may
 	// never take the word of one that leaves. It is seen in its report half a
-	// second later. The looks of 195 boxes cost a thousandth of a day's worth an
-	// outage; 7 of 15 drafts that were lost beside one lay there.
+	// second later.
 	afterwards = 3 * time.Second
 	// reportTime bounds a report.
 	reportTime = 400 * time.Millisecond
