edge, relay: load one upstream on trial at all boxes, named by the decider

Cause: each box chose by itself which upstream on trial gets the drawn requests: first in its own region, first by a hash among those that it sees. The trial was divided by region, and by time where a hall was evacuated or an upstream was out for a moment: what an upstream has had was not known where it was chosen.

Fix: the decider names the upstream with the share, the one that has had most requests by the sums; all boxes send drawn requests there first. It begins with another one in each order, so that one broken upstream is not the first each time. Regions are no reason for several upstreams any more: the way to another region is left out of the times that are compared, by the round trips that are measured between boxes; where none is known, a plain service's times are left out.

--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -42,7 +42,8 @@
 	Decider       string    // the box that wrote the phase
 	Limit         time.Time // when the duration is over; zero if unknown
 	SharePPM      int       // share of the requests for the target in the trial, in millionths
-	ShareAt       time.Time // when the decider set the share
+	Upstream      string    // of the target, which gets drawn requests first; empty if unknown
+	ShareAt       time.Time // when the decider set the share and the upstream
 }
 
 // Active reports whether the order has no outcome yet.
@@ -69,6 +70,13 @@
 	return o
 }
 
+// WithUpstream returns the order with the upstream that gets drawn requests first, set with the
+// share.
+func (o Order) WithUpstream(id string) Order {
+	o.Upstream = id
+	return o
+}
+
 // WithLimit returns the order with its time limit.
 func (o Order) WithLimit(limit time.Time) Order {
 	o.Limit = limit
@@ -94,7 +102,7 @@
 		o = o.WithPhase(u.Phase, u.PhaseVersion, u.Decider)
 	}
 	if u.PhaseVersion == o.PhaseVersion && u.ShareAt.After(o.ShareAt) {
-		o = o.WithShare(u.SharePPM, u.ShareAt)
+		o = o.WithShare(u.SharePPM, u.ShareAt).WithUpstream(u.Upstream)
 	}
 	return o
 }
@@ -109,7 +117,7 @@
 		w.LeftMs = int(o.Limit.Sub(now).Milliseconds())
 	}
 	if !o.ShareAt.IsZero() {
-		w.SharePpm, w.ShareAgeMs = o.SharePPM, int(now.Sub(o.ShareAt).Milliseconds())+1
+		w.SharePpm, w.ShareAgeMs, w.Upstream = o.SharePPM, int(now.Sub(o.ShareAt).Milliseconds())+1, o.Upstream
 	}
 	return w
 }
@@ -124,7 +132,7 @@
 		o.Limit = sent.Add(time.Duration(w.LeftMs) * time.Millisecond)
 	}
 	if w.ShareAgeMs > 0 {
-		o = o.WithShare(w.SharePpm, sent.Add(-time.Duration(w.ShareAgeMs)*time.Millisecond))
+		o = o.WithShare(w.SharePpm, sent.Add(-time.Duration(w.ShareAgeMs)*time.Millisecond)).WithUpstream(w.Upstream)
 	}
 	return o
 }
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -341,6 +341,10 @@
 	return w.roundTrips.Timeout(time.Now(), address)
 }
 
+func (w clusterClient) RoundTrip(address string) (roundTrip time.Duration, known bool) {
+	return w.roundTrips.Smoothed(time.Now(), address)
+}
+
 // delayTo returns how long a message to another box travels.
 func (w clusterClient) delayTo(e *Edge) time.Duration {
 	if w.box.regions.Between(w.box.config.Hall, e.config.Hall) == distance.Elsewhere {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -106,6 +106,8 @@
 	Close()
 	// Timeout returns within which time a box is expected to answer; false if unknown.
 	Timeout(address string) (timeout time.Duration, known bool)
+	// RoundTrip returns the mean time of recent calls to a box; false if unknown.
+	RoundTrip(address string) (roundTrip time.Duration, known bool)
 }
 
 // Edge is one box.
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -162,7 +162,7 @@
 	if bad || o.Phase != orders.Trial || !reported {
 		ppm = 0 // is sent all the same: it shows that this box decides
 	}
-	r.orders.Update(now, o.WithShare(ppm, now), ownSource)
+	r.orders.Update(now, o.WithShare(ppm, now).WithUpstream(r.trialUpstream(now, o, sum)), ownSource)
 	r.logShare(now, o, t, ppm)
 }
 
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -13,6 +13,7 @@
 	"petrelstep/canary/orders"
 	"petrelstep/canary/share"
 	"petrelstep/config"
+	"petrelstep/distance"
 	"petrelstep/fleet"
 	"petrelstep/platform/rollouts"
 	"petrelstep/platform/store"
@@ -61,6 +62,7 @@
 	failing    bool                   // the store has not answered the last call
 	retryAt    time.Time              // no call is made before
 	wokeAt     time.Time              // end of the last suspension
+	ways       map[string]way         // to other regions
 }
 
 // orderChange is a change of an order to be applied.
@@ -76,7 +78,7 @@
 	}
 	r := &rolloutControl{
 		Edge: e, counts: counts.New(), arrivals: arrivals.New(), sampler: share.NewSampler(), ctx: context.Background(), // until run is called
-		trials: map[string]*trialState{}, liftSince: map[string]time.Time{}, pending: map[string]time.Time{}, inService: map[string]int64{},
+		trials: map[string]*trialState{}, liftSince: map[string]time.Time{}, pending: map[string]time.Time{}, inService: map[string]int64{}, ways: map[string]way{},
 	}
 	if bound := config.Millis(e.config.Edge.Rollout.RollbackMs); bound < rollbackTime {
 		e.log.WithFields(logrus.Fields{"rollback_ms": bound.Milliseconds(), "least_ms": rollbackTime.Milliseconds()}).Warn("rollout_bound_too_short")
@@ -347,14 +349,17 @@
 // Sent implements relay.Rollouts: it counts a request that is sent to an upstream.
 func (r *rolloutControl) Sent(now time.Time, service, route string, u fleet.Upstream) (ended func(now time.Time, result counts.Result)) {
 	r.arrivals.Add(now, service, route)
-	ended = r.counts.Sent(now, service, route, u)
-	if ended == nil {
+	record := r.counts.Sent(now, service, route, u)
+	if record == nil {
 		return nil
 	}
 	if o, _ := r.orders.Of(service); o.Target == u.Release {
 		r.metrics.RolloutSent(service)
 	}
-	return ended
+	if r.regions.Between(r.config.Hall, u.Hall) != distance.Elsewhere {
+		return record
+	}
+	return func(now time.Time, result counts.Result) { record(now, r.withoutWay(now, u, result)) }
 }
 
 // addSuspension ages what is known by the time that the machine was suspended.
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -56,8 +56,13 @@
 
 // newRolloutSite starts boxes with upstreams of release v1, and requests to them.
 func newRolloutSite(ctx context.Context, t *testing.T, boxes, rate int) *rolloutSite {
+	return newRolloutSiteIn(ctx, t, nil, boxes, rate)
+}
+
+// newRolloutSiteIn is newRolloutSite with the regions of the halls.
+func newRolloutSiteIn(ctx context.Context, t *testing.T, regions map[string]string, boxes, rate int) *rolloutSite {
 	s := &rolloutSite{
-		cluster: newCluster(t, 0, 2, 0), t: t, random: rand.New(rand.NewPCG(uint64(boxes), 1)), candidate: "v2", duration: rolloutDuration,
+		cluster: newClusterIn(t, regions, 0, 2, 0), t: t, random: rand.New(rand.NewPCG(uint64(boxes), 1)), candidate: "v2", duration: rolloutDuration,
 		sent: map[string]int{}, failures: map[string]int{}, lastSent: map[string]time.Time{},
 	}
 	s.rollout = rolloutBounds
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -123,6 +123,11 @@
 	return err
 }
 
+// RoundTrip returns the mean time of recent calls to a peer; false if it is unknown.
+func (p *Peers) RoundTrip(address string) (roundTrip time.Duration, known bool) {
+	return p.roundTrips.Smoothed(time.Now(), address)
+}
+
 // Timeout returns within which time the box at an address is expected to answer a call;
 // false if it is unknown. Without an open connection one is opened first, which takes a
 // further round trip.
--- a/peer/roundtrip/roundtrip.go
+++ b/peer/roundtrip/roundtrip.go
@@ -86,3 +86,14 @@
 	}
 	return min(of.smoothed+deviations*of.deviation, Max), true
 }
+
+// Smoothed returns the smoothed round trip to a peer; false if it is unknown.
+func (e *Estimator) Smoothed(now time.Time, address string) (roundTrip time.Duration, known bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	of, known := e.peers[address]
+	if !known || now.Sub(of.at) > retention {
+		return 0, false
+	}
+	return of.smoothed, true
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -122,6 +122,7 @@
 	noWait        bool                    // the next try is sent at once or not at all
 	releaseTrial  func(ended bool)        // releases the trial turn; nil without one
 	trialUpstream string                  // upstream of the release on trial for which the request was drawn; empty for none
+	firstUpstream string                  // upstream that gets first tries during a roll-out; empty for none
 }
 
 // lengthKey returns the key of the length statistics that apply to the request.
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"petrelstep/canary/counts"
@@ -15,6 +16,9 @@
 type Rollouts interface {
 	// Drawn reports whether a request of a service is sent to the release on trial.
 	Drawn(now time.Time, service, route, request string) bool
+	// FirstUpstream returns the upstream that gets drawn requests first, and in the cutover those
+	// of a plain service; empty for none.
+	FirstUpstream(service string) string
 	// Sent records that a request is sent to an upstream. The returned function records the
 	// result and is called exactly once, and before for a stream that goes on; nil if there is
 	// nothing to record.
@@ -34,10 +38,12 @@
 // is drawn for it. It reports false if the request goes the usual way: another release
 // serves its further tries, and it does not wait for an upstream on trial to have room.
 func (r *Relay) placeOnTrial(ctx context.Context, j *job) (u fleet.Upstream, load float64, ok bool) {
+	j.firstUpstream = ""
 	if r.Rollouts == nil || !j.isFirstTry() {
 		return u, 0, false
 	}
 	j.trialUpstream = "" // of a place that has lapsed
+	j.firstUpstream = r.Rollouts.FirstUpstream(j.service.Name)
 	now := time.Now()
 	if !r.Rollouts.Drawn(now, j.service.Name, j.route.Name, j.req.ID) {
 		return u, 0, false
@@ -59,6 +65,8 @@
 // the request. All boxes choose the same one until it is as loaded as those in service are:
 // spread over all upstreams, the few requests of a trial would make no load, and a release that
 // fails under load only, or after some requests, would be found in the cutover at the earliest.
+// It is the one that the deciding box names; where that one cannot take the request, the next in an
+// order of this box.
 func (r *Relay) chooseOnTrial(now time.Time, j *job) (picker.Choice, bool) {
 	want := j.want()
 	most := maxExtraLoad
@@ -80,7 +88,9 @@
 		return picker.Choice{}, false
 	}
 	best := open[0]
-	for _, c := range picker.InOrder(now, open, r.trialRank(now, j)) {
+	ordered := picker.InOrder(now, open, r.trialRank(now, j))
+	slices.SortStableFunc(ordered, func(a, b picker.Choice) int { return isOther(a, j.firstUpstream) - isOther(b, j.firstUpstream) })
+	for _, c := range ordered {
 		if c.Running.Requests < most {
 			return c, true
 		}
@@ -88,6 +98,14 @@
 	return best, true
 }
 
+// isOther returns 0 for the upstream with an id and 1 for others.
+func isOther(c picker.Choice, id string) int {
+	if c.Upstream.ID == id {
+		return 0
+	}
+	return 1
+}
+
 // trialRank returns how far back an upstream on trial is in the order in which they are used. The
 // way to another region takes a large part of a plain answer's time, which is compared with that
 // of the release in service. For engines it does not, and those are first that most callers may
--- a/relay/rollouts_test.go
+++ b/relay/rollouts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,7 +26,8 @@
 // rollouts is a roll-out that draws all requests or none, and records the results of sends.
 type rollouts struct {
 	drawn    bool
-	inactive bool // nothing is recorded
+	first    string // upstream that gets requests first
+	inactive bool   // nothing is recorded
 
 	mu      sync.Mutex
 	sends   []string // upstreams
@@ -37,6 +39,8 @@
 
 func (r *rollouts) Drawn(time.Time, string, string, string) bool { return r.drawn }
 
+func (r *rollouts) FirstUpstream(string) string { return r.first }
+
 func (r *rollouts) Sent(_ time.Time, service, route string, u fleet.Upstream) func(time.Time, counts.Result) {
 	if r.inactive {
 		return nil
@@ -185,9 +189,43 @@
 	}
 }
 
+// TestTrialUsesNamedUpstream checks that a box sends drawn requests to the upstream that the deciding
+// box names: boxes that choose for themselves divide a trial among several.
+func TestTrialUsesNamedUpstream(t *testing.T) {
+	for _, path := range []string{"/safe/", "/draft/"} {
+		synctest.Test(t, func(t *testing.T) {
+			order := trialOrder(t, path)
+			tests := map[string]struct {
+				first   string
+				running int // requests at the named one
+				want    string
+			}{
+				"the first of this box":         {first: order[0], want: order[0]},
+				"another one":                   {first: order[1], want: order[1]},
+				"another one, full":             {first: order[1], running: 8, want: order[0]},
+				"another one, loaded":           {first: order[1], running: 4, want: order[0]},
+				"one that is not on trial":      {first: order[0][:len(order[0])-1] + "0", want: order[0]},
+				"one that this box has not met": {first: "unknown", want: order[0]},
+			}
+			for name, tt := range tests {
+				got := sentOnTrialFirst(t, path, tt.first, map[string]int{tt.first: tt.running})
+				if !slices.Equal(got, []string{tt.want}) {
+					t.Errorf("%s%s: sent to %v, want %s", name, path, got, tt.want)
+				}
+			}
+		})
+	}
+}
+
 // sentOnTrial returns the upstreams that a drawn request is sent to, with what runs at some.
 func sentOnTrial(t *testing.T, path string, running map[string]int) []string {
+	return sentOnTrialFirst(t, path, "", running)
+}
+
+// sentOnTrialFirst returns the same where the deciding box names an upstream.
+func sentOnTrialFirst(t *testing.T, path, first string, running map[string]int) []string {
 	w, r := newRollout(t, true, reply{body: "ok", events: []int{0, 1}})
+	r.first = first
 	for id, n := range running {
 		if n > 0 {
 			w.load.Begin(id, upstreamload.Load{Requests: n})
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4316,6 +4316,9 @@
 
 	// The ordered release.
 	Target string `json:"target"`
+
+	// The ordered release's upstream that gets drawn requests first.
+	Upstream string `json:"upstream,omitempty,omitzero"`
 }
 
 type RolloutWordState string
@@ -4398,6 +4401,9 @@
 	if v, ok := raw["status_version"]; !ok || v == nil {
 		plain.StatusVersion = 0
 	}
+	if v, ok := raw["upstream"]; !ok || v == nil {
+		plain.Upstream = ""
+	}
 	*j = RolloutWord(plain)
 	return nil
 }
