relay, places: fill the upstream that the trial has loaded first in the cutover

Cause: the cutover sent requests to all upstreams of the release by their load, so that the one which the trial has loaded got a third of them: neither its next request nor a concurrent one came before the outcome.

Fix: in the cutover first tries of a plain service go to that upstream while it takes them, has a free slot and runs at most two requests more than the most loaded other one. They wait for a place as before, and limits and failures of upstreams count as before; further tries go elsewhere. Engines are left out: runs that are moved load all of them, and a queue's owner places their requests by memory.

--- a/balance/places/distance_test.go
+++ b/balance/places/distance_test.go
@@ -69,10 +69,52 @@
 	}
 }
 
+// TestPreferred checks when a request goes to a preferred upstream: while that one takes it and runs
+// hardly more than the others.
+func TestPreferred(t *testing.T) {
+	const all = 100
+	tests := map[string]struct {
+		prefer  string
+		tried   []string
+		running map[string]int
+		want    bool // all requests go there, else hardly any
+	}{
+		"near":                     {prefer: "u0", want: true},
+		"in another region":        {prefer: "u2", want: true},
+		"one request more":         {prefer: "u2", running: map[string]int{"u2": 2, "u1": 1}, want: true},
+		"two requests more":        {prefer: "u2", running: map[string]int{"u2": 3, "u1": 1}},
+		"full, as all others are":  {prefer: "u2", running: map[string]int{"u0": slots, "u1": slots, "u2": slots, "u3": slots, "u4": slots, "u5": slots}},
+		"it was tried":             {prefer: "u2", tried: []string{"u2"}},
+		"it is no upstream":        {prefer: "other"},
+		"no upstream is preferred": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, loads := newRegionalPlacesAndLoads(map[string]string{"h0": "west", "h1": "centre", "h2": "east", "h3": "west", "h4": "centre", "h5": "east"}, nil, nil)
+				for id, n := range tt.running {
+					loads.Begin(id, upstreamload.Load{Requests: n})
+				}
+				chosen := map[string]int{}
+				for range all {
+					chosen[pickPreferred(t, p, tt.tried, tt.prefer)]++
+				}
+				is.New(t).True(chosen[tt.prefer] == all || !tt.want && chosen[tt.prefer] < all/2)
+			})
+		})
+	}
+}
+
 // pickAnother returns the upstream for a request that was tried at others.
 func pickAnother(t *testing.T, p *places.Places, tried []string) string {
 	t.Helper()
-	req := places.Request{Arrived: time.Now(), Aim: 300 * time.Millisecond, Deadline: time.Now().Add(time.Second), Want: picker.Want{Service: route.Service{Name: "plain"}, Avoid: tried, Own: true}}
+	return pickPreferred(t, p, tried, "")
+}
+
+// pickPreferred returns the same with a preferred upstream.
+func pickPreferred(t *testing.T, p *places.Places, tried []string, prefer string) string {
+	t.Helper()
+	req := places.Request{Arrived: time.Now(), Aim: 300 * time.Millisecond, Deadline: time.Now().Add(time.Second), Want: picker.Want{Service: route.Service{Name: "plain"}, Avoid: tried, Own: true}, Prefer: prefer}
 	c, err := p.PickAnother(req)
 	if err != nil {
 		t.Fatal(err)
@@ -91,6 +133,11 @@
 // newRegionalPlaces returns the places of a box in h0, with an upstream in each of six
 // halls.
 func newRegionalPlaces(regions map[string]string, busy, failing []string) *places.Places {
+	p, _ := newRegionalPlacesAndLoads(regions, busy, failing)
+	return p
+}
+
+func newRegionalPlacesAndLoads(regions map[string]string, busy, failing []string) (*places.Places, *upstreamload.Tracker) {
 	now := time.Now()
 	f, loads, outcomes := fleet.New(time.Second), upstreamload.New(), reliability.New()
 	var list []fleet.Upstream
@@ -109,7 +156,7 @@
 	chooser := picker.New(picker.Components{Fleet: f, Loads: loads, Reliability: outcomes, Prefill: prefill.New(), Hall: "h0", Regions: m, Random: rand.New(rand.NewPCG(1, 1))})
 	return places.New(places.Components{
 		Ranker: chooser, Failing: outcomes.FailureRate, Counter: noCounter{}, Hall: "h0", Regions: m, Random: rand.New(rand.NewPCG(1, 2)), Log: logs.New(io.Discard, "info", "b"),
-	})
+	}), loads
 }
 
 // TestOneRegionUnchanged checks that with one region the same upstreams are chosen from
--- a/balance/places/pick.go
+++ b/balance/places/pick.go
@@ -66,6 +66,7 @@
 	list := p.Ranker.Ranked(now, req.Want)
 	weights, usedUp := p.weights(now, s, list, len(req.Want.Avoid) > 0)
 	at := p.draw(weights)
+	preferred := s.preferred(list, weights, req.Prefer)
 	switch {
 	case at < 0 && usedUp:
 		return picker.Choice{}, refusal.New(refusal.UpstreamLimited, "upstreams of "+s.service.Name+" are at their rate limits").WithRetryAfter(minRetryAfter)
@@ -74,6 +75,10 @@
 	case at < 0:
 		return picker.Choice{}, refusal.New(refusal.NoUpstream, "no upstream of "+s.service.Name).WithRetryAfter(coldRetryAfter)
 	}
+	if preferred >= 0 {
+		s.upstream(list[preferred].Upstream.ID).inFlight++
+		return list[preferred], nil
+	}
 	// A box has few requests at a limited upstream, so that its own utilization says
 	// little.
 	if other := p.draw(weights); !p.limited(list[at]) && !p.limited(list[other]) && s.ownUtilization(list[other]) < s.ownUtilization(list[at]) {
@@ -83,6 +88,30 @@
 	return list[at], nil
 }
 
+// maxPreferredExtra is how many more requests a preferred upstream may run than the most loaded
+// other one, as requests come in at random.
+const maxPreferredExtra = 2
+
+// preferred returns the index of the upstream with an id if it takes a request and runs hardly more
+// than the others; -1 if not.
+func (s *service) preferred(list []picker.Choice, weights []float64, id string) int {
+	at, most := -1, 0
+	for i, c := range list {
+		running := max(c.Running.Requests, s.upstream(c.Upstream.ID).inFlight)
+		if c.Upstream.ID != id {
+			most = max(most, running)
+			continue
+		}
+		if weights[i] > 0 && running < max(c.Upstream.Slots, 1) {
+			at = i
+		}
+	}
+	if at < 0 || max(list[at].Running.Requests, s.upstream(id).inFlight) >= most+maxPreferredExtra {
+		return -1
+	}
+	return at
+}
+
 // ownUtilization returns the fraction of an upstream's slots in use by this box's
 // requests.
 func (s *service) ownUtilization(c picker.Choice) float64 {
--- a/balance/places/places.go
+++ b/balance/places/places.go
@@ -112,6 +112,7 @@
 	Aim          time.Duration // target for the whole answer
 	Deadline     time.Time
 	Want         picker.Want
+	Prefer       string // upstream that gets the request while it has a free place; empty for none
 }
 
 func (r Request) due() time.Time { return r.Arrived.Add(r.Aim) }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -387,6 +387,7 @@
 func (j *job) placeRequest() places.Request {
 	return places.Request{
 		ID: j.req.ID, Organisation: j.organisation, Urgency: j.urgency, Arrived: j.req.Arrived, Aim: j.route.Aim, Deadline: j.deadline, Want: j.want(),
+		Prefer: j.firstUpstream,
 	}
 }
 
--- a/relay/rollouts_test.go
+++ b/relay/rollouts_test.go
@@ -217,6 +217,24 @@
 	}
 }
 
+// TestCutoverLoadsSameUpstream checks that in the cutover first tries of a plain service go to the
+// upstream that the trial has loaded: what shows at its next request, or under load, is seen at once.
+func TestCutoverLoadsSameUpstream(t *testing.T) {
+	const tries = 20
+	for _, first := range []string{"plain2", "plain3"} {
+		synctest.Test(t, func(t *testing.T) {
+			w, r := newRollout(t, false, reply{body: "ok"})
+			w.sharePlaces()
+			w.setReleases(fleet.Releases{Only: "b"})
+			r.first = first
+			for range tries {
+				w.serve(t.Context(), "/safe/")
+			}
+			is.New(t).Equal(r.sends, slices.Repeat([]string{first}, tries))
+		})
+	}
+}
+
 // sentOnTrial returns the upstreams that a drawn request is sent to, with what runs at some.
 func sentOnTrial(t *testing.T, path string, running map[string]int) []string {
 	return sentOnTrialFirst(t, path, "", running)
