verdict: let bad answers that come at once hold back cutover and completion

Cause: one bad answer of an upstream counts in a second, as a crash fails all that runs there at once. With one loaded upstream and a cutover of 0.9 s that is one bad answer, however many there are.

Ruled out: counting all of them.

Fix: what does not count is suspect: it holds back cutover and completion, and condemns nothing. A crash differs by what follows: the suspicion ends once later answers of the upstream favour the baseline's rate, or after 2 s without a bad one. A crash within the last seconds of an order can so have a good release rolled back, which costs its callers nothing.

--- a/canary/verdict/cusum.go
+++ b/canary/verdict/cusum.go
@@ -19,9 +19,6 @@
 	// tells of the release, in the cutover too, in which the others are loaded as well.
 	maxLeftOutPart = 0.4
 	maxLeftOut     = 6
-	// momentBad is the most bad answers of one upstream that count in one moment, since a
-	// crash fails all that runs there at once.
-	momentBad = 1
 )
 
 // shifts are the bad rates that are tested for, each as a part of the answers that would
@@ -29,7 +26,10 @@
 // find a large one and the reverse.
 var shifts = [charts]float64{0.12, 0.35, 0.8}
 
-const charts = 3
+const (
+	charts      = 3
+	middleChart = 1
+)
 
 // scores holds the CUSUM of each chart.
 type scores [charts]float64
--- a/canary/verdict/route.go
+++ b/canary/verdict/route.go
@@ -1,6 +1,7 @@
 package verdict
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,8 +12,6 @@
 	// settleDelay is how long the candidate's answers wait to be compared, as the
 	// baseline's of the same time may be reported later.
 	settleDelay = 1500 * time.Millisecond
-	// moment is the time in which the failures of one upstream are held to have one cause.
-	moment = time.Second
 	// maxUpstreams bounds the upstreams of the candidate that are distinguished.
 	maxUpstreams = 512
 )
@@ -31,9 +30,8 @@
 
 // upstream is one upstream of the candidate on a route.
 type upstream struct {
-	seen     tally // counts since the order
-	momentAt [kinds]time.Time
-	bad      [kinds]int // bad answers since momentAt
+	seen   tally // counts since the order
+	bursts [kinds]burst
 }
 
 // batch is what an upstream answered between two updates.
@@ -123,7 +121,10 @@
 		if total == 0 {
 			continue
 		}
-		tested := u.allowed(b, k, bad)
+		tested := bad
+		if !b.first {
+			tested = u.bursts[k].tested(b.at, bad, total-bad, ref.rates[k])
+		}
 		for _, t := range all {
 			t[k].add(b.upstream, bad, tested, total-bad, ref.rates[k])
 		}
@@ -131,21 +132,31 @@
 }
 
 // withPending returns the tests as if all known answers could be compared now, with the
-// baseline's rates. The answers not compared yet are added to further tests too.
+// baseline's rates, and as if bad ones that came at once had several causes unless later ones
+// say otherwise. What is not tested yet is added to further tests too.
 func (r *route) withPending(further *tests) (tests, [kinds]float64) {
-	if len(r.pending) == 0 {
-		return r.tests, r.rates
+	all, rates, copies := r.tests.clone(), r.rates, map[int]*upstream{}
+	for i, u := range r.upstreams {
+		copied := *u
+		copies[i] = &copied
+	}
+	if len(r.pending) > 0 {
+		ref := r.baseline.reference(r.updatedAt)
+		rates = ref.rates
+		for i := range r.pending {
+			b := &r.pending[i]
+			b.test(copies[b.upstream], ref, &all, further)
+		}
 	}
-	all, ref, copies := r.tests.clone(), r.baseline.reference(r.updatedAt), map[int]*upstream{}
-	for i := range r.pending {
-		b := &r.pending[i]
-		if copies[b.upstream] == nil {
-			u := *r.upstreams[b.upstream]
-			copies[b.upstream] = &u
+	for _, i := range slices.Sorted(maps.Keys(copies)) {
+		for k := range kinds {
+			if bad := copies[i].bursts[k].suspects(r.updatedAt); bad > 0 {
+				all[k].add(i, 0, bad, 0, rates[k])
+				further[k].add(i, 0, bad, 0, rates[k])
+			}
 		}
-		b.test(copies[b.upstream], ref, &all, further)
 	}
-	return all, ref.rates
+	return all, rates
 }
 
 func (t *tests) clone() tests {
@@ -156,19 +167,6 @@
 	return copied
 }
 
-// allowed returns how many of the bad answers count at this moment.
-func (u *upstream) allowed(b *batch, k kind, bad int) int {
-	if b.first {
-		return bad
-	}
-	if b.at.Sub(u.momentAt[k]) >= moment {
-		u.momentAt[k], u.bad[k] = b.at, 0
-	}
-	bad = min(bad, momentBad-u.bad[k])
-	u.bad[k] += bad
-	return bad
-}
-
 func (t *tests) endTrial() {
 	for k := range t {
 		t[k].endTrial()
--- a/canary/verdict/verdict_test.go
+++ b/canary/verdict/verdict_test.go
@@ -232,6 +232,40 @@
 	is.New(t).True(f.verdict.Suspicion() >= 0.5)
 }
 
+// TestSuspects checks that bad answers which come at once do not condemn a release, as a crash may be
+// their cause, but hold back the completion until later answers show which it was: in a short cutover
+// a release that fails under load was completed on one of them.
+func TestSuspects(t *testing.T) {
+	tests := map[string]struct {
+		later    func(f *feed) // after three answers of one second are bad
+		suspect  bool
+		condemns bool
+	}{
+		"at once":               {later: func(*feed) {}, suspect: true},
+		"good ones":             {later: func(f *feed) { f.each(2, func() { f.good("b", 5) }) }},
+		"none, the others good": {later: func(f *feed) { f.each(4, func() { f.good("c", 5) }) }},
+		"bad ones":              {later: func(f *feed) { f.each(2, func() { f.answers("b", 3, 5, usual) }) }, suspect: true},
+		"only bad ones":         {later: func(f *feed) { f.each(3, func() { f.failed("b", 3) }) }, suspect: true, condemns: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFeed()
+			f.each(10, func() { f.good("", 40); f.good("b", 3) })
+			f.pass(2 * time.Second)
+			f.verdict.CutOver()
+			f.good("b", 4)
+			f.pass(interval)
+			f.answers("b", 3, 2, usual)
+			f.pass(interval)
+			is.True(!f.bad())
+			tt.later(f)
+			is.Equal(f.verdict.Suspicion() >= 0.5, tt.suspect)
+			is.Equal(f.bad(), tt.condemns)
+		})
+	}
+}
+
 // TestStaysBad checks that good answers do not undo a verdict.
 func TestStaysBad(t *testing.T) {
 	is := is.New(t)
