edge: log what a roll-out waits for when it changes

Whether the cutover waited for answers, slots, boxes, or for evidence could be seen in the view only, while it lasted.

The box that decides now logs `rollout_waits` on each change, with what it decided on, and with `too_few_answers` the evidence of each route. The wait for the end of the trial is logged once; a repeated reason is not.

--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -250,11 +250,9 @@
 		if !o.Active() && o.State != orders.Withdrawn {
 			continue
 		}
-		d := decider.Decide(r.situation(time.Now(), o)) // the reads and writes before may have taken long
-		t := r.trial(o)
-		r.mu.Lock()
-		t.waits = d.Reason
-		r.mu.Unlock()
+		s := r.situation(time.Now(), o) // the reads and writes before may have taken long
+		d := decider.Decide(s)
+		r.recordWait(s, d)
 		if w, ok := writes[d.Action]; ok {
 			r.logBasis(o, d)
 			r.write(ctx, w, o, d.Reason)
@@ -262,6 +260,28 @@
 	}
 }
 
+// recordWait records what an order waits for, and logs it at the box that decides when it changes.
+func (r *rolloutControl) recordWait(s decider.Situation, d decider.Decision) {
+	o := s.Order
+	t := r.trial(o)
+	r.mu.Lock()
+	before := t.waits
+	t.waits = d.Reason
+	evidence := t.verdict.Evidence()
+	r.mu.Unlock()
+	if d.Action != decider.Wait || d.Reason == before || d.Reason == decider.OtherDecides || d.Reason == decider.Ended {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"service": o.Service, "order": o.Version, "target": o.Target, "phase": o.Phase, "reason": d.Reason, "before": before, "left_ms": o.Limit.Sub(s.Now).Milliseconds(),
+		"cutover_ms": s.Cutover.Milliseconds(), "boxes": s.Boxes, "reporting": s.Reporting, "slots": s.CandidateSlots, "baseline_slots": s.BaselineSlots,
+		"running": s.Running, "trial_ms": s.TrialFor.Milliseconds(), "suspicion_pct": int(100 * s.Suspicion),
+	}).Info("rollout_waits")
+	if d.Reason == decider.TooFewAnswers {
+		r.logEvidence(o, evidence)
+	}
+}
+
 // logBasis logs the evidence on which a release is put in service.
 func (r *rolloutControl) logBasis(o orders.Order, d decider.Decision) {
 	if d.Action != decider.CutOver && d.Action != decider.Complete {
--- a/edge/rollouts_trial_test.go
+++ b/edge/rollouts_trial_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"petrelstep/canary/counts"
+	"petrelstep/canary/orders"
 	"petrelstep/fleet"
 	"petrelstep/wire"
 )
@@ -141,3 +144,46 @@
 		})
 	}
 }
+
+// TestWaitsLogged checks that the box that decides logs what an order waits for, once for each
+// change: of an order that ended at its limit no line said why the cutover had not begun.
+func TestWaitsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, end := (&cluster{}).context(t)
+		defer end()
+		s := newRolloutSite(ctx, t, 6, 20)
+		hook := &waitsHook{}
+		for _, e := range s.all {
+			e.log.Logger.SetLevel(logrus.InfoLevel)
+			e.log.Logger.AddHook(hook)
+		}
+		s.order("v2")
+		s.removeUpstreams("v2")
+		s.waitState(orders.RolledBack, rolloutDuration+2*time.Second)
+		is.Equal(hook.reasons(), []string{"end_of_trial", "candidate_capacity", "too_late_to_cut_over"})
+	})
+}
+
+// waitsHook records the reasons that are logged.
+type waitsHook struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (h *waitsHook) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+
+func (h *waitsHook) Fire(e *logrus.Entry) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if reason, ok := e.Data["reason"]; ok && e.Message == "rollout_waits" {
+		h.list = append(h.list, fmt.Sprint(reason))
+	}
+	return nil
+}
+
+func (h *waitsHook) reasons() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.list)
+}
