canary: count a stream that is cut as one answer, which failed

Cause: a stream counts as answered at its first event, as it may last longer than the order, and as failed at its end. One request was two answers, one of them good, so that a release that cuts its streams looked half as bad.

Fix: a box reports how many of the failed ones had counted as answered (`cut`). In the verdict the total counts such a stream once, and the good answer is taken off the charts again, as far as it has lowered them, for each bad one that is tested: a crash that cuts eight streams at once takes off one. Rows of boxes without the field count as before. An older box ignores the field.

--- a/canary/counts/counts.go
+++ b/canary/counts/counts.go
@@ -176,6 +176,9 @@
 		r.done = true
 		if result.Failed {
 			t.failed++
+			if r.begun {
+				t.cut++
+			}
 		}
 	}
 	if !result.Failed && !result.Canceled {
--- a/canary/counts/counts_test.go
+++ b/canary/counts/counts_test.go
@@ -71,7 +71,7 @@
 		},
 		"stream that was cut off": {
 			u: baseline, results: []counts.Result{{Streaming: true, First: time.Millisecond}, {Failed: true}},
-			want: wire.ReleaseCounts{Sent: 1, Failed: 1, Answered: 1, First: []int{1}},
+			want: wire.ReleaseCounts{Sent: 1, Failed: 1, Answered: 1, Cut: 1, First: []int{1}},
 		},
 	}
 	for name, tt := range tests {
--- a/canary/counts/row.go
+++ b/canary/counts/row.go
@@ -33,18 +33,19 @@
 // tally holds the counts of a row. All but running only grow.
 type tally struct {
 	sent, failed, answered, running int
+	cut                             int   // of the failed ones, those that count as answered too
 	before                          int   // requests of the route just before the order
 	first, pace                     []int // without trailing zeros
 }
 
 func tallyOf(w wire.ReleaseCounts) tally {
-	return tally{sent: w.Sent, failed: w.Failed, answered: w.Answered, running: w.Running, before: w.Before, first: w.First, pace: w.Pace}
+	return tally{sent: w.Sent, failed: w.Failed, answered: w.Answered, cut: w.Cut, running: w.Running, before: w.Before, first: w.First, pace: w.Pace}
 }
 
 func (t tally) row(service string, order int, k key) wire.ReleaseCounts {
 	return wire.ReleaseCounts{
 		Service: service, Order: order, Route: k.route, Candidate: k.candidate, Upstream: k.upstream,
-		Sent: t.sent, Failed: t.failed, Answered: t.answered, Running: t.running, Before: t.before, First: slices.Clone(t.first), Pace: slices.Clone(t.pace),
+		Sent: t.sent, Failed: t.failed, Answered: t.answered, Cut: t.cut, Running: t.running, Before: t.before, First: slices.Clone(t.first), Pace: slices.Clone(t.pace),
 	}
 }
 
@@ -52,7 +53,7 @@
 func (t tally) plus(other tally) tally {
 	return tally{
 		sent: t.sent + other.sent, failed: t.failed + other.failed,
-		answered: t.answered + other.answered, running: t.running + other.running, before: t.before + other.before,
+		answered: t.answered + other.answered, cut: t.cut + other.cut, running: t.running + other.running, before: t.before + other.before,
 		first: addEach(t.first, other.first, 1), pace: addEach(t.pace, other.pace, 1),
 	}
 }
@@ -61,14 +62,14 @@
 func (t tally) minus(other tally) tally {
 	return tally{
 		sent: max(t.sent-other.sent, 0), failed: max(t.failed-other.failed, 0),
-		answered: max(t.answered-other.answered, 0), running: t.running - other.running, before: max(t.before-other.before, 0),
+		answered: max(t.answered-other.answered, 0), cut: max(t.cut-other.cut, 0), running: t.running - other.running, before: max(t.before-other.before, 0),
 		first: addEach(t.first, other.first, -1), pace: addEach(t.pace, other.pace, -1),
 	}
 }
 
 // equal reports whether all counts are the same.
 func (t tally) equal(other tally) bool {
-	return t.sent == other.sent && t.failed == other.failed && t.answered == other.answered && t.running == other.running && t.before == other.before &&
+	return t.sent == other.sent && t.failed == other.failed && t.answered == other.answered && t.cut == other.cut && t.running == other.running && t.before == other.before &&
 		slices.Equal(t.first, other.first) && slices.Equal(t.pace, other.pace)
 }
 
@@ -79,6 +80,7 @@
 	see(t.sent, other.sent)
 	see(t.failed, other.failed)
 	see(t.answered, other.answered)
+	see(t.cut, other.cut)
 	for i := range buckets.Count {
 		see(at(t.first, i), at(other.first, i))
 		see(at(t.pace, i), at(other.pace, i))
@@ -127,7 +129,7 @@
 	if len(w.First) > buckets.Count || len(w.Pace) > buckets.Count {
 		return false
 	}
-	for _, list := range [][]int{{w.Sent, w.Failed, w.Answered, w.Running, w.Before}, w.First, w.Pace} {
+	for _, list := range [][]int{{w.Sent, w.Failed, w.Answered, w.Cut, w.Running, w.Before}, w.First, w.Pace} {
 		for _, n := range list {
 			if n < 0 || n > maxCount {
 				return false
--- a/canary/verdict/baseline.go
+++ b/canary/verdict/baseline.go
@@ -85,18 +85,19 @@
 	r.limits.first = slowLimit(&recent.first, &b.now.first)
 	r.limits.pace = slowLimit(&recent.pace, &b.now.pace)
 	for k := range kinds {
-		bad, total := b.now.results(k, r.limits)
-		if total == 0 {
+		all := b.now.results(k, r.limits)
+		if all.total() == 0 {
 			r.rates[k] = defaultRate
 			continue
 		}
-		r.rates[k] = bounded(bad, total, priorAnswers, margin)
+		r.rates[k] = bounded(all.bad, all.total(), priorAnswers, margin)
 	}
 	for _, window := range faultWindows {
 		t := b.within(now, window)
 		for k := range kinds {
-			if bad, total := t.results(k, r.limits); total > 0 {
-				r.rates[k] = max(r.rates[k], bounded(bad, total, windowAnswers, -margin))
+			all := t.results(k, r.limits)
+			if total := max(all.total(), all.bad); total > 0 {
+				r.rates[k] = max(r.rates[k], bounded(all.bad, total, windowAnswers, -margin))
 			}
 		}
 	}
--- a/canary/verdict/counts.go
+++ b/canary/verdict/counts.go
@@ -14,15 +14,16 @@
 // tally holds the counts that the verdict uses of a row, or of the sum of some.
 type tally struct {
 	failed, answered int32
+	cut              int32 // of the failed ones, those that count as answered too
 	first, pace      histogram
 }
 
 // tallyOf returns the counts of a row; false if they are impossible.
 func tallyOf(w wire.ReleaseCounts) (t tally, ok bool) {
-	if min(w.Failed, w.Answered) < 0 || max(w.Failed, w.Answered) > maxCount {
+	if min(w.Failed, w.Answered, w.Cut) < 0 || max(w.Failed, w.Answered, w.Cut) > maxCount {
 		return tally{}, false
 	}
-	t.failed = int32(w.Failed)
+	t.failed, t.cut = int32(w.Failed), int32(w.Cut)
 	ok = t.first.set(w.First) && t.pace.set(w.Pace)
 	t.answered = int32(min(max(w.Answered, t.first.total()), maxCount))
 	return t, ok
@@ -31,19 +32,21 @@
 func (t *tally) add(other *tally) {
 	t.failed += other.failed
 	t.answered += other.answered
+	t.cut += other.cut
 	t.first.add(&other.first)
 	t.pace.add(&other.pace)
 }
 
 // since returns what was added to earlier counts. Counts that fell count as unchanged.
 func (t *tally) since(earlier *tally) tally {
-	return tally{failed: max(t.failed-earlier.failed, 0), answered: max(t.answered-earlier.answered, 0), first: t.first.since(&earlier.first), pace: t.pace.since(&earlier.pace)}
+	return tally{failed: max(t.failed-earlier.failed, 0), answered: max(t.answered-earlier.answered, 0), cut: max(t.cut-earlier.cut, 0), first: t.first.since(&earlier.first), pace: t.pace.since(&earlier.pace)}
 }
 
 // raise raises each count to that of another tally.
 func (t *tally) raise(other *tally) {
 	t.failed = max(t.failed, other.failed)
 	t.answered = max(t.answered, other.answered)
+	t.cut = max(t.cut, other.cut)
 	for i := range t.first {
 		t.first[i] = max(t.first[i], other.first[i])
 		t.pace[i] = max(t.pace[i], other.pace[i])
@@ -110,15 +113,26 @@
 	return buckets.Count
 }
 
-// results returns the bad answers of a kind and all, with the limits above which one is
-// slow.
-func (t *tally) results(k kind, l limits) (bad, total int) {
+// results are the answers of one kind of badness.
+type results struct {
+	bad, good int
+	cut       int // of the bad ones, those that are among the good ones too, now or before
+}
+
+// total returns the number of answers. It may be less than that of bad ones in the counts of a short
+// time, as a stream that is cut may have counted as good before.
+func (r results) total() int { return r.bad + r.good - r.cut }
+
+// results returns the answers of a kind, with the limits above which one is slow.
+func (t *tally) results(k kind, l limits) results {
 	switch k {
 	case failing:
-		return int(t.failed), int(t.failed) + int(t.answered)
+		return results{bad: int(t.failed), good: int(t.answered), cut: int(t.cut)}
 	case slowFirst:
-		return t.first.above(l.first), t.first.total()
+		bad := t.first.above(l.first)
+		return results{bad: bad, good: t.first.total() - bad}
 	default:
-		return t.pace.above(l.pace), t.pace.total()
+		bad := t.pace.above(l.pace)
+		return results{bad: bad, good: t.pace.total() - bad}
 	}
 }
--- a/canary/verdict/cusum.go
+++ b/canary/verdict/cusum.go
@@ -35,9 +35,13 @@
 type scores [charts]float64
 
 // add applies log likelihood ratios. A chart restarts at zero where the answers
-// favour the baseline's rate.
-func (s *scores) add(ratios *scores) {
+// favour the baseline's rate. Those of good answers that are taken off again have lowered a chart
+// only if it is above zero.
+func (s *scores) add(ratios, takenOff *scores) {
 	for i, ratio := range ratios {
+		if s[i] > 0 {
+			ratio -= takenOff[i]
+		}
 		s[i] = max(s[i]+ratio, 0)
 	}
 }
@@ -68,24 +72,27 @@
 	loaded     bool    // it gave most answers of the trial
 }
 
-// add applies answers of one upstream, of which only some bad ones are tested.
-func (c *cusum) add(upstream int, bad, tested, good int, rate float64) {
+// add applies answers of one upstream, of which only some bad ones are tested. Of those that were
+// cut as many good answers are taken off as bad ones are tested.
+func (c *cusum) add(upstream int, answered results, tested int, rate float64) {
 	for len(c.without) <= upstream {
 		c.without = append(c.without, c.all)
 		c.own = append(c.own, scores{})
 		c.totals = append(c.totals, answers{})
 	}
 	t := &c.totals[upstream]
-	n := float64(bad + good)
-	t.total, t.bad = t.total+bad+good, t.bad+bad
-	t.excess += float64(bad) - n*rate
+	n := float64(answered.total())
+	t.total, t.bad = t.total+answered.total(), t.bad+answered.bad
+	t.excess += float64(answered.bad) - n*rate
 	t.variance += n * rate * (1 - rate)
-	ratios := ratios(tested, good, rate)
-	c.all.add(&ratios)
-	c.own[upstream].add(&ratios)
+	cut := min(answered.cut, tested)
+	now := min(cut, answered.good)
+	ratio, takenOff := ratios(tested, answered.good-now, rate), ratios(0, cut-now, rate)
+	c.all.add(&ratio, &takenOff)
+	c.own[upstream].add(&ratio, &takenOff)
 	for i := range c.without {
 		if i != upstream {
-			c.without[i].add(&ratios)
+			c.without[i].add(&ratio, &takenOff)
 		}
 	}
 }
--- a/canary/verdict/rates_test.go
+++ b/canary/verdict/rates_test.go
@@ -79,6 +79,9 @@
 	{"one of the baseline's broken", scenario{baseline: broken(healthy)}},
 	{"one upstream crashes", scenario{crash: true}},
 	{"one of 2 upstreams crashes", scenario{crash: true, upstreams: 2}},
+	{"one upstream crashes, cutting its streams", scenario{crash: true, cuts: true}},
+	{"one of 2 crashes, cutting its streams", scenario{crash: true, cuts: true, upstreams: 2}},
+	{"both cut 9%", scenario{candidate: always(behaviour{cutting: 0.09}), baseline: always(behaviour{cutting: 0.09})}},
 	{"lightly loaded", scenario{baseline: always(behaviour{failing: 0.002, slowPart: 1, slowFirst: 2, slowPace: 1.5})}},
 }
 
@@ -91,6 +94,9 @@
 	{"fails 25%", scenario{candidate: fails(0.25)}, shares{0.6, 0.95, 1, 1}},
 	{"fails 50%", scenario{candidate: fails(0.5)}, shares{0.98, 1, 1, 1}},
 	{"fails 100%", scenario{candidate: fails(1)}, shares{1, 1, 1, 1}},
+	{"cuts 25%", scenario{candidate: always(behaviour{cutting: 0.25})}, shares{0.6, 0.95, 1, 1}},
+	{"cuts 50%", scenario{candidate: always(behaviour{cutting: 0.5})}, shares{0.98, 1, 1, 1}},
+	{"cuts 94%, 1 upstream", scenario{candidate: always(behaviour{cutting: 0.94}), upstreams: 1}, shares{0.98, 1, 1, 1}},
 	{"first event 3x slower", scenario{candidate: always(behaviour{slowPart: 1, slowFirst: 3})}, shares{0.9, 0.99, 1, 1}},
 	{"first event 5x slower", scenario{candidate: always(behaviour{slowPart: 1, slowFirst: 5})}, shares{0.99, 1, 1, 1}},
 	{"first event 10x slower, 25%", scenario{candidate: always(behaviour{slowPart: 0.25, slowFirst: 10})}, shares{0.4, 0.85, 1, 1}},
--- a/canary/verdict/reason.go
+++ b/canary/verdict/reason.go
@@ -38,8 +38,8 @@
 // reason returns the counts of one kind on this route.
 func (r *route) reason(k kind, score float64) Reason {
 	all := r.tests[k].sum(false)
-	bad, total := r.baseline.now.results(k, r.baseline.reference(r.updatedAt).limits)
-	return Reason{Route: r.name, Kind: k.String(), Score: score, Answers: all.total, Bad: all.bad, BaselineAnswers: total, BaselineBad: bad}
+	baseline := r.baseline.now.results(k, r.baseline.reference(r.updatedAt).limits)
+	return Reason{Route: r.name, Kind: k.String(), Score: score, Answers: all.total, Bad: all.bad, BaselineAnswers: baseline.total(), BaselineBad: baseline.bad}
 }
 
 // pooledReason returns the counts of one kind on all routes.
--- a/canary/verdict/route.go
+++ b/canary/verdict/route.go
@@ -117,16 +117,16 @@
 // test applies the answers of an upstream to some tests.
 func (b *batch) test(u *upstream, ref reference, all ...*tests) {
 	for k := range kinds {
-		bad, total := b.tally.results(k, ref.limits)
-		if total == 0 {
+		answered := b.tally.results(k, ref.limits)
+		if answered == (results{}) {
 			continue
 		}
-		tested := bad
+		tested := answered.bad
 		if !b.first {
-			tested = u.bursts[k].tested(b.at, bad, total-bad, ref.rates[k])
+			tested = u.bursts[k].tested(b.at, answered.bad, answered.good, ref.rates[k])
 		}
 		for _, t := range all {
-			t[k].add(b.upstream, bad, tested, total-bad, ref.rates[k])
+			t[k].add(b.upstream, answered, tested, ref.rates[k])
 		}
 	}
 }
@@ -151,8 +151,8 @@
 	for _, i := range slices.Sorted(maps.Keys(copies)) {
 		for k := range kinds {
 			if bad := copies[i].bursts[k].suspects(r.updatedAt); bad > 0 {
-				all[k].add(i, 0, bad, 0, rates[k])
-				further[k].add(i, 0, bad, 0, rates[k])
+				all[k].add(i, results{}, bad, rates[k])
+				further[k].add(i, results{}, bad, rates[k])
 			}
 		}
 	}
@@ -191,11 +191,11 @@
 	var bad, baselineBad [kinds]int
 	for k := range kinds {
 		bad[k] = r.tests[k].sum(false).bad
-		baselineBad[k], _ = r.baseline.now.results(k, ref.limits)
+		baselineBad[k] = r.baseline.now.results(k, ref.limits).bad
 	}
 	all := r.tests[failing].sum(false)
 	e.Answers, e.Bad = all.total, bad[failing]+max(bad[slowFirst], bad[slowPace])
-	_, e.BaselineAnswers = r.baseline.now.results(failing, ref.limits)
+	e.BaselineAnswers = r.baseline.now.results(failing, ref.limits).total()
 	e.BaselineBad = baselineBad[failing] + max(baselineBad[slowFirst], baselineBad[slowPace])
 	return e
 }
--- a/canary/verdict/simulation_test.go
+++ b/canary/verdict/simulation_test.go
@@ -25,6 +25,7 @@
 // behaviour is how the upstreams of a release answer at one time on one route.
 type behaviour struct {
 	failing   float64 // part of the answers
+	cutting   float64 // part of the answers that fail some time after their first event
 	slowPart  float64 // part of the answers that are slower
 	slowFirst float64 // factor, 0 for 1
 	slowPace  float64
@@ -41,6 +42,7 @@
 type scenario struct {
 	candidate, baseline func(m moment) behaviour
 	crash               bool // an upstream of the candidate fails 8 requests at once
+	cuts                bool // which have had their first events before
 	upstreams           int  // of the candidate
 }
 
@@ -61,6 +63,8 @@
 	rows     map[int]*wire.ReleaseCounts // of the candidate, by upstream and route
 	base     [2][]wire.ReleaseCounts     // history of the baseline's row, by route
 	outcome  outcome
+	begun    []*wire.ReleaseCounts // rows of the candidate's streams that are cut in the next interval
+	cutBase  [2]int                // the baseline's, by route
 }
 
 func play(s scenario, answers int, seed uint64) outcome {
@@ -87,6 +91,12 @@
 
 // step adds the answers of one interval.
 func (s *simulation) step(at, answers float64) {
+	for _, row := range s.begun {
+		row.Failed++
+		row.Cut++
+		s.outcome.bad++
+	}
+	s.begun = nil
 	for range s.poisson(answers) {
 		m := moment{at: at, upstream: s.random.IntN(s.scenario.upstreams), draft: s.random.IntN(3) == 0}
 		s.answer(s.row(m), m, s.scenario.candidate)
@@ -94,7 +104,14 @@
 	if s.scenario.crash && at == 0.5 {
 		m := moment{at: at, upstream: 1}
 		s.row(m).Sent += 8
-		s.row(m).Failed += 8
+		if !s.scenario.cuts {
+			s.row(m).Failed += 8
+		}
+		for range 8 {
+			if s.scenario.cuts {
+				s.cutNext(s.row(m), m)
+			}
+		}
 	}
 	for route := range s.base {
 		row := wire.ReleaseCounts{Route: routes[route], First: make([]int, buckets.Count), Pace: make([]int, buckets.Count)}
@@ -102,6 +119,7 @@
 			row = s.base[route][n-1]
 			row.First, row.Pace = slices.Clone(row.First), slices.Clone(row.Pace)
 		}
+		row.Failed, row.Cut, s.cutBase[route] = row.Failed+s.cutBase[route], row.Cut+s.cutBase[route], 0
 		part := []float64{2. / 3, 1. / 3}[route]
 		for range s.poisson(answers * baselinePart * part) {
 			m := moment{at: at, upstream: s.random.IntN(upstreams), draft: route == 1}
@@ -152,6 +170,23 @@
 	s.draw(row, m, s.scenario.baseline)
 }
 
+// cutNext adds a stream that is cut in the next interval.
+func (s *simulation) cutNext(row *wire.ReleaseCounts, m moment) {
+	first := tagFirst
+	if m.draft {
+		first = draftFirst
+	}
+	row.First[s.bucket(first, 0.5)]++
+	switch {
+	case row.Candidate:
+		s.begun = append(s.begun, row)
+	case m.draft:
+		s.cutBase[1]++
+	default:
+		s.cutBase[0]++
+	}
+}
+
 // draw adds one answer, and reports whether it failed or was slower.
 func (s *simulation) draw(row *wire.ReleaseCounts, m moment, of func(m moment) behaviour) bool {
 	row.Sent++
@@ -163,6 +198,10 @@
 		row.Failed++
 		return true
 	}
+	if b.cutting > 0 && s.random.Float64() < b.cutting {
+		s.cutNext(row, m)
+		return false
+	}
 	slow := s.random.Float64() < b.slowPart
 	first, pace := tagFirst, tokenPace
 	if m.draft {
--- a/canary/verdict/verdict.go
+++ b/canary/verdict/verdict.go
@@ -204,11 +204,10 @@
 func (v *Verdict) Sufficient() bool {
 	all := 0
 	for _, r := range v.routes {
-		_, total := r.baseline.now.results(failing, limits{})
-		all += total
+		all += r.baseline.now.results(failing, limits{}).total()
 	}
 	for _, r := range v.routes {
-		_, total := r.baseline.now.results(failing, limits{})
+		total := r.baseline.now.results(failing, limits{}).total()
 		if float64(total) >= minRoutePart*float64(all) && !r.sufficient() {
 			return false
 		}
--- a/canary/verdict/verdict_test.go
+++ b/canary/verdict/verdict_test.go
@@ -266,6 +266,33 @@
 	}
 }
 
+// TestCutStream checks that a stream that is cut counts as one answer, which failed: it counted as a good
+// one too, so that a release that cuts its streams looked half as bad.
+func TestCutStream(t *testing.T) {
+	is := is.New(t)
+	play := func(cut bool) wire.ReleaseEvidence {
+		f := newFeed()
+		f.each(10, func() { f.good("", 40) })
+		f.each(2, func() {
+			f.good("b", 2)
+			if cut {
+				f.good("b", 1)
+				f.pass(2 * time.Second)
+				f.row("tag", "b").Cut++
+				f.row("tag", "b").Failed++
+				return
+			}
+			f.pass(2 * time.Second)
+			f.failed("b", 1)
+		})
+		f.pass(2 * time.Second)
+		return f.verdict.Evidence()[0]
+	}
+	cut, failed := play(true), play(false)
+	is.Equal(cut.Answers, 6)
+	is.Equal(cut, failed)
+}
+
 // TestStaysBad checks that good answers do not undo a verdict.
 func TestStaysBad(t *testing.T) {
 	is := is.New(t)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3815,6 +3815,10 @@
 	// Of the ordered release; else of all others.
 	Candidate bool `json:"candidate,omitempty,omitzero"`
 
+	// Answers that failed after their first event: they are among both the answered
+	// and the failed ones.
+	Cut int `json:"cut,omitempty,omitzero"`
+
 	// Answers that failed or did not come in time.
 	Failed int `json:"failed,omitempty,omitzero"`
 
@@ -3874,6 +3878,9 @@
 	if v, ok := raw["candidate"]; !ok || v == nil {
 		plain.Candidate = false
 	}
+	if v, ok := raw["cut"]; !ok || v == nil {
+		plain.Cut = 0
+	}
 	if v, ok := raw["failed"]; !ok || v == nil {
 		plain.Failed = 0
 	}
