canary, edge: draw the route that lacks answers, once another has enough

Cause: the cutover waits until each route has answers enough. Drawn requests are divided as the requests come, each box for itself, and an order of 8.4 s at 14 requests a second gives its trial some 20.

Fix: once one route has enough, known or under way, the decider names the route that lacks most with the share, and boxes draw that one only, at a share that draws as many. Routes are drawn as they come before that, and again once all have enough. share_ppm stays as it was: a box without the fields draws as before.

TestShortOrder, TestRolloutBound, TestRolloutKinds and TestRollout pass.

--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -43,7 +43,9 @@
 	Limit         time.Time // when the duration is over; zero if unknown
 	SharePPM      int       // share of the requests for the target in the trial, in millionths
 	Upstream      string    // of the target, which gets drawn requests first; empty if unknown
-	ShareAt       time.Time // when the decider set the share and the upstream
+	Route         string    // the only one whose requests are drawn; empty for all
+	RoutePPM      int       // share of that route's requests, in millionths
+	ShareAt       time.Time // when the decider set the share, the upstream and the route
 }
 
 // Active reports whether the order has no outcome yet.
@@ -77,6 +79,24 @@
 	return o
 }
 
+// WithRoute returns the order with the only route whose requests are drawn and their share, set with
+// the share of all requests.
+func (o Order) WithRoute(route string, ppm int) Order {
+	o.Route, o.RoutePPM = route, ppm
+	return o
+}
+
+// ShareOf returns the share of a route's requests for the target, in millionths.
+func (o Order) ShareOf(route string) int {
+	switch o.Route {
+	case "":
+		return o.SharePPM
+	case route:
+		return o.RoutePPM
+	}
+	return 0
+}
+
 // WithLimit returns the order with its time limit.
 func (o Order) WithLimit(limit time.Time) Order {
 	o.Limit = limit
@@ -102,7 +122,7 @@
 		o = o.WithPhase(u.Phase, u.PhaseVersion, u.Decider)
 	}
 	if u.PhaseVersion == o.PhaseVersion && u.ShareAt.After(o.ShareAt) {
-		o = o.WithShare(u.SharePPM, u.ShareAt).WithUpstream(u.Upstream)
+		o = o.WithShare(u.SharePPM, u.ShareAt).WithUpstream(u.Upstream).WithRoute(u.Route, u.RoutePPM)
 	}
 	return o
 }
@@ -118,6 +138,7 @@
 	}
 	if !o.ShareAt.IsZero() {
 		w.SharePpm, w.ShareAgeMs, w.Upstream = o.SharePPM, int(now.Sub(o.ShareAt).Milliseconds())+1, o.Upstream
+		w.Route, w.RoutePpm = o.Route, o.RoutePPM
 	}
 	return w
 }
@@ -132,7 +153,7 @@
 		o.Limit = sent.Add(time.Duration(w.LeftMs) * time.Millisecond)
 	}
 	if w.ShareAgeMs > 0 {
-		o = o.WithShare(w.SharePpm, sent.Add(-time.Duration(w.ShareAgeMs)*time.Millisecond)).WithUpstream(w.Upstream)
+		o = o.WithShare(w.SharePpm, sent.Add(-time.Duration(w.ShareAgeMs)*time.Millisecond)).WithUpstream(w.Upstream).WithRoute(w.Route, w.RoutePpm)
 	}
 	return o
 }
--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -105,7 +105,7 @@
 
 // comparable returns the order without what changes by itself.
 func (o Order) comparable() Order {
-	return o.WithShare(0, time.Time{}).WithUpstream("").WithLimit(time.Time{})
+	return o.WithShare(0, time.Time{}).WithUpstream("").WithRoute("", 0).WithLimit(time.Time{})
 }
 
 func (o Order) withState(s State) Order {
--- a/canary/orders/orders_test.go
+++ b/canary/orders/orders_test.go
@@ -219,7 +219,7 @@
 // call was sent.
 func TestWord(t *testing.T) {
 	is := is.New(t)
-	o := order(5, "v2", orders.Running, 6).WithPhase(orders.Trial, 7, "b1").WithShare(60000, start).WithLimit(start.Add(12 * time.Second))
+	o := order(5, "v2", orders.Running, 6).WithPhase(orders.Trial, 7, "b1").WithShare(60000, start).WithUpstream("e1").WithRoute("draft", 120000).WithLimit(start.Add(12 * time.Second))
 	got := orders.FromWord(start.Add(time.Second), o.Word(start.Add(200*time.Millisecond)))
 	is.Equal(got.Limit, start.Add(time.Second+11800*time.Millisecond))
 	is.Equal(got.ShareAt, start.Add(time.Second-201*time.Millisecond))
--- a/canary/share/share.go
+++ b/canary/share/share.go
@@ -146,3 +146,12 @@
 		c.samples = c.samples[1:]
 	}
 }
+
+// OnRoute returns the share of one route's requests that draws as many as a share of all, where the
+// route has a part of all requests. It is bounded so that the baseline stays measured.
+func OnRoute(ppm int, part float64) int {
+	if part <= 0 {
+		return 0
+	}
+	return int(min(float64(ppm)/part, maxShare*PPM))
+}
--- a/canary/verdict/reason.go
+++ b/canary/verdict/reason.go
@@ -72,10 +72,27 @@
 // on this route.
 func (r *route) sufficient() bool {
 	known, rates := r.withPending(&tests{})
-	all, rate := known[failing].sum(false), rates[failing]
+	needed := neededAnswers(rates[failing])
+	return needed > 0 && float64(known[failing].sum(false).total) >= needed
+}
+
+// progress returns the answers of the candidate that are known or under way, as a part of those that
+// are sufficient.
+func (r *route) progress() float64 {
+	known, _ := r.withPending(&tests{})
+	needed := neededAnswers(r.baseline.reference(r.updatedAt).rates[failing])
+	if needed == 0 {
+		return 0
+	}
+	return float64(known[failing].sum(false).total+r.running) / needed
+}
+
+// neededAnswers returns how many answers would show a candidate half of whose answers fail, at a
+// rate of the baseline; 0 if none would.
+func neededAnswers(rate float64) float64 {
 	if rate == 0 || rate >= clearRate {
-		return false
+		return 0
 	}
 	perAnswer := clearRate*math.Log(clearRate/rate) + (1-clearRate)*math.Log((1-clearRate)/(1-rate))
-	return float64(all.total)*perAnswer >= enoughFactor*threshold
+	return enoughFactor * threshold / perAnswer
 }
--- a/canary/verdict/route.go
+++ b/canary/verdict/route.go
@@ -55,6 +55,7 @@
 	pooled    *tests         // of all routes
 	rates     [kinds]float64 // of the baseline, as last compared
 	updatedAt time.Time
+	running   int // requests at the candidate
 }
 
 func newRoute(name string, pooled *tests) *route {
@@ -65,11 +66,13 @@
 // Answers are compared after a delay.
 func (r *route) update(now time.Time, rows []indexedRow, delay time.Duration, first bool) {
 	var base tally
+	r.running = 0
 	for _, w := range rows {
 		t, ok := tallyOf(w.ReleaseCounts)
 		switch {
 		case !ok:
 		case w.Candidate:
+			r.running += max(w.Running, 0)
 			r.answered(now, w.upstream, &t, first)
 		default:
 			base.add(&t)
--- a/canary/verdict/verdict.go
+++ b/canary/verdict/verdict.go
@@ -214,3 +214,28 @@
 	}
 	return all > 0
 }
+
+// ShortRoute returns the route that most lacks requests to the candidate for sufficient evidence while
+// another has enough, and its part of the baseline's answers; empty if there is none.
+func (v *Verdict) ShortRoute() (name string, part float64) {
+	all, lowest, enough := 0, 1.0, false
+	for _, r := range v.routes {
+		all += r.baseline.now.results(failing, limits{}).total()
+	}
+	for _, n := range v.names() {
+		r := v.routes[n]
+		of := float64(r.baseline.now.results(failing, limits{}).total()) / float64(max(all, 1))
+		if of < minRoutePart {
+			continue
+		}
+		known := r.progress()
+		enough = enough || known >= 1
+		if known < lowest {
+			name, part, lowest = n, of, known
+		}
+	}
+	if !enough {
+		return "", 0
+	}
+	return name, part
+}
--- a/canary/verdict/verdict_test.go
+++ b/canary/verdict/verdict_test.go
@@ -293,6 +293,43 @@
 	is.Equal(cut, failed)
 }
 
+// TestShortRoute checks which route lacks requests to the candidate, once another has enough.
+func TestShortRoute(t *testing.T) {
+	tests := map[string]struct {
+		tag, draft int // answers of the candidate
+		running    int // requests of it on the route "draft"
+		want       string
+	}{
+		"no answers":           {},
+		"none has enough":      {tag: 5, draft: 4},
+		"one has enough":       {tag: 12, draft: 4, want: "draft"},
+		"the other has enough": {tag: 4, draft: 12, want: "tag"},
+		"both have enough":     {tag: 12, draft: 12},
+		"under way":            {tag: 12, draft: 4, running: 8},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFeed()
+			f.good("", 200)
+			f.row("draft", "").First[buckets.Of(usual)] += 100
+			f.row("rare", "").First[buckets.Of(usual)] += 5 // less than a twentieth
+			f.good("b", tt.tag)
+			f.row("draft", "b").First[buckets.Of(usual)] += tt.draft
+			f.row("draft", "b").Running = tt.running
+			f.pass(3 * time.Second)
+			got, part := f.verdict.ShortRoute()
+			is.Equal(got, tt.want)
+			switch got {
+			case "draft":
+				is.True(part > 0.32 && part < 0.33)
+			case "":
+				is.Equal(part, 0.0)
+			}
+		})
+	}
+}
+
 // TestStaysBad checks that good answers do not undo a verdict.
 func TestStaysBad(t *testing.T) {
 	is := is.New(t)
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -66,9 +66,9 @@
 	sharing    time.Time // since when this box has set a share above zero; zero if it does not decide
 	waits      decider.Reason
 	plan       plan.Plan
-	sent       int // requests of the service
-	candidate  int // of these to the candidate
-	loggedPPM  int
+	sent       int          // requests of the service
+	candidate  int          // of these to the candidate
+	logged     orders.Order // as in the last line about the share
 	loggedAt   time.Time
 }
 
@@ -149,6 +149,7 @@
 		t.badSince = now
 	}
 	evidence := t.verdict.Evidence()
+	route, part := t.verdict.ShortRoute()
 	r.mu.Unlock()
 	if first {
 		r.logVerdict(o, reason, evidence)
@@ -162,8 +163,9 @@
 	if bad || o.Phase != orders.Trial || !reported {
 		ppm = 0 // is sent all the same: it shows that this box decides
 	}
-	r.orders.Update(now, o.WithShare(ppm, now).WithUpstream(r.trialUpstream(now, o, sum)), ownSource)
-	r.logShare(now, o, t, ppm)
+	o = o.WithShare(ppm, now).WithUpstream(r.trialUpstream(now, o, sum)).WithRoute(route, share.OnRoute(ppm, part))
+	r.orders.Update(now, o, ownSource)
+	r.logShare(now, o, t)
 }
 
 // recordSharing records since when this box has set a share above zero.
@@ -218,15 +220,15 @@
 	}
 }
 
-func (r *rolloutControl) logShare(now time.Time, o orders.Order, t *trialState, ppm int) {
+func (r *rolloutControl) logShare(now time.Time, o orders.Order, t *trialState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if ppm == t.loggedPPM || now.Sub(t.loggedAt) < shareLogInterval {
+	if o.SharePPM == t.logged.SharePPM && o.Route == t.logged.Route || now.Sub(t.loggedAt) < shareLogInterval {
 		return
 	}
-	t.loggedPPM, t.loggedAt = ppm, now
+	t.logged, t.loggedAt = o, now
 	r.log.WithFields(logrus.Fields{
-		"service": o.Service, "order": o.Version, "share_ppm": ppm, "sent": t.sent, "sent_candidate": t.candidate, "bound": int(r.bounds().Limit(t.sent)),
+		"service": o.Service, "order": o.Version, "share_ppm": o.SharePPM, "route": o.Route, "sent": t.sent, "sent_candidate": t.candidate, "bound": int(r.bounds().Limit(t.sent)),
 		"trial": int(t.plan.Trial), "cutover_ms": t.plan.Cutover.Milliseconds(), "cutover_requests": int(t.plan.Reserve), "fits": t.plan.Fits,
 	}).Info("rollout_share")
 }
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -339,7 +339,7 @@
 		return false
 	}
 	o, _ := r.orders.Of(service)
-	drawn := o.State == orders.Running && o.Phase == orders.Trial && r.sampler.Drawn(o.SharePPM, now.Sub(o.ShareAt), service+" "+route, request)
+	drawn := o.State == orders.Running && o.Phase == orders.Trial && r.sampler.Drawn(o.ShareOf(route), now.Sub(o.ShareAt), service+" "+route, request)
 	if drawn {
 		r.metrics.RolloutDrawn(service)
 	}
--- a/edge/rollouts_bound_test.go
+++ b/edge/rollouts_bound_test.go
@@ -20,13 +20,14 @@
 	duration time.Duration
 	badFrom  float64 // as a part of the duration; above 1 for a good release
 	burst    bool    // three times as many requests from the cutover on
+	routes   []string
 }
 
 // play plays the order, and returns its outcome and what exceeded the bound.
 func (tt boundTest) play(t *testing.T) (state, exceeded string) {
 	ctx, end := (&cluster{}).context(t)
 	defer end()
-	s := &kindSite{rolloutSite: newRolloutSite(ctx, t, tt.boxes, 1), running: map[string]int{}}
+	s := &kindSite{rolloutSite: newRolloutSite(ctx, t, tt.boxes, 1), running: map[string]int{}, routes: tt.routes}
 	s.duration = tt.duration
 	s.respond = func(_ string, _ int, since time.Duration) response {
 		return response{failed: since.Seconds() >= tt.badFrom*tt.duration.Seconds()}
@@ -122,3 +123,24 @@
 		}
 	}
 }
+
+// TestUnevenRoutes checks that a good release of a service with few requests, most of them on one
+// route, is completed in time: drawn as they come, those of the other route gave too few answers.
+func TestUnevenRoutes(t *testing.T) {
+	tests := map[string]boundTest{
+		"a quarter, 12 s": {rate: 20, duration: 12 * time.Second, routes: []string{"look", "look", "once", "look"}},
+		"a quarter, 8 s":  {rate: 24, duration: 8 * time.Second, routes: []string{"look", "look", "once", "look"}},
+		"an eighth, 20 s": {rate: 24, duration: 20 * time.Second, routes: []string{"look", "look", "look", "look", "once", "look", "look", "look"}},
+	}
+	for name, tt := range tests {
+		for _, boxes := range []int{6, 76} {
+			t.Run(fmt.Sprint(name, ", ", boxes, " boxes"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					tt.boxes, tt.badFrom = boxes, 2
+					state, _ := tt.play(t)
+					is.New(t).Equal(state, "completed")
+				})
+			})
+		}
+	}
+}
--- a/edge/rollouts_kinds_test.go
+++ b/edge/rollouts_kinds_test.go
@@ -25,6 +25,7 @@
 	*rolloutSite
 	respond func(route string, running int, since time.Duration) response // of the candidate
 
+	routes  []string       // of the requests, in turn; nil for two
 	running map[string]int // requests by upstream
 	badAt   []time.Time    // ends of the candidate's bad answers
 	late    string         // set if a request was sent too long after the 50th bad answer
@@ -32,9 +33,13 @@
 
 // load sends requests on two routes from random boxes until ctx ends.
 func (s *kindSite) load(ctx context.Context, rate int) {
+	routes := s.routes
+	if routes == nil {
+		routes = []string{"look", "once"}
+	}
 	for n := 0; sleep(ctx, time.Second/time.Duration(rate)) == nil; n++ {
 		all := s.rolloutSite.running()
-		s.request(all[s.random.IntN(len(all))], []string{"look", "once"}[n%2], fmt.Sprint("k", n))
+		s.request(all[s.random.IntN(len(all))], routes[n%len(routes)], fmt.Sprint("k", n))
 	}
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4305,6 +4305,13 @@
 	// Of the row that holds the phase; 0 where there is none.
 	PhaseVersion int `json:"phase_version,omitempty,omitzero"`
 
+	// The only route whose requests are drawn, with route_ppm; empty for all, with
+	// share_ppm.
+	Route string `json:"route,omitempty,omitzero"`
+
+	// Share of that route's requests, in millionths.
+	RoutePpm int `json:"route_ppm,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
@@ -4399,6 +4406,12 @@
 	if v, ok := raw["phase_version"]; !ok || v == nil {
 		plain.PhaseVersion = 0
 	}
+	if v, ok := raw["route"]; !ok || v == nil {
+		plain.Route = ""
+	}
+	if v, ok := raw["route_ppm"]; !ok || v == nil {
+		plain.RoutePpm = 0
+	}
 	if v, ok := raw["share_age_ms"]; !ok || v == nil {
 		plain.ShareAgeMs = 0
 	}
