canary/counts: count a request that waits for long as slow before it ends

Cause: a request without an event was no answer until it timed out, which takes twice the route's aim: longer than a cutover of a plain service.

Fix: a box counts a request that has waited for six times the baseline's median on its route as answered with that time, which is slow, whatever becomes of it; if it fails afterwards, it is one answer that failed (`cut`). Six is twice the factor from which an answer is slow, as a box knows other answers of the baseline than the decider. It looks when it reports. The way to another region is left out, cold upstreams are. Both releases are counted alike.

Not covered: a box that knows fewer than eight answers of the baseline on the route (docs/OPEN.md).

--- a/canary/counts/counts.go
+++ b/canary/counts/counts.go
@@ -49,7 +49,8 @@
 	total     map[key]tally            // of all others
 	exclusive map[key]tally            // of those that report to this box only
 	receivers map[string]*receiver
-	delivered map[key]tally // to receivers to which this box reported exclusively
+	delivered map[key]tally         // to receivers to which this box reported exclusively
+	waiting   map[*request]struct{} // requests of this box that were not answered yet, of upstreams that were not cold
 }
 
 // New returns counts without any order.
@@ -71,7 +72,7 @@
 	c.services[name] = &service{
 		name: name, order: order, target: target,
 		own: map[key]tally{}, others: map[string]map[key]tally{}, total: map[key]tally{}, exclusive: map[key]tally{},
-		receivers: map[string]*receiver{}, delivered: map[key]tally{},
+		receivers: map[string]*receiver{}, delivered: map[key]tally{}, waiting: map[*request]struct{}{},
 	}
 	c.active.Store(int32(len(c.services)))
 }
@@ -122,8 +123,8 @@
 
 // Sent counts a request that is sent to an upstream, and returns the function to call
 // with its result; nil if the service is not counted. A result that comes after another
-// order replaced this one is dropped.
-func (c *Counts) Sent(_ time.Time, name, route string, u fleet.Upstream) (ended func(now time.Time, r Result)) {
+// order replaced this one is dropped. A request to another region counts as waiting from its arrival there on.
+func (c *Counts) Sent(now time.Time, name, route string, u fleet.Upstream) (ended func(now time.Time, r Result)) {
 	if c.active.Load() == 0 {
 		return nil
 	}
@@ -138,7 +139,10 @@
 	t.sent++
 	t.running++
 	s.own[k] = t
-	r := &request{counts: c, service: s, key: k}
+	r := &request{counts: c, service: s, key: k, sentAt: now}
+	if !u.ColdUntil.After(now) {
+		s.waiting[r] = struct{}{}
+	}
 	return r.ended
 }
 
@@ -158,6 +162,7 @@
 	counts  *Counts
 	service *service
 	key     key
+	sentAt  time.Time
 	begun   bool // its first event was counted
 	paced   bool // its pace was counted
 	done    bool
@@ -170,6 +175,7 @@
 	if r.done || r.counts.services[r.service.name] != r.service {
 		return
 	}
+	delete(r.service.waiting, r)
 	t := r.service.own[r.key]
 	if !result.Streaming {
 		t.running--
--- a/canary/counts/peers.go
+++ b/canary/counts/peers.go
@@ -147,6 +147,7 @@
 	reporting = 1
 	s, ok := c.services[name]
 	if ok {
+		s.countOverdue(now)
 		baseline = runningBaseline(s.own)
 	}
 	for box, p := range c.peers {
--- a/canary/counts/report.go
+++ b/canary/counts/report.go
@@ -58,6 +58,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.sorted() {
+		s.countOverdue(now)
 		rows = append(rows, c.reportOf(now, s, to)...)
 	}
 	return rows, func() { c.acknowledge(now, to, exclusive, rows) }
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -349,14 +349,21 @@
 // Sent implements relay.Rollouts: it counts a request that is sent to an upstream.
 func (r *rolloutControl) Sent(now time.Time, service, route string, u fleet.Upstream) (ended func(now time.Time, result counts.Result)) {
 	r.arrivals.Add(now, service, route)
-	record := r.counts.Sent(now, service, route, u)
+	if !r.counts.Active(service) {
+		return nil
+	}
+	far, arrives := r.regions.Between(r.config.Hall, u.Hall) == distance.Elsewhere, now
+	if far {
+		arrives = now.Add(r.longestWayTo(now, u.Hall))
+	}
+	record := r.counts.Sent(arrives, service, route, u)
 	if record == nil {
 		return nil
 	}
 	if o, _ := r.orders.Of(service); o.Target == u.Release {
 		r.metrics.RolloutSent(service)
 	}
-	if r.regions.Between(r.config.Hall, u.Hall) != distance.Elsewhere {
+	if !far {
 		return record
 	}
 	return func(now time.Time, result counts.Result) { record(now, r.withoutWay(now, u, result)) }
--- a/edge/rollouttrial.go
+++ b/edge/rollouttrial.go
@@ -9,6 +9,7 @@
 	"petrelstep/canary/orders"
 	"petrelstep/canary/trialorder"
 	"petrelstep/fleet"
+	"petrelstep/peer/roundtrip"
 	"petrelstep/wire"
 )
 
@@ -77,6 +78,15 @@
 	return result
 }
 
+// longestWayTo returns the way to the region of a hall, the longest that is possible if none was
+// measured.
+func (r *rolloutControl) longestWayTo(now time.Time, hall string) time.Duration {
+	if to := r.wayTo(now, hall); to.known {
+		return to.roundTrip
+	}
+	return roundtrip.Max
+}
+
 // wayTo returns the way to the region of a hall: the shortest round trip to one of its boxes.
 func (r *rolloutControl) wayTo(now time.Time, hall string) way {
 	region, _ := r.regions.Region(hall)
