places: let a preferred upstream run up to half of its slots

Cause: the limit was two requests more than the most loaded other one. What other boxes run is known by their last reports, up to a second old, so that two boxes that ran one request when they reported divert all others until their next report.

Fix: the limit is half of its slots, which upstreams declare as what they run at once, or what another one runs where that is more.

--- a/balance/places/pick.go
+++ b/balance/places/pick.go
@@ -88,28 +88,27 @@
 	return list[at], nil
 }
 
-// maxPreferredExtra is how many more requests a preferred upstream may run than the most loaded
-// other one, as requests come in at random.
-const maxPreferredExtra = 2
+// preferredSlots is the divisor of the slots that a preferred upstream may use, if the others use
+// less. What other boxes run there is known some hundred milliseconds late.
+const preferredSlots = 2
 
-// preferred returns the index of the upstream with an id if it takes a request and runs hardly more
-// than the others; -1 if not.
+// preferred returns the index of the upstream with an id if it takes a request, and runs less than
+// half of its slots or than another one; -1 if not.
 func (s *service) preferred(list []picker.Choice, weights []float64, id string) int {
-	at, most := -1, 0
+	at, most, own := -1, 0, 0
 	for i, c := range list {
 		running := max(c.Running.Requests, s.upstream(c.Upstream.ID).inFlight)
-		if c.Upstream.ID != id {
+		switch {
+		case c.Upstream.ID != id:
 			most = max(most, running)
-			continue
-		}
-		if weights[i] > 0 && running < max(c.Upstream.Slots, 1) {
-			at = i
+		case weights[i] > 0 && running < max(c.Upstream.Slots, 1):
+			at, own = i, running
 		}
 	}
-	if at < 0 || max(list[at].Running.Requests, s.upstream(id).inFlight) >= most+maxPreferredExtra {
-		return -1
+	if at >= 0 && (own < most || own < max(list[at].Upstream.Slots/preferredSlots, 1)) {
+		return at
 	}
-	return at
+	return -1
 }
 
 // ownUtilization returns the fraction of an upstream's slots in use by this box's
