soak: print how many answers of a completed bad version would be bad afterwards

A bad version that is completed is an end of two kinds: most of its answers are bad, or none is at the load that the service has. The soak ends a version's badness at its completion, as later ones are compared with it, so that nothing told which it was. Workers now record the responses that the badness would have affected, and the soak prints "WOULD BE BAD", for the ten seconds after each completion. The line "COMPLETED, BAD" stays as it was.

TestEndBadness and TestBadAfter.

--- a/cmd/petrelstep-soak/main.go
+++ b/cmd/petrelstep-soak/main.go
@@ -50,6 +50,9 @@
 	for _, c := range tally.CompletedBad {
 		fmt.Println("COMPLETED, BAD", c)
 	}
+	for _, c := range tally.BadAfter {
+		fmt.Println("WOULD BE BAD", c)
+	}
 	for _, b := range tally.Violations {
 		fmt.Println("BROKEN", b)
 	}
--- a/soak/checker/rollouts.go
+++ b/soak/checker/rollouts.go
@@ -113,6 +113,32 @@
 	return list
 }
 
+// afterCompletion is the time after a completion in which responses of a bad version are counted.
+const afterCompletion = 10 * time.Second
+
+// BadAfter describes how many responses of each bad version that was completed would have been bad just
+// after that.
+func (h RolloutHistory) BadAfter() (list []string) {
+	for _, r := range h.Rollouts {
+		end, ended := r.outcome()
+		if !r.Bad || !ended || end.Name != StateCompleted {
+			continue
+		}
+		all, bad := 0, 0
+		for _, a := range h.Arrivals {
+			if a.Service != r.Service || a.Version != r.Version || a.At.Before(end.At) || a.At.After(end.At.Add(afterCompletion)) {
+				continue
+			}
+			all++
+			if a.Spared || !a.BadAt.IsZero() {
+				bad++
+			}
+		}
+		list = append(list, fmt.Sprintf("%s %s: %d of %d requests in the %v after completion", r.Service, r.Version, bad, all, afterCompletion))
+	}
+	return list
+}
+
 // CheckRollouts returns the violations of the guarantees of roll-outs.
 func (c *Checker) CheckRollouts(h RolloutHistory, bounds RolloutBounds) []Violation {
 	boxes := make(map[string]string, len(h.Attempts))
--- a/soak/checker/rollouts_test.go
+++ b/soak/checker/rollouts_test.go
@@ -199,3 +199,26 @@
 		})
 	}
 }
+
+// TestBadAfter checks which responses of a completed version count as bad after its completion.
+func TestBadAfter(t *testing.T) {
+	at := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
+	arrival := func(version string, s int, spared bool, badAt int) checker.Arrival {
+		a := checker.Arrival{Worker: "a", Service: "plain", Version: version, Arrival: worker.Arrival{At: at(s), Spared: spared}}
+		if badAt > 0 {
+			a.BadAt = at(badAt)
+		}
+		return a
+	}
+	h := checker.RolloutHistory{
+		Rollouts: []checker.Rollout{
+			{Service: "plain", Version: "v2", Bad: true, States: []checker.RolloutState{{Name: checker.StateCompleted, At: at(9)}}},
+			{Service: "plain", Version: "v3", Bad: true, States: []checker.RolloutState{{Name: checker.StateRolledBack, At: at(9)}}},
+		},
+		Arrivals: []checker.Arrival{
+			arrival("v2", 5, false, 6), arrival("v2", 10, true, 0), arrival("v2", 11, false, 0), arrival("v2", 12, false, 13),
+			arrival("v2", 30, true, 0), arrival("v3", 11, true, 0),
+		},
+	}
+	is.New(t).Equal(h.BadAfter(), []string{"plain v2: 2 of 3 requests in the 10s after completion"})
+}
--- a/soak/site/rollouts.go
+++ b/soak/site/rollouts.go
@@ -115,7 +115,7 @@
 	var stopped []*Worker
 	for _, w := range s.Live(service) {
 		if w.Version == version {
-			w.SetBadness(worker.Badness{}) // later versions are compared with a good one
+			w.EndBadness() // later versions are compared with a good one
 		}
 		if w.Version != version && s.remove(w) {
 			w.Stop()
--- a/soak/site/workers.go
+++ b/soak/site/workers.go
@@ -67,7 +67,7 @@
 	s.mu.Lock()
 	retired := s.retired[releaseKey(w.Service, w.Version)]
 	if s.mended[releaseKey(w.Service, w.Version)] {
-		w.SetBadness(worker.Badness{})
+		w.EndBadness()
 	}
 	if !retired {
 		s.workers[w.ID] = w
@@ -128,7 +128,7 @@
 	index := slices.Index(s.current, w)
 	live := index >= 0 && s.workers[w.ID] == w
 	if s.mended[releaseKey(w.Service, w.Version)] {
-		next.SetBadness(worker.Badness{})
+		next.EndBadness()
 	}
 	if live {
 		s.workers[w.ID], s.current[index] = next, next
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,6 +68,7 @@
 	Announced                              int // announcements of leaving or backoff
 	Rollouts                               RolloutCounts
 	CompletedBad                           []string // bad versions that were completed
+	BadAfter                               []string // responses of these afterwards
 	Violations                             []checker.Violation
 }
 
@@ -171,7 +172,7 @@
 	for _, r := range h.Rollouts {
 		t.Rollouts.add(r)
 	}
-	t.CompletedBad = h.CompletedBad()
+	t.CompletedBad, t.BadAfter = h.CompletedBad(), h.BadAfter()
 	c := checker.New(site.Events, 0, 0)
 	t.Violations = append(t.Violations, c.CheckRollouts(h, site.RolloutBounds())...)
 	t.Violations = append(t.Violations, c.CheckRegions(ran, at.AllowedRegions())...)
--- a/standin/worker/badness.go
+++ b/standin/worker/badness.go
@@ -17,6 +17,8 @@
 	After    int       // number of requests received before
 	From     time.Time // not before
 	Running  int       // while at least so many requests run, this one included
+
+	ended bool
 }
 
 // Slowdown holds the factors by which a response takes longer; 0 is the same as 1.
@@ -36,6 +38,18 @@
 	return time.Duration(float64(d) * factor)
 }
 
+// EndBadness makes the worker respond as usual. Responses that would be affected are recorded as
+// spared.
+func (w *Worker) EndBadness() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.badness != nil {
+		ended := *w.badness
+		ended.ended = true
+		w.badness = &ended
+	}
+}
+
 // SetBadness makes the worker misbehave.
 func (w *Worker) SetBadness(b Badness) {
 	w.mu.Lock()
@@ -52,6 +66,9 @@
 	b := w.badness
 	bad := b != nil && b.affects(r, w.received, w.running)
 	w.received++
+	if bad && b.ended {
+		w.arrivals[index].Spared, bad = true, false
+	}
 	if bad {
 		fault, slowdown = b.Fault, b.Slowdown
 	}
--- a/standin/worker/badness_test.go
+++ b/standin/worker/badness_test.go
@@ -124,3 +124,21 @@
 		is.True(w.Arrivals()[0].Stopped)
 	})
 }
+
+// TestEndBadness checks that a response is not affected by a badness that was ended, and recorded if it
+// would be.
+func TestEndBadness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := worker.New("w1", badnessEvents, badnessPace)
+		w.EndBadness() // of a good version
+		w.SetBadness(worker.Badness{Share: 1, Fault: worker.Failure, Prefix: "/once/"})
+		w.EndBadness()
+		status, _ := send(w, "r1", "/once/1")
+		is.Equal(status, 200)
+		send(w, "r2", "/look/1")
+		arrivals := w.Arrivals()
+		is.True(arrivals[0].Spared && arrivals[0].BadAt.IsZero())
+		is.True(!arrivals[1].Spared)
+	})
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -59,6 +59,7 @@
 	Backoff time.Duration // announced as the request was rejected
 	Stopped bool          // arrived after Stop
 	BadAt   time.Time     // end of a response affected by Badness; zero for others
+	Spared  bool          // Badness would affect the response, if it had not been ended
 }
 
 type streamState struct {
