canary/counts, relay: leave out the wait of a run that resumes from a copy

Found beside it, and older: the time to the first event of a resumed run is left out by setting it to zero, and zero was counted as the fastest bucket. Moved runs thus counted as very fast answers.

Fix: a send says whether it resumes from a copy; such a request is never overdue, and no time is counted without one.

--- a/canary/counts/counts.go
+++ b/canary/counts/counts.go
@@ -123,8 +123,9 @@
 
 // Sent counts a request that is sent to an upstream, and returns the function to call
 // with its result; nil if the service is not counted. A result that comes after another
-// order replaced this one is dropped. A request to another region counts as waiting from its arrival there on.
-func (c *Counts) Sent(now time.Time, name, route string, u fleet.Upstream) (ended func(now time.Time, r Result)) {
+// order replaced this one is dropped. The request counts as waiting from its arrival on; zero for not at
+// all.
+func (c *Counts) Sent(arrives time.Time, name, route string, u fleet.Upstream) (ended func(now time.Time, r Result)) {
 	if c.active.Load() == 0 {
 		return nil
 	}
@@ -139,8 +140,8 @@
 	t.sent++
 	t.running++
 	s.own[k] = t
-	r := &request{counts: c, service: s, key: k, sentAt: now}
-	if !u.ColdUntil.After(now) {
+	r := &request{counts: c, service: s, key: k, arrives: arrives}
+	if !arrives.IsZero() && !u.ColdUntil.After(arrives) {
 		s.waiting[r] = struct{}{}
 	}
 	return r.ended
@@ -162,7 +163,7 @@
 	counts  *Counts
 	service *service
 	key     key
-	sentAt  time.Time
+	arrives time.Time
 	begun   bool // its first event was counted
 	paced   bool // its pace was counted
 	done    bool
@@ -200,7 +201,7 @@
 	if begins {
 		t.answered++
 	}
-	if begins && !result.Cold {
+	if begins && !result.Cold && result.First > 0 { // 0 for one that was resumed from a copy
 		t.first = count(t.first, buckets.Of(result.First))
 	}
 	if result.Pace > 0 && !r.paced && !result.Cold {
--- a/canary/counts/counts_test.go
+++ b/canary/counts/counts_test.go
@@ -56,7 +56,8 @@
 			u: candidate, results: []counts.Result{{Cold: true, Failed: true}},
 			want: wire.ReleaseCounts{Candidate: true, Upstream: "b1", Sent: 1, Failed: 1},
 		},
-		"ended twice": {u: baseline, results: []counts.Result{{Failed: true}, {Failed: true}, second}, want: wire.ReleaseCounts{Sent: 1, Failed: 1}},
+		"resumed from a copy": {u: candidate, results: []counts.Result{{Pace: 3 * time.Millisecond}}, want: wire.ReleaseCounts{Candidate: true, Upstream: "b1", Sent: 1, Answered: 1, Pace: []int{0, 0, 0, 1}}},
+		"ended twice":         {u: baseline, results: []counts.Result{{Failed: true}, {Failed: true}, second}, want: wire.ReleaseCounts{Sent: 1, Failed: 1}},
 		"first event of a stream": {
 			u: baseline, results: []counts.Result{{Streaming: true, First: time.Millisecond}},
 			want: wire.ReleaseCounts{Sent: 1, Answered: 1, Running: 1, First: []int{1}},
--- a/canary/counts/overdue.go
+++ b/canary/counts/overdue.go
@@ -25,7 +25,7 @@
 			limit = s.overdueAfter(r.key.route)
 			limits[r.key.route] = limit
 		}
-		if age := now.Sub(r.sentAt); limit > 0 && age > limit {
+		if age := now.Sub(r.arrives); limit > 0 && age > limit {
 			s.own[r.key] = r.answered(s.own[r.key], Result{First: age})
 			delete(s.waiting, r)
 		}
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -347,7 +347,7 @@
 }
 
 // Sent implements relay.Rollouts: it counts a request that is sent to an upstream.
-func (r *rolloutControl) Sent(now time.Time, service, route string, u fleet.Upstream) (ended func(now time.Time, result counts.Result)) {
+func (r *rolloutControl) Sent(now time.Time, service, route string, u fleet.Upstream, resumed bool) (ended func(now time.Time, result counts.Result)) {
 	r.arrivals.Add(now, service, route)
 	if !r.counts.Active(service) {
 		return nil
@@ -356,6 +356,9 @@
 	if far {
 		arrives = now.Add(r.longestWayTo(now, u.Hall))
 	}
+	if resumed { // its first event waits for the copy
+		arrives = time.Time{}
+	}
 	record := r.counts.Sent(arrives, service, route, u)
 	if record == nil {
 		return nil
--- a/relay/result.go
+++ b/relay/result.go
@@ -41,7 +41,7 @@
 	if r.Rollouts == nil {
 		return nil
 	}
-	ended := r.Rollouts.Sent(now, j.service.Name, j.route.Name, u)
+	ended := r.Rollouts.Sent(now, j.service.Name, j.route.Name, u, from != nil)
 	if ended == nil {
 		return nil
 	}
--- a/relay/result_test.go
+++ b/relay/result_test.go
@@ -182,6 +182,9 @@
 	w.setReleases(fleet.Releases{Only: "b"}) // a run goes on where its copy is, and at its source
 	w.serve(t.Context(), "/draft/")
 	checkResults(t, w, r, tt.want...)
+	for i, resumed := range r.resumed {
+		is.New(t).Equal(resumed, i > 0) // its first event waits for the copy
+	}
 }
 
 // TestMovedResults checks the results of a run that moves: none at its source, and at the
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -19,10 +19,10 @@
 	// FirstUpstream returns the upstream that gets drawn requests first, and in the cutover those
 	// of a plain service; empty for none.
 	FirstUpstream(service string) string
-	// Sent records that a request is sent to an upstream. The returned function records the
-	// result and is called exactly once, and before for a stream that goes on; nil if there is
-	// nothing to record.
-	Sent(now time.Time, service, route string, u fleet.Upstream) (ended func(now time.Time, r counts.Result))
+	// Sent records that a request is sent to an upstream, or resumed there from a copy. The
+	// returned function records the result and is called exactly once, and before for a stream
+	// that goes on; nil if there is nothing to record.
+	Sent(now time.Time, service, route string, u fleet.Upstream, resumed bool) (ended func(now time.Time, r counts.Result))
 }
 
 // isFirstTry reports whether the request was sent nowhere yet, by this box or, for the rest
