edge: load an upstream on trial that most keys may use, for plain services too

Cause: one of the two organisations may use the west only. The order by allowed keys, as for engines, had been left out for plain services.

--- a/edge/rollouts_trial_test.go
+++ b/edge/rollouts_trial_test.go
@@ -44,7 +44,7 @@
 		s.byUpstream[u.ID]++
 		s.mu.Unlock()
 	}
-	ended := e.rollouts.Sent(now, "plain", "look", u)
+	ended := e.rollouts.Sent(now, "plain", "look", u, false)
 	time.AfterFunc(trialAnswerTime, func() {
 		if ended != nil {
 			ended(time.Now(), counts.Result{First: trialAnswerTime})
@@ -114,6 +114,29 @@
 	}
 }
 
+// TestTrialUpstreamAllowed checks that the trial loads an upstream that most keys may use: requests of
+// the others go elsewhere, and the trial was divided.
+func TestTrialUpstreamAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, end := (&cluster{}).context(t)
+		defer end()
+		s := &loadedSite{newRolloutSiteIn(ctx, t, map[string]string{"hall0": "west", "hall1": "east"}, 6, 1), map[string]int{}}
+		go s.load(ctx, 60)
+		s.table.put("op", "config", `{"version":9,"routes":[],"services":[{"name":"plain","max_conns":100}],"limits":{"max_body_bytes":4096},
+"tenants":[{"name":"firm","api_keys":["a"]},{"name":"council","api_keys":["b"],"allowed_regions":["east"]}]}`)
+		s.duration = 40 * time.Second // past all orders below
+		for range 8 {
+			time.Sleep(5 * time.Second)
+			s.order("v2")
+			time.Sleep(3 * time.Second)
+			u, known := s.all[0].fleet.Get(s.all[0].rollouts.FirstUpstream("plain"))
+			is.True(known)
+			is.Equal(u.Hall, "hall1")
+		}
+	})
+}
+
 // TestWithoutWay checks that answers from another region are compared without the way there.
 func TestWithoutWay(t *testing.T) {
 	const took = 70 * time.Millisecond
--- a/edge/rollouttrial.go
+++ b/edge/rollouttrial.go
@@ -36,7 +36,7 @@
 			sent[w.Upstream] += w.Sent
 		}
 	}
-	rank := r.keysRank(now, o.Service)
+	rank := r.keysRank(now)
 	var list []trialorder.Upstream
 	for _, u := range r.candidateUpstreams(o) {
 		list = append(list, trialorder.Upstream{ID: u.ID, Sent: sent[u.ID], Rank: rank(u), Cold: u.ColdUntil.After(now)})
@@ -125,13 +125,12 @@
 	return list
 }
 
-// keysRank returns the rank of an upstream: engines that more keys may use go first, as the
-// requests of all others could not be tried there.
-func (r *rolloutControl) keysRank(now time.Time, service string) func(u fleet.Upstream) int {
-	s, _ := r.service(service)
+// keysRank returns the rank of an upstream: those that more keys may use go first, as the requests of
+// all others could not be tried there.
+func (r *rolloutControl) keysRank(now time.Time) func(u fleet.Upstream) int {
 	table, _, _ := r.routes.Current(now)
 	return func(u fleet.Upstream) int {
-		if s.Engine == nil || table == nil {
+		if table == nil {
 			return 0
 		}
 		region, _ := r.regions.Region(u.Hall)
