canary/plan, share: spend a short trial by its end

Cause, by the log's share lines: the trial's part of the bound fell from 25 to 18 while 11 to 21 requests ran at the baseline, as what runs at the moment was reserved for the cutover; and the share fell to 0 for two seconds after a high one, as all that may have been drawn in the last two seconds counted as missing, though the sums had it by then. Both together ended the trial 2.5 s early.

Fix: the plan reserves the mean of some seconds (plan.Runs). What the trial takes as missing is what was planned to be drawn and is not in the sums; the share that keeps the bound still takes the most that may be missing.

--- a/canary/share/share.go
+++ b/canary/share/share.go
@@ -54,7 +54,8 @@
 	began   time.Time
 	samples []sample // of at least the delay, oldest first
 	lost    int      // candidate's requests that were reported and are missing in the sums
-	drawn   float64  // requests to the candidate by all shares until the last sample
+	drawn   float64  // requests to the candidate by all shares until the last sample, at most
+	planned float64  // the same as expected
 }
 
 // sample is what was known and set at a time.
@@ -80,6 +81,7 @@
 	if n := len(c.samples); n > 0 {
 		last := c.samples[n-1]
 		c.drawn += last.share * last.rate * now.Sub(last.at).Seconds()
+		c.planned += last.share * last.expected * now.Sub(last.at).Seconds()
 		if candidate+c.lost < last.candidate { // a hub's part is missing
 			c.lost = last.candidate - candidate
 		}
@@ -88,7 +90,7 @@
 	s.rate = c.Rate(now, sent, t.Before)
 	if s.rate > 0 {
 		s.expected = c.expectedRate(s)
-		left := t.Requests - float64(s.candidate) - c.pending(s, sample.expectedRate)
+		left := t.Requests - float64(s.candidate) - c.pending(s, sample.expectedRate, c.planned)
 		s.share = min(max(left, 0)/(s.expected*max(t.Left, horizon).Seconds()), maxShare, c.safeShare(s))
 	}
 	c.samples = append(c.samples, s)
@@ -99,7 +101,7 @@
 // safeShare returns the highest share at which a burst during the delay of feedback stays
 // within the whole bound.
 func (c *Controller) safeShare(s sample) float64 {
-	left := c.bounds.Limit(s.sent) - float64(s.candidate) - burstFactor*c.pending(s, sample.upperRate)
+	left := c.bounds.Limit(s.sent) - float64(s.candidate) - burstFactor*c.pending(s, sample.upperRate, c.drawn)
 	return max(left, 0) / (burstFactor * s.rate * horizon.Seconds())
 }
 
@@ -143,7 +145,7 @@
 // pending returns how many requests may have been sent to the candidate without being in
 // the sums yet, at some rate: at most those of the last delay, and all that were drawn but are not
 // counted.
-func (c *Controller) pending(s sample, rate func(sample) float64) float64 {
+func (c *Controller) pending(s sample, rate func(sample) float64, drawn float64) float64 {
 	recent := 0.0
 	for i, earlier := range c.samples {
 		until := s.at
@@ -158,7 +160,7 @@
 			recent += earlier.share * rate(earlier) * until.Sub(from).Seconds()
 		}
 	}
-	return min(recent, max(c.drawn-float64(s.candidate), 0))
+	return min(recent, max(drawn-float64(s.candidate), 0))
 }
 
 // prune drops samples that are no longer needed.
--- a/canary/share/share_test.go
+++ b/canary/share/share_test.go
@@ -319,3 +319,38 @@
 		}
 	}
 }
+
+// TestTrialSpent checks that a short trial is spent by its end: what was drawn and is in the sums does
+// not count as missing.
+func TestTrialSpent(t *testing.T) {
+	const requests, least, plays = 25, 24, 20
+	for _, rate := range []float64{14, 25, 60} {
+		for _, duration := range []time.Duration{5 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprint(rate, " a second, ", duration), func(t *testing.T) {
+				sum := 0
+				for seed := range uint64(plays) {
+					sum += playShort(seed, rate, duration, requests)
+				}
+				is.New(t).True(sum >= least*plays)
+			})
+		}
+	}
+}
+
+// playShort plays a short trial, and returns how many requests the candidate has received two seconds
+// after its end, when all are reported.
+func playShort(seed uint64, rate float64, duration time.Duration, requests float64) int {
+	tt := trial{boxes: 5, hubs: 2, rate: rate, maxDelay: 150 * time.Millisecond, reports: tick, delay: share.FeedbackDelay}
+	f, c := tt.newFleet(seed), share.New(start, bounds, tt.delay)
+	all := 0
+	for at := time.Duration(0); at < duration+2*time.Second; at += step {
+		f.deliver(at)
+		if at%tick == 0 {
+			_, _, reported, candidate := f.sums()
+			f.exchange(at, c.Update(start.Add(at), reported, candidate, share.Trial{Requests: requests, Left: duration - at, Before: rate}), at)
+		}
+		f.send(at, rate, &all)
+	}
+	_, candidate, _, _ := f.sums()
+	return candidate
+}
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -66,6 +66,7 @@
 	sharing    time.Time // since when this box has set a share above zero; zero if it does not decide
 	waits      decider.Reason
 	plan       plan.Plan
+	runs       plan.Runs
 	sent       int          // requests of the service
 	candidate  int          // of these to the candidate
 	logged     orders.Order // as in the last line about the share
@@ -135,10 +136,11 @@
 		t.verdict.CutOver()
 	}
 	t.verdict.Update(now, sum)
+	t.runs = t.runs.With(now, running)
 	before := r.rateBefore(sum)
 	t.plan = plan.New(plan.Order{
 		Bounds: r.bounds(), Duration: o.Duration, Left: o.Limit.Sub(now), Engines: service.Engine != nil,
-		Rate: max(before, float64(t.sent)/max(now.Sub(t.seenAt), arrivalsDelay).Seconds()), Sent: t.sent, Running: running,
+		Rate: max(before, float64(t.sent)/max(now.Sub(t.seenAt), arrivalsDelay).Seconds()), Sent: t.sent, Running: t.runs.Mean(),
 	})
 	ppm := t.share.Update(now, t.sent, t.candidate, share.Trial{
 		Requests: t.plan.Trial, Left: o.Limit.Sub(now) - t.plan.Cutover - answerDelay, Before: before,
