verdict: ask for answers by the baseline's present rate

Cause: how many answers are enough follows from the baseline's rate, which is taken higher while it has had few answers. The decision used the rate of the last answer of the candidate that was compared, seconds before, when the baseline had had half as many; the view and the route that is drawn used the present one.

Fix: one function for both, with the present rate.

--- a/canary/verdict/reason.go
+++ b/canary/verdict/reason.go
@@ -70,21 +70,17 @@
 
 // sufficient reports whether a candidate half of whose answers fail would have been found
 // on this route.
-func (r *route) sufficient() bool {
-	known, rates := r.withPending(&tests{})
-	needed := neededAnswers(rates[failing])
-	return needed > 0 && float64(known[failing].sum(false).total) >= needed
-}
+func (r *route) sufficient() bool { return r.progress(0) >= 1 }
 
-// progress returns the answers of the candidate that are known or under way, as a part of those that
-// are sufficient.
-func (r *route) progress() float64 {
+// progress returns the answers of the candidate that are known, with some that are under way, as a part
+// of those that are sufficient at the baseline's present rate.
+func (r *route) progress(underWay int) float64 {
 	known, _ := r.withPending(&tests{})
 	needed := neededAnswers(r.baseline.reference(r.updatedAt).rates[failing])
 	if needed == 0 {
 		return 0
 	}
-	return float64(known[failing].sum(false).total+r.running) / needed
+	return float64(known[failing].sum(false).total+underWay) / needed
 }
 
 // neededAnswers returns how many answers would show a candidate half of whose answers fail, at a
--- a/canary/verdict/verdict.go
+++ b/canary/verdict/verdict.go
@@ -228,7 +228,7 @@
 		if of < minRoutePart {
 			continue
 		}
-		known := r.progress()
+		known := r.progress(r.running)
 		enough = enough || known >= 1
 		if known < lowest {
 			name, part, lowest = n, of, known
