canary/plan, edge: leave the cutover what the trial cannot use

Cause: a cutover was made longer until it took half of the bound, while the trial may use three fifths: the trial had to leave what the cutover reserved, and a cutover's last half second, and what its answers take to be reported, show nothing before the outcome. Request for request the trial shows more.

Fix: the cutover is made longer only by the two fifths of the bound that the trial cannot use. What is left unused for a cutover that sends more is a whole number of requests.

TestMargin, TestBoundDivided, TestRolloutBound and TestRolloutBoundLarge pass unchanged.

--- a/canary/plan/plan.go
+++ b/canary/plan/plan.go
@@ -21,8 +21,8 @@
 	// maxCutoverFraction bounds the cutover as a part of the order's duration.
 	maxCutoverFraction = 4
 	// cutoverPart is the part of the bound for which the cutover is made longer than its
-	// minimum, so that at least the same remains for the trial.
-	cutoverPart = 0.5
+	// minimum: what the trial cannot use.
+	cutoverPart = 1 - maxTrialPart
 	// minTrialPart is the part of the bound that the trial has in any case: without answers no
 	// order could be completed. maxTrialPart leaves the rest for requests on their way while a
 	// verdict spreads.
@@ -60,7 +60,7 @@
 	p := Plan{Cutover: o.cutover(total), Rate: o.Rate}
 	p.Reserve = o.Rate*p.Cutover.Seconds() + float64(o.Running)
 	left := total - p.Reserve
-	left = max(left-math.Sqrt(p.Reserve), min(left, enoughTrial), minTrialPart*total)
+	left = max(left-math.Ceil(math.Sqrt(p.Reserve)), min(left, enoughTrial), minTrialPart*total)
 	p.Trial = min(left, maxTrialPart*o.Bounds.Limit(o.Sent))
 	p.Fits = p.Trial+p.Reserve <= total
 	return p
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -254,6 +254,9 @@
 		if !o.Active() && o.State != orders.Withdrawn {
 			continue
 		}
+		if o.InCutover() { // which may last a second only
+			r.updateShare(time.Now(), o)
+		}
 		s := r.situation(time.Now(), o) // the reads and writes before may have taken long
 		d := decider.Decide(s)
 		r.recordWait(s, d)
