edge: log what a roll-out was decided on, by upstream

An operator could not tell from rollout_basis what a completed release had been tested with, nor from rollout_verdict_bad which upstream the trial had loaded: where that one alone is broken, a good release is rolled back. Both lines name it now; rollout_basis has the requests sent to the release and to that upstream.

--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -208,7 +208,7 @@
 
 func (r *rolloutControl) logVerdict(o orders.Order, reason verdict.Reason, evidence []wire.ReleaseEvidence) {
 	r.log.WithFields(reason.Fields()).WithFields(logrus.Fields{
-		"service": o.Service, "order": o.Version, "target": o.Target, "sums_age_ms": r.loads.SumAge(time.Now()).Milliseconds(),
+		"service": o.Service, "order": o.Version, "target": o.Target, "upstream": o.Upstream, "sums_age_ms": r.loads.SumAge(time.Now()).Milliseconds(),
 	}).Warn("rollout_verdict_bad")
 	r.logEvidence(o, evidence)
 }
@@ -296,9 +296,12 @@
 	}
 	t := r.trial(o)
 	r.mu.Lock()
-	evidence, suspicion := t.verdict.Evidence(), t.verdict.Suspicion()
+	evidence, suspicion, sent := t.verdict.Evidence(), t.verdict.Suspicion(), t.candidate
 	r.mu.Unlock()
-	r.log.WithFields(logrus.Fields{"service": o.Service, "order": o.Version, "target": o.Target, "decision": d.Action, "suspicion_pct": int(100 * suspicion)}).Info("rollout_basis")
+	r.log.WithFields(logrus.Fields{
+		"service": o.Service, "order": o.Version, "target": o.Target, "decision": d.Action, "suspicion_pct": int(100 * suspicion), "sent": sent,
+		"upstream": o.Upstream, "sent_upstream": sentByUpstream(r.counts.Sum(o.Service))[o.Upstream],
+	}).Info("rollout_basis")
 	r.logEvidence(o, evidence)
 }
 
--- a/edge/rollouttrial.go
+++ b/edge/rollouttrial.go
@@ -30,12 +30,7 @@
 // first, by the requests that it has had, and logs a change. Only the sums know these: boxes that
 // choose for themselves divide a trial among as many upstreams as there are views of the fleet.
 func (r *rolloutControl) trialUpstream(now time.Time, o orders.Order, sum []wire.ReleaseCounts) string {
-	sent := map[string]int{}
-	for _, w := range sum {
-		if w.Candidate {
-			sent[w.Upstream] += w.Sent
-		}
-	}
+	sent := sentByUpstream(sum)
 	rank := r.keysRank(now)
 	var list []trialorder.Upstream
 	for _, u := range r.candidateUpstreams(o) {
@@ -54,6 +49,17 @@
 // wayMaxAge is how long a measured way to another region is used.
 const wayMaxAge = time.Second
 
+// sentByUpstream returns the requests to the upstreams of the ordered release, by id.
+func sentByUpstream(sum []wire.ReleaseCounts) map[string]int {
+	sent := map[string]int{}
+	for _, w := range sum {
+		if w.Candidate {
+			sent[w.Upstream] += w.Sent
+		}
+	}
+	return sent
+}
+
 // way is the time that a message takes to another region and back.
 type way struct {
 	roundTrip time.Duration
