--- a/canary/verdict/burst.go
+++ b/canary/verdict/burst.go
@@ -19,27 +19,36 @@
 // are not tested but suspect, unless they are a few of many, until later answers show that the
 // upstream answers as the baseline does again, or until it has given no bad one for a while.
 type burst struct {
-	began   time.Time
-	bad     int
-	suspect int
-	all     scores // of the answers since its first bad one
-	later   scores // of the answers since its end
+	countedAt time.Time // begin of the time in which bad ones count as counted
+	counted   int
+	began     time.Time // first bad answer
+	suspect   int
+	all       scores // of the answers since the first bad one
+	later     scores // of the answers since its end
 }
 
 // tested returns how many of the bad answers of a time are to be tested.
 func (b *burst) tested(at time.Time, bad, good int, rate float64) int {
+	if at.Sub(b.countedAt) >= burstTime {
+		b.countedAt, b.counted = at, 0
+	}
+	tested := min(bad, burstBad-b.counted)
+	b.counted += tested
+	b.addSuspects(at, bad, good, bad-tested, rate)
+	return tested
+}
+
+// addSuspects applies answers, some bad ones of which are not tested.
+func (b *burst) addSuspects(at time.Time, bad, good, suspect int, rate float64) {
 	ratios := ratios(bad, good, rate)
 	if at.Sub(b.began) >= burstTime {
 		b.later.sum(&ratios)
 		if bad > 0 {
-			*b = burst{began: at}
+			b.began, b.suspect, b.all, b.later = at, 0, scores{}, scores{}
 		}
 	}
 	b.all.sum(&ratios)
-	tested := min(bad, burstBad-b.bad)
-	b.bad += tested
-	b.suspect += bad - tested
-	return tested
+	b.suspect += suspect
 }
 
 // sum adds log likelihood ratios. Unlike a chart, the sum does not restart at zero.
