verdict, places: bound the cut streams of a row; no preference, no work

Found by reading the change. And a pick without a preferred upstream looked at the use of all of them twice.

--- a/balance/places/pick.go
+++ b/balance/places/pick.go
@@ -95,6 +95,9 @@
 // preferred returns the index of the upstream with an id if it takes a request, and runs less than
 // half of its slots or than another one; -1 if not.
 func (s *service) preferred(list []picker.Choice, weights []float64, id string) int {
+	if id == "" {
+		return -1
+	}
 	at, most, own := -1, 0, 0
 	for i, c := range list {
 		running := max(c.Running.Requests, s.upstream(c.Upstream.ID).inFlight)
--- a/canary/verdict/counts.go
+++ b/canary/verdict/counts.go
@@ -23,9 +23,10 @@
 	if min(w.Failed, w.Answered, w.Cut) < 0 || max(w.Failed, w.Answered, w.Cut) > maxCount {
 		return tally{}, false
 	}
-	t.failed, t.cut = int32(w.Failed), int32(w.Cut)
+	t.failed = int32(w.Failed)
 	ok = t.first.set(w.First) && t.pace.set(w.Pace)
 	t.answered = int32(min(max(w.Answered, t.first.total()), maxCount))
+	t.cut = min(int32(w.Cut), t.failed, t.answered)
 	return t, ok
 }
 
--- a/canary/verdict/verdict_test.go
+++ b/canary/verdict/verdict_test.go
@@ -426,6 +426,7 @@
 		"long arrays":     {row(wire.ReleaseCounts{Sent: 90, Failed: 90, First: make([]int, 1<<16)})},
 		"overflow":        {row(wire.ReleaseCounts{Failed: 1 << 62}), row(wire.ReleaseCounts{Failed: 1 << 62})},
 		"another route":   {{Route: "draft"}},
+		"more cut":        {{Route: "tag", Failed: 2, Cut: 9000}},
 	}
 	for name, rows := range tests {
 		t.Run(name, func(t *testing.T) {
