--- a/canary/verdict/rates_test.go
+++ b/canary/verdict/rates_test.go
@@ -85,6 +85,18 @@
 	{"lightly loaded", scenario{baseline: always(behaviour{failing: 0.002, slowPart: 1, slowFirst: 2, slowPace: 1.5})}},
 }
 
+// goodLoaded are good releases of which the trial loads one upstream.
+var goodLoaded = []struct {
+	name string
+	scenario
+}{
+	{"the upstream crashes", scenario{crash: true, upstreams: 1}},
+	{"it crashes, cutting its streams", scenario{crash: true, cuts: true, upstreams: 1}},
+	{"both fail 9%", scenario{candidate: always(grey), baseline: always(grey), upstreams: 1}},
+	{"both fail 50% for 3 s", scenario{candidate: during(0.5, 0.75, behaviour{failing: 0.5}, healthy), baseline: during(0.5, 0.75, behaviour{failing: 0.5}, healthy), upstreams: 1}},
+	{"both 4x slower for 4 s", scenario{candidate: during(0.4, 0.73, behaviour{slowPart: 1, slowFirst: 4, slowPace: 4}, healthy), baseline: during(0.4, 0.73, behaviour{slowPart: 1, slowFirst: 4, slowPace: 4}, healthy), upstreams: 1}},
+}
+
 var bad = []struct {
 	name string
 	scenario
@@ -191,6 +203,22 @@
 	})
 }
 
+// TestErrorRatesLoaded states the same for good releases of which one upstream gives all answers, at 3
+// and at 30 answers a second.
+func TestErrorRatesLoaded(t *testing.T) {
+	const runs = 1000
+	is := is.NewRelaxed(t)
+	for _, g := range goodLoaded {
+		line := "| " + g.name + " |"
+		for _, rate := range []float64{3, 30} {
+			r := playAll(g.scenario, int(rate*orderDuration.Seconds()), runs)
+			line += fmt.Sprintf(" %.2f%% |", 100*r.share())
+			is.True(r.share() <= maxCondemned)
+		}
+		t.Log(line)
+	}
+}
+
 func orderCount(amount int) int {
 	if *orders > 0 {
 		return *orders
