links, dialer: log and count that a box reaches no upstream

Each not_reached line stood for itself: the logs could not tell since when a box had reached nothing, how many upstreams it had tried, and whether they refused or were silent. Now no_upstream_reached and upstream_reached are logged where two upstreams or more are not reached in a row, with the time since the first, and petrelstep_upstream_dials_total{outcome} counts connections. The dialing itself (120 ms, once more after a timeout) moves to dialer unchanged. links.TestUnreachedLogged.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -16,10 +16,12 @@
 	"petrelstep/balance/places"
 	"petrelstep/balance/speeds"
 	"petrelstep/config"
+	"petrelstep/dialer"
 	"petrelstep/distance"
 	"petrelstep/evacuate"
 	"petrelstep/fleet"
 	"petrelstep/halls"
+	"petrelstep/links"
 	"petrelstep/liveness"
 	"petrelstep/members"
 	"petrelstep/metrics"
@@ -142,6 +144,7 @@
 	admission       *admission.Admission
 	sharing         *sharing
 	retryBudget     *retry.Budget
+	links           *links.Links
 	upstreams       *upstream.Client
 	relay           *relay.Relay
 	buffers         *buffers.Buffers // nil if disabled
@@ -203,7 +206,7 @@
 		turns:       moveturns.New(),
 		strangers:   newStrangers(),
 		localTrials: moveturns.New(),
-		upstreams:   upstream.New().WithUnknownFields(counts, log),
+		links:       links.New(counts, log),
 		fleetPacer:  pacer{rate: fleetLinkFraction * max(s.LinkMbit, minLinkMbit) * bytesPerMbit},
 		drain:       make(chan struct{}),
 		random:      rand.New(rand.NewPCG(uint64(now.UnixNano()), 2)),
@@ -212,6 +215,7 @@
 		hubStates:   map[string]hubState{},
 		regionSeen:  map[string]time.Time{},
 	}
+	e.upstreams = upstream.NewWithDial(dialer.New(dialer.Direct, e.links).Dial).WithUnknownFields(counts, log)
 	e.boxes = manifest.NewBoxes(e.store, counts, log)
 	e.quarantineStore = &quarantineStore{table: blocklist.New(e.store), log: log}
 	e.quarantine = quarantine.New(counts, e.quarantineStore, log)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -16,6 +16,7 @@
 
 	"petrelstep/backoff"
 	"petrelstep/balance/speeds"
+	"petrelstep/links"
 	"petrelstep/liveness"
 	"petrelstep/quarantine"
 	"petrelstep/refusal"
@@ -105,6 +106,7 @@
 	unknownFields      metric.Int64Counter
 	invalidFields      metric.Int64Counter
 	backoffChanges     metric.Int64Counter
+	dials              metric.Int64Counter
 	rollouts           rolloutInstruments
 }
 
@@ -145,6 +147,7 @@
 	m.suspended = b.seconds("petrelstep_suspended", "Time in which the machine was suspended.")
 	m.quarantineChanges = b.counter("petrelstep_quarantine_changes", "Requests under which upstreams ended, by what became of them.")
 	m.brokenAnswers = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
+	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
 	m.addAnnouncementInstruments(&b)
 	m.rollouts = newRolloutInstruments(&b)
 	if b.err != nil {
@@ -188,6 +191,9 @@
 	for _, f := range liveness.Findings() {
 		m.brokenAnswers.Add(ctx, 0, metric.WithAttributes(attribute.String("finding", string(f))))
 	}
+	for _, outcome := range links.Outcomes() {
+		m.dials.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
+	}
 	for _, r := range []string{SlowBoxFull, SlowStalled} {
 		m.slowReaders.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
@@ -335,6 +341,11 @@
 	m.backoffChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
 }
 
+// Dialed counts a connection to an upstream that this box tried to open itself.
+func (m *Metrics) Dialed(outcome string) {
+	m.dials.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // UnknownField counts an unknown header or field of another system.
 func (m *Metrics) UnknownField(place, field string) {
 	m.unknownFields.Add(context.Background(), 1, metric.WithAttributes(attribute.String("place", place), attribute.String("word", field)))
