--- /dev/null
+++ b/edge/links_test.go
@@ -0,0 +1,119 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// contactTime is how long after the beginning of a cut the first tries at boxes count.
+	contactTime = 3 * time.Second
+	// minServedRatio is the least share of first tries served at cut boxes against that at the
+	// others; maxFailed and maxFailedDivisor bound those that may fail: maxFailed, and one in
+	// maxFailedDivisor.
+	minServedRatio   = 2.0 / 3
+	maxFailed        = 10
+	maxFailedDivisor = 50
+)
+
+// firstTries are the first tries of callers at some boxes.
+type firstTries struct{ sent, served int }
+
+func (f firstTries) share() float64 { return float64(f.served) / float64(max(f.sent, 1)) }
+
+// sendFirstTries sends requests at random boxes for some time, and counts those at boxes that are
+// cut off and those at the others. Each box that is cut off gets some.
+func (p *protocol) sendFirstTries(ctx context.Context, paths []string, perSecond float64, lasts time.Duration, isCut func(box string) bool) (cut, others firstTries) {
+	random := rand.New(rand.NewPCG(9, uint64(perSecond)))
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for until := time.Now().Add(lasts); time.Now().Before(until); {
+		boxes := p.cluster.running()
+		at, path := boxes[random.IntN(len(boxes))], paths[random.IntN(len(paths))]
+		all.Go(func() {
+			c := p.send(ctx, at, path)
+			mu.Lock()
+			defer mu.Unlock()
+			of := &others
+			if isCut(at.Name()) {
+				of = &cut
+			}
+			of.sent++
+			if c.status == http.StatusOK {
+				of.served++
+			}
+		})
+		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	all.Wait()
+	return cut, others
+}
+
+// TestBoxWithoutLinks guards against callers of boxes that reach no worker being served worse than
+// those of boxes that do, and against the workers being taken for failed by the other boxes.
+func TestBoxWithoutLinks(t *testing.T) {
+	cuts := map[string]func(all []*Edge) []*Edge{
+		"one box":  func(all []*Edge) []*Edge { return all[:1] },
+		"half":     func(all []*Edge) []*Edge { return all[:len(all)/2] },
+		"one hall": func(all []*Edge) []*Edge { return boxesIn(all, "hall1") },
+	}
+	fleets := map[string]struct {
+		boxes  int
+		demand float64 // requests per second
+		cuts   []string
+	}{
+		"6 boxes":   {6, 60, []string{"one box", "half", "one hall"}},
+		"77 boxes":  {77, 300, []string{"one box", "half", "one hall"}},
+		"300 boxes": {300, 400, []string{"one hall"}},
+	}
+	for fleetName, fleet := range fleets {
+		for _, cutName := range fleet.cuts {
+			for _, mode := range []cutMode{cutHangs, cutResets, cutRefuses} {
+				t.Run(fmt.Sprint(fleetName, ", ", cutName, ", ", mode), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						testBoxWithoutLinks(t, fleet.boxes, fleet.demand, mode, cuts[cutName])
+					})
+				})
+			}
+		}
+	}
+}
+
+func testBoxWithoutLinks(t *testing.T, boxes int, demand float64, mode cutMode, choose func(all []*Edge) []*Edge) {
+	is := is.New(t)
+	ctx, end := context.WithCancel(t.Context())
+	p := newProtocol(ctx, t, boxes, 4)
+	cutBoxes := map[string]bool{}
+	for _, e := range choose(p.cluster.all) {
+		cutBoxes[e.Name()] = true
+	}
+	isCut := func(box string) bool { return cutBoxes[box] }
+	paths := []string{"/look/", "/once/"}
+	p.sendFirstTries(ctx, paths, demand, 2*time.Second, isCut)
+	p.cuts.begin(mode, func(box string, _ *protocolWorker) bool { return isCut(box) })
+	early, _ := p.sendFirstTries(ctx, paths, demand, contactTime, isCut)
+	cut, others := p.sendFirstTries(ctx, paths, demand, 6*time.Second, isCut)
+	p.cuts.end()
+	after, _ := p.sendFirstTries(ctx, paths, demand, 2*time.Second, isCut)
+	t.Logf("served at cut boxes: %+v in the first %v, then %+v, others %+v; after the cut %+v", early, contactTime, cut, others, after)
+	p.stop(end)
+	is.True(cut.sent > 0 && others.sent > 0)
+	is.True(cut.share() >= minServedRatio*others.share())
+	is.True(cut.sent-cut.served <= maxFailed+(cut.sent+others.sent)/maxFailedDivisor)
+	is.True(others.sent-others.served <= maxFailed+others.sent/maxFailedDivisor) // the workers are sound
+}
+
+// boxesIn returns the boxes of a hall.
+func boxesIn(all []*Edge, hall string) []*Edge {
+	return slices.DeleteFunc(slices.Clone(all), func(e *Edge) bool { return e.config.Hall != hall })
+}
--- a/edge/protocol_test.go
+++ b/edge/protocol_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"petrelstep/dialer"
 	"petrelstep/exchange"
 	"petrelstep/fingerprint"
 	"petrelstep/platform/upstream"
@@ -63,6 +64,7 @@
 	cluster *cluster
 	workers []*protocolWorker
 	byAddr  map[string]*protocolWorker
+	cuts    cutLinks
 
 	mu             sync.Mutex
 	sentAt         map[string]time.Time // by the caller, by request
@@ -108,19 +110,27 @@
 
 // connect makes a box send to the workers with the platform's client.
 func (p *protocol) connect(e *Edge) {
-	e.relay.Sender = upstream.NewWithDial(func(ctx context.Context, _, address string) (net.Conn, error) {
+	e.relay.Sender = upstream.NewWithDial(dialer.New(p.dialFrom(e.Name()), e.links).Dial)
+}
+
+// dialFrom returns how a box connects to the workers over its own network.
+func (p *protocol) dialFrom(box string) dialer.Dial {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		w, ok := p.byAddr[address]
 		if !ok {
 			return nil, &net.OpError{Op: "dial", Err: io.EOF}
 		}
+		if err := p.cuts.dial(ctx, box, w); err != nil {
+			return nil, &net.OpError{Op: "dial", Err: err}
+		}
 		near, far := net.Pipe()
 		select {
-		case w.conns <- boxConn{far, e.Name()}:
-			return near, nil
+		case w.conns <- boxConn{far, box}:
+			return p.cuts.wrap(near, box, w), nil
 		case <-ctx.Done():
 			return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
 		}
-	})
+	}
 }
 
 // boxConn is a connection that a box has opened.
