links, tunnel, dialer: reach upstreams through another box where links are cut

Callers of boxes that had lost their links to the workers were served at the first try 3 times of 42, the others 173 of 177.

What a box does not reach and another one does is now reached through that one: it connects and copies bytes (Peer.TunnelOpen, Read, Write, Close by net/rpc on a connection of its own). Nothing of a request is sent before a connection is open, so ways are raced, and nothing runs twice; every decision about the request stays at the first box, and a box lends only connections that it opens itself, so there is no second hop. Which upstreams, service, hall or all are cut off is learned from what others reached (links), so that the next request does not pay, and is checked once a second without a request.

edge.TestBoxWithoutLinks failed before in all rows (0 of 54 to 0 of 1235); now all first tries are served, from the first second on, at 6, 77 and 300 boxes and in all three modes.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -1,4 +1,6 @@
-// Package dialer opens connections to upstreams.
+// Package dialer opens connections to upstreams: over this box's own links or, where these are
+// cut, through another box. Nothing is sent before a connection is open, so that several ways may
+// be tried at once.
 package dialer
 
 import (
@@ -15,8 +17,17 @@
 	// directTimeout bounds one attempt to connect: a round trip takes 3 ms, and TCP
 	// retransmits a lost opening packet after 1 s.
 	directTimeout = 120 * time.Millisecond
-	// maxAttempts is the number of attempts, as an opening packet may be lost.
+	// maxAttempts is the number of direct attempts, as an opening packet may be lost.
 	maxAttempts = 2
+	// suspectDelay is how long a direct attempt goes alone while some link is cut: several
+	// round trips within a region.
+	suspectDelay = 30 * time.Millisecond
+	// nextPeerDelay is how long one peer goes alone before the next one is asked.
+	nextPeerDelay = 60 * time.Millisecond
+	// maxPeers bounds the peers that are asked for one connection.
+	maxPeers = 3
+	// peerTimeout bounds the time that peers have to connect: they make one direct attempt.
+	peerTimeout = directTimeout + 30*time.Millisecond
 )
 
 // Dial opens a connection.
@@ -24,17 +35,35 @@
 
 // Links records which upstreams this box reaches.
 type Links interface {
+	Quiet() bool
+	Cut(t links.Target) bool
 	Dialed(now time.Time, t links.Target, outcome string)
+	ReachedByPeer(now time.Time, t links.Target, peer string)
+	UnreachedByPeer(t links.Target)
 }
 
+// Peer is another box that may connect to an upstream.
+type Peer struct {
+	Name string
+	Open func(ctx context.Context, t links.Target) (net.Conn, error)
+}
+
+// Peers returns the boxes that may connect to an upstream, best first.
+type Peers func(t links.Target) []Peer
+
 // Dialer is safe for concurrent use.
 type Dialer struct {
-	dial  Dial
-	links Links
+	dial    Dial
+	links   Links
+	peers   Peers
+	resolve func(t links.Target) links.Target
 }
 
-// New returns a dialer that connects by dial.
-func New(dial Dial, l Links) *Dialer { return &Dialer{dial: dial, links: l} }
+// New returns a dialer that connects directly by dial and otherwise through peers. Resolve
+// completes a target from its id or address.
+func New(dial Dial, l Links, peers Peers, resolve func(t links.Target) links.Target) *Dialer {
+	return &Dialer{dial: dial, links: l, peers: peers, resolve: resolve}
+}
 
 type targetKey struct{}
 
@@ -43,19 +72,41 @@
 	return context.WithValue(ctx, targetKey{}, t)
 }
 
+// TargetOf returns the upstream that a context names.
+func TargetOf(ctx context.Context, address string) links.Target {
+	t, _ := ctx.Value(targetKey{}).(links.Target) // a call of the box's own may name none
+	t.Address = address
+	return t
+}
+
 // Dial connects to an upstream.
-func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	target, _ := ctx.Value(targetKey{}).(links.Target) // a call of the box's own names none
-	target.Address = address
-	for attempt := 1; ; attempt++ {
-		conn, err := d.dial(ctx, network, address)
-		if ctx.Err() == nil || err == nil {
-			d.links.Dialed(time.Now(), target, outcomeOf(err))
-		}
-		if err == nil || attempt == maxAttempts || ctx.Err() != nil || !isTimeout(err) {
+func (d *Dialer) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	t := TargetOf(ctx, address)
+	if d.links.Quiet() {
+		conn, err := d.direct(ctx, t)
+		if err == nil || ctx.Err() != nil {
 			return conn, err
 		}
+		return d.race(ctx, d.resolve(t), plan{failed: err, attempts: maxAttempts - 1, timeout: peerTimeout})
+	}
+	t = d.resolve(t)
+	if d.links.Cut(t) {
+		return d.race(ctx, t, plan{attempts: 1, directLast: true, timeout: peerTimeout + directTimeout})
+	}
+	return d.race(ctx, t, plan{attempts: maxAttempts, peersAfter: suspectDelay, timeout: maxAttempts * directTimeout})
+}
+
+// Direct makes one attempt to connect directly, without other boxes.
+func (d *Dialer) Direct(ctx context.Context, t links.Target) (net.Conn, error) {
+	return d.direct(ctx, d.resolve(t))
+}
+
+func (d *Dialer) direct(ctx context.Context, t links.Target) (net.Conn, error) {
+	conn, err := d.dial(ctx, "tcp", t.Address)
+	if err == nil || ctx.Err() == nil {
+		d.links.Dialed(time.Now(), t, outcomeOf(err))
 	}
+	return conn, err
 }
 
 // Direct connects over this box's own network, in one attempt.
--- /dev/null
+++ b/dialer/race.go
@@ -0,0 +1,207 @@
+package dialer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"petrelstep/links"
+)
+
+// plan is how a connection is tried.
+type plan struct {
+	failed     error         // of a direct attempt before; nil for none
+	attempts   int           // direct attempts that may be made
+	directLast bool          // directly only after all peers have failed
+	peersAfter time.Duration // when the first peer is asked, unless a direct attempt fails before
+	timeout    time.Duration
+}
+
+// attempt is the result of one way to connect.
+type attempt struct {
+	conn net.Conn
+	err  error
+	peer string // empty for a direct attempt
+}
+
+// race is a connection that is tried in several ways at once.
+type race struct {
+	*Dialer
+	plan
+	ctx     context.Context
+	target  links.Target
+	peers   []Peer
+	results chan attempt
+
+	direct  bool // a direct attempt is running
+	asked   int  // number of peers that are being asked
+	refused int  // number of peers that the upstream refused
+	silent  int  // number of peers that it did not answer
+	cutOff  int  // number of peers that are cut off from it, or connect to nothing for another reason
+}
+
+// race tries the ways of a plan until one connects.
+func (d *Dialer) race(ctx context.Context, t links.Target, p plan) (net.Conn, error) {
+	racing, cancel := context.WithTimeout(ctx, p.timeout)
+	peers := d.peers(t)
+	peers = peers[:min(len(peers), maxPeers)]
+	r := &race{Dialer: d, plan: p, ctx: racing, target: t, peers: peers, results: make(chan attempt, maxPeers+maxAttempts)}
+	conn, err := r.run()
+	cancel()
+	if n := r.running(); n > 0 {
+		go r.discard(n)
+	}
+	return conn, err
+}
+
+// running returns the number of attempts without a result.
+func (r *race) running() int {
+	if r.direct {
+		return r.asked + 1
+	}
+	return r.asked
+}
+
+// discard closes the connections of attempts that were too late.
+func (r *race) discard(n int) {
+	for range n {
+		if a := <-r.results; a.conn != nil {
+			_ = a.conn.Close()
+		}
+	}
+}
+
+func (r *race) run() (net.Conn, error) {
+	if !r.directLast && (r.failed == nil || isTimeout(r.failed)) {
+		r.startDirect()
+	}
+	delay := r.peersAfter
+	if delay == 0 {
+		r.startPeer()
+		delay = nextPeerDelay
+	}
+	next := time.NewTimer(delay)
+	defer next.Stop()
+	for r.running() > 0 || r.startAny() {
+		select {
+		case <-r.ctx.Done():
+			return nil, r.err()
+		case <-next.C:
+			r.startPeer()
+			next.Reset(nextPeerDelay)
+		case a := <-r.results:
+			if a.err == nil {
+				return r.won(a), nil
+			}
+			r.lost(a)
+		}
+	}
+	return nil, r.err()
+}
+
+// won records the way that connected.
+func (r *race) won(a attempt) net.Conn {
+	if a.peer == "" {
+		r.direct = false
+		return a.conn
+	}
+	r.asked--
+	if r.failed != nil || r.direct { // a direct attempt failed, or has no answer yet
+		r.links.ReachedByPeer(time.Now(), r.target, a.peer)
+	}
+	return a.conn
+}
+
+// lost records a failed attempt and starts the next one that need not wait.
+func (r *race) lost(a attempt) {
+	if a.peer != "" {
+		r.asked--
+		var answered *PeerError
+		switch {
+		case errors.Is(a.err, syscall.ECONNREFUSED):
+			r.refused++
+		case errors.As(a.err, &answered) && answered.Unreached:
+			r.silent++
+		case answered != nil:
+			r.cutOff++
+		}
+		r.startPeer()
+		return
+	}
+	r.direct, r.failed = false, a.err
+	if isTimeout(a.err) {
+		r.startDirect()
+	}
+	if r.asked == 0 {
+		r.startPeer()
+	}
+}
+
+// startAny starts a way that is left, and reports whether there is one.
+func (r *race) startAny() bool {
+	r.startPeer()
+	if r.asked == 0 && r.directLast {
+		r.startDirect()
+	}
+	return r.running() > 0
+}
+
+func (r *race) startDirect() {
+	if r.direct || r.attempts == 0 {
+		return
+	}
+	r.direct = true
+	r.attempts--
+	go func() {
+		conn, err := r.Dialer.direct(r.ctx, r.target)
+		r.results <- attempt{conn: conn, err: err}
+	}()
+}
+
+// startPeer asks the next peer.
+func (r *race) startPeer() {
+	if len(r.peers) == 0 {
+		return
+	}
+	peer := r.peers[0]
+	r.peers = r.peers[1:]
+	r.asked++
+	go func() {
+		conn, err := peer.Open(r.ctx, r.target)
+		r.results <- attempt{conn: conn, err: err, peer: peer.Name}
+	}()
+}
+
+// err returns why no way connected. An upstream counts as refusing connections if it refuses
+// this box, and no other box says that it does not reach it either, or if it refuses other boxes.
+func (r *race) err() error {
+	refusedHere := errors.Is(r.failed, syscall.ECONNREFUSED)
+	if r.refused+r.silent > 0 {
+		r.links.UnreachedByPeer(r.target)
+	}
+	switch {
+	case r.refused > 0 && r.silent+r.cutOff == 0:
+		return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	case r.failed != nil && (!refusedHere || r.silent+r.cutOff == 0):
+		return r.failed
+	}
+	return &net.OpError{Op: "dial", Err: &UnreachedError{}}
+}
+
+// PeerError reports that a peer answered that it did not connect to an upstream.
+type PeerError struct {
+	Peer      string
+	Outcome   string
+	Unreached bool // it tried, and the upstream did not answer
+}
+
+// Error implements error.
+func (e *PeerError) Error() string { return "peer " + e.Peer + ": " + e.Outcome }
+
+// UnreachedError reports that no way to an upstream connected.
+type UnreachedError struct{}
+
+// Error implements error.
+func (*UnreachedError) Error() string { return "neither this box nor another one reached the upstream" }
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -28,6 +28,7 @@
 	"petrelstep/moveturns"
 	"petrelstep/peer"
 	"petrelstep/peer/roundtrip"
+	"petrelstep/peer/tunnel"
 	"petrelstep/platform/manifest"
 	"petrelstep/platform/store"
 	"petrelstep/tablesync"
@@ -399,6 +400,10 @@
 	case peer.TurnBack:
 		ask := args.(wire.TurnAsk)
 		e.turns.Release(ask.Upstream, ask.Box)
+	case peer.TunnelOpen, peer.TunnelRead, peer.TunnelWrite, peer.TunnelClose:
+		if err := callTunnel(ctx, e.tunnels, args, reply); err != nil {
+			return &peer.Error{Address: address, Method: method, Err: err}
+		}
 	}
 	err := cmp.Or(w.cpuOf(e).work(ctx, time.Duration(rows)*rowCost), sleep(ctx, w.delayTo(e)), own.work(ctx, callCost+time.Duration(rows)*rowCost))
 	if err != nil {
@@ -407,6 +412,21 @@
 	return nil
 }
 
+// callTunnel calls a box's tunnels.
+func callTunnel(ctx context.Context, s *tunnel.Server, args, reply any) (err error) {
+	switch ask := args.(type) {
+	case wire.TunnelOpen:
+		*reply.(*wire.TunnelOpened) = s.Open(ctx, ask)
+	case wire.TunnelRead:
+		*reply.(*wire.TunnelData), err = s.Read(ask)
+	case wire.TunnelWrite:
+		err = s.Write(ask)
+	case wire.TunnelClose:
+		s.Close(ask)
+	}
+	return err
+}
+
 func (c *cluster) cpuOf(e *Edge) *processor {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -506,6 +526,7 @@
 		Edge: &wire.Edge{KeyAgeMs: 5000, LeaveMs: 2000, RetryRatio: 0.2, RetrySlack: 50, MemoryMb: 134, Descriptors: 4100, Processors: processors, LinkMbit: link, Balance: c.balance, Regions: c.regions, Rollout: c.rollout},
 	}}, logs.New(io.Discard, "error", name), counts)
 	e.peers = clusterClient{c, e, roundtrip.New()}
+	e.tunnelClient = tunnel.NewClient(e.peers, name, e.config.Edge.Fleet)
 	e.quarantineStore.table = c.quarantines
 	e.configuration = manifest.NewConfiguration(storeClient{c.table, name}, e.routes, e.halls, e.log)
 	e.rollouts = newRolloutControl(e, storeClient{c.table, name})
@@ -529,7 +550,9 @@
 		e.fleet.Tick(now)
 		e.quarantine.Tick(now)
 		e.limiter.tick(now)
+		e.tunnels.Tick(now)
 	})
+	go e.timer.Every(ctx, "links", linkCheckPeriod, func(now time.Time) { e.checkLinks(ctx, now) })
 	go e.restoreQuarantine(ctx)
 	go e.rollouts.run(ctx)
 	go gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx)
--- a/edge/cutlinks_test.go
+++ b/edge/cutlinks_test.go
@@ -95,10 +95,31 @@
 	worker *protocolWorker
 	once   sync.Once
 	closed chan struct{}
+
+	mu           sync.Mutex
+	readDeadline time.Time // zero for none
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *cutConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = at
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(at)
+}
+
+// expired returns a channel that receives at the deadline of reads; nil if there is none.
+func (c *cutConn) expired() <-chan time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readDeadline.IsZero() {
+		return nil
+	}
+	return time.After(time.Until(c.readDeadline))
 }
 
-// awaitLink blocks while the link loses packets.
-func (c *cutConn) awaitLink() error {
+// awaitLink blocks while the link loses packets, or until expired receives.
+func (c *cutConn) awaitLink(expired <-chan time.Time) error {
 	for {
 		mode, ended := c.links.state(c.box, c.worker)
 		if mode != cutHangs {
@@ -106,6 +127,8 @@
 		}
 		select {
 		case <-ended:
+		case <-expired:
+			return os.ErrDeadlineExceeded
 		case <-c.closed:
 			return net.ErrClosed
 		}
@@ -115,7 +138,7 @@
 // Read implements net.Conn.
 func (c *cutConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if cut := c.awaitLink(); cut != nil {
+	if cut := c.awaitLink(c.expired()); cut != nil {
 		return 0, cut
 	}
 	return n, err
@@ -123,7 +146,7 @@
 
 // Write implements net.Conn.
 func (c *cutConn) Write(p []byte) (int, error) {
-	if err := c.awaitLink(); err != nil {
+	if err := c.awaitLink(nil); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"petrelstep/moveturns"
 	"petrelstep/outputlen"
 	"petrelstep/peer"
+	"petrelstep/peer/tunnel"
 	"petrelstep/picker"
 	"petrelstep/platform/blocklist"
 	"petrelstep/platform/callers"
@@ -145,6 +146,11 @@
 	sharing         *sharing
 	retryBudget     *retry.Budget
 	links           *links.Links
+	dialer          *dialer.Dialer
+	tunnelCalls     calls // on connections of their own
+	tunnelClient    *tunnel.Client
+	tunnelChoice    *tunnel.Choice
+	tunnels         *tunnel.Server
 	upstreams       *upstream.Client
 	relay           *relay.Relay
 	buffers         *buffers.Buffers // nil if disabled
@@ -203,6 +209,7 @@
 		reliability: reliability.New(),
 		runs:        runs.New(),
 		peers:       peer.New(nil),
+		tunnelCalls: peer.New(nil),
 		turns:       moveturns.New(),
 		strangers:   newStrangers(),
 		localTrials: moveturns.New(),
@@ -215,7 +222,11 @@
 		hubStates:   map[string]hubState{},
 		regionSeen:  map[string]time.Time{},
 	}
-	e.upstreams = upstream.NewWithDial(dialer.New(dialer.Direct, e.links).Dial).WithUnknownFields(counts, log)
+	e.setDial(dialer.Direct)
+	e.upstreams = upstream.NewWithDial(e.dial).WithUnknownFields(counts, log)
+	e.tunnelClient = tunnel.NewClient(e.tunnelCalls, c.Box, s.Fleet)
+	e.tunnelChoice = tunnel.NewChoice(c.Hall, e.regions, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 9)))
+	e.tunnels = newTunnelServer(e)
 	e.boxes = manifest.NewBoxes(e.store, counts, log)
 	e.quarantineStore = &quarantineStore{table: blocklist.New(e.store), log: log}
 	e.quarantine = quarantine.New(counts, e.quarantineStore, log)
--- a/edge/protocol_test.go
+++ b/edge/protocol_test.go
@@ -110,7 +110,7 @@
 
 // connect makes a box send to the workers with the platform's client.
 func (p *protocol) connect(e *Edge) {
-	e.relay.Sender = upstream.NewWithDial(dialer.New(p.dialFrom(e.Name()), e.links).Dial)
+	e.setDial(p.dialFrom(e.Name()))
 }
 
 // dialFrom returns how a box connects to the workers over its own network.
--- a/edge/run.go
+++ b/edge/run.go
@@ -96,6 +96,8 @@
 	for _, s := range servers {
 		_ = s.Close() // aborts the remaining requests
 	}
+	e.tunnels.CloseAll()
+	e.tunnelCalls.Close()
 	e.peers.Close()
 	e.store.Close()
 	all.Wait()
@@ -112,7 +114,7 @@
 		all.Go(func() { e.serveHTTP(s, listener) })
 	}
 	all.Go(func() {
-		if err := edgerpc.New(ctx, e, e.turns).Serve(l.Peers); err != nil {
+		if err := edgerpc.New(ctx, e, e.turns, e.tunnels).Serve(l.Peers); err != nil {
 			e.log.WithError(err).Error("peers_not_served")
 		}
 	})
@@ -164,6 +166,9 @@
 	all.Go(func() {
 		e.timer.Every(ctx, "watch", probe.Period, func(now time.Time) { prober.Poll(ctx, now) })
 	})
+	all.Go(func() {
+		e.timer.Every(ctx, "links", linkCheckPeriod, func(now time.Time) { e.checkLinks(ctx, now) })
+	})
 	all.Go(func() { e.join(ctx) })
 	all.Go(func() {
 		e.timer.Every(ctx, "register", registerInterval, func(time.Time) { e.registrar.write(ctx) })
@@ -230,6 +235,7 @@
 	e.quarantine.Tick(now)
 	e.limiter.tick(now)
 	e.backoff.Tick(now)
+	e.tunnels.Tick(now)
 	if e.joined.Load() {
 		e.retryBudget.Resize(e.retrySlack(e.Count()))
 		e.logRole()
@@ -285,7 +291,7 @@
 	e.members.Leave()
 	servers[0].SetKeepAlivesEnabled(false) // of the callers' server
 	for time.Now().Before(s.until) && ctx.Err() == nil {
-		if e.serving.Load() == 0 && time.Since(s.began) > balancerNotice {
+		if e.serving.Load() == 0 && e.tunnels.Count() == 0 && time.Since(s.began) > balancerNotice {
 			break
 		}
 		e.timer.Sleep(ctx, drainPollInterval)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -387,6 +387,18 @@
 	return changed, f.changes
 }
 
+// At returns the upstream at an address, the one with the newest entry if there are several.
+func (f *Fleet) At(address string) (found Upstream, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.all {
+		if u := e.upstream; u.Address == address && (!ok || u.Version > found.Version) {
+			found, ok = u, true
+		}
+	}
+	return found, ok
+}
+
 // UpdateFromPeer applies another box's report of an upstream, unless newer information
 // is known.
 func (f *Fleet) UpdateFromPeer(now time.Time, u Upstream) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -18,6 +18,7 @@
 	"petrelstep/balance/speeds"
 	"petrelstep/links"
 	"petrelstep/liveness"
+	"petrelstep/peer/tunnel"
 	"petrelstep/quarantine"
 	"petrelstep/refusal"
 	"petrelstep/upstreamlimits"
@@ -107,6 +108,9 @@
 	invalidFields      metric.Int64Counter
 	backoffChanges     metric.Int64Counter
 	dials              metric.Int64Counter
+	linkChanges        metric.Int64Counter
+	tunnelsOpened      metric.Int64Counter
+	tunnelsServed      metric.Int64Counter
 	rollouts           rolloutInstruments
 }
 
@@ -147,7 +151,7 @@
 	m.suspended = b.seconds("petrelstep_suspended", "Time in which the machine was suspended.")
 	m.quarantineChanges = b.counter("petrelstep_quarantine_changes", "Requests under which upstreams ended, by what became of them.")
 	m.brokenAnswers = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
-	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
+	m.addLinkInstruments(&b)
 	m.addAnnouncementInstruments(&b)
 	m.rollouts = newRolloutInstruments(&b)
 	if b.err != nil {
@@ -157,6 +161,14 @@
 	return m, nil
 }
 
+// addLinkInstruments creates the instruments for connections to upstreams.
+func (m *Metrics) addLinkInstruments(b *builder) {
+	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
+	m.linkChanges = b.counter("petrelstep_upstream_links", "Links of this box to upstreams that other boxes reach, by change.")
+	m.tunnelsOpened = b.counter("petrelstep_tunnels_opened", "Connections to upstreams asked of other boxes, by outcome; empty if a box did not answer.")
+	m.tunnelsServed = b.counter("petrelstep_tunnels_served", "Connections to upstreams that other boxes asked for, by outcome.")
+}
+
 // addAnnouncementInstruments creates the instruments for headers and fields that
 // other systems send.
 func (m *Metrics) addAnnouncementInstruments(b *builder) {
@@ -191,6 +203,13 @@
 	for _, f := range liveness.Findings() {
 		m.brokenAnswers.Add(ctx, 0, metric.WithAttributes(attribute.String("finding", string(f))))
 	}
+	for _, change := range links.Changes() {
+		m.linkChanges.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
+	}
+	for _, outcome := range tunnel.OpenOutcomes() {
+		m.tunnelsOpened.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
+		m.tunnelsServed.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
+	}
 	for _, outcome := range links.Outcomes() {
 		m.dials.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
 	}
@@ -346,6 +365,21 @@
 	m.dials.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// LinkChanged counts a change of a link to an upstream.
+func (m *Metrics) LinkChanged(change string) {
+	m.linkChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
+}
+
+// TunnelOpened counts a connection to an upstream that was asked of another box.
+func (m *Metrics) TunnelOpened(outcome string) {
+	m.tunnelsOpened.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// TunnelServed counts a connection to an upstream that another box asked for.
+func (m *Metrics) TunnelServed(outcome string) {
+	m.tunnelsServed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // UnknownField counts an unknown header or field of another system.
 func (m *Metrics) UnknownField(place, field string) {
 	m.unknownFields.Add(context.Background(), 1, metric.WithAttributes(attribute.String("place", place), attribute.String("word", field)))
--- a/peer/edgerpc/edgerpc.go
+++ b/peer/edgerpc/edgerpc.go
@@ -9,6 +9,7 @@
 
 	"petrelstep/moveturns"
 	"petrelstep/peer/serve"
+	"petrelstep/peer/tunnel"
 	"petrelstep/wire"
 )
 
@@ -26,14 +27,15 @@
 
 // Endpoint holds the RPC methods; its name on the wire is Peer.
 type Endpoint struct {
-	ctx   context.Context
-	box   Box
-	turns *moveturns.Scheduler
+	ctx     context.Context
+	box     Box
+	turns   *moveturns.Scheduler
+	tunnels *tunnel.Server
 }
 
 // New returns the endpoint of a box; waits for turns end with ctx.
-func New(ctx context.Context, box Box, t *moveturns.Scheduler) *Endpoint {
-	return &Endpoint{ctx: ctx, box: box, turns: t}
+func New(ctx context.Context, box Box, t *moveturns.Scheduler, tunnels *tunnel.Server) *Endpoint {
+	return &Endpoint{ctx: ctx, box: box, turns: t, tunnels: tunnels}
 }
 
 // Gossip applies a peer's gossip and answers with this box's.
@@ -77,5 +79,30 @@
 	return nil
 }
 
+// TunnelOpen opens a connection to an upstream for a peer.
+func (e *Endpoint) TunnelOpen(ask wire.TunnelOpen, answer *wire.TunnelOpened) error {
+	*answer = e.tunnels.Open(e.ctx, ask)
+	return nil
+}
+
+// TunnelRead waits for bytes from an upstream.
+func (e *Endpoint) TunnelRead(ask wire.TunnelRead, answer *wire.TunnelData) (err error) {
+	*answer, err = e.tunnels.Read(ask)
+	return err
+}
+
+// TunnelWrite sends bytes to an upstream.
+func (e *Endpoint) TunnelWrite(ask wire.TunnelWrite, answer *wire.Nothing) error {
+	answer.Ok = true
+	return e.tunnels.Write(ask)
+}
+
+// TunnelClose closes a connection to an upstream.
+func (e *Endpoint) TunnelClose(ask wire.TunnelClose, answer *wire.Nothing) error {
+	e.tunnels.Close(ask)
+	answer.Ok = true
+	return nil
+}
+
 // Serve serves peers until the endpoint's context ends.
 func (e *Endpoint) Serve(listener net.Listener) error { return serve.Serve(e.ctx, e, listener) }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,6 +28,10 @@
 	TurnBack      = "Peer.TurnBack"
 	Admit         = "Peer.Admit"
 	Allow         = "Peer.Allow"
+	TunnelOpen    = "Peer.TunnelOpen"
+	TunnelRead    = "Peer.TunnelRead"
+	TunnelWrite   = "Peer.TunnelWrite"
+	TunnelClose   = "Peer.TunnelClose"
 )
 
 const dialTimeout = 500 * time.Millisecond
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -580,6 +580,9 @@
 	// ConfigurationAgeMs corresponds to the JSON schema field "configuration_age_ms".
 	ConfigurationAgeMs int `json:"configuration_age_ms"`
 
+	// Upstreams that it does not reach and another box does.
+	CutLinks []LinkView `json:"cut_links,omitempty,omitzero"`
+
 	// Hall corresponds to the JSON schema field "hall".
 	Hall string `json:"hall"`
 
@@ -643,6 +646,9 @@
 	// Boxes that told it their loads in the last 3 s.
 	Told int `json:"told"`
 
+	// Connections to upstreams that it holds open for other boxes.
+	Tunnels int `json:"tunnels,omitempty,omitzero"`
+
 	// Upstreams that take new work.
 	Upstreams int `json:"upstreams"`
 
@@ -727,6 +733,9 @@
 	if v, ok := raw["asks"]; !ok || v == nil {
 		plain.Asks = []string{}
 	}
+	if v, ok := raw["cut_links"]; !ok || v == nil {
+		plain.CutLinks = []LinkView{}
+	}
 	if v, ok := raw["halls"]; !ok || v == nil {
 		plain.Halls = []HallWord{}
 	}
@@ -751,6 +760,9 @@
 	if v, ok := raw["tells"]; !ok || v == nil {
 		plain.Tells = 0
 	}
+	if v, ok := raw["tunnels"]; !ok || v == nil {
+		plain.Tunnels = 0
+	}
 	*j = BoxView(plain)
 	return nil
 }
@@ -2945,6 +2957,48 @@
 	return nil
 }
 
+// An upstream that a box does not reach and another one does.
+type LinkView struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// The box that reached it last.
+	Peer string `json:"peer"`
+
+	// SinceMs corresponds to the JSON schema field "since_ms".
+	SinceMs int `json:"since_ms"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream string `json:"upstream"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *LinkView) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["address"]; raw != nil && !ok {
+		return fmt.Errorf("field address in LinkView: required")
+	}
+	if _, ok := raw["peer"]; raw != nil && !ok {
+		return fmt.Errorf("field peer in LinkView: required")
+	}
+	if _, ok := raw["since_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field since_ms in LinkView: required")
+	}
+	if _, ok := raw["upstream"]; raw != nil && !ok {
+		return fmt.Errorf("field upstream in LinkView: required")
+	}
+	type Plain LinkView
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = LinkView(plain)
+	return nil
+}
+
 // Addresses, IP:port.
 type Listen struct {
 	// Admin corresponds to the JSON schema field "admin".
@@ -5107,6 +5161,210 @@
 	return nil
 }
 
+// Closes a tunnel.
+type TunnelClose struct {
+	// ID corresponds to the JSON schema field "id".
+	ID int `json:"id"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TunnelClose) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["id"]; raw != nil && !ok {
+		return fmt.Errorf("field id in TunnelClose: required")
+	}
+	type Plain TunnelClose
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TunnelClose(plain)
+	return nil
+}
+
+// Bytes from the upstream.
+type TunnelData struct {
+	// The connection broke after these.
+	Broken bool `json:"broken,omitempty,omitzero"`
+
+	// The upstream closed the connection after these.
+	Closed bool `json:"closed,omitempty,omitzero"`
+
+	// Bytes; empty if none came in time.
+	Data string `json:"data"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TunnelData) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["data"]; raw != nil && !ok {
+		return fmt.Errorf("field data in TunnelData: required")
+	}
+	type Plain TunnelData
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["broken"]; !ok || v == nil {
+		plain.Broken = false
+	}
+	if v, ok := raw["closed"]; !ok || v == nil {
+		plain.Closed = false
+	}
+	*j = TunnelData(plain)
+	return nil
+}
+
+// A box asks another one to open a connection to an upstream for it.
+type TunnelOpen struct {
+	// Address of the upstream.
+	Address string `json:"address"`
+
+	// Box corresponds to the JSON schema field "box".
+	Box string `json:"box"`
+
+	// Name of the sender's fleet.
+	FleetName string `json:"fleet_name,omitempty,omitzero"`
+
+	// Id of the request that is sent; empty for a call of the box's own.
+	Request string `json:"request,omitempty,omitzero"`
+
+	// Id of the upstream; empty where the sender does not know it.
+	Upstream string `json:"upstream,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TunnelOpen) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["address"]; raw != nil && !ok {
+		return fmt.Errorf("field address in TunnelOpen: required")
+	}
+	if _, ok := raw["box"]; raw != nil && !ok {
+		return fmt.Errorf("field box in TunnelOpen: required")
+	}
+	type Plain TunnelOpen
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["fleet_name"]; !ok || v == nil {
+		plain.FleetName = ""
+	}
+	if v, ok := raw["request"]; !ok || v == nil {
+		plain.Request = ""
+	}
+	if v, ok := raw["upstream"]; !ok || v == nil {
+		plain.Upstream = ""
+	}
+	*j = TunnelOpen(plain)
+	return nil
+}
+
+// Whether the connection is open.
+type TunnelOpened struct {
+	// Of the tunnel; 0 if there is none.
+	ID int `json:"id"`
+
+	// connected, or why not: how the connection failed, or why none was opened.
+	Outcome string `json:"outcome"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TunnelOpened) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["id"]; raw != nil && !ok {
+		return fmt.Errorf("field id in TunnelOpened: required")
+	}
+	if _, ok := raw["outcome"]; raw != nil && !ok {
+		return fmt.Errorf("field outcome in TunnelOpened: required")
+	}
+	type Plain TunnelOpened
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TunnelOpened(plain)
+	return nil
+}
+
+// Asks for the next bytes from the upstream.
+type TunnelRead struct {
+	// ID corresponds to the JSON schema field "id".
+	ID int `json:"id"`
+
+	// 0 to keep the tunnel open without reading.
+	MaxBytes int `json:"max_bytes"`
+
+	// Longest time to wait for the first byte.
+	WaitMs int `json:"wait_ms"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TunnelRead) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["id"]; raw != nil && !ok {
+		return fmt.Errorf("field id in TunnelRead: required")
+	}
+	if _, ok := raw["max_bytes"]; raw != nil && !ok {
+		return fmt.Errorf("field max_bytes in TunnelRead: required")
+	}
+	if _, ok := raw["wait_ms"]; raw != nil && !ok {
+		return fmt.Errorf("field wait_ms in TunnelRead: required")
+	}
+	type Plain TunnelRead
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TunnelRead(plain)
+	return nil
+}
+
+// Bytes for the upstream.
+type TunnelWrite struct {
+	// Data corresponds to the JSON schema field "data".
+	Data string `json:"data"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID int `json:"id"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TunnelWrite) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["data"]; raw != nil && !ok {
+		return fmt.Errorf("field data in TunnelWrite: required")
+	}
+	if _, ok := raw["id"]; raw != nil && !ok {
+		return fmt.Errorf("field id in TunnelWrite: required")
+	}
+	type Plain TunnelWrite
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TunnelWrite(plain)
+	return nil
+}
+
 // Whether the box has the turn.
 type TurnAnswer struct {
 	// Granted corresponds to the JSON schema field "granted".
