relay, dialer: hold no failure against an upstream while it may be the box's own link

Cause: a refused connection counted as the end of its upstream (20 failures), a broken or silent one as a failure, and both were told to all boxes, whoever's link it was.

Now a failure is recorded only if a box with intact links does not reach the upstream either: one that is asked to connect and cannot first connects to another upstream, and otherwise says that its own links are cut.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -40,6 +40,7 @@
 	Dialed(now time.Time, t links.Target, outcome string)
 	ReachedByPeer(now time.Time, t links.Target, peer string)
 	UnreachedByPeer(t links.Target)
+	LastReached(t links.Target) (last links.Target, ok bool)
 }
 
 // Peer is another box that may connect to an upstream.
@@ -101,6 +102,45 @@
 	return d.direct(ctx, d.resolve(t))
 }
 
+// DirectForPeer is Direct for another box. An error other than a *LinkError says that the upstream
+// is not reached although this box's links are intact.
+func (d *Dialer) DirectForPeer(ctx context.Context, t links.Target) (net.Conn, error) {
+	intact := make(chan bool, 1)
+	check := time.AfterFunc(suspectDelay, func() { intact <- d.reachesAnother(ctx, t) })
+	conn, err := d.direct(ctx, t)
+	if err == nil {
+		check.Stop()
+		return conn, nil
+	}
+	if check.Stop() {
+		intact <- d.reachesAnother(ctx, t)
+	}
+	if !<-intact {
+		return nil, &LinkError{Err: err}
+	}
+	return nil, err
+}
+
+// reachesAnother reports whether this box reaches the last upstream other than t that it reached.
+func (d *Dialer) reachesAnother(ctx context.Context, t links.Target) bool {
+	last, ok := d.links.LastReached(t)
+	if !ok {
+		return false
+	}
+	conn, err := d.direct(ctx, last)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
+// LinkError reports that an upstream was not reached, and that this box's links may be the reason.
+type LinkError struct{ Err error }
+
+// Error implements error.
+func (e *LinkError) Error() string { return "no upstream reached: " + e.Err.Error() }
+
 func (d *Dialer) direct(ctx context.Context, t links.Target) (net.Conn, error) {
 	conn, err := d.dial(ctx, "tcp", t.Address)
 	if err == nil || ctx.Err() == nil {
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -57,7 +57,7 @@
 	connects = way{after: roundTrip}
 	silent   = way{after: noAnswer, err: os.ErrDeadlineExceeded}
 	refuses  = way{after: roundTrip, err: syscall.ECONNREFUSED}
-	cutOff   = way{after: roundTrip, err: &dialer.PeerError{Outcome: "link_cut"}}
+	cutOff   = way{after: roundTrip, err: &dialer.PeerError{Outcome: "link_cut", CutOff: true}}
 	timesOut = way{after: noAnswer, err: &dialer.PeerError{Outcome: links.TimedOut, Unreached: true}}
 	gone     = way{after: roundTrip, err: io.EOF}
 	slow     = way{after: 20 * time.Millisecond}
@@ -71,9 +71,11 @@
 	peers    []way
 	via      string // who connects: "", a peer or "none"
 	refused  bool
-	within   time.Duration
-	cut      bool
-	asked    int // peers
+	// suspected: it may be this box's link that fails
+	suspected bool
+	within    time.Duration
+	cut       bool
+	asked     int // peers
 }
 
 // dialed is what became of one connection.
@@ -158,7 +160,8 @@
 		"ended":                                 {direct: []way{refuses}, peers: []way{refuses, refuses, refuses, connects}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
 		"ended, no other box":                   {direct: []way{refuses}, via: "none", refused: true, within: roundTrip},
 		"ended, other boxes do not answer":      {direct: []way{refuses}, peers: []way{gone, gone, gone}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
-		"refused, other boxes are cut off":      {direct: []way{refuses}, peers: []way{cutOff, cutOff, cutOff}, via: "none", within: 4 * roundTrip, asked: 3},
+		"silent, other boxes are cut off":       {direct: []way{silent, silent}, peers: []way{cutOff, cutOff, cutOff}, via: "none", suspected: true, within: twoTimeout + 30*time.Millisecond, asked: 3},
+		"refused, other boxes are cut off":      {direct: []way{refuses}, peers: []way{cutOff, cutOff, cutOff}, via: "none", suspected: true, within: 4 * roundTrip, asked: 3},
 		"refused here, silent to others":        {direct: []way{refuses}, peers: []way{timesOut, timesOut, timesOut}, via: "none", within: twoTimeout + 30*time.Millisecond, asked: 3},
 		"silent to all":                         {direct: []way{silent, silent}, peers: []way{timesOut, timesOut, timesOut}, via: "none", within: twoTimeout + 30*time.Millisecond, asked: 3},
 		"believed to be cut":                    {believed: true, direct: []way{connects}, peers: []way{connects}, via: "p0", within: roundTrip, cut: true, asked: 1},
@@ -175,6 +178,8 @@
 				got := tt.play(t, l)
 				is.Equal(got.err != nil, tt.via == "none")
 				is.Equal(errors.Is(got.err, syscall.ECONNREFUSED), tt.refused)
+				var unreached *dialer.UnreachedError
+				is.Equal(errors.As(got.err, &unreached) && unreached.LinkSuspect, tt.suspected)
 				is.True(got.took <= tt.within)
 				is.Equal(l.Cut(tested), tt.cut)
 				is.Equal(got.asked, tt.asked)
@@ -190,6 +195,55 @@
 	}
 }
 
+// TestDirectForPeer checks that a box tells another one that an upstream does not answer only if its
+// own links are intact.
+func TestDirectForPeer(t *testing.T) {
+	tests := map[string]peerDialTest{
+		"connects":                             {tested: connects, another: refuses},
+		"ended":                                {tested: refuses, another: connects, err: syscall.ECONNREFUSED},
+		"silent":                               {tested: silent, another: connects, err: os.ErrDeadlineExceeded},
+		"refused, as the links are cut":        {tested: refuses, another: refuses, link: true},
+		"silent, as the links are cut":         {tested: silent, another: silent, link: true},
+		"refused, nothing reached before this": {first: true, tested: refuses, link: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				conn, err := tt.play(t)
+				is.Equal(conn != nil, tt.err == nil && !tt.link)
+				is.Equal(errors.As(err, new(*dialer.LinkError)), tt.link)
+				is.True(tt.err == nil || errors.Is(err, tt.err))
+			})
+		})
+	}
+}
+
+// peerDialTest is how a box connects for another one.
+type peerDialTest struct {
+	first   bool // the box has reached no other upstream yet
+	tested  way
+	another way
+	err     error // nil if it connects
+	link    bool
+}
+
+func (tt peerDialTest) play(t *testing.T) (net.Conn, error) {
+	l := links.New(counter{}, logs.New(io.Discard, "error", "b0"))
+	if !tt.first {
+		l.Dialed(time.Now(), links.Target{Address: "u2:1", Upstream: "u2"}, links.Connected)
+	}
+	opened := make(chan net.Conn, maxOpened)
+	direct := func(ctx context.Context, _, address string) (net.Conn, error) {
+		if address == tested.Address {
+			return tt.tested.take(ctx, opened)
+		}
+		return tt.another.take(ctx, opened)
+	}
+	d := dialer.New(direct, l, func(links.Target) []dialer.Peer { return nil }, func(u links.Target) links.Target { return u })
+	return d.DirectForPeer(t.Context(), tested)
+}
+
 // TestCanceled checks that nothing is recorded of a connection that is no longer needed.
 func TestCanceled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dialer/race.go
+++ b/dialer/race.go
@@ -124,7 +124,7 @@
 			r.refused++
 		case errors.As(a.err, &answered) && answered.Unreached:
 			r.silent++
-		case answered != nil:
+		case answered != nil && answered.CutOff:
 			r.cutOff++
 		}
 		r.startPeer()
@@ -174,34 +174,38 @@
 	}()
 }
 
-// err returns why no way connected. An upstream counts as refusing connections if it refuses
-// this box, and no other box says that it does not reach it either, or if it refuses other boxes.
+// err returns why no way connected. Whether it is the upstream or this box's link that fails is told
+// by boxes whose links are intact; what this box met itself counts only if no other box says that it
+// is cut off too.
 func (r *race) err() error {
-	refusedHere := errors.Is(r.failed, syscall.ECONNREFUSED)
-	if r.refused+r.silent > 0 {
+	told := r.refused+r.silent > 0
+	if told {
 		r.links.UnreachedByPeer(r.target)
 	}
 	switch {
-	case r.refused > 0 && r.silent+r.cutOff == 0:
+	case r.refused > 0 && r.silent == 0:
 		return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-	case r.failed != nil && (!refusedHere || r.silent+r.cutOff == 0):
-		return r.failed
+	case r.failed == nil, told && errors.Is(r.failed, syscall.ECONNREFUSED), !told && r.cutOff > 0:
+		return &net.OpError{Op: "dial", Err: &UnreachedError{LinkSuspect: !told}}
 	}
-	return &net.OpError{Op: "dial", Err: &UnreachedError{}}
+	return r.failed
 }
 
 // PeerError reports that a peer answered that it did not connect to an upstream.
 type PeerError struct {
 	Peer      string
 	Outcome   string
-	Unreached bool // it tried, and the upstream did not answer
+	Unreached bool // its links are intact, and the upstream did not answer
+	CutOff    bool // it is cut off from the upstream too
 }
 
 // Error implements error.
 func (e *PeerError) Error() string { return "peer " + e.Peer + ": " + e.Outcome }
 
 // UnreachedError reports that no way to an upstream connected.
-type UnreachedError struct{}
+type UnreachedError struct {
+	LinkSuspect bool // it may be this box's link that fails
+}
 
 // Error implements error.
 func (*UnreachedError) Error() string { return "neither this box nor another one reached the upstream" }
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -23,6 +23,8 @@
 	minServedRatio   = 2.0 / 3
 	maxFailed        = 10
 	maxFailedDivisor = 50
+	// maxFailureRate is the share of failed requests from which a worker counts as failing.
+	maxFailureRate = 0.5
 )
 
 // firstTries are the first tries of callers at some boxes.
@@ -113,6 +115,50 @@
 	is.True(others.sent-others.served <= maxFailed+others.sent/maxFailedDivisor) // the workers are sound
 }
 
+// TestAllBoxesWithoutLinks guards against sound workers being avoided after the end of a cut of all
+// boxes, in which none could tell whether it was the workers that had failed.
+func TestAllBoxesWithoutLinks(t *testing.T) {
+	for _, boxes := range []int{6, 77} {
+		for _, mode := range []cutMode{cutHangs, cutResets, cutRefuses} {
+			t.Run(fmt.Sprint(boxes, " boxes, ", mode), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { testAllBoxesWithoutLinks(t, boxes, mode) })
+			})
+		}
+	}
+}
+
+func testAllBoxesWithoutLinks(t *testing.T, boxes int, mode cutMode) {
+	is := is.New(t)
+	ctx, end := context.WithCancel(t.Context())
+	p := newProtocol(ctx, t, boxes, 4)
+	all := func(string) bool { return true }
+	paths := []string{"/look/", "/once/"}
+	p.sendFirstTries(ctx, paths, 60, 2*time.Second, all)
+	p.cuts.begin(mode, func(string, *protocolWorker) bool { return true })
+	p.sendFirstTries(ctx, paths, 60, 3*time.Second, all)
+	p.cuts.end()
+	time.Sleep(contactTime / 3)
+	failing := p.countFailing()
+	after, _ := p.sendFirstTries(ctx, paths, 60, 2*time.Second, all)
+	t.Logf("after the cut: %+v served, %d pairs of box and worker that count as failing", after, failing)
+	p.stop(end)
+	is.True(after.sent-after.served <= after.sent/maxFailedDivisor)
+	is.Equal(failing, 0)
+}
+
+// countFailing returns the number of pairs of a box and a worker that counts as failing there.
+func (p *protocol) countFailing() (n int) {
+	for _, e := range p.cluster.all {
+		for _, w := range p.workers {
+			if e.reliability.FailureRate(time.Now(), w.id) > maxFailureRate {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // boxesIn returns the boxes of a hall.
 func boxesIn(all []*Edge, hall string) []*Edge {
 	return slices.DeleteFunc(slices.Clone(all), func(e *Edge) bool { return e.config.Hall != hall })
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/dialer"
+	"petrelstep/fleet"
 	"petrelstep/gossip"
 	"petrelstep/links"
 	"petrelstep/members"
@@ -46,7 +47,11 @@
 	if e.links.Doubtful() || e.links.Cut(t) {
 		return nil, &tunnel.CutError{}
 	}
-	return e.dialer.Direct(ctx, t)
+	conn, err := e.dialer.DirectForPeer(ctx, t)
+	if errors.As(err, new(*dialer.LinkError)) {
+		return nil, &tunnel.CutError{}
+	}
+	return conn, err
 }
 
 // targetOf returns the upstream of this box's fleet that has an address, and the given id unless
@@ -107,7 +112,7 @@
 		outcome = failed.Outcome
 		e.tunnelChoice.Failed(time.Now(), b, outcome)
 		if outcome != "" && outcome != links.Refused {
-			err = &dialer.PeerError{Peer: b.Name, Outcome: outcome, Unreached: outcome == links.TimedOut || outcome == links.Failed}
+			err = &dialer.PeerError{Peer: b.Name, Outcome: outcome, Unreached: outcome == links.TimedOut || outcome == links.Failed, CutOff: outcome == tunnel.LinkCut}
 		}
 	}
 	e.metrics.TunnelOpened(outcome)
@@ -133,3 +138,8 @@
 		}()
 	}
 }
+
+// reaches reports whether this box's link to an upstream is believed to be intact.
+func (e *Edge) reaches(u fleet.Upstream) bool {
+	return !e.links.Doubtful() && !e.links.Cut(links.Target{Address: u.Address, Upstream: u.ID, Service: u.Service, Hall: u.Hall})
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -121,6 +121,7 @@
 type FailedError struct {
 	NotSent bool // certainly nothing reached the upstream
 	Refused bool // the connection was refused
+	Link    bool // it may be this box's link that failed, rather than the upstream
 	Err     error
 }
 
--- a/links/links.go
+++ b/links/links.go
@@ -87,11 +87,15 @@
 	peer      string // that box
 }
 
+// reachedLast are the upstreams that this box reached last. Values are immutable.
+type reachedLast struct{ last, before Target }
+
 // Links is safe for concurrent use.
 type Links struct {
 	counter Counter
 	log     *logrus.Entry
 	quiet   atomic.Bool // nothing is unreached or cut off
+	last    atomic.Pointer[reachedLast]
 
 	mu        sync.Mutex
 	unreached map[string]string // outcomes by address, since the last connection
@@ -122,8 +126,11 @@
 // Dialed records the outcome of a connection that this box tried to open itself.
 func (l *Links) Dialed(now time.Time, t Target, outcome string) {
 	l.counter.Dialed(outcome)
-	if outcome == Connected && l.quiet.Load() {
-		return
+	if outcome == Connected {
+		l.storeLast(t)
+		if l.quiet.Load() {
+			return
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -237,6 +244,29 @@
 	})
 }
 
+// storeLast records the upstream that was reached last.
+func (l *Links) storeLast(t Target) {
+	known := l.last.Load()
+	switch {
+	case known == nil:
+		l.last.Store(&reachedLast{last: t})
+	case known.last.Address != t.Address:
+		l.last.Store(&reachedLast{last: t, before: known.last})
+	}
+}
+
+// LastReached returns the upstream other than t that this box reached last; false if there is none.
+func (l *Links) LastReached(t Target) (last Target, ok bool) {
+	known := l.last.Load()
+	switch {
+	case known == nil:
+		return Target{}, false
+	case known.last.Address != t.Address:
+		return known.last, true
+	}
+	return known.before, known.before.Address != ""
+}
+
 // Doubtful reports whether this box has reached none of the last upstreams that it tried, and it is
 // unknown whether others do, so that what it does not reach says nothing about an upstream.
 func (l *Links) Doubtful() bool {
--- a/relay/disconnect.go
+++ b/relay/disconnect.go
@@ -51,9 +51,10 @@
 	}
 }
 
-// recordEnded records that an upstream has ended, unless it has restarted since.
+// recordEnded records that an upstream has ended, unless it has restarted since or this box's link
+// to it is cut.
 func (r *Relay) recordEnded(u fleet.Upstream) {
-	if r.Fleet.IsCurrent(u) {
+	if r.Fleet.IsCurrent(u) && r.reaches(u) {
 		r.Reliability.RecordEnd(time.Now(), u.ID)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,11 +80,12 @@
 	OutputLengths *outputlen.Estimator // of answers, in tokens
 	Prefill       *prefill.Prefill
 	Metrics       *metrics.Metrics
-	Stopping      func() (Stop, bool)  // false unless this box is being stopped
-	Full          func() bool          // reports whether this box has reached its limit of requests
-	Buffers       *buffers.Buffers     // between upstreams and callers; nil: each event is written before the next is read
-	ServeStale    bool                 // serve with a stale configuration, whatever its age
-	StoreSilence  func() time.Duration // since the store last answered any box that reports to this one; 0 if none does; nil: not tracked
+	Stopping      func() (Stop, bool)         // false unless this box is being stopped
+	Full          func() bool                 // reports whether this box has reached its limit of requests
+	Buffers       *buffers.Buffers            // between upstreams and callers; nil: each event is written before the next is read
+	ServeStale    bool                        // serve with a stale configuration, whatever its age
+	Reaches       func(u fleet.Upstream) bool // reports whether this box's link to an upstream is intact; nil: always
+	StoreSilence  func() time.Duration        // since the store last answered any box that reports to this one; 0 if none does; nil: not tracked
 	Log           *logrus.Entry
 }
 
@@ -453,32 +454,30 @@
 	}
 	startedAt := time.Now()
 	sent := r.recordSend(sending, startedAt, j, u, from)
-	hangTimer := time.AfterFunc(hungFactor*j.route.Aim, func() {
-		sent.failed(time.Now())
-		r.recordResult(u, true)
-		j.log.WithField("upstream", u.ID).Warn("upstream_hangs")
-	})
+	hangTimer := r.watchHang(j, u, sent)
 	answer, err := r.Sender.Send(sending, exchange.Send{
 		Request: j.req, Upstream: u.ID, Address: u.Address, Left: time.Until(j.deadline), Organisation: j.organisation,
 		Urgency: j.urgency, After: after, From: from,
 	})
 	if err != nil {
-		r.sendFailed(sent, u, err)
 		untrack()
 		hangTimer.Stop()
 		entry.End()
 		defer cancel(nil)
+		defer r.sendFailed(sent, u, err)
 		if !isNotSent(err) {
 			j.mayHaveRun.Store(true)
 		}
 		if errors.As(context.Cause(sending), new(*QuarantinedError)) {
 			return nil, err // not a failure of the upstream
 		}
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
+		canceled := ctx.Err() != nil && !expired
+		r.handleConnRefused(u, err)
+		r.handleBroken(ctx, j, brokenSend{upstream: u, startedAt: startedAt}, err) // also finds out about the link
+		if !canceled && !isLinkSuspect(err) {
 			r.recordResult(u, true)
 		}
-		r.handleConnRefused(u, err)
-		r.handleBroken(ctx, j, brokenSend{upstream: u, startedAt: startedAt}, err)
 		return nil, err
 	}
 	r.handleHead(j, u, startedAt, answer)
@@ -494,6 +493,17 @@
 	}}, nil
 }
 
+// watchHang returns the timer that records a failure of an upstream if no answer comes in time.
+func (r *Relay) watchHang(j *job, u fleet.Upstream, sent *sendResult) *time.Timer {
+	return time.AfterFunc(hungFactor*j.route.Aim, func() {
+		if r.reaches(u) {
+			sent.failed(time.Now())
+		}
+		r.recordResult(u, true)
+		j.log.WithField("upstream", u.ID).Warn("upstream_hangs")
+	})
+}
+
 // handleHead updates what is known of an upstream from the head of its answer.
 func (r *Relay) handleHead(j *job, u fleet.Upstream, sent time.Time, answer *exchange.Answer) {
 	if answer.Status != http.StatusMisdirectedRequest { // otherwise another upstream has answered at this address
@@ -528,13 +538,20 @@
 // Error implements error.
 func (e *RestartedError) Error() string { return "upstream " + e.Upstream + " has restarted" }
 
-// recordResult records success or failure of an upstream, unless it has restarted since.
+// recordResult records success or failure of an upstream, unless it has restarted since. A
+// failure says nothing about an upstream to which this box's own link is cut.
 func (r *Relay) recordResult(u fleet.Upstream, failed bool) {
+	if failed && !r.reaches(u) {
+		return
+	}
 	if r.Fleet.IsCurrent(u) {
 		r.Reliability.Record(time.Now(), u.ID, failed)
 	}
 }
 
+// reaches reports whether this box's link to an upstream is intact.
+func (r *Relay) reaches(u fleet.Upstream) bool { return r.Reaches == nil || r.Reaches(u) }
+
 // refuse ends a request with a refusal.
 func (r *Relay) refuse(log *logrus.Entry, req *exchange.Request, c exchange.Caller, err error) {
 	var refused refusal.Refusal
--- a/relay/result.go
+++ b/relay/result.go
@@ -144,7 +144,7 @@
 
 // sendFailed records the result of a send that failed with an error. Whether the upstream
 // is to blame depends on why: a cancelled request, an upstream that could not be reached
-// and the end of one that announced it are no failures. A try that a later one has
+// or whose link to this box is cut, and the end of one that announced it are no failures. A try that a later one has
 // overtaken counts as answered no earlier than now.
 func (r *Relay) sendFailed(s *sendResult, u fleet.Upstream, err error) {
 	if s == nil {
@@ -157,7 +157,7 @@
 	switch {
 	case errors.As(cause, new(*overtakenError)):
 		s.answered(now)
-	case errors.Is(s.sending.Err(), context.Canceled) && !restarted, errors.As(err, new(*callerError)), unreached, r.Fleet.IsLeaving(u.ID):
+	case errors.Is(s.sending.Err(), context.Canceled) && !restarted, errors.As(err, new(*callerError)), unreached, !r.reaches(u), r.Fleet.IsLeaving(u.ID):
 		s.canceled(now)
 	default:
 		s.failed(now)
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -224,6 +225,12 @@
 	return errors.As(err, &failed) && failed.NotSent
 }
 
+// isLinkSuspect reports whether a send may have failed by this box's link.
+func isLinkSuspect(err error) bool {
+	var failed *exchange.FailedError
+	return errors.As(err, &failed) && failed.Link
+}
+
 // tryWhole sends the request once and reads the whole answer.
 func (r *Relay) tryWhole(ctx context.Context, j *job, u fleet.Upstream) tryResult {
 	resp, err := r.sendTo(ctx, j, u, exchange.NoEvent, nil)
@@ -234,19 +241,12 @@
 	resp.hangTimer.Stop()
 	bad := err != nil || resp.answer.Status == http.StatusOK && !resp.answer.Sealed
 	failed := bad || resp.answer.NotRun || resp.answer.Status >= http.StatusInternalServerError
-	if !errors.Is(ctx.Err(), context.Canceled) && resp.answer.Backoff == 0 { // a backoff concerns this box only
-		r.recordResult(u, failed)
-	}
+	counts := !errors.Is(ctx.Err(), context.Canceled) && resp.answer.Backoff == 0 // a backoff concerns this box only
 	if bad {
-		if err == nil {
-			err = &SealError{}
-		}
-		if resp.sent.head(time.Now(), resp.answer) {
-			r.sendFailed(resp.sent, u, err)
-		}
-		resp.close()
-		r.handleBroken(ctx, j, brokenSend{upstream: u, startedAt: resp.startedAt}, err)
-		return tryResult{upstream: u.ID, err: err}
+		return r.handleBad(ctx, j, resp, cmp.Or[error](err, &SealError{}), counts)
+	}
+	if counts {
+		r.recordResult(u, failed)
 	}
 	if resp.sent.head(time.Now(), resp.answer) && !more {
 		resp.sent.answered(time.Now())
@@ -257,6 +257,20 @@
 	return tryResult{upstream: u.ID, resp: resp, body: body, more: more}
 }
 
+// handleBad records an answer that broke off or lacks a seal. A failure of the upstream is recorded
+// once it is known whether this box's link broke it off.
+func (r *Relay) handleBad(ctx context.Context, j *job, resp *response, err error, counts bool) tryResult {
+	if resp.sent.head(time.Now(), resp.answer) {
+		r.sendFailed(resp.sent, resp.upstream, err)
+	}
+	resp.close()
+	r.handleBroken(ctx, j, brokenSend{upstream: resp.upstream, startedAt: resp.startedAt}, err)
+	if counts {
+		r.recordResult(resp.upstream, true)
+	}
+	return tryResult{upstream: resp.upstream.ID, err: err}
+}
+
 // SealError says that an answer lacks its upstream's seal.
 type SealError struct{}
 
