--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -23,6 +23,9 @@
 	minServedRatio   = 2.0 / 3
 	maxFailed        = 10
 	maxFailedDivisor = 50
+	// minUseAfterSilence is the least share of its usual requests that a worker gets in
+	// observeTime after it was silent.
+	minUseAfterSilence = 0.5
 	// maxFailureRate is the share of failed requests from which a worker counts as failing.
 	maxFailureRate = 0.5
 )
@@ -163,3 +166,48 @@
 func boxesIn(all []*Edge, hall string) []*Edge {
 	return slices.DeleteFunc(slices.Clone(all), func(e *Edge) bool { return e.config.Hall != hall })
 }
+
+// TestSilentWorker guards against a sound worker that is silent for a second being taken for ended,
+// or avoided for long after it goes on.
+func TestSilentWorker(t *testing.T) {
+	tests := map[string]struct {
+		boxes  int
+		demand float64
+	}{
+		"6 boxes":  {6, 120},
+		"77 boxes": {77, 300},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, end := context.WithCancel(t.Context())
+				p := newProtocol(ctx, t, tt.boxes, 4)
+				w, paths := p.workers[0], []string{"/look/"}
+				none := func(string) bool { return false }
+				before := time.Now()
+				p.sendFirstTries(ctx, paths, tt.demand, observeTime, none)
+				usual := w.countArrivals(before, observeTime)
+				p.cuts.begin(cutHangs, func(_ string, o *protocolWorker) bool { return o == w })
+				_, silent := p.sendFirstTries(ctx, paths, tt.demand, time.Second, none)
+				p.cuts.end()
+				ends := 0
+				for _, e := range p.cluster.all {
+					if e.reliability.FailureRate(time.Now(), w.id) > maxFailureRate && !e.fleet.Serves(w.id) {
+						ends++
+					}
+				}
+				again := time.Now()
+				_, later := p.sendFirstTries(ctx, paths, tt.demand, observeTime, none)
+				after := w.countArrivals(again, observeTime)
+				t.Logf("usual %d requests, %d in the %v after; served meanwhile %+v, after %+v", usual, after, observeTime, silent, later)
+				p.stop(end)
+				is.Equal(ends, 0)
+				is.True(silent.sent-silent.served <= maxFailed+silent.sent/maxFailedDivisor)
+				is.True(later.sent-later.served <= later.sent/maxFailedDivisor)
+				is.True(float64(after) >= minUseAfterSilence*float64(usual))
+			})
+		})
+	}
+}
--- a/edge/run.go
+++ b/edge/run.go
@@ -166,9 +166,6 @@
 	all.Go(func() {
 		e.timer.Every(ctx, "watch", probe.Period, func(now time.Time) { prober.Poll(ctx, now) })
 	})
-	all.Go(func() {
-		e.timer.Every(ctx, "links", linkCheckPeriod, func(now time.Time) { e.checkLinks(ctx, now) })
-	})
 	all.Go(func() { e.join(ctx) })
 	all.Go(func() {
 		e.timer.Every(ctx, "register", registerInterval, func(time.Time) { e.registrar.write(ctx) })
@@ -236,6 +233,7 @@
 	e.limiter.tick(now)
 	e.backoff.Tick(now)
 	e.tunnels.Tick(now)
+	e.checkLinks(now)
 	if e.joined.Load() {
 		e.retryBudget.Resize(e.retrySlack(e.Count()))
 		e.logRole()
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -17,13 +17,9 @@
 	"petrelstep/wire"
 )
 
-const (
-	// linkCheckPeriod is how often links that are cut are looked at for whether a check is due.
-	linkCheckPeriod = 250 * time.Millisecond
-	// lentDivisor bounds the connections that are held open for other boxes, to
-	// 1/lentDivisor of the requests that this box can hold.
-	lentDivisor = 2
-)
+// lentDivisor bounds the connections that are held open for other boxes, to 1/lentDivisor of the
+// requests that this box can hold.
+const lentDivisor = 2
 
 // setDial sets how this box connects to upstreams over its own network.
 func (e *Edge) setDial(direct dialer.Dial) {
@@ -125,14 +121,14 @@
 }
 
 // checkLinks finds out which links that were cut are restored.
-func (e *Edge) checkLinks(ctx context.Context, now time.Time) {
+func (e *Edge) checkLinks(now time.Time) {
 	known := func(t links.Target) bool {
 		_, ok := e.targetOf(t.Upstream, t.Address)
 		return ok
 	}
 	for _, t := range e.links.Checks(now, known) {
 		go func() {
-			if conn, err := e.dialer.Direct(ctx, t); err == nil {
+			if conn, err := e.dialer.Direct(context.Background(), t); err == nil {
 				_ = conn.Close()
 			}
 		}()
