worker, soak: play workers that bear few rejections

The stand-in announces Server-Brittle, lets no request wait from 3 s later on, and is down for some seconds when it has to reject more than N in a second; the soak (-brittle) makes plain workers of three slots do so for 9 s again and again beside its other faults, and checks the rule: at most 2 + a tenth of the workers fall in one such time by boxes in touch.

--- a/cmd/petrelstep-soak/main.go
+++ b/cmd/petrelstep-soak/main.go
@@ -14,6 +14,9 @@
 	"petrelstep/soak"
 )
 
+// brittleSlots is the number of slots of the plain workers if they may bear few rejections.
+const brittleSlots = 3
+
 func main() {
 	var o soak.Options
 	flag.StringVar(&o.Site.Daemon, "daemon", "build/petrelstepd", "path of the daemon that the boxes run")
@@ -27,9 +30,13 @@
 	flag.BoolVar(&o.Poison, "ends", false, "one caller sends a request during which workers die")
 	flag.BoolVar(&o.RateLimits, "needs", false, "workers announce request limits")
 	flag.BoolVar(&o.Announcements, "words", false, "workers announce in their responses that they leave, and request backoffs")
+	flag.BoolVar(&o.Brittle, "brittle", false, "plain workers of few slots bear few rejections at times")
 	flag.BoolVar(&o.Site.Rollouts, "rollouts", false, "the operator rolls out good and bad versions, in two regions")
 	flag.DurationVar(&o.Duration, "for", 20*time.Second, "how long to inject faults")
 	flag.Parse()
+	if o.Brittle {
+		o.Site.PlainSlots = brittleSlots
+	}
 	os.Exit(run(o))
 }
 
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -180,34 +180,36 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				ctx, end := context.WithCancel(t.Context())
-				p := newProtocol(ctx, t, tt.boxes, 4)
-				w, paths := p.workers[0], []string{"/look/"}
-				none := func(string) bool { return false }
-				before := time.Now()
-				p.sendFirstTries(ctx, paths, tt.demand, observeTime, none)
-				usual := w.countArrivals(before, observeTime)
-				p.cuts.begin(cutHangs, func(_ string, o *protocolWorker) bool { return o == w })
-				_, silent := p.sendFirstTries(ctx, paths, tt.demand, time.Second, none)
-				p.cuts.end()
-				ends := 0
-				for _, e := range p.cluster.all {
-					if e.reliability.FailureRate(time.Now(), w.id) > maxFailureRate && !e.fleet.Serves(w.id) {
-						ends++
-					}
-				}
-				again := time.Now()
-				_, later := p.sendFirstTries(ctx, paths, tt.demand, observeTime, none)
-				after := w.countArrivals(again, observeTime)
-				t.Logf("usual %d requests, %d in the %v after; served meanwhile %+v, after %+v", usual, after, observeTime, silent, later)
-				p.stop(end)
-				is.Equal(ends, 0)
-				is.True(silent.sent-silent.served <= maxFailed+silent.sent/maxFailedDivisor)
-				is.True(later.sent-later.served <= later.sent/maxFailedDivisor)
-				is.True(float64(after) >= minUseAfterSilence*float64(usual))
-			})
+			synctest.Test(t, func(t *testing.T) { testSilentWorker(t, tt.boxes, tt.demand) })
 		})
 	}
 }
+
+func testSilentWorker(t *testing.T, boxes int, demand float64) {
+	is := is.New(t)
+	ctx, end := context.WithCancel(t.Context())
+	p := newProtocol(ctx, t, boxes, 4)
+	w, paths := p.workers[0], []string{"/look/"}
+	none := func(string) bool { return false }
+	before := time.Now()
+	p.sendFirstTries(ctx, paths, demand, observeTime, none)
+	usual := w.countArrivals(before, observeTime)
+	p.cuts.begin(cutHangs, func(_ string, o *protocolWorker) bool { return o == w })
+	_, silent := p.sendFirstTries(ctx, paths, demand, time.Second, none)
+	p.cuts.end()
+	removed := 0
+	for _, e := range p.cluster.all {
+		if !e.fleet.Serves(w.id) {
+			removed++
+		}
+	}
+	again := time.Now()
+	_, later := p.sendFirstTries(ctx, paths, demand, observeTime, none)
+	after := w.countArrivals(again, observeTime)
+	t.Logf("usual %d requests, %d in the %v after; served meanwhile %+v, after %+v", usual, after, observeTime, silent, later)
+	p.stop(end)
+	is.Equal(removed, 0)
+	is.True(silent.sent-silent.served <= maxFailed+silent.sent/maxFailedDivisor)
+	is.True(later.sent-later.served <= later.sent/maxFailedDivisor)
+	is.True(float64(after) >= minUseAfterSilence*float64(usual))
+}
--- a/soak/faults/faults.go
+++ b/soak/faults/faults.go
@@ -69,6 +69,7 @@
 	limitRandom    *rand.Rand // picks the workers that announce limits
 	announceRandom *rand.Rand // picks the workers that announce leaving or a backoff
 	rolloutRandom  *rand.Rand // picks the versions that are rolled out and the faults meanwhile
+	brittleRandom  *rand.Rand
 	out            io.Writer
 
 	// gate is held for writing during a roll-out in calm, and for reading to begin a fault.
@@ -86,7 +87,7 @@
 
 // New returns an injector for a site that writes a line to out for each fault.
 func New(s *site.Site, seed uint64, out io.Writer) *Injector {
-	return &Injector{site: s, random: rand.New(rand.NewPCG(seed, 0)), hallRandom: rand.New(rand.NewPCG(seed, 1)), rowRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)), announceRandom: rand.New(rand.NewPCG(seed, 4)), rolloutRandom: rand.New(rand.NewPCG(seed, 5)), out: out}
+	return &Injector{site: s, random: rand.New(rand.NewPCG(seed, 0)), hallRandom: rand.New(rand.NewPCG(seed, 1)), rowRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)), announceRandom: rand.New(rand.NewPCG(seed, 4)), rolloutRandom: rand.New(rand.NewPCG(seed, 5)), brittleRandom: rand.New(rand.NewPCG(seed, 6)), out: out}
 }
 
 // plan is a fault to inject.
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -47,6 +47,8 @@
 	Engines int
 	Plain   int // workers of the plain service
 
+	PlainSlots int // of each of them; 0 for the stand-in's usual number
+
 	// Rollouts enables roll-outs, and puts the halls in two regions, of which one
 	// organisation may use the first only.
 	Rollouts bool
@@ -70,6 +72,7 @@
 	nextID      int
 
 	lastPoisonCrash time.Time
+	plainSlots      int
 
 	regionsOf map[string][]string // allowed regions, by organisation
 	releases  map[string]string   // version in service, by service; "" until the first roll-out
@@ -82,7 +85,7 @@
 func New(o Options) (*Site, error) {
 	s := &Site{
 		Platform: platform.New(platform.Options{}), workers: map[string]*Worker{}, keys: map[string]string{}, lastRevoked: map[string]string{},
-		revoked: map[string]time.Time{}, releases: map[string]string{}, retired: map[string]bool{}, mended: map[string]bool{},
+		plainSlots: o.PlainSlots, revoked: map[string]time.Time{}, releases: map[string]string{}, retired: map[string]bool{}, mended: map[string]bool{},
 	}
 	if o.Rollouts {
 		s.regionsOf = map[string][]string{"firm": {regions[halls[0]]}}
--- a/soak/site/workers.go
+++ b/soak/site/workers.go
@@ -112,8 +112,13 @@
 }
 
 func (s *Site) announce(w *Worker, leaving bool) {
+	slots := 0
+	if w.Service == "plain" {
+		slots = s.plainSlots
+	}
 	s.Platform.Announce(platform.Worker{
-		ID: w.ID, Service: w.Service, Address: w.Link.Address(), Hall: w.Hall, Version: w.Version, Leaving: leaving, StartedAt: w.StartedAt(),
+		Slots: slots,
+		ID:    w.ID, Service: w.Service, Address: w.Link.Address(), Hall: w.Hall, Version: w.Version, Leaving: leaving, StartedAt: w.StartedAt(),
 	})
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,7 @@
 	Bursts        bool          // callers overload plain services at times
 	Poison        bool          // one caller sends a request that crashes its worker
 	RateLimits    bool          // workers announce rate limits
+	Brittle       bool          // plain workers bear few rejections at times
 	Announcements bool          // workers announce leaving and backoffs in their responses
 	Duration      time.Duration // of fault injection
 	Out           io.Writer     // receives a line for each fault
@@ -65,6 +66,7 @@
 	Evacuations                            int // with no other fault active
 	PoisonCrashes                          int // of workers, by the poison request
 	Limited                                int // requests at workers that announced limits
+	Falls                                  int // crashes of workers by rejections
 	Announced                              int // announcements of leaving or backoff
 	Rollouts                               RolloutCounts
 	CompletedBad                           []string // bad versions that were completed
@@ -99,8 +101,8 @@
 // String returns the summary line.
 func (t Result) String() string {
 	c := t.Rollouts
-	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d calm_evacuations=%d ends=%d limited=%d heard=%d good_rollouts=%d/%d bad_rollouts=%d/%d calm_rollouts=%d promises_broken=%d",
-		t.Requests, t.Served, t.Refused, t.Interrupted, t.Runs, t.Moved, t.Stops, t.Evacuations, t.PoisonCrashes, t.Limited, t.Announced,
+	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d calm_evacuations=%d ends=%d limited=%d falls=%d heard=%d good_rollouts=%d/%d bad_rollouts=%d/%d calm_rollouts=%d promises_broken=%d",
+		t.Requests, t.Served, t.Refused, t.Interrupted, t.Runs, t.Moved, t.Stops, t.Evacuations, t.PoisonCrashes, t.Limited, t.Falls, t.Announced,
 		c.GoodInTime, c.Good, c.BadRolledBack, c.Bad, c.Calm, len(t.Violations))
 }
 
@@ -132,6 +134,8 @@
 	}()
 	faultCtx, cancel := context.WithTimeout(ctx, s.Duration)
 	defer cancel()
+	brittle := make(chan []checker.BrittlePeriod, 1)
+	go func() { brittle <- s.runBrittle(faultCtx, injector) }()
 	announcedLimits, err := s.inject(faultCtx, injector)
 	if err == nil {
 		err = s.awaitRecovery(at, callers)
@@ -142,6 +146,8 @@
 	t := s.check(attempts, ran, injector)
 	violations, counted := checker.New(site.Events, 0, 0).CheckLimits(attempts, ran, announcedLimits, at.Disruptions())
 	t.Limited, t.Violations = counted, append(t.Violations, violations...)
+	violations, t.Falls = checker.New(site.Events, 0, 0).CheckBrittle(attempts, <-brittle, at.Disruptions())
+	t.Violations = append(t.Violations, violations...)
 	arrived, links := at.Arrivals()
 	violations, t.Announced = checker.New(site.Events, 0, 0).CheckAnnouncements(attempts, arrived, at.Disruptions(), links)
 	t.Violations = append(t.Violations, violations...)
@@ -194,6 +200,14 @@
 	return injector.RunAnnouncements(ctx)
 }
 
+// runBrittle makes workers bear few rejections, if enabled.
+func (s *Soak) runBrittle(ctx context.Context, injector *faults.Injector) []checker.BrittlePeriod {
+	if !s.Brittle {
+		return nil
+	}
+	return injector.RunBrittle(ctx, s.Site.PlainSlots)
+}
+
 // runLimits has workers announce rate limits, if enabled.
 func (s *Soak) runLimits(ctx context.Context, injector *faults.Injector) []checker.LimitPeriod {
 	if !s.RateLimits {
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 
 	"petrelstep/platform/store"
@@ -69,6 +70,7 @@
 	Hall      string
 	Version   string // of its software; "v1" if empty
 	Leaving   bool
+	Slots     int   // 24 if it is 0
 	StartedAt int64 // Unix milliseconds; 0 for a worker that doesn't announce its start time
 }
 
@@ -82,7 +84,7 @@
 		version = w.Version
 	}
 	row := map[string]any{
-		"service": w.Service, "address": w.Address, "zone": w.Hall, "version": version, "slots": 24, "state": state, "cold_left_ms": 0, "sequence": 1,
+		"service": w.Service, "address": w.Address, "zone": w.Hall, "version": version, "slots": cmp.Or(w.Slots, 24), "state": state, "cold_left_ms": 0, "sequence": 1,
 	}
 	if w.StartedAt > 0 {
 		row["born"] = w.StartedAt
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -92,6 +92,11 @@
 	badness         *Badness  // nil for none
 	received        int       // requests that badness counts
 	running         int
+	brittle         *Brittleness // nil: it bears any number of rejections
+	inSlots         int          // requests accepted
+	rejections      []rejection  // in the last second
+	falls           []Fall
+	downUntil       time.Time // crashed until then
 }
 
 // New returns a worker whose streams have the given number of events at an interval of pace.
@@ -188,6 +193,7 @@
 	if w.announceLeaving {
 		out.Header().Set("Server-Leaving", "1")
 	}
+	w.announceBrittle(out)
 }
 
 // CrashOn makes the worker call crash, which has to end it, once it has begun to run a request
@@ -287,12 +293,10 @@
 	if !w.Stopped().IsZero() {
 		panic(http.ErrAbortHandler)
 	}
-	if backoff > 0 {
-		out.Header().Set("Retry-After", strconv.FormatFloat(backoff.Seconds(), 'f', 3, 64))
-		out.Header().Set("Not-Executed", "1")
-		out.WriteHeader(http.StatusServiceUnavailable)
+	if w.rejectBackoff(out, backoff) || w.rejectBrittle(out, id) {
 		return
 	}
+	defer w.returnSlot()
 	fault, slowdown, bad := w.takeFault(), Slowdown{}, false
 	if fault == None {
 		var end func()
@@ -325,6 +329,17 @@
 	w.whole(out, id, fault)
 }
 
+// rejectBackoff rejects a request if there is a backoff left, and reports whether it did.
+func (w *Worker) rejectBackoff(out http.ResponseWriter, left time.Duration) bool {
+	if left <= 0 {
+		return false
+	}
+	out.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	out.Header().Set("Not-Executed", "1")
+	out.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // recordRun records a request that the worker begins to work on, and reports whether it crashes
 // the worker.
 func (w *Worker) recordRun(r *http.Request, id, body string) (crashes bool) {
@@ -343,7 +358,7 @@
 func (w *Worker) whole(out http.ResponseWriter, id string, fault Fault) {
 	body := "answer to " + id + " by " + w.id
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: seal-" + w.id + "\r\n"
-	for _, name := range []string{"Server-Limit", "Server-Leaving"} { // set by writeAnnouncements
+	for _, name := range []string{"Server-Limit", "Server-Leaving", "Server-Brittle"} { // set by writeAnnouncements
 		if value := out.Header().Get(name); value != "" {
 			head += name + ": " + value + "\r\n"
 		}
