tunnel: leave out a box that is overtaken, and count failures that an upstream answers

Found while reading the change: a nearby box that is gone or frozen was asked first for each request of a cut box, as its call was given up when another box connected; each request lost 60 ms. And an upstream's own 500 was not recorded by a box whose link to it is cut, though it says as much through another box (relay.TestLinkCut).

--- a/dialer/race.go
+++ b/dialer/race.go
@@ -37,9 +37,9 @@
 
 	direct  bool // a direct attempt is running
 	asked   int  // number of peers that are being asked
-	refused int  // number of peers that the upstream refused
-	silent  int  // number of peers that it did not answer
-	cutOff  int  // number of peers that are cut off from it, or connect to nothing for another reason
+	refused int  // number of peers with intact links that the upstream refused
+	silent  int  // number of peers with intact links that it did not answer
+	cutOff  int  // number of peers that are cut off from it too
 }
 
 // race tries the ways of a plan until one connects.
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -213,3 +213,33 @@
 	is.True(later.sent-later.served <= later.sent/maxFailedDivisor)
 	is.True(float64(after) >= minUseAfterSilence*float64(usual))
 }
+
+// TestLenderGone guards against each request of a box without links waiting for a nearby box that
+// does not answer before it goes through another one.
+func TestLenderGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, end := context.WithCancel(t.Context())
+		p := newProtocol(ctx, t, 6, 4) // two boxes a hall
+		e, near := p.cluster.all[0], p.cluster.all[3]
+		is.Equal(e.config.Hall, near.config.Hall)
+		p.cluster.mu.Lock()
+		p.cluster.isolated[near.record.Address], p.cluster.isolated[near.Name()+":1"] = true, true
+		p.cluster.mu.Unlock()
+		p.cuts.begin(cutHangs, func(box string, _ *protocolWorker) bool { return box == e.Name() })
+		late, requests := 0, 0
+		for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(50 * time.Millisecond) {
+			sent := time.Now()
+			c := p.send(ctx, e, "/look/")
+			is.Equal(c.status, http.StatusOK)
+			requests++
+			if time.Since(sent) > 2*workTime {
+				late++
+			}
+		}
+		p.cuts.end()
+		t.Log(late, "of", requests, "requests took more than twice the work time")
+		p.stop(end)
+		is.True(late <= maxFailed+requests/maxFailedDivisor)
+	})
+}
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -17,9 +17,14 @@
 	"petrelstep/wire"
 )
 
-// lentDivisor bounds the connections that are held open for other boxes, to 1/lentDivisor of the
-// requests that this box can hold.
-const lentDivisor = 2
+const (
+	// lentDivisor bounds the connections that are held open for other boxes, to
+	// 1/lentDivisor of the requests that this box can hold.
+	lentDivisor = 2
+	// overtakenAfter is the time after which a box that was overtaken by another one is left
+	// out for a while: several round trips within a region.
+	overtakenAfter = 50 * time.Millisecond
+)
 
 // setDial sets how this box connects to upstreams over its own network.
 func (e *Edge) setDial(direct dialer.Dial) {
@@ -99,8 +104,12 @@
 func (e *Edge) openTunnel(ctx context.Context, b members.Box, t links.Target) (net.Conn, error) {
 	began := time.Now()
 	conn, err := e.tunnelClient.Open(ctx, b.Address, t)
-	if err != nil && ctx.Err() != nil {
-		return nil, err // another way was faster
+	if err != nil && ctx.Err() != nil { // another way was faster
+		if time.Since(began) >= overtakenAfter {
+			e.tunnelChoice.Failed(time.Now(), b, tunnel.Overtaken)
+			e.metrics.TunnelOpened(tunnel.Overtaken)
+		}
+		return nil, err
 	}
 	outcome := links.Connected
 	var failed *tunnel.OpenError
--- a/peer/tunnel/choice.go
+++ b/peer/tunnel/choice.go
@@ -101,7 +101,7 @@
 	switch outcome {
 	case "":
 		c.avoidedUntil[b.Name] = now.Add(unansweredTime)
-	case Full, Stopping, OtherFleet:
+	case Full, Stopping, OtherFleet, Overtaken:
 		c.avoidedUntil[b.Name] = now.Add(avoidTime)
 	case LinkCut:
 		c.avoidedUntil[b.Name] = now.Add(avoidTime)
--- a/peer/tunnel/choice_test.go
+++ b/peer/tunnel/choice_test.go
@@ -38,6 +38,7 @@
 		"each hall before another of one":      {boxes: []members.Box{a1, b1, a3}, failures: []failure{{b1, tunnel.Full}}, after: 2 * time.Second, want: []string{"h1", "a3", "h1"}},
 		"allowed regions only":                 {boxes: all, regions: []string{"east"}, want: []string{"a3"}},
 		"not one that is full":                 {boxes: all, failures: []failure{{a1, tunnel.Full}}, want: []string{"a2", "a3"}},
+		"not one that was overtaken":           {boxes: all, failures: []failure{{a1, tunnel.Overtaken}}, want: []string{"a2", "a3"}},
 		"full a second ago":                    {boxes: all, failures: []failure{{a1, tunnel.Full}}, after: time.Second, want: []string{"a1", "a2", "a3"}},
 		"not one that did not answer":          {boxes: all, failures: []failure{{a1, ""}}, after: 9 * time.Second, want: []string{"a2", "a3"}},
 		"the hall of one that is cut off last": {boxes: []members.Box{a1, b1, a2, a3}, failures: []failure{{a1, tunnel.LinkCut}}, want: []string{"a2", "a3", "b1"}},
--- a/peer/tunnel/client.go
+++ b/peer/tunnel/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,9 @@
 	callGrace = time.Second
 	// openTimeout bounds the opening of a tunnel: the other box connects within 120 ms.
 	openTimeout = 300 * time.Millisecond
+	// maxSilence is how long a box may answer no call before the connection to it counts as
+	// lost.
+	maxSilence = time.Second
 )
 
 // Caller calls other boxes.
@@ -32,11 +36,14 @@
 	calls Caller
 	box   string
 	fleet string
+
+	mu     sync.Mutex
+	silent map[string]time.Time // since when boxes answer no call, by address
 }
 
 // NewClient returns a client for a box of a fleet.
 func NewClient(calls Caller, box, fleet string) *Client {
-	return &Client{calls: calls, box: box, fleet: fleet}
+	return &Client{calls: calls, box: box, fleet: fleet, silent: map[string]time.Time{}}
 }
 
 // OpenError reports that another box opened no connection to an upstream.
@@ -67,10 +74,10 @@
 	var opened wire.TunnelOpened
 	call, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	if err := c.calls.Call(call, address, peer.TunnelOpen, ask, &opened); err != nil {
-		if ctx.Err() == nil && call.Err() != nil {
-			c.calls.Forget(address) // the connection to the box may hang
-		}
+	began := time.Now()
+	err := c.calls.Call(call, address, peer.TunnelOpen, ask, &opened)
+	c.recordCall(address, began, call.Err() == nil)
+	if err != nil {
 		return nil, &OpenError{Err: err}
 	}
 	if opened.ID == 0 {
@@ -78,3 +85,20 @@
 	}
 	return newConn(c.calls, address, opened.ID, t.Address), nil
 }
+
+// recordCall records whether a call to a box ended before its time was over. The connection to a box
+// that answers none for maxSilence is dropped, as it may hang.
+func (c *Client) recordCall(address string, began time.Time, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since, silent := c.silent[address]
+	switch {
+	case ended:
+		delete(c.silent, address)
+	case !silent:
+		c.silent[address] = began
+	case time.Since(since) > maxSilence:
+		delete(c.silent, address)
+		c.calls.Forget(address)
+	}
+}
--- a/peer/tunnel/conn.go
+++ b/peer/tunnel/conn.go
@@ -84,6 +84,9 @@
 	ask := wire.TunnelRead{ID: c.id, MaxBytes: free, WaitMs: int(pollTime.Milliseconds())}
 	err = c.calls.Call(call, c.box, peer.TunnelRead, ask, &data)
 	if err != nil {
+		if c.ctx.Err() == nil && call.Err() != nil {
+			c.calls.Forget(c.box) // the connection to the box hangs
+		}
 		return wire.TunnelData{}, err // an abandoned call may still write to data
 	}
 	return data, nil
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -28,9 +28,12 @@
 	OtherFleet      = "other_fleet"
 )
 
+// Overtaken is the outcome of an open that took longer than one through another box.
+const Overtaken = "overtaken"
+
 // OpenOutcomes returns all outcomes of opening a tunnel, for counters.
 func OpenOutcomes() []string {
-	return append(links.Outcomes(), LinkCut, UnknownUpstream, Full, Stopping, OtherFleet)
+	return append(links.Outcomes(), LinkCut, UnknownUpstream, Full, Stopping, OtherFleet, Overtaken)
 }
 
 const (
--- a/relay/links_test.go
+++ b/relay/links_test.go
@@ -14,8 +14,9 @@
 // because this box's own link to it is cut.
 func TestLinkCut(t *testing.T) {
 	tests := map[string]struct {
-		path  string
-		reply reply
+		path   string
+		reply  reply
+		always bool // counts whether the link is cut or not
 	}{
 		"not reached":       {path: "/safe/", reply: reply{notSent: true, err: errReset}},
 		"refused":           {path: "/safe/", reply: reply{notSent: true, refused: true, err: errReset}},
@@ -23,6 +24,7 @@
 		"hangs":             {path: "/once/", reply: reply{hang: true}},
 		"cut in the answer": {path: "/once/", reply: reply{body: "half", cutAfter: errReset}},
 		"stream not opened": {path: "/draft/", reply: reply{err: errReset}},
+		"failure answered":  {path: "/once/", reply: reply{status: 500}, always: true},
 	}
 	for name, tt := range tests {
 		for reached, failing := range map[bool]bool{true: true, false: false} {
@@ -31,7 +33,7 @@
 					w := newWorld(t, tt.reply)
 					w.relay.Reaches = func(fleet.Upstream) bool { return reached }
 					w.serve(t.Context(), tt.path)
-					is.New(t).Equal(w.reliability.FailureRate(time.Now(), w.sender.first()) > 0, failing)
+					is.New(t).Equal(w.reliability.FailureRate(time.Now(), w.sender.first()) > 0, failing || tt.always)
 				})
 			})
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -509,7 +509,7 @@
 	r.handleConnRefused(s.upstream, err)
 	r.handleBroken(ctx, j, brokenSend{upstream: s.upstream, startedAt: s.startedAt}, err)
 	if counts && !isLinkSuspect(err) {
-		r.recordResult(s.upstream, true)
+		r.recordNoAnswer(s.upstream)
 	}
 }
 
@@ -519,7 +519,7 @@
 		if r.reaches(u) {
 			sent.failed(time.Now())
 		}
-		r.recordResult(u, true)
+		r.recordNoAnswer(u)
 		j.log.WithField("upstream", u.ID).Warn("upstream_hangs")
 	})
 }
@@ -560,17 +560,21 @@
 // Error implements error.
 func (e *RestartedError) Error() string { return "upstream " + e.Upstream + " has restarted" }
 
-// recordResult records success or failure of an upstream, unless it has restarted since. A
-// failure says nothing about an upstream to which this box's own link is cut.
+// recordResult records success or failure of an upstream, unless it has restarted since.
 func (r *Relay) recordResult(u fleet.Upstream, failed bool) {
-	if failed && !r.reaches(u) {
-		return
-	}
 	if r.Fleet.IsCurrent(u) {
 		r.Reliability.Record(time.Now(), u.ID, failed)
 	}
 }
 
+// recordNoAnswer records that an upstream gave no whole answer. That says nothing about one to which
+// this box's own link is cut.
+func (r *Relay) recordNoAnswer(u fleet.Upstream) {
+	if r.reaches(u) {
+		r.recordResult(u, true)
+	}
+}
+
 // reaches reports whether this box's link to an upstream is intact.
 func (r *Relay) reaches(u fleet.Upstream) bool { return r.Reaches == nil || r.Reaches(u) }
 
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -266,7 +266,7 @@
 	resp.close()
 	r.handleBroken(ctx, j, brokenSend{upstream: resp.upstream, startedAt: resp.startedAt}, err)
 	if counts {
-		r.recordResult(resp.upstream, true)
+		r.recordNoAnswer(resp.upstream)
 	}
 	return tryResult{upstream: resp.upstream.ID, err: err}
 }
