dialer: tell soon that an upstream refuses connections

A refusal is now checked at once in three ways: two boxes are asked together, one with intact links that is refused too decides it, and this box connects to another upstream itself; if it reaches that and no box has connected within 50 ms (or two times what the refusal took, for a send), the upstream counts as refusing. The connection to another upstream is bounded so that a box that is asked answers in time. dialer.TestDial/ended,_far_away,_checked and /ended,_this_box_reaches_another hold it.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -26,6 +26,14 @@
 	nextPeerDelay = 60 * time.Millisecond
 	// maxPeers bounds the peers that are asked for one connection.
 	maxPeers = 3
+	// anotherTimeout bounds the connection to another upstream, by which a box finds out about
+	// its own links: a round trip between regions, and less than directTimeout with
+	// suspectDelay, so that a peer is told in time.
+	anotherTimeout = 85 * time.Millisecond
+	// refusedTime is how long other boxes have to connect to an upstream that refuses this
+	// box while it reaches another one, or refusedRoundTrips as long as the refusal took.
+	refusedTime       = 50 * time.Millisecond
+	refusedRoundTrips = 2
 	// peerTimeout bounds the time that peers have to connect: they make one direct attempt.
 	peerTimeout = directTimeout + 30*time.Millisecond
 )
@@ -84,11 +92,12 @@
 func (d *Dialer) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	t := TargetOf(ctx, address)
 	if d.links.Quiet() {
+		began := time.Now()
 		conn, err := d.direct(ctx, t)
 		if err == nil || ctx.Err() != nil {
 			return conn, err
 		}
-		return d.race(ctx, d.resolve(t), plan{failed: err, attempts: maxAttempts - 1, timeout: peerTimeout})
+		return d.race(ctx, d.resolve(t), plan{failed: err, took: time.Since(began), attempts: maxAttempts - 1, timeout: peerTimeout})
 	}
 	t = d.resolve(t)
 	if d.links.Cut(t) {
@@ -127,6 +136,8 @@
 	if !ok {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, anotherTimeout)
+	defer cancel()
 	conn, err := d.direct(ctx, last)
 	if err != nil {
 		return false
@@ -139,7 +150,12 @@
 type LinkError struct{ Err error }
 
 // Error implements error.
-func (e *LinkError) Error() string { return "no upstream reached: " + e.Err.Error() }
+func (e *LinkError) Error() string {
+	if e.Err == nil {
+		return "no upstream reached"
+	}
+	return "no upstream reached: " + e.Err.Error()
+}
 
 func (d *Dialer) direct(ctx context.Context, t links.Target) (net.Conn, error) {
 	conn, err := d.dial(ctx, "tcp", t.Address)
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -47,26 +47,32 @@
 }
 
 const (
-	roundTrip  = 3 * time.Millisecond
-	noAnswer   = 120 * time.Millisecond
-	maxOpened  = 8
-	twoTimeout = 2 * noAnswer
+	roundTrip    = 3 * time.Millisecond
+	farRoundTrip = 64 * time.Millisecond
+	noAnswer     = 120 * time.Millisecond
+	maxOpened    = 8
+	twoTimeout   = 2 * noAnswer
 )
 
 var (
-	connects = way{after: roundTrip}
-	silent   = way{after: noAnswer, err: os.ErrDeadlineExceeded}
-	refuses  = way{after: roundTrip, err: syscall.ECONNREFUSED}
-	cutOff   = way{after: roundTrip, err: &dialer.PeerError{Outcome: "link_cut", CutOff: true}}
-	timesOut = way{after: noAnswer, err: &dialer.PeerError{Outcome: links.TimedOut, Unreached: true}}
-	gone     = way{after: roundTrip, err: io.EOF}
-	slow     = way{after: 20 * time.Millisecond}
+	connects        = way{after: roundTrip}
+	silent          = way{after: noAnswer, err: os.ErrDeadlineExceeded}
+	refuses         = way{after: roundTrip, err: syscall.ECONNREFUSED}
+	cutOff          = way{after: roundTrip, err: &dialer.PeerError{Outcome: "link_cut", CutOff: true}}
+	timesOut        = way{after: noAnswer, err: &dialer.PeerError{Outcome: links.TimedOut, Unreached: true}}
+	farRefuses      = way{after: farRoundTrip, err: syscall.ECONNREFUSED}
+	farConnects     = way{after: farRoundTrip}
+	farRefusedTwice = way{after: 2 * farRoundTrip, err: syscall.ECONNREFUSED}
+	gone            = way{after: roundTrip, err: io.EOF}
+	slow            = way{after: 20 * time.Millisecond}
 )
 
 // dialTest is how the attempts of one connection end, and what is expected of it.
 type dialTest struct {
 	believed bool // the link is believed to be cut
 	suspect  bool // another link is known to be cut
+	check    bool // it is only to be found out whether the upstream has ended
+	another  *way // to another upstream, which was reached before; nil if none was
 	direct   []way
 	peers    []way
 	via      string // who connects: "", a peer or "none"
@@ -89,7 +95,10 @@
 	opened  chan net.Conn // the upstream's ends
 }
 
-var tested = links.Target{Address: "u1:1", Upstream: "u1"}
+var (
+	tested = links.Target{Address: "u1:1", Upstream: "u1"}
+	other  = links.Target{Address: "u2:1", Upstream: "u2"}
+)
 
 // play dials with the attempts of a test.
 func (tt dialTest) play(t *testing.T, l *links.Links) *dialed {
@@ -99,9 +108,15 @@
 	case tt.suspect:
 		l.ReachedByPeer(time.Now(), links.Target{Address: "u2:1", Upstream: "u2"}, "p9")
 	}
+	if tt.another != nil {
+		l.Dialed(time.Now(), other, links.Connected)
+	}
 	got := &dialed{opened: make(chan net.Conn, maxOpened)}
 	attempts := slices.Clone(tt.direct)
-	direct := func(ctx context.Context, _, _ string) (net.Conn, error) {
+	direct := func(ctx context.Context, _, address string) (net.Conn, error) {
+		if address == other.Address {
+			return tt.another.take(ctx, got.opened)
+		}
 		w := attempts[0]
 		attempts = attempts[1:]
 		return w.take(ctx, got.opened)
@@ -114,7 +129,7 @@
 		return list
 	}
 	d := dialer.New(direct, l, peers, func(u links.Target) links.Target { return u })
-	ctx := dialer.WithTarget(t.Context(), links.Target{Upstream: "u1", Regions: []string{"west"}})
+	ctx := dialer.WithTarget(t.Context(), links.Target{Upstream: "u1", Regions: []string{"west"}, Check: tt.check})
 	began := time.Now()
 	got.conn, got.err = d.Dial(ctx, "tcp", tested.Address)
 	got.took = time.Since(began)
@@ -158,6 +173,10 @@
 		"the first peer is cut off too":         {direct: []way{refuses}, peers: []way{cutOff, connects}, via: "p1", within: 3 * roundTrip, cut: true, asked: 2},
 		"the first peer does not answer":        {direct: []way{refuses}, peers: []way{{after: time.Hour}, connects}, via: "p1", within: 2*roundTrip + 60*time.Millisecond, cut: true, asked: 2},
 		"ended":                                 {direct: []way{refuses}, peers: []way{refuses, refuses, refuses, connects}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
+		"ended, one box says so":                {direct: []way{refuses}, peers: []way{{after: time.Hour}, refuses}, via: "none", refused: true, within: 2 * roundTrip, asked: 2},
+		"ended, this box reaches another":       {direct: []way{refuses}, peers: []way{{after: time.Hour}, {after: time.Hour}}, another: &connects, via: "none", refused: true, within: roundTrip + 50*time.Millisecond, asked: 2},
+		"ended, far away, checked":              {check: true, direct: []way{farRefuses}, peers: []way{farRefusedTwice, farRefusedTwice}, another: &farConnects, via: "none", refused: true, within: 2 * farRoundTrip, asked: 2},
+		"cut, refuses, others are reached":      {direct: []way{refuses}, peers: []way{connects}, another: &connects, via: "p0", within: 2 * roundTrip, cut: true, asked: 1},
 		"ended, no other box":                   {direct: []way{refuses}, via: "none", refused: true, within: roundTrip},
 		"ended, other boxes do not answer":      {direct: []way{refuses}, peers: []way{gone, gone, gone}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
 		"silent, other boxes are cut off":       {direct: []way{silent, silent}, peers: []way{cutOff, cutOff, cutOff}, via: "none", suspected: true, within: twoTimeout + 30*time.Millisecond, asked: 3},
--- a/dialer/race.go
+++ b/dialer/race.go
@@ -13,6 +13,7 @@
 // plan is how a connection is tried.
 type plan struct {
 	failed     error         // of a direct attempt before; nil for none
+	took       time.Duration // by that attempt
 	attempts   int           // direct attempts that may be made
 	directLast bool          // directly only after all peers have failed
 	peersAfter time.Duration // when the first peer is asked, unless a direct attempt fails before
@@ -24,6 +25,9 @@
 	conn net.Conn
 	err  error
 	peer string // empty for a direct attempt
+	took time.Duration
+
+	another bool // a connection to another upstream, to find out about this box's links
 }
 
 // race is a connection that is tried in several ways at once.
@@ -34,8 +38,12 @@
 	target  links.Target
 	peers   []Peer
 	results chan attempt
+	settled <-chan time.Time // when a refusal counts; nil without one
 
 	direct  bool // a direct attempt is running
+	another bool // a connection to another upstream is being opened
+	intact  bool // another upstream was reached after this one refused
+	due     bool // settled has passed
 	asked   int  // number of peers that are being asked
 	refused int  // number of peers with intact links that the upstream refused
 	silent  int  // number of peers with intact links that it did not answer
@@ -47,7 +55,7 @@
 	racing, cancel := context.WithTimeout(ctx, p.timeout)
 	peers := d.peers(t)
 	peers = peers[:min(len(peers), maxPeers)]
-	r := &race{Dialer: d, plan: p, ctx: racing, target: t, peers: peers, results: make(chan attempt, maxPeers+maxAttempts)}
+	r := &race{Dialer: d, plan: p, ctx: racing, target: t, peers: peers, results: make(chan attempt, maxPeers+maxAttempts+1)}
 	conn, err := r.run()
 	cancel()
 	if n := r.running(); n > 0 {
@@ -58,10 +66,13 @@
 
 // running returns the number of attempts without a result.
 func (r *race) running() int {
-	if r.direct {
-		return r.asked + 1
+	n := r.asked
+	for _, running := range []bool{r.direct, r.another} {
+		if running {
+			n++
+		}
 	}
-	return r.asked
+	return n
 }
 
 // discard closes the connections of attempts that were too late.
@@ -77,6 +88,9 @@
 	if !r.directLast && (r.failed == nil || isTimeout(r.failed)) {
 		r.startDirect()
 	}
+	if errors.Is(r.failed, syscall.ECONNREFUSED) {
+		r.checkRefusal(r.took)
+	}
 	delay := r.peersAfter
 	if delay == 0 {
 		r.startPeer()
@@ -84,15 +98,17 @@
 	}
 	next := time.NewTimer(delay)
 	defer next.Stop()
-	for r.running() > 0 || r.startAny() {
+	for !r.concluded() && (r.running() > 0 || r.startAny()) {
 		select {
+		case <-r.settled:
+			r.due = true
 		case <-r.ctx.Done():
 			return nil, r.err()
 		case <-next.C:
 			r.startPeer()
 			next.Reset(nextPeerDelay)
 		case a := <-r.results:
-			if a.err == nil {
+			if a.err == nil && !a.another {
 				return r.won(a), nil
 			}
 			r.lost(a)
@@ -116,6 +132,10 @@
 
 // lost records a failed attempt and starts the next one that need not wait.
 func (r *race) lost(a attempt) {
+	if a.another {
+		r.another, r.intact = false, a.err == nil
+		return
+	}
 	if a.peer != "" {
 		r.asked--
 		var answered *PeerError
@@ -131,14 +151,44 @@
 		return
 	}
 	r.direct, r.failed = false, a.err
-	if isTimeout(a.err) {
+	switch {
+	case isTimeout(a.err):
 		r.startDirect()
+	case errors.Is(a.err, syscall.ECONNREFUSED):
+		r.checkRefusal(a.took)
 	}
 	if r.asked == 0 {
 		r.startPeer()
 	}
 }
 
+// checkRefusal finds out whether an upstream that refuses this box has ended: two peers are asked at
+// once, and another upstream is connected to.
+func (r *race) checkRefusal(took time.Duration) {
+	settle := refusedTime
+	if !r.target.Check {
+		settle = max(settle, refusedRoundTrips*took)
+	}
+	r.settled = time.After(settle)
+	r.startPeer()
+	if r.asked < 2 {
+		r.startPeer()
+	}
+	r.another = true
+	go func() {
+		var err error
+		if !r.reachesAnother(r.ctx, r.target) {
+			err = &LinkError{Err: r.ctx.Err()}
+		}
+		r.results <- attempt{err: err, another: true}
+	}()
+}
+
+// concluded reports whether it is known that the upstream refuses connections.
+func (r *race) concluded() bool {
+	return errors.Is(r.failed, syscall.ECONNREFUSED) && (r.refused > 0 || r.due && r.intact)
+}
+
 // startAny starts a way that is left, and reports whether there is one.
 func (r *race) startAny() bool {
 	r.startPeer()
@@ -155,8 +205,9 @@
 	r.direct = true
 	r.attempts--
 	go func() {
+		began := time.Now()
 		conn, err := r.Dialer.direct(r.ctx, r.target)
-		r.results <- attempt{conn: conn, err: err}
+		r.results <- attempt{conn: conn, err: err, took: time.Since(began)}
 	}()
 }
 
@@ -183,7 +234,7 @@
 		r.links.UnreachedByPeer(r.target)
 	}
 	switch {
-	case r.refused > 0 && r.silent == 0:
+	case r.refused > 0 && r.silent == 0, r.concluded():
 		return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	case r.failed == nil, told && errors.Is(r.failed, syscall.ECONNREFUSED), !told && r.cutOff > 0:
 		return &net.OpError{Op: "dial", Err: &UnreachedError{LinkSuspect: !told}}
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -71,7 +71,7 @@
 	if !ok {
 		return t
 	}
-	known.Request, known.Regions = t.Request, t.Regions
+	known.Request, known.Regions, known.Check = t.Request, t.Regions, t.Check
 	return known
 }
 
--- a/links/links.go
+++ b/links/links.go
@@ -62,6 +62,7 @@
 	Hall     string   //
 	Request  string   // id of the request that is sent, for the log; empty for a call of the box's own
 	Regions  []string // where the request may be served; empty for anywhere
+	Check    bool     // it is only to be found out whether the upstream has ended, soon
 }
 
 // groups returns the groups of upstreams that a target belongs to.
