tunnel, dialer: no data races when a tunnel closes, nor in two tests

Found by the race detector over the new packages: the count of bytes that tunnel_closed logs was read while a call still ended, and TestDial and TestSlowReader counted without synchronization. No caller saw it; the line could name a wrong number. go test -race ./dialer ./peer/tunnel ./links ./slotlease failed before (4 races) and passes.

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -89,8 +90,8 @@
 	conn    net.Conn
 	err     error
 	took    time.Duration
-	via     string // the peer that connected
-	asked   int
+	via     atomic.Value // the peer that connected
+	asked   atomic.Int64
 	regions []string
 	opened  chan net.Conn // the upstream's ends
 }
@@ -112,6 +113,7 @@
 		l.Dialed(time.Now(), other, links.Connected)
 	}
 	got := &dialed{opened: make(chan net.Conn, maxOpened)}
+	got.via.Store("")
 	attempts := slices.Clone(tt.direct)
 	direct := func(ctx context.Context, _, address string) (net.Conn, error) {
 		if address == other.Address {
@@ -141,10 +143,10 @@
 // peer returns a peer that connects, or fails to, in the given way.
 func (d *dialed) peer(name string, w way) dialer.Peer {
 	return dialer.Peer{Name: name, Open: func(ctx context.Context, _ links.Target) (net.Conn, error) {
-		d.asked++
+		d.asked.Add(1)
 		conn, err := w.take(ctx, d.opened)
 		if err == nil {
-			d.via = name
+			d.via.Store(name)
 		}
 		return conn, err
 	}}
@@ -201,12 +203,12 @@
 				is.Equal(errors.As(got.err, &unreached) && unreached.LinkSuspect, tt.suspected)
 				is.True(got.took <= tt.within)
 				is.Equal(l.Cut(tested), tt.cut)
-				is.Equal(got.asked, tt.asked)
-				if got.asked > 0 {
+				is.Equal(int(got.asked.Load()), tt.asked)
+				if got.asked.Load() > 0 {
 					is.Equal(got.regions, []string{"west"})
 				}
 				if got.err == nil {
-					is.Equal(got.via, tt.via)
+					is.Equal(got.via.Load(), tt.via)
 				}
 				got.checkClosed(is)
 			})
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -252,7 +252,10 @@
 
 func (s *Server) closeServed(t *served, why string) {
 	err := t.conn.Close()
-	entry := s.logFields(t.ask).WithFields(logrus.Fields{"why": why, "open_ms": time.Since(t.openedAt).Milliseconds(), "bytes": t.bytes})
+	s.mu.Lock()
+	sent := t.bytes
+	s.mu.Unlock()
+	entry := s.logFields(t.ask).WithFields(logrus.Fields{"why": why, "open_ms": time.Since(t.openedAt).Milliseconds(), "bytes": sent})
 	if err != nil {
 		entry = entry.WithError(err)
 	}
--- a/peer/tunnel/tunnel_test.go
+++ b/peer/tunnel/tunnel_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,14 +170,14 @@
 		is.NoErr(err)
 		upstream := <-upstreams
 		const size = 1 << 20
-		var taken int
+		var taken atomic.Int64
 		go func() {
-			for taken < size {
+			for taken.Load() < size {
 				n, err := upstream.Write(bytes.Repeat([]byte("x"), 1<<10))
 				if err != nil {
 					return
 				}
-				taken += n
+				taken.Add(int64(n))
 			}
 			_ = upstream.Close()
 		}()
@@ -184,7 +185,7 @@
 			time.Sleep(time.Second)
 			server.Tick(time.Now())
 		}
-		is.True(taken <= 128<<10) // held up
+		is.True(taken.Load() <= 128<<10) // held up
 		is.Equal(server.Count(), 1)
 		all, err := io.ReadAll(conn)
 		is.NoErr(err)
