decider, orders, rollouts: roll an order back that is withdrawn before a status was written

Callers of the operator's interface: an order that is withdrawn within some 100 ms of being written (longer where the store is slow) never gets a state; the workers of its target, which start to drain upon rolled_back, stay.

Cause: the decider took the status `running` for what says that an outcome is due. An order that ends before `running` was written never has it.

An order now keeps the version of its own row when it is withdrawn (RemovedOrder, also in words between boxes, where boxes of the version before ignore it). An outcome is due if the status is `running` and the order's, or if no status was written after the order's row. None is due if - the status after that row is an outcome of the target, - it is of another target and newer than the removal: a later order's, - a status was known, or the phase is the order's, but the row is gone: the operator removed it. The write is as before: the order's row absent, the status as read.

Neither the removal nor the outcome of an earlier order with the same target counts for the order any more, and an outcome counts whichever version of the removal a box knows.

The row "withdrawn before a status" of TestDecideEnded expected the fault: it is now called "withdrawn, status of another", as nothing in it says that a status is missing, and rows with one missing stand beside it. The store of package edge's tests returns, as the platform's, each change of the operator's table in its feeds, and a removal is one step.

--- a/canary/decider/decider.go
+++ b/canary/decider/decider.go
@@ -89,6 +89,7 @@
 	RowsRead      bool // the rows in the store were read since the order or its removal was seen
 	Refused       bool // the order cannot be carried out
 	StatusRunning bool // the status in the store is running
+	StatusMissing bool // no status was written for the order, which was withdrawn
 
 	KnownService bool          // the configuration in force names the service
 	Cutover      time.Duration // planned, before the limit
@@ -160,7 +161,7 @@
 
 func (s Situation) withdrawn() Decision {
 	switch {
-	case !s.StatusRunning:
+	case !s.StatusRunning && !s.StatusMissing:
 		return Decision{Wait, Ended}
 	case s.decides():
 		return Decision{RollBack, OrderWithdrawn}
--- a/canary/decider/decider_test.go
+++ b/canary/decider/decider_test.go
@@ -43,6 +43,12 @@
 
 func otherHolds(x *decider.Situation) { x.Holder = false }
 
+func missing(x *decider.Situation) { x.StatusMissing = true }
+
+func missingElsewhere(x *decider.Situation) { x.StatusMissing, x.First = true, false }
+
+func missingUnread(x *decider.Situation) { x.StatusMissing, x.RowsRead = true, false }
+
 // decisionTest is a situation and the decision in it.
 type decisionTest struct {
 	order  orders.Order
@@ -145,7 +151,10 @@
 // TestDecideEnded checks the decision about orders that were withdrawn or have an outcome.
 func TestDecideEnded(t *testing.T) {
 	checkDecisions(t, map[string]decisionTest{
-		"withdrawn before a status":    {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, nil, decider.Decision{Action: decider.Wait, Reason: decider.Ended}},
+		"withdrawn, status of another": {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, nil, decider.Decision{Action: decider.Wait, Reason: decider.Ended}},
+		"withdrawn before a status":    {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missing, decider.Decision{Action: decider.RollBack, Reason: decider.OrderWithdrawn}},
+		"the same at another reader":   {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingElsewhere, decider.Decision{Action: decider.Wait, Reason: decider.OtherDecides}},
+		"the same, status not read":    {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingUnread, decider.Decision{Action: decider.Wait, Reason: decider.RowsUnknown}},
 		"withdrawn":                    {trial().WithStatus(orders.Withdrawn, 6), 8 * s, nil, decider.Decision{Action: decider.RollBack, Reason: decider.OrderWithdrawn}},
 		"withdrawn, status not read":   {trial().WithStatus(orders.Withdrawn, 6), 8 * s, func(x *decider.Situation) { x.RowsRead = false }, decider.Decision{Action: decider.Wait, Reason: decider.RowsUnknown}},
 		"withdrawn at another reader":  {trial().WithStatus(orders.Withdrawn, 6), 8 * s, otherHolds, decider.Decision{Action: decider.Wait, Reason: decider.OtherDecides}},
--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -34,6 +34,7 @@
 	Service       string
 	Target        string        // the ordered release
 	Version       int64         // of the order's row in the store, or of its removal
+	RemovedOrder  int64         // version of the order's row if Version is that of its removal; 0 if unknown
 	Duration      time.Duration // 0 if unknown or invalid
 	State         State
 	StatusVersion int64 // of the row with the state; 0 without one
@@ -60,6 +61,45 @@
 	return o
 }
 
+// WithRemoval returns the order withdrawn, as of the version in which its row was gone.
+func (o Order) WithRemoval(version int64) Order {
+	if o.State != Withdrawn {
+		o.RemovedOrder = o.Version
+	}
+	o.Version, o.State = version, Withdrawn
+	return o
+}
+
+// ownVersion returns the version of the order's own row, 0 if it is unknown.
+func (o Order) ownVersion() int64 {
+	if o.RemovedOrder == 0 && o.State != Withdrawn {
+		return o.Version
+	}
+	return o.RemovedOrder
+}
+
+// removes reports whether this is the removal of an order, and not that of a later one with the same
+// target.
+func (o Order) removes(before Order) bool {
+	if o.State != Withdrawn || o.Target != "" && o.Target != before.Target {
+		return false
+	}
+	own := before.ownVersion()
+	return own == 0 || o.RemovedOrder <= own
+}
+
+// isOutcomeOf reports whether this is the outcome of an order that counts as withdrawn, and not that of
+// an earlier one with the same target.
+func (o Order) isOutcomeOf(withdrawn Order) bool {
+	if withdrawn.State != Withdrawn || o.Target != withdrawn.Target || o.Active() || o.State == Withdrawn {
+		return false
+	}
+	if withdrawn.RemovedOrder == 0 {
+		return o.State == Completed
+	}
+	return o.ownVersion() == withdrawn.RemovedOrder
+}
+
 // WithPhase returns the order in a phase that a row of the given version holds.
 func (o Order) WithPhase(p Phase, version int64, decider string) Order {
 	o.Phase, o.PhaseVersion, o.Decider = p, version, decider
@@ -115,6 +155,7 @@
 	if o.Limit.IsZero() {
 		o.Limit = u.Limit
 	}
+	o.RemovedOrder = max(o.RemovedOrder, u.RemovedOrder)
 	if u.StatusVersion > o.StatusVersion {
 		o = o.WithStatus(u.State, u.StatusVersion)
 	}
@@ -130,7 +171,7 @@
 // Word returns the order for other boxes.
 func (o Order) Word(now time.Time) wire.RolloutWord {
 	w := wire.RolloutWord{
-		Service: o.Service, Order: int(o.Version), Target: o.Target, State: wire.RolloutWordState(o.State), StatusVersion: int(o.StatusVersion),
+		Service: o.Service, Order: int(o.Version), RemovedOrder: int(o.RemovedOrder), Target: o.Target, State: wire.RolloutWordState(o.State), StatusVersion: int(o.StatusVersion),
 		Phase: string(o.Phase), PhaseVersion: int(o.PhaseVersion), Decider: o.Decider,
 	}
 	if !o.Limit.IsZero() {
@@ -146,7 +187,7 @@
 // FromWord returns the order in another box's answer to a call sent at a time.
 func FromWord(sent time.Time, w wire.RolloutWord) Order {
 	o := Order{
-		Service: w.Service, Version: int64(w.Order), Target: w.Target, State: State(w.State), StatusVersion: int64(w.StatusVersion),
+		Service: w.Service, Version: int64(w.Order), RemovedOrder: int64(w.RemovedOrder), Target: w.Target, State: State(w.State), StatusVersion: int64(w.StatusVersion),
 		Phase: Phase(w.Phase), PhaseVersion: int64(w.PhaseVersion), Decider: w.Decider,
 	}
 	if w.LeftMs != 0 {
--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -79,9 +79,9 @@
 		l.replace(now, r, u, source)
 	case u.Version == r.newest.Version:
 		l.set(now, r, r.newest.merge(u), source)
-	case r.newest.State == Withdrawn && u.Target == r.newest.Target && u.State == Completed:
-		// The outcome was written before the order was removed.
-		l.set(now, r, r.newest.WithStatus(Completed, u.StatusVersion), source)
+	case u.isOutcomeOf(r.newest):
+		// Written before the order was removed, or by a box that knows an earlier version of its removal.
+		l.set(now, r, r.newest.WithStatus(u.State, u.StatusVersion), source)
 	default:
 		r.remember(u)
 	}
@@ -90,12 +90,11 @@
 // replace applies a newer order, or the removal of the newest.
 func (l *Orders) replace(now time.Time, r *record, u Order, source string) {
 	before := r.newest
-	if u.State == Withdrawn && (u.Target == "" || u.Target == before.Target) {
+	if u.removes(before) {
 		if !before.Active() && before.State != Withdrawn {
 			return // removed after its end
 		}
-		before.Version = u.Version
-		l.set(now, r, before.merge(u).withState(Withdrawn), source)
+		l.set(now, r, before.WithRemoval(u.Version).merge(u).withState(Withdrawn), source)
 		return
 	}
 	r.remember(before)
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -53,6 +53,7 @@
 type memStore struct {
 	mu            sync.Mutex
 	rows          []store.Row
+	replaced      []store.Row   // earlier rows of the operator's table, which feeds still return
 	changed       chan struct{} // closed at the next change
 	nextFree      time.Time
 	listings      map[string]int // by box
@@ -102,9 +103,21 @@
 }
 
 func (t *memStore) putLocked(table, key, value string) {
-	version := t.lastVersion() + 1 // read before the row is deleted, which may be the last
-	t.rows = slices.DeleteFunc(t.rows, func(r store.Row) bool { return r.Table == table && r.Key == key })
-	t.rows = append(t.rows, store.Row{Table: table, Key: key, Value: []byte(value), Version: version})
+	t.changeLocked(store.Row{Table: table, Key: key, Value: []byte(value)})
+}
+
+// changeLocked replaces a row, or adds its removal.
+func (t *memStore) changeLocked(row store.Row) {
+	table, key, value := row.Table, row.Key, string(row.Value)
+	row.Version = t.lastVersion() + 1 // read before the row is deleted, which may be the last
+	t.rows = slices.DeleteFunc(t.rows, func(r store.Row) bool {
+		replaced := r.Table == table && r.Key == key
+		if replaced && table == "op" {
+			t.replaced = append(t.replaced, r)
+		}
+		return replaced
+	})
+	t.rows = append(t.rows, row)
 	if table == "status" {
 		t.statuses, t.statusAt = append(t.statuses, value), time.Now()
 	}
@@ -123,13 +136,27 @@
 func (t *memStore) changesAfter(table string, version int64) ([]store.Row, int64, chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []store.Row
-	for _, r := range t.rows {
+	return changedIn(t.rows, table, version), t.lastVersion(), t.changed
+}
+
+// historyAfter returns a table's changes after a version, rows that were replaced since
+// included, and the last version.
+func (t *memStore) historyAfter(table string, version int64) ([]store.Row, int64, chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := append(changedIn(t.replaced, table, version), changedIn(t.rows, table, version)...)
+	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
+	return rows, t.lastVersion(), t.changed
+}
+
+// changedIn returns a table's rows that were changed after a version.
+func changedIn(all []store.Row, table string, version int64) (rows []store.Row) {
+	for _, r := range all {
 		if r.Table == table && r.Version > version {
 			rows = append(rows, r)
 		}
 	}
-	return rows, t.lastVersion(), t.changed
+	return rows
 }
 
 // forget drops the history of all changes.
@@ -148,10 +175,9 @@
 
 // remove deletes a row.
 func (t *memStore) remove(table, key string) {
-	t.put(table, key, "")
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rows[len(t.rows)-1].Removed = true
+	t.changeLocked(store.Row{Table: table, Key: key, Removed: true})
 }
 
 // storeClient is a box's client for the store.
@@ -196,7 +222,7 @@
 		if err := r.waitWhileSilent(ctx); err != nil {
 			return nil, 0, err
 		}
-		rows, last, changed := r.changesAfter(of, mark)
+		rows, last, changed := r.historyAfter(of, mark)
 		if r.isForgotten(mark) {
 			return nil, 0, &store.Error{Call: "rows-feed", Forgotten: true}
 		}
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -336,7 +336,7 @@
 	interval = otherReadInterval
 	for _, o := range r.orders.Newest() {
 		rows := r.rows.Of(o)
-		if !o.Active() && (o.State != orders.Withdrawn || rows.Read && !rows.StatusRunning) {
+		if !o.Active() && (o.State != orders.Withdrawn || rows.Read && !rows.OutcomeDue()) {
 			continue
 		}
 		holder := rows.Holder == r.self()
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -175,6 +175,9 @@
 func (r *rolloutControl) applyChange(now time.Time, c orderChange) {
 	o := c.after
 	log := r.log.WithFields(logrus.Fields{"service": o.Service, "order": o.Version, "target": o.Target, "source": c.source})
+	if o.RemovedOrder != 0 {
+		log = log.WithField("removed_order", o.RemovedOrder)
+	}
 	if c.before.Version != o.Version && o.State != orders.Withdrawn {
 		log.WithField("state", o.State).Info("rollout_ordered")
 		r.mu.Lock()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4432,6 +4432,10 @@
 	// Of the row that holds the phase; 0 where there is none.
 	PhaseVersion int `json:"phase_version,omitempty,omitzero"`
 
+	// Version of the order itself, if order is that of its removal; 0 if it was not
+	// removed, or unknown.
+	RemovedOrder int `json:"removed_order,omitempty,omitzero"`
+
 	// The only route whose requests are drawn, with route_ppm; empty for all, with
 	// share_ppm.
 	Route string `json:"route,omitempty,omitzero"`
@@ -4533,6 +4537,9 @@
 	if v, ok := raw["phase_version"]; !ok || v == nil {
 		plain.PhaseVersion = 0
 	}
+	if v, ok := raw["removed_order"]; !ok || v == nil {
+		plain.RemovedOrder = 0
+	}
 	if v, ok := raw["route"]; !ok || v == nil {
 		plain.Route = ""
 	}
