--- a/edge/limits_faults_test.go
+++ b/edge/limits_faults_test.go
@@ -52,7 +52,11 @@
 
 // startAgain starts new incarnations of boxes.
 func (p *plainService) startAgain(ctx context.Context, t testing.TB, old []*Edge) {
-	c := p.cluster
+	p.cluster.startAgain(ctx, t, old, func(fresh *Edge) { fresh.relay.Sender = plainSender{p, fresh} })
+}
+
+// startAgain starts new incarnations of boxes, each after it was prepared.
+func (c *cluster) startAgain(ctx context.Context, t testing.TB, old []*Edge, prepare func(fresh *Edge)) {
 	var records []wire.BoxRecord
 	for _, e := range append(slices.Clone(c.all), old...) {
 		records = append(records, e.record)
@@ -60,7 +64,7 @@
 	for _, e := range old {
 		time.Sleep(time.Millisecond) // gives each a distinct incarnation
 		fresh := c.box(t, e.Name(), e.record.Hall)
-		fresh.relay.Sender = plainSender{p, fresh}
+		prepare(fresh)
 		c.startBox(ctx, fresh, records)
 		time.AfterFunc(2*listTime, func() {
 			fresh.setBoxes(records)
--- a/edge/rollouts_withdrawn_test.go
+++ b/edge/rollouts_withdrawn_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,10 +29,11 @@
 
 // checkWithdrawn checks that an order that was withdrawn ends with one outcome, that all boxes know
 // it, that the target gets nothing more, and that no calls are made for it afterwards.
-func (s *rolloutSite) checkWithdrawn(target string, sent int, timeout time.Duration) {
+func (s *rolloutSite) checkWithdrawn(target string, timeout time.Duration) {
 	s.t.Helper()
 	is := is.New(s.t)
 	s.waitState(orders.RolledBack, timeout)
+	sent := s.sentTo(target)
 	is.Equal(s.outcomes(target), []string{string(orders.RolledBack)})
 	time.Sleep(time.Second)
 	calls := s.rolloutCalls()
@@ -55,9 +58,135 @@
 					s.order("v2")
 					time.Sleep(after)
 					s.withdraw()
-					s.checkWithdrawn("v2", 0, withdrawnTime)
+					s.checkWithdrawn("v2", withdrawnTime)
+					is.New(t).Equal(s.sentTo("v2"), 0)
 				})
 			})
 		}
 	}
 }
+
+// firstReader returns the box that is first among the readers.
+func (s *rolloutSite) firstReader() *Edge {
+	all := s.running()
+	return all[slices.IndexFunc(all, func(e *Edge) bool { return e.IsReader() && e.rollouts.isFirstReader(time.Now(), "plain", "") })]
+}
+
+// restart kills boxes and starts them again at once.
+func (s *rolloutSite) restart(ctx context.Context, boxes ...*Edge) {
+	for _, e := range boxes {
+		s.kill(e)
+	}
+	s.startAgain(ctx, s.t, boxes, func(*Edge) {})
+}
+
+// withdrawalFault is a fault beside the removal of an order.
+type withdrawalFault struct {
+	begin  func(ctx context.Context, s *rolloutSite)
+	lasted time.Duration
+}
+
+// withdrawalFaultTime is how long the faults last that end by themselves.
+const withdrawalFaultTime = 5 * time.Second
+
+// withdrawalFaults returns faults of the box that decides, of other readers, and of the store.
+func withdrawalFaults() map[string]withdrawalFault {
+	return map[string]withdrawalFault{
+		"first reader killed":            {func(_ context.Context, s *rolloutSite) { s.kill(s.firstReader()) }, 0},
+		"first reader restarted":         {func(ctx context.Context, s *rolloutSite) { s.restart(ctx, s.firstReader()) }, 0},
+		"all readers but one restarted":  {func(ctx context.Context, s *rolloutSite) { s.restart(ctx, s.readers()[1:]...) }, 0},
+		"all readers but one killed":     {killReaders, 0},
+		"first reader cut off":           {cutOffFirstReader, withdrawalFaultTime},
+		"first reader frozen":            {freezeFirstReader, withdrawalFaultTime},
+		"store silent":                   {func(_ context.Context, s *rolloutSite) { s.silence(withdrawalFaultTime) }, withdrawalFaultTime},
+		"store silent past the limit":    {func(_ context.Context, s *rolloutSite) { s.silence(2 * rolloutDuration) }, 2 * rolloutDuration},
+		"answers of the store lost":      {func(_ context.Context, s *rolloutSite) { s.loseAnswers(true) }, 0},
+		"history of the store forgotten": {func(_ context.Context, s *rolloutSite) { s.table.forget() }, 0},
+		"boxes parted":                   {partBoxes, withdrawalFaultTime},
+	}
+}
+
+func killReaders(_ context.Context, s *rolloutSite) {
+	for _, e := range s.readers()[1:] {
+		s.kill(e)
+	}
+}
+
+func cutOffFirstReader(_ context.Context, s *rolloutSite) {
+	e := s.firstReader()
+	s.cutOff(e, true)
+	time.AfterFunc(withdrawalFaultTime, func() { s.cutOff(e, false) })
+}
+
+func freezeFirstReader(_ context.Context, s *rolloutSite) {
+	e := s.firstReader()
+	s.cutOff(e, true)
+	time.AfterFunc(withdrawalFaultTime, func() {
+		s.cutOff(e, false)
+		e.onWake(withdrawalFaultTime)
+	})
+}
+
+// partBoxes parts the boxes into two halves that both reach the store, so that two decide.
+func partBoxes(_ context.Context, s *rolloutSite) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.partition = map[string]int{}
+	for i, e := range s.all {
+		s.partition[e.Name()] = i % 2
+	}
+	time.AfterFunc(withdrawalFaultTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.partition = nil
+	})
+}
+
+// TestWithdrawnUnderFault withdraws an order before and after its status running was written, just
+// before a fault begins or just after: it has one outcome.
+func TestWithdrawnUnderFault(t *testing.T) {
+	const ms = time.Millisecond
+	moments := map[string]struct {
+		boxes         int
+		after, before time.Duration // of the removal, since the order and since the fault
+	}{
+		"6 boxes, before a status": {6, 20 * ms, 0}, "6 boxes, as it begins": {6, 110 * ms, 0}, "6 boxes, while it runs": {6, 1000 * ms, 0},
+		"6 boxes, the fault first": {6, 20 * ms, 10 * ms}, "6 boxes, the fault first, while it runs": {6, 1000 * ms, 100 * ms},
+		"76 boxes, before a status": {76, 20 * ms, 0}, "76 boxes, while it runs": {76, 1000 * ms, 0},
+	}
+	for name, fault := range withdrawalFaults() {
+		for moment, m := range moments {
+			t.Run(name+", "+moment, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, end := (&cluster{}).context(t)
+					defer end()
+					s := newRolloutSite(ctx, t, m.boxes, 2*m.boxes+60)
+					s.order("v2")
+					time.Sleep(m.after - m.before)
+					if m.before > 0 {
+						fault.begin(ctx, s)
+						time.Sleep(m.before)
+					}
+					s.withdraw()
+					if m.before == 0 {
+						time.Sleep(ms) // some boxes learn of it
+						fault.begin(ctx, s)
+					}
+					s.checkWithdrawn("v2", fault.lasted+withdrawnTime)
+				})
+			})
+		}
+	}
+}
+
+// readers returns the boxes that read the store, the first one last.
+func (s *rolloutSite) readers() []*Edge {
+	first := s.firstReader()
+	var list []*Edge
+	for _, e := range s.running() {
+		if e.IsReader() && e != first {
+			list = append(list, e)
+		}
+	}
+	return append(list, first)
+}
