orders: a removal does not hide a later order from boxes that did not read it

Operators: two orders of a service within an outage of one reader's feed, the second withdrawn: the second may get no outcome. A box that has read the first order and then a listing without any knows the first as withdrawn as of the listing. That version is newer than the second order's, so that its word replaced the second order at the boxes that had read it, before an outcome was written if it came within the second order's first 100 ms.

Cause: orders were compared by the version of their removal, which for a listing is that of the whole table.

Orders are compared by the versions of their own rows where both are known, and by those of their removals otherwise, as before (boxes of the version before do not tell the order's own). A later order that is older than the listing is known to be removed too.

--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -78,6 +78,30 @@
 	return o.RemovedOrder
 }
 
+// isNewerThan reports whether this is a later order, or a later removal of the same one. The versions of
+// the orders themselves decide: a box may know an order as removed by a listing that is later than
+// an order that it never knew.
+func (o Order) isNewerThan(other Order) bool {
+	own, others := o.ownVersion(), other.ownVersion()
+	if own != 0 && others != 0 && own != others {
+		return own > others
+	}
+	return o.Version > other.Version
+}
+
+// withKnownRemoval returns a later order than one whose removal was read, by a listing that was empty,
+// as of a version: if the listing is later than both, neither is in force.
+func (o Order) withKnownRemoval(earlier Order) Order {
+	if earlier.RemovedOrder == 0 || o.Version >= earlier.Version {
+		return o
+	}
+	if o.Active() {
+		return o.WithRemoval(earlier.Version)
+	}
+	o.RemovedOrder, o.Version = o.ownVersion(), earlier.Version
+	return o
+}
+
 // removes reports whether this is the removal of an order, and not that of a later one with the same
 // target.
 func (o Order) removes(before Order) bool {
--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -75,9 +75,9 @@
 		r = &record{}
 		l.services[u.Service] = r
 		l.set(now, r, u, source)
-	case u.Version > r.newest.Version:
-		l.replace(now, r, u, source)
-	case u.Version == r.newest.Version:
+	case u.isNewerThan(r.newest):
+		l.replace(now, r, u.withKnownRemoval(r.newest), source)
+	case u.Version == r.newest.Version && !r.newest.isNewerThan(u):
 		l.set(now, r, r.newest.merge(u), source)
 	case u.isOutcomeOf(r.newest):
 		// Written before the order was removed, or by a box that knows an earlier version of its removal.
