decider: other readers roll a withdrawn order back if the first one does not

Operators: an order that is withdrawn while the first reader is cut off the store, but not off the other boxes, has no outcome for as long as that lasts: the others hear from it and wait.

Cause: for a withdrawn order only the box that decides wrote, where every other roll-back is made by any reader after 0.5 s, as it is safe at any time.

Other readers now write 0.5 s after they have learned of the withdrawal.

--- a/canary/decider/decider.go
+++ b/canary/decider/decider.go
@@ -86,10 +86,11 @@
 type Situation struct {
 	Now           time.Time
 	Order         orders.Order
-	RowsRead      bool // the rows in the store were read since the order or its removal was seen
-	Refused       bool // the order cannot be carried out
-	StatusRunning bool // the status in the store is running
-	StatusMissing bool // no status was written for the order, which was withdrawn
+	RowsRead      bool          // the rows in the store were read since the order or its removal was seen
+	Refused       bool          // the order cannot be carried out
+	StatusRunning bool          // the status in the store is running
+	StatusMissing bool          // no status was written for the order, which was withdrawn
+	KnownFor      time.Duration // since this box learned of the order, or of its removal
 
 	KnownService bool          // the configuration in force names the service
 	Cutover      time.Duration // planned, before the limit
@@ -159,11 +160,13 @@
 	return s.First
 }
 
+// withdrawn decides about an order that was withdrawn. As for other roll-backs, readers that do not
+// decide write later than the one that does, which the store may not answer.
 func (s Situation) withdrawn() Decision {
 	switch {
 	case !s.StatusRunning && !s.StatusMissing:
 		return Decision{Wait, Ended}
-	case s.decides():
+	case s.decides(), s.KnownFor >= otherReaderDelay:
 		return Decision{RollBack, OrderWithdrawn}
 	}
 	return Decision{Wait, OtherDecides}
--- a/canary/decider/decider_test.go
+++ b/canary/decider/decider_test.go
@@ -47,6 +47,11 @@
 
 func missingElsewhere(x *decider.Situation) { x.StatusMissing, x.First = true, false }
 
+func missingForLong(x *decider.Situation) {
+	missingElsewhere(x)
+	x.KnownFor = 500 * ms
+}
+
 func missingUnread(x *decider.Situation) { x.StatusMissing, x.RowsRead = true, false }
 
 // decisionTest is a situation and the decision in it.
@@ -154,6 +159,7 @@
 		"withdrawn, status of another": {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, nil, decider.Decision{Action: decider.Wait, Reason: decider.Ended}},
 		"withdrawn before a status":    {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missing, decider.Decision{Action: decider.RollBack, Reason: decider.OrderWithdrawn}},
 		"the same at another reader":   {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingElsewhere, decider.Decision{Action: decider.Wait, Reason: decider.OtherDecides}},
+		"the same, 0.5 s later":        {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingForLong, decider.Decision{Action: decider.RollBack, Reason: decider.OrderWithdrawn}},
 		"the same, status not read":    {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingUnread, decider.Decision{Action: decider.Wait, Reason: decider.RowsUnknown}},
 		"withdrawn":                    {trial().WithStatus(orders.Withdrawn, 6), 8 * s, nil, decider.Decision{Action: decider.RollBack, Reason: decider.OrderWithdrawn}},
 		"withdrawn, status not read":   {trial().WithStatus(orders.Withdrawn, 6), 8 * s, func(x *decider.Situation) { x.RowsRead = false }, decider.Decision{Action: decider.Wait, Reason: decider.RowsUnknown}},
--- a/edge/rollouts_withdrawn_test.go
+++ b/edge/rollouts_withdrawn_test.go
@@ -98,6 +98,7 @@
 		"all readers but one killed":     {killReaders, 0},
 		"first reader cut off":           {cutOffFirstReader, withdrawalFaultTime},
 		"first reader frozen":            {freezeFirstReader, withdrawalFaultTime},
+		"first reader cut off the store": {cutFirstReaderOffStore, 0},
 		"store silent":                   {func(_ context.Context, s *rolloutSite) { s.silence(withdrawalFaultTime) }, withdrawalFaultTime},
 		"store silent past the limit":    {func(_ context.Context, s *rolloutSite) { s.silence(2 * rolloutDuration) }, 2 * rolloutDuration},
 		"answers of the store lost":      {func(_ context.Context, s *rolloutSite) { s.loseAnswers(true) }, 0},
@@ -118,6 +119,12 @@
 	time.AfterFunc(withdrawalFaultTime, func() { s.cutOff(e, false) })
 }
 
+// cutFirstReaderOffStore cuts the first reader off the store for good; the others still hear from it.
+func cutFirstReaderOffStore(_ context.Context, s *rolloutSite) {
+	name := s.firstReader().Name()
+	s.table.setCutOff(func(box string) bool { return box == name })
+}
+
 func freezeFirstReader(_ context.Context, s *rolloutSite) {
 	e := s.firstReader()
 	s.cutOff(e, true)
