edge: tests of orders in quick succession; guards of withdrawn orders

An order for the release in service that is withdrawn at once is rolled back, and the release is served throughout.

The load of these tests pauses while all boxes are restarted.

--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -79,8 +79,8 @@
 }
 
 // isNewerThan reports whether this is a later order, or a later removal of the same one. The versions of
-// the orders themselves decide: a box may know an order as removed by a listing that is later than
-// an order that it never knew.
+// the orders themselves decide where they are known: a removal that was read from a listing may be later
+// than orders that the box never knew.
 func (o Order) isNewerThan(other Order) bool {
 	own, others := o.ownVersion(), other.ownVersion()
 	if own != 0 && others != 0 && own != others {
@@ -89,8 +89,8 @@
 	return o.Version > other.Version
 }
 
-// withKnownRemoval returns a later order than one whose removal was read, by a listing that was empty,
-// as of a version: if the listing is later than both, neither is in force.
+// withKnownRemoval returns the order as it is known beside an earlier one that was removed: if the
+// removal was read as of a version after this order too, its row is gone as well.
 func (o Order) withKnownRemoval(earlier Order) Order {
 	if earlier.RemovedOrder == 0 || o.Version >= earlier.Version {
 		return o
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -118,8 +118,9 @@
 // load sends requests from random boxes until ctx ends.
 func (s *rolloutSite) load(ctx context.Context, rate int) {
 	for n := 0; sleep(ctx, time.Second/time.Duration(rate)) == nil; n++ {
-		all := s.running()
-		s.request(all[s.random.IntN(len(all))], fmt.Sprint("r", n))
+		if all := s.running(); len(all) > 0 {
+			s.request(all[s.random.IntN(len(all))], fmt.Sprint("r", n))
+		}
 	}
 }
 
--- a/edge/rollouts_withdrawn_test.go
+++ b/edge/rollouts_withdrawn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -197,3 +198,141 @@
 	}
 	return append(list, first)
 }
+
+// values returns the states that were written for a target, oldest first.
+func (s *rolloutSite) values(target string) (list []string) {
+	s.table.mu.Lock()
+	defer s.table.mu.Unlock()
+	for _, value := range s.table.statuses {
+		var v struct {
+			Target string `json:"target_version"`
+			State  string `json:"state"`
+		}
+		if json.Unmarshal([]byte(value), &v) == nil && v.Target == target {
+			list = append(list, v.State)
+		}
+	}
+	return list
+}
+
+// succession is what an operator does to the orders of a service, and the states that are written then.
+type succession struct {
+	play   func(ctx context.Context, s *rolloutSite)
+	v2, v3 []string
+}
+
+// pauseBetweenOrders is the time between changes of orders in quick succession.
+const pauseBetweenOrders = 2 * time.Millisecond
+
+func (s *rolloutSite) orderAndWithdraw(target string) {
+	s.order(target)
+	time.Sleep(pauseBetweenOrders)
+	s.withdraw()
+}
+
+// orderAgain gives an order after a pause.
+func (s *rolloutSite) orderAgain(target string) {
+	time.Sleep(pauseBetweenOrders)
+	s.order(target)
+}
+
+func (s *rolloutSite) orderAndComplete(target string) {
+	s.order(target)
+	s.waitState(orders.Completed, rolloutDuration)
+}
+
+// successions returns orders that are withdrawn and replaced within milliseconds, and removed after their end.
+func successions() map[string]succession {
+	completed, rolledBack := []string{"running", "completed"}, []string{"rolled_back"}
+	return map[string]succession{
+		"replaced at once": {func(_ context.Context, s *rolloutSite) {
+			s.order("v2")
+			s.orderAgain("v3")
+		}, nil, completed},
+		"withdrawn, then another target": {func(_ context.Context, s *rolloutSite) {
+			s.orderAndWithdraw("v2")
+			s.orderAgain("v3")
+		}, nil, completed},
+		"withdrawn, then ordered again": {func(_ context.Context, s *rolloutSite) {
+			s.orderAndWithdraw("v2")
+			s.orderAgain("v2")
+		}, completed, nil},
+		"replaced while it runs, the second withdrawn at once": {func(_ context.Context, s *rolloutSite) {
+			s.order("v2")
+			time.Sleep(time.Second)
+			s.orderAndWithdraw("v3")
+		}, []string{"running"}, rolledBack},
+		"rolled back, then ordered again and withdrawn at once": {func(_ context.Context, s *rolloutSite) {
+			s.orderAndWithdraw("v2")
+			time.Sleep(withdrawnTime)
+			s.orderAndWithdraw("v2")
+		}, []string{"rolled_back", "rolled_back"}, nil},
+		"without duration, withdrawn at once": {func(_ context.Context, s *rolloutSite) {
+			s.addUpstreams("v2")
+			s.table.put("op", rolloutKey, `{"service":"plain","target_version":"v2"}`)
+			time.Sleep(pauseBetweenOrders)
+			s.withdraw()
+		}, rolledBack, nil},
+		"unreadable, withdrawn at once": {func(_ context.Context, s *rolloutSite) {
+			s.table.put("op", rolloutKey, "{}")
+			time.Sleep(pauseBetweenOrders)
+			s.withdraw()
+		}, nil, nil},
+		"removed after its end": {func(_ context.Context, s *rolloutSite) {
+			s.orderAndComplete("v2")
+			s.withdraw()
+			time.Sleep(time.Second)
+			s.table.remove("status", rolloutKey)
+		}, completed, nil},
+		"removed after its end, all boxes restarted before": {func(ctx context.Context, s *rolloutSite) {
+			s.orderAndComplete("v2")
+			s.restart(ctx, s.running()...)
+			time.Sleep(200 * time.Millisecond)
+			s.withdraw()
+		}, completed, nil},
+		"removed after its end, all boxes restarted then": {func(ctx context.Context, s *rolloutSite) {
+			s.orderAndComplete("v2")
+			s.withdraw()
+			time.Sleep(time.Second)
+			s.restart(ctx, s.running()...)
+		}, completed, nil},
+	}
+}
+
+// TestOrdersInSuccession checks that each order that is withdrawn has one outcome, and that nothing is
+// written for those that were replaced or have ended.
+func TestOrdersInSuccession(t *testing.T) {
+	for name, tt := range successions() {
+		for _, boxes := range []int{6, 76} {
+			t.Run(fmt.Sprint(name, ", ", boxes, " boxes"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					ctx, end := (&cluster{}).context(t)
+					defer end()
+					s := newRolloutSite(ctx, t, boxes, 2*boxes+60)
+					tt.play(ctx, s)
+					time.Sleep(rolloutDuration + time.Second)
+					calls := s.rolloutCalls()
+					time.Sleep(10 * time.Second)
+					is.Equal(s.rolloutCalls(), calls)
+					is.Equal(s.values("v2"), tt.v2)
+					is.Equal(s.values("v3"), tt.v3)
+				})
+			})
+		}
+	}
+}
+
+// TestWithdrawnInService withdraws an order for the release in service at once: it is served throughout.
+func TestWithdrawnInService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := (&cluster{}).context(t)
+		defer end()
+		s := newRolloutSite(ctx, t, 6, 72)
+		s.table.put("op", rolloutKey, `{"service":"plain","target_version":"v1","duration_s":12}`)
+		time.Sleep(time.Millisecond)
+		s.withdraw()
+		s.onlyFor("v1", 20*time.Second)
+		is.New(t).Equal(s.values("v1"), []string{string(orders.RolledBack)})
+	})
+}
