--- a/edge/rollouts_withdrawn_test.go
+++ b/edge/rollouts_withdrawn_test.go
@@ -5,13 +5,17 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"petrelstep/canary/orders"
+	"petrelstep/platform/rollouts"
 )
 
 // withdrawnTime is how long after an order was withdrawn, or a fault has ended, its outcome must be
@@ -336,3 +340,54 @@
 		is.New(t).Equal(s.values("v1"), []string{string(orders.RolledBack)})
 	})
 }
+
+// rolloutLines records the lines about roll-outs of a box.
+type rolloutLines struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (*rolloutLines) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h *rolloutLines) Fire(e *logrus.Entry) error {
+	if !strings.HasPrefix(e.Message, "rollout_") || e.Data["write"] == rollouts.WriteBegin {
+		return nil // whether it begins first is open
+	}
+	line := e.Message
+	for _, field := range []string{"order", "removed_order", "status_of", "outcome_due", "write", "reason", "outcome"} {
+		if value, ok := e.Data[field]; ok {
+			line += fmt.Sprintf(" %s=%v", field, value)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = append(h.list, line)
+	return nil
+}
+
+// TestWithdrawnTraced checks that the log of the box that decides tells an order's course, from its
+// version to its outcome.
+func TestWithdrawnTraced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := (&cluster{}).context(t)
+		defer end()
+		s := newRolloutSite(ctx, t, 6, 72)
+		lines := &rolloutLines{}
+		first := s.firstReader()
+		first.log.Logger.SetLevel(logrus.InfoLevel)
+		first.log.Logger.AddHook(lines)
+		s.orderAndWithdraw("v2")
+		s.waitState(orders.RolledBack, withdrawnTime)
+		order := s.table.lastVersion() - 2 // the removal and the status follow
+		removed := fmt.Sprintf(" order=%d removed_order=%d", order+1, order)
+		lines.mu.Lock()
+		defer lines.mu.Unlock()
+		is.New(t).Equal(lines.list, []string{
+			fmt.Sprint("rollout_ordered order=", order),
+			"rollout_ended" + removed + " outcome=withdrawn",
+			"rollout_withdrawn" + removed + " status_of=none outcome_due=true",
+			fmt.Sprintf("rollout_write order=%d write=roll_back reason=order_withdrawn outcome=written", order+1),
+			"rollout_ended" + removed + " outcome=rolled_back",
+		})
+	})
+}
