orders: take another box's outcome of a withdrawn order for the same order's

Operators and callers: none saw it. A box that knew an order as withdrawn, and heard its outcome from a box that knows a later version of the removal, took that for a new order: it logged rollout_ordered again, forgot that it had followed the order, and would have served the target sooner than 30 s after the outcome where its upstreams are the only ones.

An outcome of the same order is now merged, and one that is told twice changes nothing.

--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -78,6 +78,12 @@
 	return o.RemovedOrder
 }
 
+// isSameAs reports whether this is known to be the same order, maybe in another state.
+func (o Order) isSameAs(other Order) bool {
+	own := o.ownVersion()
+	return own != 0 && own == other.ownVersion()
+}
+
 // isNewerThan reports whether this is a later order, or a later removal of the same one. The versions of
 // the orders themselves decide where they are known: a removal that was read from a listing may be later
 // than orders that the box never knew.
@@ -118,10 +124,7 @@
 	if withdrawn.State != Withdrawn || o.Target != withdrawn.Target || o.Active() || o.State == Withdrawn {
 		return false
 	}
-	if withdrawn.RemovedOrder == 0 {
-		return o.State == Completed
-	}
-	return o.ownVersion() == withdrawn.RemovedOrder
+	return o.isSameAs(withdrawn) || withdrawn.RemovedOrder == 0 && o.State == Completed
 }
 
 // WithPhase returns the order in a phase that a row of the given version holds.
--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -87,14 +87,18 @@
 	}
 }
 
-// replace applies a newer order, or the removal of the newest.
+// replace applies a newer order, or the removal of the newest, which may have an outcome since.
 func (l *Orders) replace(now time.Time, r *record, u Order, source string) {
 	before := r.newest
-	if u.removes(before) {
+	if u.removes(before) || u.isSameAs(before) {
 		if !before.Active() && before.State != Withdrawn {
 			return // removed after its end
 		}
-		l.set(now, r, before.WithRemoval(u.Version).merge(u).withState(Withdrawn), source)
+		next := before.WithRemoval(u.Version).merge(u)
+		if u.State == Withdrawn {
+			next = next.withState(Withdrawn)
+		}
+		l.set(now, r, next, source)
 		return
 	}
 	r.remember(before)
--- a/canary/orders/orders_test.go
+++ b/canary/orders/orders_test.go
@@ -137,10 +137,11 @@
 		after   time.Duration // since the end
 		want    bool
 	}{
-		"active":                     {[]orders.Order{order(5, "v2", orders.Running, 6)}, time.Hour, false},
-		"just rolled back":           {[]orders.Order{order(5, "v2", orders.Running, 6), order(5, "v2", orders.RolledBack, 7)}, 29 * time.Second, false},
-		"rolled back earlier":        {[]orders.Order{order(5, "v2", orders.Running, 6), order(5, "v2", orders.RolledBack, 7)}, 30 * time.Second, true},
-		"rolled back before a start": {[]orders.Order{order(5, "v2", orders.RolledBack, 7)}, 0, true},
+		"active":                      {[]orders.Order{order(5, "v2", orders.Running, 6)}, time.Hour, false},
+		"just rolled back":            {[]orders.Order{order(5, "v2", orders.Running, 6), order(5, "v2", orders.RolledBack, 7)}, 29 * time.Second, false},
+		"rolled back earlier":         {[]orders.Order{order(5, "v2", orders.Running, 6), order(5, "v2", orders.RolledBack, 7)}, 30 * time.Second, true},
+		"withdrawn, told the outcome": {[]orders.Order{order(5, "v2", orders.Running, 6), removal(7), withdrawn(8, 5, "v2").WithStatus(orders.RolledBack, 8)}, 29 * time.Second, false},
+		"rolled back before a start":  {[]orders.Order{order(5, "v2", orders.RolledBack, 7)}, 0, true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/canary/orders/withdrawn_test.go
+++ b/canary/orders/withdrawn_test.go
@@ -15,12 +15,17 @@
 	return orders.Order{Service: service, Version: version, RemovedOrder: removed, Target: target, State: orders.Withdrawn}
 }
 
+// rolledBackAs returns a withdrawn order with its outcome, as another box tells it.
+func rolledBackAs(version, removed, status int64) orders.Order {
+	return withdrawn(version, removed, "v2").WithStatus(orders.RolledBack, status)
+}
+
 // TestRemovedOrder checks that an order that was withdrawn keeps the version of its own row, and that
 // neither the removal nor the outcome of another order with the same target counts for it.
 func TestRemovedOrder(t *testing.T) {
 	running := order(5, "v2", orders.Running, 6)
 	ended := order(5, "v2", orders.RolledBack, 7)
-	rolledBack := withdrawn(12, 9, "v2").WithStatus(orders.RolledBack, 13)
+	rolledBack := rolledBackAs(12, 9, 13)
 	tests := map[string]struct {
 		updates []orders.Order
 		state   orders.State
@@ -45,6 +50,9 @@
 		"ordered again, outcome of the first":    {[]orders.Order{ended, withdrawn(12, 9, "v2"), ended}, orders.Withdrawn, 12, 9},
 		"ordered again, completion of the first": {[]orders.Order{withdrawn(12, 9, "v2"), order(5, "v2", orders.Completed, 7)}, orders.Withdrawn, 12, 9},
 		"outcome":                                {[]orders.Order{withdrawn(12, 9, "v2"), rolledBack}, orders.RolledBack, 12, 9},
+		"outcome, removal told later":            {[]orders.Order{withdrawn(9, 5, "v2"), rolledBackAs(12, 5, 13)}, orders.RolledBack, 12, 5},
+		"outcome, order still in force here":     {[]orders.Order{running, rolledBackAs(12, 5, 13)}, orders.RolledBack, 12, 5},
+		"outcome told twice":                     {[]orders.Order{ended, rolledBackAs(12, 5, 13)}, orders.RolledBack, 5, 0},
 		"outcome, removal listed later":          {[]orders.Order{withdrawn(14, 9, "v2"), rolledBack}, orders.RolledBack, 14, 9},
 		"outcome before the removal":             {[]orders.Order{withdrawn(12, 9, "v2"), order(9, "v2", orders.Completed, 10)}, orders.Completed, 12, 9},
 		"removal listed after the outcome":       {[]orders.Order{withdrawn(12, 9, "v2"), rolledBack, withdrawn(14, 9, "v2")}, orders.RolledBack, 12, 9},
