edge: count calls to the store for roll-outs in one place of the tests

TestStoreCalls counted them by itself; TestWithdrawnEarly and TestOrdersInSuccession need the same sum. The checks are as they were; TestStoreCalls passes.

--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -619,11 +619,7 @@
 		ctx, end := (&cluster{}).context(t)
 		defer end()
 		s := newRolloutSite(ctx, t, 76, 100)
-		calls := func() int {
-			s.table.mu.Lock()
-			defer s.table.mu.Unlock()
-			return s.table.reads["status"] + s.table.reads["rollouts"] + s.table.writes.done
-		}
+		calls := s.rolloutCalls
 		time.Sleep(5 * time.Second)
 		before := calls()
 		is.Equal(before, 0)
