--- a/canary/orders/withdrawn_test.go
+++ b/canary/orders/withdrawn_test.go
@@ -132,8 +132,8 @@
 	f.Update(start, c, "test")
 }
 
-// hear applies what another box knows.
-func (f *follower) hear(other *follower) {
+// applyWordsOf applies what another box knows.
+func (f *follower) applyWordsOf(other *follower) {
 	for _, o := range other.All() {
 		f.Update(start, orders.FromWord(start, o.Word(start)), "test")
 	}
@@ -162,7 +162,7 @@
 			case 1:
 				f.list(changes, at)
 			default:
-				f.hear(boxes[random.IntN(len(boxes))])
+				f.applyWordsOf(boxes[random.IntN(len(boxes))])
 			}
 		}
 		checkAgreement(t, seed, changes, boxes)
@@ -179,7 +179,7 @@
 	for range 3 {
 		for _, f := range boxes {
 			for _, other := range boxes {
-				f.hear(other)
+				f.applyWordsOf(other)
 			}
 		}
 	}
--- a/edge/rollouts_withdrawn_test.go
+++ b/edge/rollouts_withdrawn_test.go
@@ -124,7 +124,7 @@
 	time.AfterFunc(withdrawalFaultTime, func() { s.cutOff(e, false) })
 }
 
-// cutFirstReaderOffStore cuts the first reader off the store for good; the others still hear from it.
+// cutFirstReaderOffStore cuts the first reader off the store for good; it still reaches the other boxes.
 func cutFirstReaderOffStore(_ context.Context, s *rolloutSite) {
 	name := s.firstReader().Name()
 	s.table.setCutOff(func(box string) bool { return box == name })
