readpolicy, members, edge: other boxes read the store that turns the readers away

Callers saw requests run with a removed key, 404 on new routes (CONFIG) and requests at workers that were leaving (DRAIN), up to 3.3 s after the store's confirmation, where 2 s are allowed, at boxes that the store served.

Cause: three hubs read the store for all, chosen by whether they answer other boxes, not by whether the store answers them. Another box read only when its table was older than 2.9 to 3.7 s, stopped once it had read, and told nobody if it was no hub. That age counts from when a call was sent, so it is up to 2.4 s old in calm and no lower limit could tell an outage.

Now every box reports when the store last answered it, table by table (configuration_read_ms, upstreams_read_ms). Once the store has answered no reader for 0.9 s, up to five standbys follow it until it answers a reader again, and all boxes of up to 240 call them as they call hubs; after 1.35 to 1.55 s without an answer to any of these every box reads (in a large fleet every hub). A hub fetches a newer configuration that another box announces. Readers' calls end in turns by the store's clock, so that 0.9 s do not pass in calm.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -7,6 +7,7 @@
 	"petrelstep/config"
 	"petrelstep/fleet"
 	"petrelstep/peerstate"
+	"petrelstep/storecontact"
 	"petrelstep/wire"
 )
 
@@ -42,6 +43,7 @@
 		e.registrar.add(from.Sender)
 	}
 	e.receiveDepartures(now, from.Departing)
+	e.fetchFromCaller(now, from)
 	e.quarantine.Update(now, from.Ends)
 	e.limits.Update(now, from.Limits, e.members.IsHubBox(now, from.Sender.Box))
 	e.rejectionLimits.Update(now, from.RejectionLimits, e.members.IsHubBox(now, from.Sender.Box))
@@ -57,6 +59,7 @@
 		e.reportWithout(now, from.Sender.Box, from.WantsSpeeds).fillAnswer(&a)
 		a.Hubs = e.hubRecords(now)
 	}
+	a.ConfigurationReadMs, a.UpstreamsReadMs = e.answeredAgeMs(now, storecontact.Configuration), e.answeredAgeMs(now, storecontact.Upstreams)
 	e.answerFleetSize(now, &a)
 	e.answerConfiguration(now, &a)
 	e.answerEnds(now, from, &a)
@@ -65,6 +68,14 @@
 	return a
 }
 
+// fetchFromCaller fetches a newer configuration of a box that calls this one: the store may have
+// turned away all hubs. A box without any waits for a hub, which knows when it was confirmed.
+func (e *Edge) fetchFromCaller(now time.Time, from wire.Gossip) {
+	if table, _, _ := e.routes.Current(now); table != nil {
+		e.fetchConfiguration(now, from.Sender, from.Version, time.Time{})
+	}
+}
+
 // answerFleetSize adds the number of boxes per hall and the live hubs, for large fleets
 // in which boxes don't call every hub. Boxes also get what other hubs reported, since
 // they don't call those; hubs get only this hub's own count, as two hubs would
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -32,7 +33,6 @@
 	"petrelstep/platform/blocklist"
 	"petrelstep/platform/manifest"
 	"petrelstep/platform/store"
-	"petrelstep/tablesync"
 	"petrelstep/upstreamload"
 	"petrelstep/wire"
 )
@@ -46,6 +46,8 @@
 	// rowWriteTime is the store's time to write a row, and listTime to list the boxes.
 	rowWriteTime = 5 * time.Millisecond
 	listTime     = 20 * time.Millisecond
+	// listTimeout is the time-out of a listing's calls.
+	listTimeout = 1800 * time.Millisecond
 	// rowReadTime is the store's time to read a row; listings are serialized.
 	rowReadTime = 2 * time.Microsecond
 )
@@ -61,14 +63,16 @@
 	fleetListings map[string]int // of the upstreams, by box
 	boxRowsRead   int            // rows of boxes read
 	writes        writeStats
-	refuse        func() bool           // reports whether to refuse the next connection; nil for never
-	silent        bool                  // calls block until their context ends
-	cutOff        func(box string) bool // reports whether a box can't reach the store; nil for never
-	loseAnswers   bool                  // writes are applied without an answer
-	forgotten     int64                 // changes up to this version are in no feed
-	reads         map[string]int        // listings by table
-	statuses      []string              // values of the rows of table status, as written
-	statusAt      time.Time             // of the last one
+	refuse        func() bool                 // reports whether to refuse the next connection; nil for never
+	silent        bool                        // calls block until their context ends
+	cutOff        func(box string) bool       // reports whether a box can't reach the store; nil for never
+	turnsAway     func(call storeCall) string // how a call is turned away, "" if it is not; nil for none
+	calls         int                         // made by all boxes
+	loseAnswers   bool                        // writes are applied without an answer
+	forgotten     int64                       // changes up to this version are in no feed
+	reads         map[string]int              // listings by table
+	statuses      []string                    // values of the rows of table status, as written
+	statusAt      time.Time                   // of the last one
 }
 
 // setSilent makes the store block calls or answer them again.
@@ -85,6 +89,58 @@
 	t.cutOff = cutOff
 }
 
+// storeCall is a call of a box to the store.
+type storeCall struct{ box, name, table string }
+
+// setTurnsAway sets how calls are turned away; nil ends that.
+func (t *memStore) setTurnsAway(turnsAway func(call storeCall) string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turnsAway = turnsAway
+}
+
+// resetListings forgets which boxes have listed tables.
+func (t *memStore) resetListings() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.listings)
+}
+
+// storeCalls returns how many listings and feeds were called by all boxes.
+func (t *memStore) storeCalls() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls
+}
+
+// turnAway returns the error of a call that is turned away.
+func (r storeClient) turnAway(ctx context.Context, name, table string) error {
+	r.mu.Lock()
+	r.calls++
+	how := ""
+	if r.turnsAway != nil {
+		how = r.turnsAway(storeCall{r.box, name, table})
+	}
+	r.mu.Unlock()
+	switch how {
+	case "":
+		return nil
+	case "silent":
+		if name == "rows-get" {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, listTimeout)
+			defer cancel()
+		}
+		<-ctx.Done()
+		return &store.Error{Call: name, Err: ctx.Err()}
+	case "reset":
+		return &store.Error{Call: name, Err: io.ErrUnexpectedEOF}
+	case "429":
+		return &store.Error{Call: name, Status: http.StatusTooManyRequests, NoEffect: true}
+	}
+	return &store.Error{Call: name, Status: http.StatusServiceUnavailable, NoEffect: true}
+}
+
 // waitWhileSilent blocks until ctx ends if the box does not reach the store.
 func (r storeClient) waitWhileSilent(ctx context.Context) error {
 	r.mu.Lock()
@@ -195,6 +251,9 @@
 	if err := r.waitWhileSilent(ctx); err != nil {
 		return nil, 0, err
 	}
+	if err := r.turnAway(ctx, "rows-get", of.Table); err != nil {
+		return nil, 0, err
+	}
 	rows, last, _ := r.changesAfter(of.Table, 0)
 	rows = slices.DeleteFunc(rows, func(o store.Row) bool { return o.Removed })
 	r.mu.Lock()
@@ -223,6 +282,9 @@
 		if err := r.waitWhileSilent(ctx); err != nil {
 			return nil, 0, err
 		}
+		if err := r.turnAway(ctx, "rows-feed", of); err != nil {
+			return nil, 0, err
+		}
 		rows, last, changed := r.historyAfter(of, mark)
 		if r.isForgotten(mark) {
 			return nil, 0, &store.Error{Call: "rows-feed", Forgotten: true}
@@ -232,6 +294,12 @@
 		}
 		select {
 		case <-end:
+			if err := r.turnAway(ctx, "rows-feed", of); err != nil {
+				return nil, 0, err
+			}
+			r.mu.Lock()
+			r.calls-- // the same call
+			r.mu.Unlock()
 			return nil, max(last, mark), nil
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
@@ -567,6 +635,7 @@
 	e.tunnelClient = tunnel.NewClient(e.peers, name, e.config.Edge.Fleet)
 	e.quarantineStore.table = c.quarantines
 	e.configuration = manifest.NewConfiguration(storeClient{c.table, name}, e.routes, e.halls, e.log)
+	e.storeClock = storeClient{}.ClockAt
 	e.rollouts = newRolloutControl(e, storeClient{c.table, name})
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -582,8 +651,9 @@
 	c.mu.Unlock()
 	time.AfterFunc(listTime, func() { e.setPreviousBoxes(records) })
 	workers := manifest.NewWorkers(storeClient{c.table, e.Name()}, e.fleet, e.hasService, e.metrics, e.log)
-	go tablesync.New("configuration", e.configuration, storeAnswers{e.routes.Confirm, e.recordStoreAnswer}, e.readPolicy("configuration", e.routes.Age), e.log).Run(ctx)
-	go tablesync.New("upstreams", workers, storeAnswers{e.confirmFleet, e.recordStoreAnswer}, e.readPolicy("upstreams", e.fleet.Age), e.log).Run(ctx)
+	for _, f := range e.followers(workers) {
+		go f.Run(ctx)
+	}
 	go e.timer.Every(ctx, "tick", tickInterval, func(now time.Time) {
 		e.fleet.Tick(now)
 		e.quarantine.Tick(now)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -46,6 +46,7 @@
 	"petrelstep/routecache"
 	"petrelstep/runs"
 	"petrelstep/snapshot"
+	"petrelstep/storecontact"
 	"petrelstep/timer"
 	"petrelstep/upstreamlimits"
 	"petrelstep/upstreamload"
@@ -128,6 +129,8 @@
 	routes          *routecache.Cache
 	fleet           *fleet.Fleet
 	halls           *halls.Halls
+	contact         *storecontact.Tracker
+	storeClock      func(at time.Time) (ms int64, known bool)
 	loads           *upstreamload.Tracker
 	reliability     *reliability.Reliability
 	speeds          *speeds.Speeds // nil if disabled
@@ -209,6 +212,7 @@
 		store:       store.New(c.Platform.Address, counts).WithUnknownFields(counts, log),
 		routes:      routecache.New(config.Millis(s.KeyAgeMs) - keyAgeMargin),
 		fleet:       fleet.New(time.Duration(missingFraction * float64(config.Millis(s.LeaveMs)))),
+		contact:     storecontact.New(),
 		loads:       upstreamload.New(),
 		reliability: reliability.New(),
 		runs:        runs.New(),
@@ -232,6 +236,7 @@
 	e.tunnelClient = tunnel.NewClient(e.tunnelCalls, c.Box, s.Fleet)
 	e.tunnelChoice = tunnel.NewChoice(c.Hall, e.regions, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 9)))
 	e.tunnels = newTunnelServer(e)
+	e.storeClock = e.store.ClockAt
 	e.boxes = manifest.NewBoxes(e.store, counts, log)
 	e.quarantineStore = &quarantineStore{table: blocklist.New(e.store), log: log}
 	e.quarantine = quarantine.New(counts, e.quarantineStore, log)
@@ -244,11 +249,7 @@
 	e.snapshot = snapshot.New(e.fleetSnapshot)
 	e.halls = halls.New(e.onHallChange)
 	e.configuration = manifest.NewConfiguration(e.store, e.routes, e.halls, log)
-	e.members = members.New(members.Box{
-		Name: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: e.record.Incarnation, State: members.Live,
-		HubEligible: e.record.Strong,
-	})
-	e.members.SetRegions(e.regions)
+	e.members = newMembers(e.record, e.regions)
 	e.rollouts = newRolloutControl(e, e.store)
 	e.routes.SetSuspendedSince(e.suspendedSince)
 	e.fleet.SetSuspendedSince(e.suspendedSince)
@@ -256,6 +257,15 @@
 	return e
 }
 
+// newMembers returns a membership that contains only this box.
+func newMembers(r wire.BoxRecord, regions distance.Map) *members.Members {
+	m := members.New(members.Box{
+		Name: r.Box, Hall: r.Hall, Address: r.Address, Incarnation: r.Incarnation, State: members.Live, HubEligible: r.Strong,
+	})
+	m.SetRegions(regions)
+	return m
+}
+
 // initServing creates the components that handle requests.
 func (e *Edge) initServing() {
 	s := e.config.Edge
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -171,7 +171,7 @@
 		e.halls.Update(now, halls.Status{Hall: w.Hall, Evacuated: w.Evacuated, Version: int64(w.Version)}, a.Sender.Box)
 	}
 	e.rollouts.receiveOrders(now, a, sent) // likewise
-	e.fetchConfiguration(now, a, sent)
+	e.fetchConfiguration(now, a.Sender, a.Version, sent.Add(-config.Millis(a.VersionAgeMs)))
 	table, _, _ := e.routes.Current(now)
 	if table != nil && table.Version() == a.Version {
 		e.routes.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
@@ -186,6 +186,7 @@
 		e.receiveSums(now, answerReport(a))
 	}
 	e.recordStoreAnswer(sent.Add(-config.Millis(a.StoreSilentMs)))
+	e.receiveContact(now, a, sent)
 }
 
 // receiveFleetSize records the number of boxes and when a hub last heard from the other
@@ -318,12 +319,11 @@
 	}
 }
 
-// fetchConfiguration fetches a newer configuration from a hub, one fetch at a time,
-// since all hubs announce it at once. The age in the hub's answer also applies to the
-// configuration fetched; otherwise a box that has just started would treat it as stale
-// until the next answer and read the store.
-func (e *Edge) fetchConfiguration(now time.Time, a wire.GossipAnswer, sent time.Time) {
-	hub, version := a.Sender, a.Version
+// fetchConfiguration fetches a newer configuration that a box announces, one fetch at a time,
+// since all hubs announce it at once. confirmed is when the store had confirmed it, so that the
+// configuration of a box that has just started is not stale until the next answer; zero if
+// unknown.
+func (e *Edge) fetchConfiguration(now time.Time, from wire.BoxRecord, version int, confirmed time.Time) {
 	table, _, _ := e.routes.Current(now)
 	if table != nil && table.Version() >= version || version == 0 || !e.fetching.CompareAndSwap(false, true) {
 		return
@@ -333,16 +333,16 @@
 		ctx, cancel := context.WithTimeout(context.Background(), configurationTimeout)
 		defer cancel()
 		var answer wire.Configuration
-		err := e.peers.CallIdempotent(ctx, hub.Address, peer.Configuration, wire.Nothing{}, &answer)
+		err := e.peers.CallIdempotent(ctx, from.Address, peer.Configuration, wire.Nothing{}, &answer)
 		if err == nil && answer.Version > 0 {
-			err = e.configuration.ApplyEncoded([]byte(answer.Encoded), hub.Box)
+			err = e.configuration.ApplyEncoded([]byte(answer.Encoded), from.Box)
 		}
 		if err != nil {
-			e.log.WithError(err).WithFields(logrus.Fields{"peer": hub.Box, "version": version}).Warn("configuration_not_taken")
+			e.log.WithError(err).WithFields(logrus.Fields{"peer": from.Box, "version": version}).Warn("configuration_not_taken")
 			return
 		}
-		if answer.Version >= version {
-			e.routes.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
+		if answer.Version >= version && !confirmed.IsZero() {
+			e.routes.Confirm(confirmed)
 		}
 	}()
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -16,8 +16,6 @@
 	"petrelstep/peer/edgerpc"
 	"petrelstep/platform/manifest"
 	"petrelstep/probe"
-	"petrelstep/readpolicy"
-	"petrelstep/tablesync"
 )
 
 const (
@@ -157,10 +155,9 @@
 // startTasks starts the background tasks.
 func (e *Edge) startTasks(ctx context.Context, all *sync.WaitGroup) {
 	workers := manifest.NewWorkers(e.store, e.fleet, e.hasService, e.metrics, e.log)
-	configuration := tablesync.New("configuration", e.configuration, storeAnswers{e.routes.Confirm, e.recordStoreAnswer}, e.readPolicy("configuration", e.routes.Age), e.log)
-	all.Go(func() { configuration.Run(ctx) })
-	upstreams := tablesync.New("upstreams", workers, storeAnswers{e.confirmFleet, e.recordStoreAnswer}, e.readPolicy("upstreams", e.fleet.Age), e.log)
-	all.Go(func() { upstreams.Run(ctx) })
+	for _, f := range e.followers(workers) {
+		all.Go(func() { f.Run(ctx) })
+	}
 	all.Go(func() { e.timer.Every(ctx, "tick", tickInterval, e.tick) })
 	prober := probe.New(e.fleet, e.storeSilence, e.runs, e.upstreams, e.limits, e.rejectionLimits, e.backoff, e.log)
 	all.Go(func() {
@@ -175,17 +172,6 @@
 	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
 }
 
-// storeAnswers records the store's answers on one table.
-type storeAnswers struct {
-	confirm, answered func(at time.Time)
-}
-
-// Confirm implements tablesync.Observer.
-func (h storeAnswers) Confirm(sent time.Time) { h.confirm(sent) }
-
-// Answered implements tablesync.Observer.
-func (h storeAnswers) Answered(at time.Time) { h.answered(at) }
-
 // confirmFleet records when the fleet was complete. A box that has just started is ready
 // from then on, so that orders whose status is not known are applied before.
 func (e *Edge) confirmFleet(at time.Time) {
@@ -252,34 +238,6 @@
 	log.Info("configuration_confirmed")
 }
 
-// readPolicy returns the policy that decides when this box reads a table itself.
-func (e *Edge) readPolicy(table string, age func(now time.Time) (time.Duration, bool)) tablesync.Need {
-	return &loggedPolicy{Policy: readpolicy.New(e, age, e.config.Edge.ColdStart, e.random), table: table, edge: e, age: age}
-}
-
-// loggedPolicy logs and counts the reasons for reading a table.
-type loggedPolicy struct {
-	*readpolicy.Policy
-	table string
-	edge  *Edge
-	age   func(now time.Time) (time.Duration, bool)
-	last  readpolicy.Reason
-}
-
-// Needed implements tablesync.Need.
-func (r *loggedPolicy) Needed(now time.Time) bool {
-	reason := r.Reason(now)
-	if reason != r.last && reason != readpolicy.None {
-		age, known := r.age(now)
-		r.edge.metrics.StoreRead(r.table, string(reason))
-		r.edge.log.WithFields(logrus.Fields{
-			"table": r.table, "reason": reason, "known": known, "age_ms": min(age, neverAge).Milliseconds(), "nearest": r.edge.members.PrimaryHub(now).Name,
-		}).Info("store_read")
-	}
-	r.last = reason
-	return reason != readpolicy.None
-}
-
 // drainAll announces the stop so that callers go elsewhere, and waits for the requests
 // in flight.
 func (e *Edge) drainAll(ctx context.Context, servers []*http.Server) {
--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -21,7 +21,6 @@
 	"petrelstep/members"
 	"petrelstep/platform/manifest"
 	"petrelstep/platform/store"
-	"petrelstep/tablesync"
 	"petrelstep/wire"
 )
 
@@ -89,8 +88,9 @@
 	e.boxes = manifest.NewBoxes(rows, e.metrics, e.log)
 	e.configuration = manifest.NewConfiguration(rows, e.routes, e.halls, e.log)
 	workers := manifest.NewWorkers(rows, e.fleet, e.hasService, e.metrics, e.log)
-	go tablesync.New("configuration", e.configuration, storeAnswers{e.routes.Confirm, e.recordStoreAnswer}, e.readPolicy("configuration", e.routes.Age), e.log).Run(ctx)
-	go tablesync.New("upstreams", workers, storeAnswers{e.confirmFleet, e.recordStoreAnswer}, e.readPolicy("upstreams", e.fleet.Age), e.log).Run(ctx)
+	for _, f := range e.followers(workers) {
+		go f.Run(ctx)
+	}
 	go e.timer.Every(ctx, "tick", tickInterval, e.tick)
 	go e.timer.Every(ctx, "register", registerInterval, func(time.Time) { e.registrar.write(ctx) })
 	go e.join(ctx)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,9 +19,6 @@
 )
 
 const (
-	// period is the time between calls to a hub. Two hubs call each other, and so
-	// exchange reports twice as often.
-	period = 250 * time.Millisecond
 	// backupPeriod is the time between calls to the backup hub of a large fleet. While
 	// the primary hub does not answer, the backup is called each period too, as this
 	// box would otherwise have to read the store.
@@ -34,6 +32,10 @@
 	maxUnanswered = 2
 )
 
+// Period is the time between calls to a hub. Two hubs call each other, and so exchange reports
+// twice as often.
+const Period = 250 * time.Millisecond
+
 // WrongBoxError says that another box than the expected one answered at an address, or one
 // of another fleet. Its answer is not used.
 type WrongBoxError struct {
@@ -55,6 +57,8 @@
 	ReportFor(hub members.Box) wire.Gossip
 	// HandleAnswer handles a hub's answer to a call sent at a time.
 	HandleAnswer(a wire.GossipAnswer, sent time.Time)
+	// Standbys returns further boxes to call, while the store answers no reader.
+	Standbys(now time.Time) []members.Box
 }
 
 // Peers calls other boxes.
@@ -87,10 +91,10 @@
 	tasks.New(g.timer, checkInterval, g.hubs, g.callHub).Run(ctx)
 }
 
-// hubs returns the hubs to call, by address.
+// hubs returns the hubs and standbys to call, by address.
 func (g *Gossip) hubs(now time.Time) map[string]members.Box {
 	hubs := map[string]members.Box{}
-	for _, b := range g.members.HubsToCall(now) {
+	for _, b := range slices.Concat(g.members.HubsToCall(now), g.handler.Standbys(now)) {
 		hubs[b.Address] = b
 	}
 	return hubs
@@ -100,8 +104,8 @@
 func (g *Gossip) callHub(ctx context.Context, b members.Box) {
 	unanswered := 0
 	var last time.Time
-	g.timer.Every(ctx, b.Name, period, func(now time.Time) {
-		if g.members.IsBackupHub(now, b) && g.answered(g.members.PrimaryHub(now).Name) && now.Sub(last) < backupPeriod-period/2 {
+	g.timer.Every(ctx, b.Name, Period, func(now time.Time) {
+		if g.members.IsBackupHub(now, b) && g.answered(g.members.PrimaryHub(now).Name) && now.Sub(last) < backupPeriod-Period/2 {
 			return
 		}
 		last = now
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -113,10 +113,18 @@
 type box struct {
 	mu      sync.Mutex
 	answers map[string]time.Time // by hub
+
+	standbys []members.Box
 }
 
 func (*box) ReportFor(members.Box) wire.Gossip { return wire.Gossip{FleetName: "own fleet"} }
 
+func (b *box) Standbys(time.Time) []members.Box {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.standbys
+}
+
 func (b *box) HandleAnswer(a wire.GossipAnswer, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -327,6 +335,39 @@
 	<-done
 }
 
+// TestStandbysCalled checks that standbys are called as often as hubs while they are needed.
+func TestStandbysCalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &network{faults: map[string]string{}, calls: map[string][]time.Time{}, forgot: map[string]int{}}
+		b := &box{answers: map[string]time.Time{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			gossip.New(fleet(50), n, b, timer.New(), logs.New(io.Discard, "info", "self")).Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		is.Equal(n.called(), 4) // the hubs
+		b.mu.Lock()
+		b.standbys = []members.Box{{Name: "standby", Address: "standby"}}
+		b.mu.Unlock()
+		time.Sleep(gossip.Period + 10*time.Millisecond)
+		is.Equal(n.called(), 5)
+		time.Sleep(time.Second)
+		is.True(n.oftenCalled(b.standbys))
+		b.mu.Lock()
+		b.standbys = nil
+		b.mu.Unlock()
+		time.Sleep(2 * gossip.Period)
+		ended := time.Now()
+		time.Sleep(time.Second)
+		is.Equal(n.since("standby", ended), 0)
+		cancel()
+		<-done
+	})
+}
+
 // TestBackupReplacesPrimary guards against calling the backup hub so rarely, while the
 // primary does not answer, that the box reads the store instead.
 func TestBackupReplacesPrimary(t *testing.T) {
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -73,6 +73,7 @@
 	m.largeFleetCounts = m.largeFleet(now)
 	healthy, retryable := m.candidates(now)
 	hubs := m.choose(healthy)
+	m.standbys = m.chooseStandbys(healthy, hubs)
 	m.probes = nil
 	if len(retryable) > 0 {
 		m.probes = without(m.choose(sorted(append(slices.Clone(healthy), retryable...))), hubs)
@@ -86,6 +87,21 @@
 	return hubs
 }
 
+// chooseStandbys selects the boxes that follow the store while it answers no reader: hubs
+// first, then the other candidates. A large fleet has enough hubs, and most of its boxes call
+// no others.
+func (m *Members) chooseStandbys(healthy []candidate, hubs []Box) []Box {
+	order := slices.Clone(hubs[min(len(hubs), MaxReaders):])
+	if m.largeFleetCounts == nil {
+		others := make([]Box, 0, len(healthy))
+		for _, c := range healthy {
+			others = append(others, c.box)
+		}
+		order = append(order, without(others, hubs)...)
+	}
+	return slices.Clip(order[:min(len(order), MaxStandbys)])
+}
+
 // without returns the boxes that are not among others.
 func without(boxes, others []Box) []Box {
 	return slices.DeleteFunc(boxes, func(b Box) bool {
@@ -306,6 +322,38 @@
 	return slices.ContainsFunc(hubs[:min(len(hubs), MaxReaders)], func(b Box) bool { return b.Name == name })
 }
 
+// MaxStandbys is the maximum number of boxes that follow the store while it answers no
+// reader. The store may turn any of them away too.
+const MaxStandbys = 5
+
+// Standbys returns the boxes that follow the store while it answers no reader. The returned
+// slice is shared and must not be modified.
+func (m *Members) Standbys(now time.Time) []Box {
+	m.Hubs(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.standbys
+}
+
+// StandbysToCall returns the standbys that this box calls in addition to the hubs. Boxes of a
+// large fleet that are not hubs depend on their hubs alone.
+func (m *Members) StandbysToCall(now time.Time) []Box {
+	if m.LargeFleetCounts(now) != nil {
+		return nil
+	}
+	self := m.Self().Name
+	return slices.DeleteFunc(without(slices.Clone(m.Standbys(now)), m.Hubs(now)), func(b Box) bool { return b.Name == self })
+}
+
+// ReadIndex returns the position of this box in the order of the readers and standbys, and
+// false if it is neither.
+func (m *Members) ReadIndex(now time.Time) (index int, is bool) {
+	hubs, self := m.Hubs(now), m.Self().Name
+	order := append(slices.Clone(hubs[:min(len(hubs), MaxReaders)]), m.Standbys(now)...)
+	index = slices.IndexFunc(order, func(b Box) bool { return b.Name == self })
+	return index, index >= 0
+}
+
 // Owner returns the hub that is first in the rendezvous order of a key.
 func (m *Members) Owner(now time.Time, key string) (Box, bool) {
 	hubs := m.Hubs(now)
--- a/members/members.go
+++ b/members/members.go
@@ -71,6 +71,7 @@
 
 	// hubs caches the current hubs; nil until they are computed.
 	hubs             []Box
+	standbys         []Box                // follow the store in place of the readers
 	probes           []Box                // would be hubs but for a failure that has expired
 	hubsValidUntil   time.Time            // next expiry of a failure or of a reported count; zero if there is none
 	hubSince         time.Time            // since when this box is a hub; zero if it is not
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -309,6 +309,47 @@
 	}
 }
 
+// TestStandbys checks which boxes follow the store in place of the readers, and that all boxes
+// agree on them.
+func TestStandbys(t *testing.T) {
+	tests := map[string]struct {
+		boxes, halls, hubs int // hubs among the standbys
+		want, call         int // standbys, and those that another box calls besides the hubs
+	}{
+		"all boxes read":        {3, 3, 0, 0, 0},
+		"all others":            {7, 4, 1, 4, 3},
+		"more boxes":            {77, 3, 0, 5, 5},
+		"hubs of more halls":    {195, 12, 5, 5, 0},
+		"hubs of a large fleet": {300, 1, 5, 5, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			views := newFleet(tt.boxes, tt.halls)
+			first := views["box0"]
+			standbys := first.Standbys(start)
+			is.Equal(len(standbys), tt.want)
+			isHub := func(b members.Box) bool { return first.IsHubBox(start, b.Name) }
+			is.Equal(len(slices.DeleteFunc(slices.Clone(standbys), isHub)), tt.want-tt.hubs)
+			is.True(!slices.ContainsFunc(standbys, func(b members.Box) bool { return first.IsReaderBox(start, b.Name) }))
+			indices := map[int]bool{}
+			for _, m := range views {
+				is.Equal(m.Standbys(start), standbys)
+				i, reads := m.ReadIndex(start)
+				if reads {
+					indices[i] = true
+					continue
+				}
+				is.Equal(len(m.StandbysToCall(start)), tt.call)
+			}
+			is.Equal(len(indices), min(members.MaxReaders, len(first.Hubs(start)))+tt.want)
+			for _, b := range standbys {
+				is.True(!slices.Contains(views[b.Name].StandbysToCall(start), b))
+			}
+		})
+	}
+}
+
 // newFleet returns the membership of each box of a fleet whose boxes have all seen each
 // other.
 func newFleet(boxes, halls int) map[string]*members.Members {
--- a/readpolicy/readpolicy.go
+++ b/readpolicy/readpolicy.go
@@ -1,6 +1,7 @@
 // Package readpolicy decides when a box reads a table of the platform's store itself.
-// Calls to the store are paid for, so that a few hubs read and report to the others. A
-// box that receives no report, or only outdated ones, reads too.
+// Calls to the store are paid for, so that a few hubs read and report to the others. Some
+// standbys read in their place while the store answers none of them. A box that receives no
+// report, or only outdated ones, reads too.
 package readpolicy
 
 import (
@@ -12,6 +13,22 @@
 )
 
 const (
+	// StandbyAge is the time without an answer of the store to any reader after which the
+	// standbys read. Readers' calls end ReadPeriod/3 apart, and are reported a gossip period
+	// later.
+	StandbyAge = 900 * time.Millisecond
+	// UnreadAge is the time without an answer of the store to any other box after which
+	// every box reads that may; the standbys' first answers are known before.
+	UnreadAge = 1350 * time.Millisecond
+	// MaxUnreadSpread bounds the random delay that each box adds to UnreadAge.
+	MaxUnreadSpread = 200 * time.Millisecond
+	// ReadPeriod is the time between the ends of a reader's calls that return no changes.
+	ReadPeriod = 960 * time.Millisecond
+)
+
+const (
+	// minPeriodicWait is the minimum wait of a call that ends at a fixed time of the period.
+	minPeriodicWait = 100 * time.Millisecond
 	// longPollWait is how long a call waits for changes, and so how often the store
 	// confirms that there are none. A reader that has lost the store finds out by its
 	// first failed call, well before keys are refused.
@@ -87,6 +104,24 @@
 	LastPromised() time.Time
 }
 
+// Contact returns what is known about the store's answers to the other boxes about a table.
+type Contact interface {
+	// ReaderSilence returns the time since the store last answered a reader; false if
+	// unknown.
+	ReaderSilence(now time.Time) (silence time.Duration, known bool)
+	// Silence returns the time since the store last answered any other box; false if
+	// unknown.
+	Silence(now time.Time) (silence time.Duration, known bool)
+	// Standby reports whether this box reads while the store answers no reader.
+	Standby() bool
+	// Fallback reports whether this box reads while the store answers neither the readers
+	// nor the standbys.
+	Fallback() bool
+	// Phase returns the time since the last end of this box's calls in the period that the
+	// readers share, by the store's clock; false if unknown.
+	Phase(now time.Time) (time.Duration, bool)
+}
+
 // Policy is the policy of one table. It is safe for concurrent use.
 type Policy struct {
 	boxes     Boxes
@@ -95,6 +130,7 @@
 	coldUntil time.Time // end of the cold start; zero if it is none
 	spread    time.Duration
 	firstWait time.Duration // for the first report
+	contact   Contact       // nil: unknown
 
 	mu       sync.Mutex
 	joinedAt time.Time // when Joined was first true
@@ -112,6 +148,12 @@
 	return p
 }
 
+// WithContact returns a policy that also follows the store's answers to the other boxes. It
+// must be called before the policy is used.
+func (p *Policy) WithContact(c Contact) *Policy {
+	return &Policy{boxes: p.boxes, age: p.age, startedAt: p.startedAt, coldUntil: p.coldUntil, spread: p.spread, firstWait: p.firstWait, contact: c}
+}
+
 // Reason is why a box reads.
 type Reason string
 
@@ -119,6 +161,8 @@
 const (
 	None     Reason = ""
 	Reader   Reason = "reader"   // it reads for others
+	Standby  Reason = "standby"  // the store answers no reader
+	Unread   Reason = "unread"   // the store answers neither the readers nor the standbys
 	NoReport Reason = "untold"   // it has no data, and received no report in time
 	Unjoined Reason = "unjoined" // it has not joined the other boxes
 	NoHub    Reason = "unheard"  // no hub answers
@@ -148,9 +192,32 @@
 	case reads:
 		return Reader
 	}
+	if reason := p.reasonWithoutReaders(now); reason != None {
+		return reason
+	}
 	return Outdated.onlyIf(age > outdatedAge+p.spread)
 }
 
+// reasonWithoutReaders returns why a box reads that isn't a reader, while the store answers
+// none. A box that reads counts the answers to others only, so that it goes on until the store
+// answers these.
+func (p *Policy) reasonWithoutReaders(now time.Time) Reason {
+	if p.contact == nil {
+		return None
+	}
+	readers, known := p.contact.ReaderSilence(now)
+	others, _ := p.contact.Silence(now)
+	switch {
+	case !known:
+		return None
+	case p.contact.Standby():
+		return Standby.onlyIf(readers > StandbyAge)
+	case p.contact.Fallback():
+		return Unread.onlyIf(others > UnreadAge+p.spread*MaxUnreadSpread/maxSpread)
+	}
+	return None
+}
+
 // maxHubSilence returns the time without an answer of a hub after which a box reads. In
 // a large fleet only the backup hub may be left, which is called less often.
 func (p *Policy) maxHubSilence() time.Duration {
@@ -221,9 +288,24 @@
 	if p.boxes.AllReaders() {
 		return longPollWait
 	}
+	if p.contact != nil {
+		if phase, known := p.contact.Phase(time.Now()); known {
+			return periodicWait(phase)
+		}
+	}
 	return minLongPollWait + rand.N(longPollWait-minLongPollWait)
 }
 
+// periodicWait returns the wait until the end of the period, or of the next one if too little
+// is left.
+func periodicWait(phase time.Duration) time.Duration {
+	wait := ReadPeriod - phase%ReadPeriod
+	if wait < minPeriodicWait {
+		wait += ReadPeriod
+	}
+	return wait
+}
+
 // Pace implements tablesync.Need.
 func (p *Policy) Pace() tablesync.Pace {
 	if p.boxes.IsReader() {
--- a/readpolicy/readpolicy_test.go
+++ b/readpolicy/readpolicy_test.go
@@ -83,6 +83,65 @@
 	}
 }
 
+// contact is a fixed implementation of readpolicy.Contact.
+type contact struct {
+	readers, others   time.Duration // without an answer of the store; negative if unknown
+	standby, fallback bool
+	phase             time.Duration // negative if unknown
+}
+
+func (c contact) ReaderSilence(time.Time) (time.Duration, bool) { return c.readers, c.readers >= 0 }
+func (c contact) Silence(time.Time) (time.Duration, bool)       { return c.others, c.readers >= 0 }
+func (c contact) Standby() bool                                 { return c.standby }
+func (c contact) Fallback() bool                                { return c.fallback }
+func (c contact) Phase(time.Time) (time.Duration, bool)         { return c.phase, c.phase >= 0 }
+
+// TestReadersUnanswered checks which boxes read while the store answers no reader, although
+// the table was confirmed recently.
+func TestReadersUnanswered(t *testing.T) {
+	tests := map[string]struct {
+		contact contact
+		age     time.Duration
+		want    readpolicy.Reason
+	}{
+		"a standby, a reader is answered":         {contact{readers: 800 * time.Millisecond, standby: true, fallback: true}, time.Second, readpolicy.None},
+		"a standby, no reader is answered":        {contact{readers: 950 * time.Millisecond, others: 950 * time.Millisecond, standby: true, fallback: true}, time.Second, readpolicy.Standby},
+		"a standby, another one is answered":      {contact{readers: 5 * time.Second, standby: true, fallback: true}, time.Second, readpolicy.Standby},
+		"a standby, answers of readers unknown":   {contact{readers: -1, others: -1, standby: true, fallback: true}, time.Second, readpolicy.None},
+		"another box, no reader is answered":      {contact{readers: 1300 * time.Millisecond, others: 1300 * time.Millisecond, fallback: true}, time.Second, readpolicy.None},
+		"another box, a standby is answered":      {contact{readers: 5 * time.Second, others: 500 * time.Millisecond, fallback: true}, time.Second, readpolicy.None},
+		"another box, nobody is answered":         {contact{readers: 5 * time.Second, others: 1550 * time.Millisecond, fallback: true}, time.Second, readpolicy.Unread},
+		"no hub of a large fleet, nobody":         {contact{readers: 5 * time.Second, others: 5 * time.Second}, time.Second, readpolicy.None},
+		"no hub of a large fleet, outdated table": {contact{readers: 5 * time.Second, others: 5 * time.Second}, 3800 * time.Millisecond, readpolicy.Outdated},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				age := func(time.Time) (time.Duration, bool) { return tt.age, true }
+				b := boxes{joined: true, count: 77, answered: time.Now()}
+				p := readpolicy.New(&b, age, false, rand.New(rand.NewPCG(1, 1))).WithContact(tt.contact)
+				is.New(t).Equal(p.Reason(time.Now()), tt.want)
+			})
+		})
+	}
+}
+
+// TestPeriodicWait checks that calls end at a fixed time of the period that the readers share.
+func TestPeriodicWait(t *testing.T) {
+	tests := map[string]struct{ phase, want time.Duration }{
+		"start of the period":      {0, readpolicy.ReadPeriod},
+		"middle of the period":     {400 * time.Millisecond, readpolicy.ReadPeriod - 400*time.Millisecond},
+		"too little of it is left": {readpolicy.ReadPeriod - 50*time.Millisecond, readpolicy.ReadPeriod + 50*time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := boxes{joined: true, reader: true, count: 77}
+			p := readpolicy.New(&b, nil, false, rand.New(rand.NewPCG(1, 1))).WithContact(contact{phase: tt.phase})
+			is.New(t).Equal(p.Wait(), tt.want)
+		})
+	}
+}
+
 // TestFirstRead checks how long a box without data waits for a report before it reads.
 func TestFirstRead(t *testing.T) {
 	tests := map[string]struct {
--- /dev/null
+++ b/storecontact/storecontact.go
@@ -0,0 +1,98 @@
+// Package storecontact tracks when the platform's store last answered this box and the others
+// about each table, as these report it themselves. The age of a table cannot show that soon: a
+// call that waits for changes confirms the table as of when the call was sent.
+package storecontact
+
+import (
+	"sync"
+	"time"
+)
+
+// Table is a table that boxes follow.
+type Table string
+
+// The tables.
+const (
+	Configuration Table = "configuration"
+	Upstreams     Table = "upstreams"
+)
+
+// unreportedTime is how long a reader that reports no answers, as before an upgrade, makes
+// the contact of the readers unknown.
+const unreportedTime = 3 * time.Second
+
+type contact struct {
+	own        time.Time // last answer to this box
+	reader     time.Time // last answer to a reader
+	other      time.Time // last answer to any other box than this one
+	unreported time.Time // when a reader last reported no answers
+}
+
+// Tracker holds the last answers to the other boxes. It is safe for concurrent use.
+type Tracker struct {
+	mu     sync.Mutex
+	tables map[Table]contact
+}
+
+// New returns a tracker without any answers.
+func New() *Tracker { return &Tracker{tables: map[Table]contact{}} }
+
+// RecordOwn records that the store answered this box at a time.
+func (t *Tracker) RecordOwn(table Table, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.tables[table]
+	c.own = at
+	t.tables[table] = c
+}
+
+// Own returns when the store last answered this box; false if it never did.
+func (t *Tracker) Own(table Table) (at time.Time, ok bool) {
+	c := t.of(table)
+	return c.own, !c.own.IsZero()
+}
+
+// Record records that the store last answered another box at a time.
+func (t *Tracker) Record(table Table, reader bool, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.tables[table]
+	if at.After(c.other) {
+		c.other = at
+	}
+	if reader && at.After(c.reader) {
+		c.reader = at
+	}
+	t.tables[table] = c
+}
+
+// RecordUnreported records that a reader's report does not contain its answers.
+func (t *Tracker) RecordUnreported(table Table, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.tables[table]
+	c.unreported = at
+	t.tables[table] = c
+}
+
+// ReaderSilence returns the time since the store last answered a reader; false if unknown.
+func (t *Tracker) ReaderSilence(now time.Time, table Table) (time.Duration, bool) {
+	c := t.of(table)
+	return now.Sub(c.reader), c.known(now)
+}
+
+// Silence returns the time since the store last answered any other box; false if unknown.
+func (t *Tracker) Silence(now time.Time, table Table) (time.Duration, bool) {
+	c := t.of(table)
+	return now.Sub(c.other), c.known(now)
+}
+
+func (t *Tracker) of(table Table) contact {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tables[table]
+}
+
+func (c contact) known(now time.Time) bool {
+	return !c.reader.IsZero() && (c.unreported.IsZero() || now.Sub(c.unreported) >= unreportedTime)
+}
--- /dev/null
+++ b/storecontact/storecontact_test.go
@@ -0,0 +1,59 @@
+package storecontact_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"petrelstep/storecontact"
+)
+
+const table = storecontact.Configuration
+
+// TestSilence checks how long the store has not answered the readers, and any other box.
+func TestSilence(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	tests := map[string]struct {
+		record         func(c *storecontact.Tracker)
+		readers, boxes time.Duration // negative if unknown
+	}{
+		"no report": {func(*storecontact.Tracker) {}, -1, -1},
+		"a reader":  {func(c *storecontact.Tracker) { c.Record(table, true, ago(time.Second)) }, time.Second, time.Second},
+		"another table": {func(c *storecontact.Tracker) {
+			c.Record(storecontact.Upstreams, true, ago(time.Second))
+		}, -1, -1},
+		"no reader was ever answered": {func(c *storecontact.Tracker) { c.Record(table, false, ago(time.Second)) }, -1, -1},
+		"an older report comes late": {func(c *storecontact.Tracker) {
+			c.Record(table, true, ago(time.Second))
+			c.Record(table, true, ago(2*time.Second))
+		}, time.Second, time.Second},
+		"a standby is answered, no reader": {func(c *storecontact.Tracker) {
+			c.Record(table, true, ago(5*time.Second))
+			c.Record(table, false, ago(time.Second))
+		}, 5 * time.Second, time.Second},
+		"a reader of an earlier release": {func(c *storecontact.Tracker) {
+			c.Record(table, true, ago(time.Second))
+			c.RecordUnreported(table, ago(2*time.Second))
+		}, -1, -1},
+		"no reader of an earlier release is left": {func(c *storecontact.Tracker) {
+			c.Record(table, true, ago(time.Second))
+			c.RecordUnreported(table, ago(3*time.Second))
+		}, time.Second, time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := storecontact.New()
+			tt.record(c)
+			readers, known := c.ReaderSilence(now, table)
+			is.Equal(known, tt.readers >= 0)
+			boxes, _ := c.Silence(now, table)
+			if known {
+				is.Equal(readers, tt.readers)
+				is.Equal(boxes, tt.boxes)
+			}
+		})
+	}
+}
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -14,11 +14,9 @@
 const (
 	// callSlack is how much longer than its wait a call may take.
 	callSlack = 600 * time.Millisecond
-	// idleInterval is the time between checks whether a follower is needed. idleInitial
-	// is the first one after the start, as requests are rejected until a box has read
-	// the configuration.
-	idleInterval = 100 * time.Millisecond
-	idleInitial  = 5 * time.Millisecond
+	// idleInitial is the first pause between checks whether a follower is needed, as
+	// requests are rejected until a box has read the configuration.
+	idleInitial = 5 * time.Millisecond
 	// gatherPause is the pause after a change before the next call, so that one call
 	// returns several changes. Calls are paid for.
 	gatherPause = 100 * time.Millisecond
@@ -27,6 +25,9 @@
 	unsureTime = 3 * time.Second
 )
 
+// IdleInterval is the time between checks whether a follower is needed.
+const IdleInterval = 50 * time.Millisecond
+
 // ErrForgotten says that the changes since a version are no longer available.
 var ErrForgotten = errors.New("the store has forgotten its history")
 
@@ -96,7 +97,7 @@
 		if !f.need.Needed(f.now()) {
 			listed = false
 			sleep(ctx, idle)
-			idle = min(2*idle, idleInterval)
+			idle = min(2*idle, IdleInterval)
 			continue
 		}
 		before := version
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2086,6 +2086,10 @@
 
 // A hub tells a box what it knows, each with its age on the hub's steady clock.
 type GossipAnswer struct {
+	// Since the store answered the sender itself about the configuration; 0 if the
+	// sender does not report it.
+	ConfigurationReadMs int `json:"configuration_read_ms,omitempty,omitzero"`
+
 	// Boxes besides the hub whose loads the answer holds with its own, where it tells
 	// its own.
 	Covers int `json:"covers,omitempty,omitzero"`
@@ -2174,6 +2178,10 @@
 	// Changes of the fleet that the asker does not have.
 	Upstreams []UpstreamRecord `json:"upstreams,omitempty,omitzero"`
 
+	// Since the store answered the sender itself about the upstreams; 0 if the sender
+	// does not report it.
+	UpstreamsReadMs int `json:"upstreams_read_ms,omitempty,omitzero"`
+
 	// What the callers of the boxes that the answer tells of were given and refused
 	// of late.
 	Uses []OrganisationUse `json:"uses,omitempty,omitzero"`
@@ -2217,6 +2225,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["configuration_read_ms"]; !ok || v == nil {
+		plain.ConfigurationReadMs = 0
+	}
 	if v, ok := raw["covers"]; !ok || v == nil {
 		plain.Covers = 0
 	}
@@ -2265,6 +2276,9 @@
 	if v, ok := raw["upstreams"]; !ok || v == nil {
 		plain.Upstreams = []UpstreamRecord{}
 	}
+	if v, ok := raw["upstreams_read_ms"]; !ok || v == nil {
+		plain.UpstreamsReadMs = 0
+	}
 	if v, ok := raw["uses"]; !ok || v == nil {
 		plain.Uses = []OrganisationUse{}
 	}
