soak: a store that turns some boxes away and serves the others

With -turned-away the store now turns boxes away for 10 to 16 s, in half of the periods those that read it for all among them: by silence, resets, 503, 429 with a Retry-After (a gate before the stand-in's store, for each box), or slowness; keys are revoked and workers leave meanwhile, and in a third of the periods a box is killed or paused. The checker takes both bounds from what callers and workers observe, plus the 0.5 s that it allows a busy machine; boxes that were disturbed or got no answer of the store are excused.

--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -135,7 +135,8 @@
 	Evacuated   = "CLOSED"   // a run begun in an evacuated hall
 	Limits      = "LIMIT"    // a worker got more requests than its announced limit
 	Poison      = "ENDS"     // a poison request crashed too many workers
-	Drain       = "DRAIN"    // a worker got requests long after it had announced leaving to the box
+	Drain       = "DRAIN"    // a worker got requests long after it had announced leaving to the box or the store
+	Config      = "CONFIG"   // a run for a key that was revoked long ago, at a box that can learn it
 	Backoff     = "REST"     // a worker got requests during a backoff that it had announced to the box
 
 	Exposure   = "EXPOSURE" // a bad version got too many requests until its time limit
--- a/soak/site/box.go
+++ b/soak/site/box.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,9 +12,12 @@
 	"syscall"
 	"time"
 
+	"petrelstep/client"
 	"petrelstep/soak/checker"
 	"petrelstep/standin/faultproxy"
 	"petrelstep/standin/readylog"
+	"petrelstep/standin/storegate"
+	"petrelstep/wire"
 )
 
 const (
@@ -29,6 +33,7 @@
 type Box struct {
 	Name  string
 	Store *faultproxy.Proxy // link to the store
+	Gate  *storegate.Gate   // the store as the box sees it
 	Link  *faultproxy.Proxy // link to callers
 
 	// Lock serialises the faults injected into the process.
@@ -42,11 +47,16 @@
 	ports   [4]string // callers, admin, peers, ready
 	command *exec.Cmd
 	ended   chan struct{}
+	store   *http.Server // serves Gate
 }
 
-func newBox(o Options, name, hall, storeAddress string) (*Box, error) {
-	b := &Box{Name: name, options: o, hall: hall}
-	var err error
+func newBox(o Options, name, hall string, store http.Handler) (*Box, error) {
+	b := &Box{Name: name, options: o, hall: hall, Gate: storegate.New(store)}
+	storeAddress, server, err := serve(b.Gate)
+	if err != nil {
+		return nil, err
+	}
+	b.store = server
 	if b.Store, err = faultproxy.New(storeAddress); err != nil {
 		return nil, err
 	}
@@ -159,6 +169,14 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// Reads reports whether the box reads the store for all, by its own view.
+func (b *Box) Reads() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	var v wire.BoxView
+	return client.New([]string{"http://" + b.ports[1]}, "").Call(ctx, http.MethodGet, "/v1/view", nil, &v) == nil && v.Reads
+}
+
 func (b *Box) close() {
 	if b.command != nil && b.command.Process != nil {
 		b.Signal(syscall.SIGCONT)
@@ -166,6 +184,7 @@
 		<-b.ended
 	}
 	b.Store.Close()
+	_ = b.store.Close()
 	b.Link.Close()
 }
 
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -62,8 +62,6 @@
 	Platform *platform.Platform
 	Boxes    []*Box
 
-	store *http.Server
-
 	mu          sync.Mutex
 	workers     map[string]*Worker // live workers by id
 	current     []*Worker          // latest incarnation of each id, oldest id first
@@ -94,11 +92,6 @@
 	if o.Rollouts {
 		s.regionsOf = map[string][]string{"firm": {regions[halls[0]]}}
 	}
-	address, server, err := serve(s.Platform.Handler())
-	if err != nil {
-		return nil, err
-	}
-	s.store = server
 	for i, organisation := range []string{"council", "firm"} {
 		s.keys[fmt.Sprint("key", i)] = organisation
 	}
@@ -113,8 +106,9 @@
 			return s, err
 		}
 	}
+	store := s.Platform.Handler()
 	for i := range o.Boxes {
-		b, err := newBox(o, fmt.Sprint("box", i+1), halls[i%len(halls)], address)
+		b, err := newBox(o, fmt.Sprint("box", i+1), halls[i%len(halls)], store)
 		if err != nil {
 			return s, err
 		}
@@ -144,7 +138,6 @@
 	for _, w := range s.workers {
 		w.end()
 	}
-	_ = s.store.Close()
 }
 
 func serve(h http.Handler) (address string, server *http.Server, err error) {
--- a/soak/site/workers.go
+++ b/soak/site/workers.go
@@ -222,6 +222,23 @@
 	return list[n%len(list)]
 }
 
+// LeaveByRow starts a replacement, then ends a worker a while after the store has confirmed that
+// it leaves. Only its row says so.
+func (s *Site) LeaveByRow(w *Worker, notice time.Duration) (checker.Departure, error) {
+	if err := s.replace(w); err != nil {
+		return checker.Departure{}, err
+	}
+	s.mu.Lock()
+	delete(s.workers, w.ID)
+	s.mu.Unlock()
+	s.announce(w, true)
+	d := checker.Departure{Worker: w.ID, At: time.Now()}
+	time.Sleep(notice)
+	s.Platform.Withdraw(w.ID)
+	w.end()
+	return d, nil
+}
+
 // Leave starts a replacement, then ends a worker after its notice. A worker that doesn't
 // announce that it is leaving only loses its row.
 func (s *Site) Leave(w *Worker, announced bool) error {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,7 +23,10 @@
 	// evacuationTime is how long an evacuated hall may still get runs while no fault is
 	// active: two calls to the store, a hub's report, and scheduling delays.
 	evacuationTime = 3 * time.Second
-	pollInterval   = 100 * time.Millisecond
+	// changeTime is within which time boxes act on a change in the store (config_apply_ms and
+	// drain_ms of the platform's pages).
+	changeTime   = 2 * time.Second
+	pollInterval = 100 * time.Millisecond
 	// maxPoisonCrashes bounds the workers that the poison request may crash, whatever other
 	// faults occur: three before it is recognised, three retries, and one for each crash
 	// that a box has not reported before it is lost itself.
@@ -40,6 +43,7 @@
 	RateLimits    bool          // workers announce rate limits
 	Brittle       bool          // plain workers bear few rejections at times
 	Announcements bool          // workers announce leaving and backoffs in their responses
+	TurnedAway    bool          // instead of all other faults, the store turns some boxes away while it serves the others
 	Duration      time.Duration // of fault injection
 	Out           io.Writer     // receives a line for each fault
 }
@@ -68,6 +72,7 @@
 	Limited                                int // requests at workers that announced limits
 	Falls                                  int // crashes of workers by rejections
 	Announced                              int // announcements of leaving or backoff
+	Changed                                int // requests with a revoked key or at a leaving worker, while boxes were turned away
 	Rollouts                               RolloutCounts
 	CompletedBad                           []string // bad versions that were completed
 	BadAfter                               []string // responses of these afterwards
@@ -101,8 +106,8 @@
 // String returns the summary line.
 func (t Result) String() string {
 	c := t.Rollouts
-	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d calm_evacuations=%d ends=%d limited=%d falls=%d heard=%d good_rollouts=%d/%d bad_rollouts=%d/%d calm_rollouts=%d promises_broken=%d",
-		t.Requests, t.Served, t.Refused, t.Interrupted, t.Runs, t.Moved, t.Stops, t.Evacuations, t.PoisonCrashes, t.Limited, t.Falls, t.Announced,
+	return fmt.Sprintf("SOAK requests=%d served=%d refused=%d broken_off=%d runs=%d moved=%d calm_stops=%d calm_evacuations=%d ends=%d limited=%d falls=%d heard=%d changed=%d good_rollouts=%d/%d bad_rollouts=%d/%d calm_rollouts=%d promises_broken=%d",
+		t.Requests, t.Served, t.Refused, t.Interrupted, t.Runs, t.Moved, t.Stops, t.Evacuations, t.PoisonCrashes, t.Limited, t.Falls, t.Announced, t.Changed,
 		c.GoodInTime, c.Good, c.BadRolledBack, c.Bad, c.Calm, len(t.Violations))
 }
 
@@ -136,7 +141,7 @@
 	defer cancel()
 	brittle := make(chan []checker.BrittlePeriod, 1)
 	go func() { brittle <- s.runBrittle(faultCtx, injector) }()
-	announcedLimits, err := s.inject(faultCtx, injector)
+	announcedLimits, changes, err := s.inject(faultCtx, injector)
 	if err == nil {
 		err = s.awaitRecovery(at, callers)
 	}
@@ -151,6 +156,8 @@
 	arrived, links := at.Arrivals()
 	violations, t.Announced = checker.New(site.Events, 0, 0).CheckAnnouncements(attempts, arrived, at.Disruptions(), links)
 	t.Violations = append(t.Violations, violations...)
+	violations, t.Changed = changes.check(attempts, arrived, at.Disruptions())
+	t.Violations = append(t.Violations, violations...)
 	t.checkRollouts(at, checker.RolloutHistory{
 		Attempts: attempts, Arrivals: arrived, Rollouts: at.Rollouts(), Disrupted: at.Disruptions(), StoreFaults: injector.StoreFaults(),
 	}, ran)
@@ -158,19 +165,37 @@
 }
 
 // inject injects all kinds of faults that are enabled, until ctx ends.
-func (s *Soak) inject(ctx context.Context, injector *faults.Injector) ([]checker.LimitPeriod, error) {
+func (s *Soak) inject(ctx context.Context, injector *faults.Injector) (limits []checker.LimitPeriod, c changes, err error) {
+	if s.TurnedAway {
+		c.away, c.departures, err = injector.RunTurnedAway(ctx)
+		return nil, c, err
+	}
 	periods := make(chan []checker.LimitPeriod, 1)
 	go func() { periods <- s.runLimits(ctx, injector) }()
 	failures := make(chan error, 2)
 	go func() { failures <- s.runAnnouncements(ctx, injector) }()
 	go func() { failures <- s.runRollouts(ctx, injector) }()
-	err := injector.Run(ctx)
+	err = injector.Run(ctx)
 	for range cap(failures) {
 		if failed := <-failures; err == nil {
 			err = failed
 		}
 	}
-	return <-periods, err
+	return <-periods, c, err
+}
+
+// changes are the changes in the store while it turned some boxes away.
+type changes struct {
+	away       []checker.TurnedAway
+	departures []checker.Departure
+}
+
+// check checks that the boxes acted on the changes in time, if there were any.
+func (c changes) check(attempts []checker.Attempt, arrived []checker.Arrival, disrupted map[string][]checker.Span) ([]checker.Violation, int) {
+	if len(c.away) == 0 {
+		return nil, 0
+	}
+	return checker.New(site.Events, 0, 0).CheckChanges(attempts, arrived, c.away, c.departures, disrupted, changeTime+revocationSlack)
 }
 
 // checkRollouts counts the roll-outs and checks their guarantees and those of regions.
