--- a/edge/storefollow.go
+++ b/edge/storefollow.go
@@ -59,7 +59,7 @@
 	for table, ms := range map[storecontact.Table]int{storecontact.Configuration: a.ConfigurationReadMs, storecontact.Upstreams: a.UpstreamsReadMs} {
 		switch {
 		case ms > 0:
-			e.contact.Record(table, reader, sent.Add(-config.Millis(ms)))
+			e.contact.Record(table, a.Sender.Box, reader, sent.Add(-config.Millis(ms)))
 		case reader:
 			e.contact.RecordUnreported(table, now)
 		}
--- a/storecontact/storecontact.go
+++ b/storecontact/storecontact.go
@@ -26,6 +26,8 @@
 	reader     time.Time // last answer to a reader
 	other      time.Time // last answer to any other box than this one
 	unreported time.Time // when a reader last reported no answers
+
+	readers map[string]time.Time // last answer to each reader
 }
 
 // Tracker holds the last answers to the other boxes. It is safe for concurrent use.
@@ -53,10 +55,16 @@
 }
 
 // Record records that the store last answered another box at a time.
-func (t *Tracker) Record(table Table, reader bool, at time.Time) {
+func (t *Tracker) Record(table Table, box string, reader bool, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.tables[table]
+	if reader {
+		if c.readers == nil {
+			c.readers = map[string]time.Time{}
+		}
+		c.readers[box] = at
+	}
 	if at.After(c.other) {
 		c.other = at
 	}
@@ -81,6 +89,15 @@
 	return now.Sub(c.reader), c.known(now)
 }
 
+// BoxSilence returns the time since the store last answered a reader, as it last reported; false
+// if it has reported none.
+func (t *Tracker) BoxSilence(now time.Time, table Table, box string) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.tables[table].readers[box]
+	return now.Sub(at), ok
+}
+
 // Silence returns the time since the store last answered any other box; false if unknown.
 func (t *Tracker) Silence(now time.Time, table Table) (time.Duration, bool) {
 	c := t.of(table)
--- a/storecontact/storecontact_test.go
+++ b/storecontact/storecontact_test.go
@@ -20,25 +20,25 @@
 		readers, boxes time.Duration // negative if unknown
 	}{
 		"no report": {func(*storecontact.Tracker) {}, -1, -1},
-		"a reader":  {func(c *storecontact.Tracker) { c.Record(table, true, ago(time.Second)) }, time.Second, time.Second},
+		"a reader":  {func(c *storecontact.Tracker) { c.Record(table, "b", true, ago(time.Second)) }, time.Second, time.Second},
 		"another table": {func(c *storecontact.Tracker) {
-			c.Record(storecontact.Upstreams, true, ago(time.Second))
+			c.Record(storecontact.Upstreams, "b", true, ago(time.Second))
 		}, -1, -1},
-		"no reader was ever answered": {func(c *storecontact.Tracker) { c.Record(table, false, ago(time.Second)) }, -1, -1},
+		"no reader was ever answered": {func(c *storecontact.Tracker) { c.Record(table, "b", false, ago(time.Second)) }, -1, -1},
 		"an older report comes late": {func(c *storecontact.Tracker) {
-			c.Record(table, true, ago(time.Second))
-			c.Record(table, true, ago(2*time.Second))
+			c.Record(table, "b", true, ago(time.Second))
+			c.Record(table, "b", true, ago(2*time.Second))
 		}, time.Second, time.Second},
 		"a standby is answered, no reader": {func(c *storecontact.Tracker) {
-			c.Record(table, true, ago(5*time.Second))
-			c.Record(table, false, ago(time.Second))
+			c.Record(table, "b", true, ago(5*time.Second))
+			c.Record(table, "b", false, ago(time.Second))
 		}, 5 * time.Second, time.Second},
 		"a reader of an earlier release": {func(c *storecontact.Tracker) {
-			c.Record(table, true, ago(time.Second))
+			c.Record(table, "b", true, ago(time.Second))
 			c.RecordUnreported(table, ago(2*time.Second))
 		}, -1, -1},
 		"no reader of an earlier release is left": {func(c *storecontact.Tracker) {
-			c.Record(table, true, ago(time.Second))
+			c.Record(table, "b", true, ago(time.Second))
 			c.RecordUnreported(table, ago(3*time.Second))
 		}, time.Second, time.Second},
 	}
@@ -57,3 +57,20 @@
 		})
 	}
 }
+
+// TestBoxSilence checks how long the store has not answered one reader.
+func TestBoxSilence(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c := storecontact.New()
+	c.Record(table, "a", true, now.Add(-3*time.Second))
+	c.Record(table, "b", true, now.Add(-time.Second))
+	c.Record(table, "c", false, now)
+	silence, reported := c.BoxSilence(now, table, "a")
+	is.True(reported)
+	is.Equal(silence, 3*time.Second)
+	for _, box := range []string{"c", "d"} {
+		_, reported = c.BoxSilence(now, table, box)
+		is.True(!reported)
+	}
+}
