edge, storecontact: a reader that was never answered tells nothing of the store

After a restart of all boxes of a large fleet standbys read the whole fleet: edge.TestStoreRefuses, once in a run of the whole package, had 7 boxes that read where 6 may. A trace of 20 plays shows two reasons: a reader that has just started reports that the store never answered it, which counted as an answer an hour ago (10 of 15 such reads), and a box that had been a hub for less than 0.6 s did not know the readers' answers yet. A report of no answer now leaves the contact unknown, and a box of a large fleet stands by only once it has been a hub for hubSettleTime. The time between a follower's checks is 100 ms again, as before.

--- a/edge/storefollow.go
+++ b/edge/storefollow.go
@@ -58,6 +58,8 @@
 	reader := e.members.IsReaderBox(now, a.Sender.Box)
 	for table, ms := range map[storecontact.Table]int{storecontact.Configuration: a.ConfigurationReadMs, storecontact.Upstreams: a.UpstreamsReadMs} {
 		switch {
+		case config.Millis(ms) >= neverAge:
+			e.contact.RecordNone(table, a.Sender.Box)
 		case ms > 0:
 			e.contact.Record(table, a.Sender.Box, reader, sent.Add(-config.Millis(ms)))
 		case reader:
@@ -95,12 +97,16 @@
 // Standby implements readpolicy.Contact.
 func (c tableContact) Standby() bool {
 	_, is := c.edge.members.ReadIndex(time.Now())
-	return is && !c.edge.IsReader()
+	return is && !c.edge.IsReader() && c.Fallback()
 }
 
 // Fallback implements readpolicy.Contact. The boxes of a large fleet that are not hubs leave
-// the store to the hubs: all of them at once would read more than it can send.
-func (c tableContact) Fallback() bool { return !c.edge.IsLargeFleet() || c.edge.IsHub() }
+// the store to the hubs: all of them at once would read more than it can send. A box that has
+// just become a hub may not have heard from the readers yet.
+func (c tableContact) Fallback() bool {
+	since, hub := c.edge.members.IsHub(time.Now())
+	return !c.edge.IsLargeFleet() || hub && since >= hubSettleTime
+}
 
 // Phase implements readpolicy.Contact. The calls of the readers end one after the other, those
 // for the two tables in turns, so that the store's silence shows soon.
--- a/storecontact/storecontact.go
+++ b/storecontact/storecontact.go
@@ -60,10 +60,7 @@
 	defer t.mu.Unlock()
 	c := t.tables[table]
 	if reader {
-		if c.readers == nil {
-			c.readers = map[string]time.Time{}
-		}
-		c.readers[box] = at
+		c.readers = withAnswer(c.readers, box, at)
 	}
 	if at.After(c.other) {
 		c.other = at
@@ -74,6 +71,23 @@
 	t.tables[table] = c
 }
 
+// RecordNone records that the store has not answered another box yet.
+func (t *Tracker) RecordNone(table Table, box string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.tables[table]
+	c.readers = withAnswer(c.readers, box, time.Time{})
+	t.tables[table] = c
+}
+
+func withAnswer(readers map[string]time.Time, box string, at time.Time) map[string]time.Time {
+	if readers == nil {
+		readers = map[string]time.Time{}
+	}
+	readers[box] = at
+	return readers
+}
+
 // RecordUnreported records that a reader's report does not contain its answers.
 func (t *Tracker) RecordUnreported(table Table, at time.Time) {
 	t.mu.Lock()
--- a/storecontact/storecontact_test.go
+++ b/storecontact/storecontact_test.go
@@ -24,7 +24,8 @@
 		"another table": {func(c *storecontact.Tracker) {
 			c.Record(storecontact.Upstreams, "b", true, ago(time.Second))
 		}, -1, -1},
-		"no reader was ever answered": {func(c *storecontact.Tracker) { c.Record(table, "b", false, ago(time.Second)) }, -1, -1},
+		"no reader was ever answered":      {func(c *storecontact.Tracker) { c.Record(table, "b", false, ago(time.Second)) }, -1, -1},
+		"a reader that was never answered": {func(c *storecontact.Tracker) { c.RecordNone(table, "b") }, -1, -1},
 		"an older report comes late": {func(c *storecontact.Tracker) {
 			c.Record(table, "b", true, ago(time.Second))
 			c.Record(table, "b", true, ago(2*time.Second))
@@ -66,6 +67,9 @@
 	c.Record(table, "a", true, now.Add(-3*time.Second))
 	c.Record(table, "b", true, now.Add(-time.Second))
 	c.Record(table, "c", false, now)
+	c.RecordNone(table, "e")
+	never, reported := c.BoxSilence(now, table, "e")
+	is.True(reported && never > time.Hour)
 	silence, reported := c.BoxSilence(now, table, "a")
 	is.True(reported)
 	is.Equal(silence, 3*time.Second)
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -26,7 +26,7 @@
 )
 
 // IdleInterval is the time between checks whether a follower is needed.
-const IdleInterval = 50 * time.Millisecond
+const IdleInterval = 100 * time.Millisecond
 
 // ErrForgotten says that the changes since a version are no longer available.
 var ErrForgotten = errors.New("the store has forgotten its history")
