edge: a reader counts the store's answers to itself

A reader heard of the other two only, whose next answers may come 0.6 s after a change. Its own answers now count as those of a reader; standbys still leave their own out, as they would stop reading by them.

edge.TestReadersAnsweredInCalm changes upstreams at random and looks for the longest silence by the view of any box: failed before at 7 and 77 boxes, passes now.

--- a/edge/storefollow.go
+++ b/edge/storefollow.go
@@ -41,6 +41,9 @@
 func (s storeAnswers) Answered(at time.Time) {
 	s.edge.recordStoreAnswer(at)
 	s.edge.contact.RecordOwn(s.table, at)
+	if s.edge.IsReader() {
+		s.edge.contact.Record(s.table, s.edge.Name(), true, at)
+	}
 }
 
 // answeredAgeMs returns the milliseconds since the store answered this box about a table, at
@@ -148,7 +151,7 @@
 	return reason != readpolicy.None
 }
 
-// logSilence logs when the store stops and begins to answer the readers, other than this box.
+// logSilence logs when the store stops and begins to answer the readers.
 func (r *loggedPolicy) logSilence(now time.Time) {
 	silence, known := r.edge.contact.ReaderSilence(now, r.table)
 	silent := known && silence > readpolicy.StandbyAge
--- a/edge/turnedaway_test.go
+++ b/edge/turnedaway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"petrelstep/gossip"
 	"petrelstep/members"
 	"petrelstep/readpolicy"
+	"petrelstep/storecontact"
 	"petrelstep/tablesync"
 )
 
@@ -212,6 +214,7 @@
 				listings, _ := c.table.listingStats()
 				time.Sleep(20 * time.Second)
 				t.Log("calls per second:", float64(c.table.storeCalls()-calls)/20)
+				is.True(c.longestSilence(20*time.Second, 60) <= readpolicy.StandbyAge)
 				after, _ := c.table.listingStats()
 				is.Equal(after, listings)
 			})
@@ -219,6 +222,26 @@
 	}
 }
 
+// longestSilence changes upstreams for a while, and returns the longest time in which, by the
+// view of any box, the store answered no reader.
+func (c *cluster) longestSilence(duration time.Duration, upstreams int) (longest time.Duration) {
+	random := rand.New(rand.NewPCG(5, 5))
+	next := time.Now()
+	for until := next.Add(duration); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if !time.Now().Before(next) {
+			i := random.IntN(upstreams)
+			c.table.put("servers", fmt.Sprint("u", i), string(worker(i, 4, "ready")))
+			next = time.Now().Add(time.Duration(random.Int64N(int64(2 * time.Second))))
+		}
+		for _, e := range c.all {
+			if silence, known := e.contact.ReaderSilence(time.Now(), storecontact.Upstreams); known {
+				longest = max(longest, silence)
+			}
+		}
+	}
+	return longest
+}
+
 // TestCallsTurnedAway guards against more calls than the boxes make together between failed calls
 // as the store turns all of them away: 20 a second for each table, and those of the readers.
 func TestCallsTurnedAway(t *testing.T) {
--- a/storecontact/storecontact.go
+++ b/storecontact/storecontact.go
@@ -24,7 +24,7 @@
 type contact struct {
 	own        time.Time // last answer to this box
 	reader     time.Time // last answer to a reader
-	other      time.Time // last answer to any other box than this one
+	other      time.Time // last answer to a reader or another box than this one
 	unreported time.Time // when a reader last reported no answers
 
 	readers map[string]time.Time // last answer to each reader
@@ -54,7 +54,7 @@
 	return c.own, !c.own.IsZero()
 }
 
-// Record records that the store last answered another box at a time.
+// Record records that the store last answered another box, or this one as a reader, at a time.
 func (t *Tracker) Record(table Table, box string, reader bool, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -112,7 +112,8 @@
 	return now.Sub(at), ok
 }
 
-// Silence returns the time since the store last answered any other box; false if unknown.
+// Silence returns the time since the store last answered a reader or another box; false if
+// unknown.
 func (t *Tracker) Silence(now time.Time, table Table) (time.Duration, bool) {
 	c := t.of(table)
 	return now.Sub(c.other), c.known(now)
