--- a/edge/storefollow.go
+++ b/edge/storefollow.go
@@ -105,7 +105,7 @@
 
 // Fallback implements readpolicy.Contact. The boxes of a large fleet that are not hubs leave
 // the store to the hubs: all of them at once would read more than it can send. A box that has
-// just become a hub may not have heard from the readers yet.
+// just become a hub may have no reports of the readers yet.
 func (c tableContact) Fallback() bool {
 	since, hub := c.edge.members.IsHub(time.Now())
 	return !c.edge.IsLargeFleet() || hub && since >= hubSettleTime
