edge, relay, metrics: log and count fetches of the configuration and connects

The record of two deployments does not tell three causes of late changes apart: nothing says how long a fetch took, from whom, and how old what it brought was; what was announced meanwhile; nor when the first byte of a request was sent after the upstream's state was looked at.

configuration_fetched and configuration_not_taken have took_ms and confirmed_ms, petrelstep_configuration_fetches counts outcomes, skipped announcements among them; connected_late and petrelstep_upstream_connect have the time from the last look to the first byte; upstream_leaves has the age of what the box knew. The client of upstreams calls a function just before the first byte for this. Tests of the touched packages pass.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -437,7 +437,10 @@
 			return
 		}
 		runs := len(e.runs.At(u.ID))
-		e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "born": u.StartedAt, "source": source, "runs": runs}).Info("upstream_leaves")
+		age, _ := e.fleet.Age(time.Now())
+		e.log.WithFields(logrus.Fields{
+			"upstream": u.ID, "service": u.Service, "born": u.StartedAt, "source": source, "runs": runs, "age_ms": min(age, neverAge).Milliseconds(),
+		}).Info("upstream_leaves")
 		if e.config.Edge.Moves != wire.EdgeMovesNone {
 			e.evacuator.Evacuate(ctx, u)
 		}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 	"petrelstep/fleet"
 	"petrelstep/halls"
 	"petrelstep/members"
+	"petrelstep/metrics"
 	"petrelstep/peer"
 	"petrelstep/peerstate"
 	"petrelstep/snapshot"
@@ -325,7 +326,11 @@
 // unknown.
 func (e *Edge) fetchConfiguration(now time.Time, from wire.BoxRecord, version int, confirmed time.Time) {
 	table, _, _ := e.routes.Current(now)
-	if table != nil && table.Version() >= version || version == 0 || !e.fetching.CompareAndSwap(false, true) {
+	if table != nil && table.Version() >= version || version == 0 {
+		return
+	}
+	if !e.fetching.CompareAndSwap(false, true) {
+		e.metrics.ConfigurationFetched(metrics.FetchSkipped)
 		return
 	}
 	go func() {
@@ -334,15 +339,32 @@
 		defer cancel()
 		var answer wire.Configuration
 		err := e.peers.CallIdempotent(ctx, from.Address, peer.Configuration, wire.Nothing{}, &answer)
+		took := time.Since(now)
 		if err == nil && answer.Version > 0 {
 			err = e.configuration.ApplyEncoded([]byte(answer.Encoded), from.Box)
 		}
+		log := e.log.WithFields(logrus.Fields{"peer": from.Box, "version": version, "took_ms": took.Milliseconds()})
 		if err != nil {
-			e.log.WithError(err).WithFields(logrus.Fields{"peer": from.Box, "version": version}).Warn("configuration_not_taken")
+			e.metrics.ConfigurationFetched(metrics.FetchFailed)
+			log.WithError(err).Warn("configuration_not_taken")
 			return
 		}
+		e.recordFetched(log, answer, confirmed)
 		if answer.Version >= version && !confirmed.IsZero() {
 			e.routes.Confirm(confirmed)
 		}
 	}()
 }
+
+// recordFetched logs and counts a configuration that another box returned.
+func (e *Edge) recordFetched(log *logrus.Entry, answer wire.Configuration, confirmed time.Time) {
+	outcome := metrics.FetchTaken
+	if table, _, _ := e.routes.Current(time.Now()); table != nil && table.Version() > answer.Version {
+		outcome = metrics.FetchOld
+	}
+	e.metrics.ConfigurationFetched(outcome)
+	if !confirmed.IsZero() {
+		log = log.WithField("confirmed_ms", time.Since(confirmed).Milliseconds())
+	}
+	log.WithFields(logrus.Fields{"fetched": answer.Version, "outcome": outcome}).Info("configuration_fetched")
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -65,6 +65,9 @@
 	Urgency      int   // 0 goes first
 	After        int   // id of the last event delivered; NoEvent to start from the beginning
 	From         *Copy // copy to continue from; nil for none
+	// BeforeWrite is called once the connection is open, just before the first byte is sent.
+	// After an error nothing is sent, and the send fails with it. nil: nothing is called.
+	BeforeWrite func() error
 }
 
 // Answer is an upstream's answer with its head already read. The body must be closed.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -120,6 +120,8 @@
 	rejectionLimits    metric.Int64Counter
 	slotRequests       metric.Int64Counter
 	dials              metric.Int64Counter
+	connects           metric.Float64Histogram
+	configFetches      metric.Int64Counter
 	linkChanges        metric.Int64Counter
 	tunnelsOpened      metric.Int64Counter
 	tunnelsServed      metric.Int64Counter
@@ -154,6 +156,7 @@
 	m.skippedEntries = b.counter("petrelstep_entries_skipped", "Entries of the store that name no upstream or box to use, by reason.")
 	m.heldBytes, err = meter.Int64ObservableGauge("petrelstep_held", metric.WithDescription("Bytes held for callers that have not taken them yet."), metric.WithUnit("By"))
 	b.recordError(err)
+	m.configFetches = b.counter("petrelstep_configuration_fetches", "Configurations fetched from other boxes, by outcome.")
 	m.storeReads = b.counter("petrelstep_store_reads", "Times that a box began to read a table of the store for itself, by table and reason.")
 	m.fleetRequests = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
 	m.placeWait = b.histogram("petrelstep_place_wait", "Wait for a place at a plain upstream, by outcome; those that did not wait are not counted.")
@@ -176,6 +179,7 @@
 // addLinkInstruments creates the instruments for connections to upstreams.
 func (m *Metrics) addLinkInstruments(b *builder) {
 	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
+	m.connects = b.histogram("petrelstep_upstream_connect", "Time from the choice of an upstream to the first byte that is sent to it.")
 	m.linkChanges = b.counter("petrelstep_upstream_links", "Links of this box to upstreams that other boxes reach, by change.")
 	m.tunnelsOpened = b.counter("petrelstep_tunnels_opened", "Connections to upstreams asked of other boxes, by outcome; empty if a box did not answer.")
 	m.tunnelsServed = b.counter("petrelstep_tunnels_served", "Connections to upstreams that other boxes asked for, by outcome.")
@@ -231,6 +235,9 @@
 	for _, outcome := range links.Outcomes() {
 		m.dials.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
 	}
+	for _, outcome := range []string{FetchTaken, FetchOld, FetchFailed, FetchSkipped} {
+		m.configFetches.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
+	}
 	for _, r := range []string{SlowBoxFull, SlowStalled} {
 		m.slowReaders.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
@@ -339,6 +346,24 @@
 	m.storeReads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", table), attribute.String("reason", reason)))
 }
 
+// Outcomes of fetching a configuration from another box.
+const (
+	FetchTaken   = "taken"
+	FetchOld     = "old" // no newer than the one in force by then
+	FetchFailed  = "failed"
+	FetchSkipped = "skipped" // another fetch was under way
+)
+
+// ConfigurationFetched counts a fetch of a configuration from another box.
+func (m *Metrics) ConfigurationFetched(outcome string) {
+	m.configFetches.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// Connected records the time from the choice of an upstream to the first byte sent to it.
+func (m *Metrics) Connected(took time.Duration) {
+	m.connects.Record(context.Background(), took.Seconds())
+}
+
 // FleetRequested counts a response to a box that requests the fleet's state: all of
 // it, the changes since a known state, or a notice that it is sent later.
 func (m *Metrics) FleetRequested(outcome string) {
--- a/relay/check.go
+++ b/relay/check.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"petrelstep/exchange"
 	"petrelstep/fleet"
 	"petrelstep/metrics"
@@ -46,6 +48,23 @@
 	return nil
 }
 
+// slowConnect is the time from the last check of an upstream's state to the first byte from which
+// it is logged: round trips within a region take 3 ms, between regions 60 ms.
+const slowConnect = 100 * time.Millisecond
+
+// beforeWrite returns what is called once the connection to an upstream is open, just before the
+// request is sent. Its state was last checked at a time.
+func (r *Relay) beforeWrite(j *job, u fleet.Upstream, checkedAt time.Time) func() error {
+	return func() error {
+		took := time.Since(checkedAt)
+		r.Metrics.Connected(took)
+		if took > slowConnect {
+			j.log.WithFields(logrus.Fields{"upstream": u.ID, "connect_ms": took.Milliseconds()}).Info("connected_late")
+		}
+		return nil
+	}
+}
+
 // unsentReason returns why nothing was sent to an upstream, for the counter of retries.
 func unsentReason(err error) string {
 	switch {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -474,7 +474,7 @@
 	hangTimer := r.watchHang(j, u, sent)
 	answer, err := r.Sender.Send(sending, exchange.Send{
 		Request: j.req, Upstream: u.ID, Address: u.Address, Left: time.Until(j.deadline), Organisation: j.organisation,
-		Urgency: j.urgency, After: after, From: from,
+		Urgency: j.urgency, After: after, From: from, BeforeWrite: r.beforeWrite(j, u, startedAt),
 	})
 	if err != nil {
 		untrack()
