edge, peer, relay, upstream: failing tests of silent connections

Reproduced before any fix, in virtual time and with the clients and servers of real connections (a network in memory, on which open connections fall silent for good while new ones work):

- TestStateChangeWhileConnecting: sent although the upstream left meanwhile.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -371,6 +371,8 @@
 
 	ineligible func(box string) bool // boxes that aren't hub-eligible; nil for none
 
+	rows func(e *Edge) manifest.Rows // the store as used by a box; nil for table
+
 	regions  map[string]string // region by hall; nil for one region
 	farDelay time.Duration     // one way between regions
 
@@ -378,6 +380,8 @@
 	rollout     *wire.Rollout          // bounds of roll-outs; nil if disabled
 	balance     []wire.EdgeBalanceElem // enabled balancing features
 
+	hangs func(from, to, method string) bool // calls between boxes that get no answer, to the address; nil for none
+
 	mu        sync.Mutex
 	isolated  map[string]bool  // boxes cut off from all others, by address
 	partition map[string]int   // side of a network partition, by box
@@ -457,7 +461,8 @@
 	e, up := w.byAddress[address]
 	w.methods[method]++
 	own := w.cpu[box]
-	cut := w.isolated[address] || w.isolated[box+":1"] || up && w.partition[box] != w.partition[e.Name()]
+	hangs := w.hangs != nil && w.hangs(box, address, method)
+	cut := hangs || w.isolated[address] || w.isolated[box+":1"] || up && w.partition[box] != w.partition[e.Name()]
 	w.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -650,7 +655,11 @@
 	c.byAddress[e.record.Address], c.cancels[e] = e, end
 	c.mu.Unlock()
 	time.AfterFunc(listTime, func() { e.setPreviousBoxes(records) })
-	workers := manifest.NewWorkers(storeClient{c.table, e.Name()}, e.fleet, e.hasService, e.metrics, e.log)
+	rows := manifest.Rows(storeClient{c.table, e.Name()})
+	if c.rows != nil {
+		rows = c.rows(e)
+	}
+	workers := manifest.NewWorkers(rows, e.fleet, e.hasService, e.metrics, e.log)
 	for _, f := range e.followers(workers) {
 		go f.Run(ctx)
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -71,9 +71,13 @@
 	return errors.As(err, &e) && e.Unreachable
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Peers holds the connections to other boxes. It is safe for concurrent use.
 type Peers struct {
 	roundTrips *roundtrip.Estimator
+	open       Dial
 
 	mu      sync.Mutex
 	tls     *tls.Config
@@ -83,7 +87,14 @@
 
 // New returns peers without connections; tls may be nil.
 func New(config *tls.Config) *Peers {
-	return &Peers{roundTrips: roundtrip.New(), tls: config, clients: map[string]*rpc.Client{}}
+	return &Peers{roundTrips: roundtrip.New(), open: (&net.Dialer{Timeout: dialTimeout}).DialContext, tls: config, clients: map[string]*rpc.Client{}}
+}
+
+// WithDial returns peers without connections that open them with dial, and without TLS.
+func (*Peers) WithDial(dial Dial) *Peers {
+	p := New(nil)
+	p.open = dial
+	return p
 }
 
 // Call calls a method of the box at an address and waits for the answer until
@@ -197,11 +208,10 @@
 }
 
 func (p *Peers) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	if p.tls == nil {
-		return dialer.DialContext(ctx, "tcp", address)
+		return p.open(ctx, "tcp", address)
 	}
-	return (&tls.Dialer{NetDialer: dialer, Config: p.tls}).DialContext(ctx, "tcp", address)
+	return (&tls.Dialer{NetDialer: &net.Dialer{Timeout: dialTimeout}, Config: p.tls}).DialContext(ctx, "tcp", address)
 }
 
 func (p *Peers) drop(address string, client *rpc.Client) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -48,6 +48,8 @@
 	err      error
 	hang     bool // no answer until the request is cancelled
 	delay    time.Duration
+	connects time.Duration // until the connection is open
+	onOpen   func()        // called as it is open
 	body     string
 	rest     string // of a long answer, after the buffered part
 	cutAfter error  // error at the end of the body
@@ -84,6 +86,13 @@
 		<-ctx.Done()
 		return nil, &exchange.FailedError{Err: ctx.Err()}
 	}
+	time.Sleep(r.connects)
+	if r.onOpen != nil {
+		r.onOpen()
+	}
+	if err := send.BeforeWrite(); err != nil {
+		return nil, &exchange.FailedError{NotSent: true, Err: err}
+	}
 	select {
 	case <-time.After(r.delay):
 	case <-ctx.Done():
@@ -979,26 +988,28 @@
 	return admission.Grant{Upstream: u}, nil
 }
 
+// stateChanges are changes after which an upstream may not get a request that was placed there.
+var stateChanges = map[string]func(w *world, u fleet.Upstream){
+	"restarted": func(w *world, u fleet.Upstream) { w.fleet.MarkStarted(time.Now(), u.ID, u.StartedAt+1, "report") },
+	"leaving": func(w *world, u fleet.Upstream) {
+		w.fleet.ApplyDeparture(time.Now(), fleet.Departure{ID: u.ID, Announced: true}, "answer")
+	},
+	"hall evacuated": func(w *world, u fleet.Upstream) { w.fleet.CloseHall(time.Now(), u.Hall) },
+	"release excluded": func(w *world, u fleet.Upstream) {
+		w.fleet.SetReleases(time.Now(), u.Service, fleet.Releases{Except: []string{u.Release}})
+	},
+	"only another release": func(w *world, u fleet.Upstream) {
+		w.fleet.SetReleases(time.Now(), u.Service, fleet.Releases{Only: "r1"})
+	},
+	"release on trial": func(w *world, u fleet.Upstream) {
+		w.fleet.SetReleases(time.Now(), u.Service, fleet.Releases{Trial: u.Release})
+	},
+}
+
 // TestStateChangeBeforeSend guards against sends to an upstream that restarted, is leaving,
 // was evacuated or is of a release that takes no more requests since the request was placed.
 func TestStateChangeBeforeSend(t *testing.T) {
-	tests := map[string]func(w *world, u fleet.Upstream){
-		"restarted": func(w *world, u fleet.Upstream) { w.fleet.MarkStarted(time.Now(), u.ID, u.StartedAt+1, "report") },
-		"leaving": func(w *world, u fleet.Upstream) {
-			w.fleet.ApplyDeparture(time.Now(), fleet.Departure{ID: u.ID, Announced: true}, "answer")
-		},
-		"hall evacuated": func(w *world, u fleet.Upstream) { w.fleet.CloseHall(time.Now(), u.Hall) },
-		"release excluded": func(w *world, u fleet.Upstream) {
-			w.fleet.SetReleases(time.Now(), u.Service, fleet.Releases{Except: []string{u.Release}})
-		},
-		"only another release": func(w *world, u fleet.Upstream) {
-			w.fleet.SetReleases(time.Now(), u.Service, fleet.Releases{Only: "r1"})
-		},
-		"release on trial": func(w *world, u fleet.Upstream) {
-			w.fleet.SetReleases(time.Now(), u.Service, fleet.Releases{Trial: u.Release})
-		},
-	}
-	for name, change := range tests {
+	for name, change := range stateChanges {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -1018,3 +1029,32 @@
 		})
 	}
 }
+
+// TestStateChangeWhileConnecting guards against requests that reach an upstream long after it was
+// known to leave, as opening the connection took long or the process was paused meanwhile.
+func TestStateChangeWhileConnecting(t *testing.T) {
+	for name, change := range stateChanges {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, reply{events: []int{0}})
+				for i := range 2 {
+					u, _ := w.fleet.Get(fmt.Sprint("llm", i))
+					u.StartedAt, u.Hall, u.Version, u.Release = 100, fmt.Sprint("hall", i), u.Version+1, fmt.Sprint("r", i)
+					w.fleet.Put(time.Now(), u)
+				}
+				w.relay.Admitter = &sequentialAdmitter{fleet: w.fleet, onFirst: func(fleet.Upstream) {}}
+				first := reply{events: []int{0}, connects: 300 * time.Millisecond, onOpen: func() {
+					u, _ := w.fleet.Get("llm0")
+					change(w, u)
+				}}
+				w.sender.script = []reply{first, {events: []int{0}}}
+				c := w.serve(t.Context(), "/draft/")
+				is.Equal(c.body.String(), "0;")
+				is.Equal(len(w.sender.sends), 2) // nothing reached the first one
+				is.Equal(w.sender.sends[1].Upstream, "llm1")
+				is.Equal(len(w.load.Own()), 0)
+			})
+		})
+	}
+}
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -4,8 +4,11 @@
 package faultproxy
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -19,7 +22,11 @@
 	Both
 )
 
-const bufferSize = 16 << 10
+const (
+	bufferSize = 16 << 10 // bytes
+	// maxHeldChunks bounds the bytes of one direction that are held back, in buffers.
+	maxHeldChunks = 64
+)
 
 // hold says how bytes of one direction are held back.
 type hold struct {
@@ -143,18 +150,27 @@
 	return true
 }
 
-// forward copies bytes of one direction until an error, then closes both connections.
+// forward copies bytes of one direction until an error, then closes both connections. Bytes that
+// are held back are lost if their sender resets the connection.
 func (p *Proxy) forward(from, to net.Conn, direction Direction) {
-	buf := make([]byte, bufferSize)
-	for {
-		n, err := from.Read(buf)
-		if n > 0 && p.wait(direction) && !p.muted(from) {
-			_, err = to.Write(buf[:n])
+	chunks, end := make(chan []byte, maxHeldChunks), make(chan struct{})
+	var reset atomic.Bool
+	p.all.Go(func() {
+		defer close(chunks)
+		reset.Store(errors.Is(readChunks(from, chunks, end), syscall.ECONNRESET))
+	})
+	for chunk := range chunks {
+		if !p.wait(direction) || p.muted(from) {
+			continue
 		}
-		if err != nil {
-			break // io.EOF, or a connection cut on purpose
+		if reset.Load() {
+			break
+		}
+		if _, err := to.Write(chunk); err != nil {
+			break
 		}
 	}
+	close(end)
 	if p.muted(from) {
 		<-p.closed // keep the other connection open too
 	}
@@ -166,6 +182,24 @@
 	delete(p.connections, to)
 }
 
+// readChunks reads chunks until an error, or end is closed.
+func readChunks(from net.Conn, chunks chan<- []byte, end <-chan struct{}) error {
+	for {
+		buf := make([]byte, bufferSize)
+		n, err := from.Read(buf)
+		if n > 0 {
+			select {
+			case chunks <- buf[:n]:
+			case <-end:
+				return nil
+			}
+		}
+		if err != nil {
+			return err // io.EOF, or a connection cut on purpose
+		}
+	}
+}
+
 func (p *Proxy) muted(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
