peer: a connection that is silent while calls wait is no longer used

What callers saw: boxes refused new routes and accepted replaced ones for over 2 s after the operator's confirmation (CONFIG).

Cause: a call that ran into its time limit left its connection as it was, and only gossip to hubs ever closed one, after two calls and with the hub left out for 3 s. A connection that fell silent for good, while new ones work, was used again for each fetch, turn, admission or allowance.

Now a connection over which no byte came for 0.3 s (roundtrip.Max) while a call waited gets no further calls. A method that is answered at once and may run twice is called again at once, over a new connection, and the first answer counts; a call that must not run twice is not repeated. Calls that wait keep the old connection until they end; then it is reset, so that nothing the network held back arrives later. connection_retired logs it.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -216,8 +216,6 @@
 		loads:       upstreamload.New(),
 		reliability: reliability.New(),
 		runs:        runs.New(),
-		peers:       peer.New(nil),
-		tunnelCalls: peer.New(nil),
 		turns:       moveturns.New(),
 		strangers:   newStrangers(),
 		origins:     origins.New(),
@@ -231,6 +229,8 @@
 		hubStates:   map[string]hubState{},
 		regionSeen:  map[string]time.Time{},
 	}
+	e.peers = peer.New(nil).WithObserver(peerConnections{e})
+	e.tunnelCalls = peer.New(nil).WithObserver(peerConnections{e})
 	e.setDial(dialer.Direct)
 	e.upstreams = upstream.NewWithDial(e.dial).WithUnknownFields(counts, log)
 	e.tunnelClient = tunnel.NewClient(e.tunnelCalls, c.Box, s.Fleet)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -122,6 +122,7 @@
 	dials              metric.Int64Counter
 	connects           metric.Float64Histogram
 	configFetches      metric.Int64Counter
+	retiredConnections metric.Int64Counter
 	linkChanges        metric.Int64Counter
 	tunnelsOpened      metric.Int64Counter
 	tunnelsServed      metric.Int64Counter
@@ -179,6 +180,7 @@
 // addLinkInstruments creates the instruments for connections to upstreams.
 func (m *Metrics) addLinkInstruments(b *builder) {
 	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
+	m.retiredConnections = b.counter("petrelstep_peer_connections_retired", "Connections to other boxes that were silent while calls waited.")
 	m.connects = b.histogram("petrelstep_upstream_connect", "Time from the choice of an upstream to the first byte that is sent to it.")
 	m.linkChanges = b.counter("petrelstep_upstream_links", "Links of this box to upstreams that other boxes reach, by change.")
 	m.tunnelsOpened = b.counter("petrelstep_tunnels_opened", "Connections to upstreams asked of other boxes, by outcome; empty if a box did not answer.")
@@ -346,6 +348,9 @@
 	m.storeReads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", table), attribute.String("reason", reason)))
 }
 
+// PeerConnectionRetired counts a connection to another box that was silent while calls waited.
+func (m *Metrics) PeerConnectionRetired() { m.retiredConnections.Add(context.Background(), 1) }
+
 // Outcomes of fetching a configuration from another box.
 const (
 	FetchTaken   = "taken"
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,7 +7,9 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"petrelstep/peer/roundtrip"
@@ -74,49 +76,69 @@
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Observer is notified of connections that are no longer used.
+type Observer interface {
+	// ConnectionRetired is called when a connection was silent for a time in which calls waited.
+	ConnectionRetired(address string, silent time.Duration, waiting int)
+}
+
 // Peers holds the connections to other boxes. It is safe for concurrent use.
 type Peers struct {
 	roundTrips *roundtrip.Estimator
 	open       Dial
+	tls        *tls.Config
+	observer   Observer // nil for none
 
-	mu      sync.Mutex
-	tls     *tls.Config
-	clients map[string]*rpc.Client
-	closed  bool
+	mu          sync.Mutex
+	connections map[string]*connection
+	closed      bool
 }
 
 // New returns peers without connections; tls may be nil.
 func New(config *tls.Config) *Peers {
-	return &Peers{roundTrips: roundtrip.New(), open: (&net.Dialer{Timeout: dialTimeout}).DialContext, tls: config, clients: map[string]*rpc.Client{}}
+	return &Peers{roundTrips: roundtrip.New(), open: (&net.Dialer{Timeout: dialTimeout}).DialContext, tls: config, connections: map[string]*connection{}}
+}
+
+// WithDial returns peers without connections that open them with dial, without TLS.
+func (p *Peers) WithDial(dial Dial) *Peers {
+	peers := New(nil)
+	peers.open, peers.observer = dial, p.observer
+	return peers
 }
 
-// WithDial returns peers without connections that open them with dial, and without TLS.
-func (*Peers) WithDial(dial Dial) *Peers {
-	p := New(nil)
-	p.open = dial
-	return p
+// WithObserver returns peers without connections that notify o.
+func (p *Peers) WithObserver(o Observer) *Peers {
+	peers := New(p.tls)
+	peers.open, peers.observer = p.open, o
+	return peers
 }
 
 // Call calls a method of the box at an address and waits for the answer until
 // ctx ends. The error is an *Error.
 func (p *Peers) Call(ctx context.Context, address, method string, args, reply any) error {
-	took, err := p.call(ctx, address, method, args, reply)
+	took, err := p.call(ctx, address, method, args, reply, func(*connection) {})
 	if err == nil && AnsweredAtOnce(method) {
 		p.roundTrips.Record(time.Now(), address, took)
 	}
 	return err
 }
 
-// call is Call without a record of the time that it took on the open connection.
-func (p *Peers) call(ctx context.Context, address, method string, args, reply any) (took time.Duration, err error) {
-	client, err := p.client(ctx, address)
+// call is Call without a record of the time that it took on the open connection. connected is called
+// before the call is sent.
+func (p *Peers) call(ctx context.Context, address, method string, args, reply any, connected func(*connection)) (took time.Duration, err error) {
+	c, err := p.connect(ctx, address)
 	if err != nil {
 		return 0, &Error{Address: address, Method: method, Unreachable: true, Err: err}
 	}
+	defer p.release(c)
+	connected(c)
 	sent := time.Now()
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call := c.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.retireIfSilent(address, c)
+		}
 		return 0, &Error{Address: address, Method: method, Err: ctx.Err()}
 	case <-call.Done:
 	}
@@ -127,19 +149,91 @@
 	if errors.As(call.Error, &answered) {
 		return 0, &Error{Address: address, Method: method, Err: call.Error}
 	}
-	p.drop(address, client)
+	p.drop(address, c)
 	return 0, &Error{Address: address, Method: method, Unreachable: true, ConnectionLost: true, Err: call.Error}
 }
 
-// CallIdempotent is Call for a method that may run twice: if an open connection is
-// lost, it calls again on a new one. A reset does not mean that the box is down.
+// CallIdempotent is Call for a method that may run twice: it calls again on a new connection if
+// the open one is lost, or is silent although the method is answered at once. A reset does not mean
+// that the box is down.
 func (p *Peers) CallIdempotent(ctx context.Context, address, method string, args, reply any) error {
-	err := p.Call(ctx, address, method, args, reply)
-	var e *Error
-	if errors.As(err, &e) && e.ConnectionLost && ctx.Err() == nil {
-		_, err = p.call(ctx, address, method, args, reply) // a retried call is no measure of the round trip
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &repeatedCall{Peers: p, ctx: ctx, address: address, method: method, args: args, reply: reply, results: make(chan result, maxAttempts)}
+	return r.run()
+}
+
+// maxAttempts is the number of times that an idempotent method is called.
+const maxAttempts = 2
+
+// repeatedCall is a call of an idempotent method.
+type repeatedCall struct {
+	*Peers
+	ctx             context.Context
+	address, method string
+	args, reply     any
+	results         chan result
+	first           atomic.Pointer[connection] // of the first attempt
+	attempts        int                        // started
+	running         int
+}
+
+// result is the result of an attempt.
+type result struct {
+	reply any
+	took  time.Duration
+	err   error
+}
+
+// start starts an attempt. It has a reply of its own, as one that was given up may still be written to.
+func (r *repeatedCall) start() {
+	r.attempts++
+	r.running++
+	reply := reflect.New(reflect.TypeOf(r.reply).Elem()).Interface()
+	go func() {
+		took, err := r.call(r.ctx, r.address, r.method, r.args, reply, func(c *connection) { r.first.CompareAndSwap(nil, c) })
+		r.results <- result{reply, took, err}
+	}()
+}
+
+func (r *repeatedCall) run() error {
+	r.start()
+	silence := time.NewTimer(silenceTimeout)
+	defer silence.Stop()
+	for {
+		select {
+		case <-silence.C:
+			if !AnsweredAtOnce(r.method) || r.attempts == maxAttempts {
+				continue
+			}
+			if left := r.retireIfSilent(r.address, r.first.Load()); left > 0 {
+				silence.Reset(left)
+				continue
+			}
+			r.start()
+		case got := <-r.results:
+			r.running--
+			if got.err == nil {
+				return r.succeeded(got)
+			}
+			var failed *Error
+			if errors.As(got.err, &failed) && failed.ConnectionLost && r.attempts < maxAttempts && r.ctx.Err() == nil {
+				r.start()
+			}
+			if r.running == 0 {
+				return got.err
+			}
+		}
 	}
-	return err
+}
+
+// succeeded returns an attempt's reply. A repeated call is no measure of the round trip.
+func (r *repeatedCall) succeeded(got result) error {
+	reflect.ValueOf(r.reply).Elem().Set(reflect.ValueOf(got.reply).Elem())
+	if r.attempts == 1 && AnsweredAtOnce(r.method) {
+		r.roundTrips.Record(time.Now(), r.address, got.took)
+	}
+	return nil
 }
 
 // RoundTrip returns the mean time of recent calls to a peer; false if it is unknown.
@@ -154,7 +248,7 @@
 	timeout, known = p.roundTrips.Timeout(time.Now(), address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.clients[address] == nil {
+	if p.connections[address] == nil {
 		timeout = min(2*timeout, roundtrip.Max)
 	}
 	return timeout, known
@@ -164,10 +258,10 @@
 // connection may stay stalled for long.
 func (p *Peers) Forget(address string) {
 	p.mu.Lock()
-	client, ok := p.clients[address]
+	c, ok := p.connections[address]
 	p.mu.Unlock()
 	if ok {
-		p.drop(address, client)
+		p.drop(address, c)
 	}
 }
 
@@ -176,18 +270,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for address, c := range p.clients {
-		_ = c.Close()
-		delete(p.clients, address)
+	for address, c := range p.connections {
+		_ = c.client.Close()
+		delete(p.connections, address)
 	}
 }
 
-func (p *Peers) client(ctx context.Context, address string) (*rpc.Client, error) {
-	p.mu.Lock()
-	client, ok := p.clients[address]
-	p.mu.Unlock()
-	if ok {
-		return client, nil
+// connect returns the connection to an address for a call, which release ends.
+func (p *Peers) connect(ctx context.Context, address string) (*connection, error) {
+	if c := p.use(address); c != nil {
+		return c, nil
 	}
 	conn, err := p.dial(ctx, address)
 	if err != nil {
@@ -195,16 +287,70 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if existing, ok := p.clients[address]; ok || p.closed {
+	if p.closed {
 		_ = conn.Close()
-		if p.closed {
-			return nil, net.ErrClosed
-		}
-		return existing, nil
+		return nil, net.ErrClosed
+	}
+	c, ok := p.connections[address]
+	if ok {
+		_ = conn.Close()
+	} else {
+		c = newConnection(conn)
+		p.connections[address] = c
+	}
+	c.begin(time.Now())
+	return c, nil
+}
+
+// use returns the open connection to an address for a call; nil if there is none.
+func (p *Peers) use(address string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.connections[address]
+	if c != nil {
+		c.begin(time.Now())
+	}
+	return c
+}
+
+// release ends a call. A retired connection is closed after its last call.
+func (p *Peers) release(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.waiting--
+	if c.retired && c.waiting == 0 {
+		c.reset()
+	}
+}
+
+// retireIfSilent lets no further call use a connection if it is silent. Calls that wait for their
+// answers keep it. Otherwise it returns how long the connection has to stay silent for that. c is
+// nil while it is being opened.
+func (p *Peers) retireIfSilent(address string, c *connection) (left time.Duration) {
+	if c == nil {
+		return silenceTimeout
+	}
+	now := time.Now()
+	p.mu.Lock()
+	if c.retired {
+		p.mu.Unlock()
+		return 0
+	}
+	silent := c.silence(now)
+	if silent < silenceTimeout {
+		p.mu.Unlock()
+		return silenceTimeout - silent
+	}
+	if p.connections[address] == c {
+		delete(p.connections, address)
+	}
+	c.retired = true
+	waiting := c.waiting
+	p.mu.Unlock()
+	if p.observer != nil {
+		p.observer.ConnectionRetired(address, silent, waiting)
 	}
-	client = rpc.NewClient(conn)
-	p.clients[address] = client
-	return client, nil
+	return 0
 }
 
 func (p *Peers) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -214,11 +360,12 @@
 	return (&tls.Dialer{NetDialer: &net.Dialer{Timeout: dialTimeout}, Config: p.tls}).DialContext(ctx, "tcp", address)
 }
 
-func (p *Peers) drop(address string, client *rpc.Client) {
+// drop closes a connection, so that what the network holds back of it is lost.
+func (p *Peers) drop(address string, c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.clients[address] == client {
-		delete(p.clients, address)
+	if p.connections[address] == c {
+		delete(p.connections, address)
 	}
-	_ = client.Close()
+	c.reset()
 }
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -74,7 +74,7 @@
 // stateChanges are the events that change a box's configuration, view or connectivity.
 var stateChanges = map[string]bool{
 	"configured": true, "upstreams_listed": true, "history_forgotten": true, "store_lost": true, "store_regained": true,
-	"configuration_fetched": true, "configuration_not_taken": true, "peer_lost": true, "peer_regained": true, "draining": true, "started": true, "stopped": true, "upstream_leaves": true,
+	"configuration_fetched": true, "configuration_not_taken": true, "connection_retired": true, "peer_lost": true, "peer_regained": true, "draining": true, "started": true, "stopped": true, "upstream_leaves": true,
 	"configuration_stale": true, "configuration_confirmed": true, "upstream_rest": true,
 }
 
