configfetch, edge: further boxes are asked while one does not answer

Cause: one fetch ran at a time, each announcement of another box meanwhile was dropped, and after its limit of 1 s the next fetch could go to the same box again. The class of fault: a call under way keeps others from being tried.

Announcements are kept now, and a further box is asked after the time-out of the measured round trip (50 to 300 ms, and the transfer on this box's link), hubs that answer before boxes that call, failed ones last, three at a time. The limit of a fetch allows for the transfer, so that a large manifest on a slow link comes at last. In calm there is one fetch a box and version as before (edge.TestFetchesInCalm); edge.TestFetchBound adds the constants.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"petrelstep/config"
+	"petrelstep/configfetch"
 	"petrelstep/fleet"
 	"petrelstep/peerstate"
 	"petrelstep/storecontact"
@@ -72,7 +73,7 @@
 // turned away all hubs. A box without any waits for a hub, which knows when it was confirmed.
 func (e *Edge) fetchFromCaller(now time.Time, from wire.Gossip) {
 	if table, _, _ := e.routes.Current(now); table != nil {
-		e.fetchConfiguration(now, from.Sender, from.Version, time.Time{})
+		e.fetcher.Announce(configfetch.Announcement{Box: from.Sender.Box, Address: from.Sender.Address, Version: from.Version})
 	}
 }
 
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/config"
+	"petrelstep/configfetch"
 	"petrelstep/distance"
 	"petrelstep/fingerprint"
 	"petrelstep/gossip"
@@ -640,6 +641,7 @@
 	e.tunnelClient = tunnel.NewClient(e.peers, name, e.config.Edge.Fleet)
 	e.quarantineStore.table = c.quarantines
 	e.configuration = manifest.NewConfiguration(storeClient{c.table, name}, e.routes, e.halls, e.log)
+	e.fetcher = configfetch.New(e.peers, configurationInForce{e}, link, e.metrics.ConfigurationFetched, e.log)
 	e.storeClock = storeClient{}.ClockAt
 	e.rollouts = newRolloutControl(e, storeClient{c.table, name})
 	c.mu.Lock()
@@ -682,7 +684,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	return ctx, func() {
 		cancel()
-		time.Sleep(2 * configurationTimeout)
+		time.Sleep(2 * configfetch.Timeout)
 		synctest.Wait()
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -16,6 +16,7 @@
 	"petrelstep/balance/places"
 	"petrelstep/balance/speeds"
 	"petrelstep/config"
+	"petrelstep/configfetch"
 	"petrelstep/dialer"
 	"petrelstep/distance"
 	"petrelstep/evacuate"
@@ -167,7 +168,7 @@
 
 	fleetPacer    pacer // limits the rate of full fleet transfers
 	configuration *manifest.Configuration
-	fetching      atomic.Bool // a newer configuration is being fetched
+	fetcher       *configfetch.Fetcher
 	joined        atomic.Bool // the other boxes are known
 	storeRefused  atomic.Bool // the store refused or failed this box's last call for the table of boxes
 	unlisted      atomic.Bool // this box has no row in the table of boxes; a hub is to write it
@@ -249,6 +250,7 @@
 	e.snapshot = snapshot.New(e.fleetSnapshot)
 	e.halls = halls.New(e.onHallChange)
 	e.configuration = manifest.NewConfiguration(e.store, e.routes, e.halls, log)
+	e.fetcher = configfetch.New(e.peers, configurationInForce{e}, s.LinkMbit, counts.ConfigurationFetched, log)
 	e.members = newMembers(e.record, e.regions)
 	e.rollouts = newRolloutControl(e, e.store)
 	e.routes.SetSuspendedSince(e.suspendedSince)
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"petrelstep/configfetch"
 	"petrelstep/peer"
 	"petrelstep/peer/edgerpc"
 	"petrelstep/peer/tunnel"
@@ -194,6 +195,7 @@
 		e.store = store.New(storeAddress, nil).WithDial(dial)
 		e.peers = peer.New(nil).WithDial(dial)
 		e.tunnelClient = tunnel.NewClient(e.peers, e.Name(), "")
+		e.fetcher = configfetch.New(e.peers, configurationInForce{e}, e.config.Edge.LinkMbit, e.metrics.ConfigurationFetched, e.log)
 		e.configuration = manifest.NewConfiguration(e.store, e.routes, e.halls, e.log)
 		e.storeClock = e.store.ClockAt
 		e.rollouts = newRolloutControl(e, e.store)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -1,26 +1,20 @@
 package edge
 
 import (
-	"context"
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"petrelstep/config"
+	"petrelstep/configfetch"
 	"petrelstep/fleet"
 	"petrelstep/halls"
 	"petrelstep/members"
-	"petrelstep/metrics"
-	"petrelstep/peer"
 	"petrelstep/peerstate"
 	"petrelstep/snapshot"
 	"petrelstep/wire"
 )
 
 const (
-	// configurationTimeout bounds the transfer of a configuration of some 100 KB.
-	configurationTimeout = time.Second
 	// maxFleetAge is the age from which a hub's fleet is ignored: a little over two of
 	// its calls to the store.
 	maxFleetAge = 3500 * time.Millisecond
@@ -172,7 +166,9 @@
 		e.halls.Update(now, halls.Status{Hall: w.Hall, Evacuated: w.Evacuated, Version: int64(w.Version)}, a.Sender.Box)
 	}
 	e.rollouts.receiveOrders(now, a, sent) // likewise
-	e.fetchConfiguration(now, a.Sender, a.Version, sent.Add(-config.Millis(a.VersionAgeMs)))
+	e.fetcher.Announce(configfetch.Announcement{
+		Box: a.Sender.Box, Address: a.Sender.Address, Version: a.Version, Confirmed: sent.Add(-config.Millis(a.VersionAgeMs)), Answered: true,
+	})
 	table, _, _ := e.routes.Current(now)
 	if table != nil && table.Version() == a.Version {
 		e.routes.Confirm(sent.Add(-config.Millis(a.VersionAgeMs)))
@@ -320,51 +316,25 @@
 	}
 }
 
-// fetchConfiguration fetches a newer configuration that a box announces, one fetch at a time,
-// since all hubs announce it at once. confirmed is when the store had confirmed it, so that the
-// configuration of a box that has just started is not stale until the next answer; zero if
-// unknown.
-func (e *Edge) fetchConfiguration(now time.Time, from wire.BoxRecord, version int, confirmed time.Time) {
-	table, _, _ := e.routes.Current(now)
-	if table != nil && table.Version() >= version || version == 0 {
-		return
-	}
-	if !e.fetching.CompareAndSwap(false, true) {
-		e.metrics.ConfigurationFetched(metrics.FetchSkipped)
-		return
+// configurationInForce implements configfetch.Configuration.
+type configurationInForce struct{ *Edge }
+
+// Version implements configfetch.Configuration.
+func (c configurationInForce) Version() int {
+	table, _, _ := c.routes.Current(time.Now())
+	if table == nil {
+		return 0
 	}
-	go func() {
-		defer e.fetching.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), configurationTimeout)
-		defer cancel()
-		var answer wire.Configuration
-		err := e.peers.CallIdempotent(ctx, from.Address, peer.Configuration, wire.Nothing{}, &answer)
-		took := time.Since(now)
-		if err == nil && answer.Version > 0 {
-			err = e.configuration.ApplyEncoded([]byte(answer.Encoded), from.Box)
-		}
-		log := e.log.WithFields(logrus.Fields{"peer": from.Box, "version": version, "took_ms": took.Milliseconds()})
-		if err != nil {
-			e.metrics.ConfigurationFetched(metrics.FetchFailed)
-			log.WithError(err).Warn("configuration_not_taken")
-			return
-		}
-		e.recordFetched(log, answer, confirmed)
-		if answer.Version >= version && !confirmed.IsZero() {
-			e.routes.Confirm(confirmed)
-		}
-	}()
+	return table.Version()
 }
 
-// recordFetched logs and counts a configuration that another box returned.
-func (e *Edge) recordFetched(log *logrus.Entry, answer wire.Configuration, confirmed time.Time) {
-	outcome := metrics.FetchTaken
-	if table, _, _ := e.routes.Current(time.Now()); table != nil && table.Version() > answer.Version {
-		outcome = metrics.FetchOld
-	}
-	e.metrics.ConfigurationFetched(outcome)
-	if !confirmed.IsZero() {
-		log = log.WithField("confirmed_ms", time.Since(confirmed).Milliseconds())
-	}
-	log.WithFields(logrus.Fields{"fetched": answer.Version, "outcome": outcome}).Info("configuration_fetched")
+// Size implements configfetch.Configuration.
+func (c configurationInForce) Size() int { return len(c.configuration.Encoded()) }
+
+// Apply implements configfetch.Configuration.
+func (c configurationInForce) Apply(encoded []byte, source string) error {
+	return c.configuration.ApplyEncoded(encoded, source)
 }
+
+// Confirm implements configfetch.Configuration.
+func (c configurationInForce) Confirm(at time.Time) { c.routes.Confirm(at) }
--- a/edge/regions_test.go
+++ b/edge/regions_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/admission"
+	"petrelstep/configfetch"
 	"petrelstep/distance"
 	"petrelstep/evacuate"
 	"petrelstep/fleet"
@@ -111,7 +112,7 @@
 		is.True(free)
 		c.expectAllReachable(t)
 		end()
-		time.Sleep(2 * configurationTimeout)
+		time.Sleep(2 * configfetch.Timeout)
 		synctest.Wait()
 	})
 }
@@ -196,7 +197,7 @@
 		is.True(at.loads.Load(time.Now(), g.Upstream.ID).Tokens >= 3000) // reserved by the owner
 		c.expectAllReachable(t)
 		end()
-		time.Sleep(2 * configurationTimeout)
+		time.Sleep(2 * configfetch.Timeout)
 		synctest.Wait()
 	})
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -237,7 +237,7 @@
 	for _, outcome := range links.Outcomes() {
 		m.dials.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
 	}
-	for _, outcome := range []string{FetchTaken, FetchOld, FetchFailed, FetchSkipped} {
+	for _, outcome := range []string{FetchTaken, FetchOld, FetchFailed} {
 		m.configFetches.Add(ctx, 0, metric.WithAttributes(attribute.String("outcome", outcome)))
 	}
 	for _, r := range []string{SlowBoxFull, SlowStalled} {
@@ -353,10 +353,9 @@
 
 // Outcomes of fetching a configuration from another box.
 const (
-	FetchTaken   = "taken"
-	FetchOld     = "old" // no newer than the one in force by then
-	FetchFailed  = "failed"
-	FetchSkipped = "skipped" // another fetch was under way
+	FetchTaken  = "taken"
+	FetchOld    = "old" // no newer than the one in force by then
+	FetchFailed = "failed"
 )
 
 // ConfigurationFetched counts a fetch of a configuration from another box.
