relay, upstream: an upstream's state is checked again before the first byte

What workers saw: a request arrived over 2 s after the store had confirmed that the worker leaves (DRAIN).

Cause: the state of an upstream was looked at before its connection was opened. A dial takes up to 0.4 s with a tunnel, and a process that is paused in between goes on where it stopped, however long ago the look was. Of the bound of 2.0 s up to 1.95 s go into learning of the departure.

Evidence: relay.TestStateChangeWhileConnecting failed in all six rows: the request was sent to the upstream that had left, restarted or been closed.

The client of upstreams calls the check just before the first byte now, on direct connections and tunnels, for first tries, retries and concurrent tries alike. A request that may not go is certainly not sent, so that it goes elsewhere without a try or a failure being counted. Moved runs go on where their copy is, as before.

--- a/relay/check.go
+++ b/relay/check.go
@@ -32,11 +32,8 @@
 	if refused, ok := r.quarantineRefusal(j); ok {
 		return refused
 	}
-	if !r.continuesAt(j, u) {
-		return &exchange.FailedError{NotSent: true, Err: &ReleaseError{Upstream: u.ID, Release: u.Release, Expected: j.origin.release}}
-	}
-	if from == nil && !r.acceptsRequest(j, u) {
-		return &exchange.FailedError{NotSent: true, Err: &LeavingError{Upstream: u.ID}}
+	if err := r.checkState(j, u, from); err != nil {
+		return &exchange.FailedError{NotSent: true, Err: err}
 	}
 	maySend := r.Backoff.MaySend
 	if from != nil {
@@ -48,23 +45,44 @@
 	return nil
 }
 
+// checkState checks whether an upstream's state allows to send it a request.
+func (r *Relay) checkState(j *job, u fleet.Upstream, from *exchange.Copy) error {
+	switch {
+	case !r.continuesAt(j, u):
+		return &ReleaseError{Upstream: u.ID, Release: u.Release, Expected: j.origin.release}
+	case from == nil && !r.acceptsRequest(j, u):
+		return &LeavingError{Upstream: u.ID}
+	}
+	return nil
+}
+
 // slowConnect is the time from the last check of an upstream's state to the first byte from which
 // it is logged: round trips within a region take 3 ms, between regions 60 ms.
 const slowConnect = 100 * time.Millisecond
 
-// beforeWrite returns what is called once the connection to an upstream is open, just before the
-// request is sent. Its state was last checked at a time.
-func (r *Relay) beforeWrite(j *job, u fleet.Upstream, checkedAt time.Time) func() error {
+// beforeWrite returns the check that is made once the connection to an upstream is open, just
+// before the request is sent: opening it may take long, and the process may be paused meanwhile.
+// The upstream's state was last checked at a time.
+func (r *Relay) beforeWrite(j *job, u fleet.Upstream, from *exchange.Copy, checkedAt time.Time) func() error {
 	return func() error {
 		took := time.Since(checkedAt)
 		r.Metrics.Connected(took)
 		if took > slowConnect {
 			j.log.WithFields(logrus.Fields{"upstream": u.ID, "connect_ms": took.Milliseconds()}).Info("connected_late")
 		}
-		return nil
+		if !r.Fleet.IsCurrent(u) {
+			return &RestartedError{Upstream: u.ID}
+		}
+		return r.checkState(j, u, from)
 	}
 }
 
+// stateChanged reports whether a request was not sent as the state of its upstream changed, which
+// says nothing about whether the upstream works.
+func stateChanged(err error) bool {
+	return isNotSent(err) && (unsentReason(err) != metrics.RetryNeverStarted || errors.As(err, new(*RestartedError)))
+}
+
 // unsentReason returns why nothing was sent to an upstream, for the counter of retries.
 func unsentReason(err error) string {
 	switch {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -474,7 +474,7 @@
 	hangTimer := r.watchHang(j, u, sent)
 	answer, err := r.Sender.Send(sending, exchange.Send{
 		Request: j.req, Upstream: u.ID, Address: u.Address, Left: time.Until(j.deadline), Organisation: j.organisation,
-		Urgency: j.urgency, After: after, From: from, BeforeWrite: r.beforeWrite(j, u, startedAt),
+		Urgency: j.urgency, After: after, From: from, BeforeWrite: r.beforeWrite(j, u, from, startedAt),
 	})
 	if err != nil {
 		untrack()
@@ -513,7 +513,7 @@
 	if !isNotSent(err) {
 		j.mayHaveRun.Store(true)
 	}
-	if errors.As(s.canceled, new(*QuarantinedError)) {
+	if errors.As(s.canceled, new(*QuarantinedError)) || stateChanged(err) {
 		return // not a failure of the upstream
 	}
 	counts := ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1054,6 +1054,7 @@
 				is.Equal(len(w.sender.sends), 2) // nothing reached the first one
 				is.Equal(w.sender.sends[1].Upstream, "llm1")
 				is.Equal(len(w.load.Own()), 0)
+				is.Equal(w.reliability.FailureRate(time.Now(), "llm0"), 0.0)
 			})
 		})
 	}
