--- a/peer/connection.go
+++ b/peer/connection.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"petrelstep/peer/roundtrip"
+	"petrelstep/reset"
 )
 
 // silenceTimeout is the time without a byte from a peer, while a call waits, after which its
@@ -28,7 +29,16 @@
 // countingConn counts the reads that returned bytes.
 type countingConn struct {
 	net.Conn
-	reads atomic.Int64
+	reads   atomic.Int64
+	discard atomic.Bool // what was not delivered yet is discarded as it is closed
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	if c.discard.Load() {
+		return reset.Close(c.Conn)
+	}
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
@@ -61,14 +71,8 @@
 	return now.Sub(c.silentSince)
 }
 
-// reset closes the connection. Bytes that were not delivered yet are discarded.
-func (c *connection) reset() {
-	conn := c.conn.Conn
-	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = secure.NetConn()
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed
-	}
+// drop closes the connection, so that calls that were not delivered yet never are.
+func (c *connection) drop() {
+	c.conn.discard.Store(true)
 	_ = c.client.Close()
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -319,7 +319,7 @@
 	defer p.mu.Unlock()
 	c.waiting--
 	if c.retired && c.waiting == 0 {
-		c.reset()
+		c.drop()
 	}
 }
 
@@ -360,12 +360,12 @@
 	return (&tls.Dialer{NetDialer: &net.Dialer{Timeout: dialTimeout}, Config: p.tls}).DialContext(ctx, "tcp", address)
 }
 
-// drop closes a connection, so that what the network holds back of it is lost.
+// drop closes a connection.
 func (p *Peers) drop(address string, c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.connections[address] == c {
 		delete(p.connections, address)
 	}
-	c.reset()
+	c.drop()
 }
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"petrelstep/links"
+	"petrelstep/reset"
 	"petrelstep/wire"
 )
 
@@ -251,10 +252,14 @@
 }
 
 func (s *Server) closeServed(t *served, why string) {
-	err := t.conn.Close()
 	s.mu.Lock()
 	sent := t.bytes
 	s.mu.Unlock()
+	closeConn := t.conn.Close
+	if sent == 0 { // not answered: what the network holds back must not arrive later
+		closeConn = func() error { return reset.Close(t.conn) }
+	}
+	err := closeConn()
 	entry := s.logFields(t.ask).WithFields(logrus.Fields{"why": why, "open_ms": time.Since(t.openedAt).Milliseconds(), "bytes": sent})
 	if err != nil {
 		entry = entry.WithError(err)
--- a/peer/tunnel/tunnel_test.go
+++ b/peer/tunnel/tunnel_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -310,3 +311,49 @@
 		})
 	}
 }
+
+// TestUnansweredClose guards against a request through a tunnel that reaches its upstream after it was
+// given up, as the network held it back.
+func TestUnansweredClose(t *testing.T) {
+	tests := map[string]struct {
+		answered bool
+		want     error // of the upstream's next read
+	}{
+		"answered":     {answered: true, want: io.EOF},
+		"not answered": {want: syscall.ECONNRESET},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			s := tunnel.NewServer(tunnel.ServerComponents{
+				Dial: func(ctx context.Context, _ links.Target) (net.Conn, error) {
+					return (&net.Dialer{}).DialContext(ctx, "tcp", listener.Addr().String())
+				},
+				Target: func(id, address string) (links.Target, bool) {
+					return links.Target{Upstream: id, Address: address}, true
+				},
+				Refusal: func(wire.TunnelOpen, int) string { return "" },
+				Counter: &counts{n: map[string]int{}}, Log: logs.New(io.Discard, "error", "b1"),
+			})
+			opened := s.Open(t.Context(), wire.TunnelOpen{Upstream: "u1"})
+			far, err := listener.Accept()
+			is.NoErr(err)
+			defer far.Close()
+			is.NoErr(s.Write(wire.TunnelWrite{ID: opened.ID, Data: "a request"}))
+			_, err = io.ReadFull(far, make([]byte, len("a request")))
+			is.NoErr(err)
+			if tt.answered {
+				_, err = io.WriteString(far, "an answer")
+				is.NoErr(err)
+				_, err = s.Read(wire.TunnelRead{ID: opened.ID, MaxBytes: 100, WaitMs: 1000})
+				is.NoErr(err)
+			}
+			s.Close(wire.TunnelClose{ID: opened.ID})
+			_, err = far.Read(make([]byte, 1))
+			is.True(errors.Is(err, tt.want))
+		})
+	}
+}
