--- a/edge/fetch_test.go
+++ b/edge/fetch_test.go
@@ -63,6 +63,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { tt.play(t) })
 		})
 	}
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -10,8 +10,12 @@
 	"strconv"
 )
 
-// maxLineSize bounds a line, in bytes; tokens are far smaller.
-const maxLineSize = 64 << 10
+const (
+	// maxLineSize bounds a line, in bytes; tokens are far smaller.
+	maxLineSize = 64 << 10
+	// maxEventSize bounds the lines of an event together, in bytes.
+	maxEventSize = 256 << 10
+)
 
 // Event is a server-sent event. Data is valid until the next call of Next.
 type Event struct {
@@ -42,7 +46,7 @@
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (r *Reader) Next() (Event, error) {
 	e := Event{ID: -1}
-	inEvent := false
+	inEvent, size := false, 0
 	r.buf = r.buf[:0]
 	for {
 		line, err := r.in.ReadSlice('\n')
@@ -58,6 +62,9 @@
 			return e, nil
 		}
 		inEvent = true
+		if size += len(line); size > maxEventSize {
+			return Event{}, &FormatError{Detail: "event too long"}
+		}
 		if err := r.parseField(&e, line); err != nil {
 			return Event{}, err
 		}
--- a/sse/sse_test.go
+++ b/sse/sse_test.go
@@ -48,6 +48,7 @@
 		"id is not a number": "id: x\n\n",
 		"id negative":        "id: -1\n\n",
 		"id huge":            "id: 99999999999999999999\n\n",
+		"event too long":     strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n", 300),
 		"line too long":      "data: " + strings.Repeat("x", 70_000) + "\n\n",
 	}
 	for name, in := range tests {
