relay: what comes between events is no progress of a stream

A worker that sends nothing but comments, or blank lines, until the time limit: the caller was sent a head and these bytes, then a cut; the worker counted as healthy and its hang was not noticed, as each counted as an event. relay.TestCommentsAreNoProgress failed before: the body was not empty, and nothing was recorded against the upstream.

What has no id is forwarded between events, and does not count: before the first event it is dropped, so that the request may go elsewhere, the caller is told within its time limit (timed_out) and the worker is judged. Guard comments-no-progress: without=fails with=passes.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1059,3 +1059,27 @@
 		})
 	}
 }
+
+// TestCommentsAreNoProgress guards against an upstream that counts as healthy, and a caller that is sent
+// a head and blank lines, while it sends nothing but comments until the time limit.
+func TestCommentsAreNoProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		comments := slices.Repeat([]int{exchange.NoEvent}, 100_000)
+		w := newWorld(t, reply{events: comments, pause: 10 * time.Millisecond})
+		c := w.serve(t.Context(), "/draft/")
+		is.Equal(c.body.String(), "")
+		is.True(c.refused != nil)
+		is.Equal(c.refused.Reason(), refusal.TimedOut)
+		is.True(w.reliability.FailureRate(time.Now(), w.sender.first()) > 0)
+	})
+}
+
+// TestCommentsForwarded checks that comments between the events of a stream reach the caller.
+func TestCommentsForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, reply{events: []int{exchange.NoEvent, 0, exchange.NoEvent, 1}})
+		c := w.serve(t.Context(), "/draft/")
+		is.New(t).Equal(c.body.String(), "0;-1;1;")
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -209,15 +209,17 @@
 		if err != nil {
 			return err
 		}
-		if e.ID != exchange.NoEvent {
-			if e.ID <= f.lastEvent {
-				continue // a duplicate of one forwarded before
-			}
-			if f.count > 0 && e.ID != f.lastEvent+1 {
-				return &OrderError{Last: f.lastEvent, Got: e.ID}
-			}
+		switch {
+		case e.ID == exchange.NoEvent: // a comment, which is no progress
+			err = f.forwardComment(e)
+		case e.ID <= f.lastEvent:
+			continue // a duplicate of one forwarded before
+		case f.count > 0 && e.ID != f.lastEvent+1:
+			return &OrderError{Last: f.lastEvent, Got: e.ID}
+		default:
+			err = r.forwardEvent(ctx, f, e)
 		}
-		if err := r.forwardEvent(ctx, f, e); err != nil {
+		if err != nil {
 			return &callerError{err}
 		}
 	}
@@ -239,6 +241,14 @@
 	return nil
 }
 
+// forwardComment forwards what is no event, once an event was forwarded.
+func (f *forwarder) forwardComment(e exchange.Event) error {
+	if !f.headSent {
+		return nil
+	}
+	return f.caller.Write(e.Raw)
+}
+
 // forwardEvent forwards one event. The head is written with the first, so that until then
 // the request may be sent to another upstream.
 func (r *Relay) forwardEvent(ctx context.Context, f *forwarder, e exchange.Event) error {
@@ -270,9 +280,7 @@
 	if r.Speeds != nil {
 		f.resp.pace.Event(now, r.Loads.Load(now, f.resp.upstream.ID).Prefill > 0)
 	}
-	if e.ID != exchange.NoEvent {
-		f.lastEvent = e.ID
-	}
+	f.lastEvent = e.ID
 	f.run.Progress()
 	return nil
 }
