edge: a service counts as of one release after a minute, whatever its time limits

Cause: a box that knows nothing of a stream takes a service's only release for its own once it has known no other for twice the longest time limit of the service's resumable routes. A box that has just started cannot know what the limits were before, nor that a caller's tries together end by then.

Origins are kept for a minute (origins.Retention), as long as streams are resumed; that is the time now, also for the answer to other boxes. Callers lose: for a minute after a start of all boxes, or after a release was replaced, resumptions whose origin nobody knows are refused where the time was shorter before, that is where routes have limits below 30 s.

Tests that began 12 s after the start, as twice the limit of 6 s, begin after origins.Retention; their assertions are the same.

--- a/edge/streamorigins.go
+++ b/edge/streamorigins.go
@@ -24,8 +24,6 @@
 	// originAckWait bounds how long the first event of a stream is held back until one of
 	// them has its origin.
 	originAckWait = 100 * time.Millisecond
-	// resumableTimeouts is the multiple of a route's timeout within which a stream is resumed.
-	resumableTimeouts = 2
 	// singleMaxAge is the age of the fleet up to which a service's only release is taken for
 	// that of its streams without asking others: readers of the store poll within that time.
 	singleMaxAge = 2 * time.Second
@@ -135,20 +133,11 @@
 }
 
 // singleRelease returns the release of a service that has had no other for as long as
-// streams can be resumed; false if it may have had one.
+// streams can be resumed; false if it may have had one. The time limits of routes say nothing about
+// that: they may have been longer before, and a caller's tries together take longer.
 func (e *Edge) singleRelease(now time.Time, service string) (release string, single bool) {
 	release, since, uniform := e.fleet.Uniform(service)
-	return release, uniform && now.Sub(since) >= e.resumableFor(service)
-}
-
-// resumableFor returns for how long after their first events streams of a service can be
-// resumed. A caller's tries together may take longer than the route's timeout.
-func (e *Edge) resumableFor(service string) time.Duration {
-	table, _, _ := e.routes.Current(time.Now())
-	if table == nil {
-		return origins.Retention
-	}
-	return min(resumableTimeouts*table.ResumableFor(service), origins.Retention)
+	return release, uniform && now.Sub(since) >= origins.Retention
 }
 
 // Find implements relay.Origins.
--- a/edge/streamorigins_test.go
+++ b/edge/streamorigins_test.go
@@ -25,6 +25,28 @@
 	return a.last, strings.Join(a.releases, " ")
 }
 
+// beginBeforeReplacement begins a stream that breaks off, and replaces all engines by ones of v2.
+func (s *streams) beginBeforeReplacement(id string) (last int, release string) {
+	last, release = s.begin(s.cluster.all[0], id, 500*time.Millisecond)
+	old := s.ofRelease("v1")
+	s.startEngines(4, "v2")
+	time.Sleep(time.Second)
+	for _, e := range old {
+		s.announceLeaving(e)
+	}
+	time.Sleep(noticeTime + time.Second)
+	return last, release
+}
+
+// restart kills all boxes and starts them again.
+func (s *streams) restart(ctx context.Context) {
+	restartFleet(ctx, s.cluster.tb, s.cluster, nil)
+	for _, e := range s.cluster.all {
+		s.connect(e)
+		s.use(ctx, e)
+	}
+}
+
 // other returns a running box other than some.
 func (s *streams) other(than ...*Edge) *Edge {
 	all := s.cluster.running()
@@ -74,12 +96,12 @@
 		return s.request(s.other(), "second", last, ""), release
 	}},
 	"without Resumes, one release": {releases: []string{"v1"}, resume: func(_ context.Context, s *streams) (*streamCaller, string) {
-		time.Sleep(12 * time.Second)
+		time.Sleep(origins.Retention)
 		last, release := s.begin(s.cluster.all[0], "first", 500*time.Millisecond)
 		return s.request(s.other(), "second", last, ""), release
 	}},
 	"without Resumes, no releases": {releases: []string{""}, resume: func(_ context.Context, s *streams) (*streamCaller, string) {
-		time.Sleep(12 * time.Second)
+		time.Sleep(origins.Retention)
 		last, release := s.begin(s.cluster.all[0], "first", 500*time.Millisecond)
 		return s.request(s.other(), "second", last, ""), release
 	}},
@@ -116,16 +138,60 @@
 	}},
 	"all boxes were killed": {releases: []string{"v1", "v2"}, want: refusal.StreamReleaseUnknown, resume: func(ctx context.Context, s *streams) (*streamCaller, string) {
 		last, release := s.begin(s.cluster.all[0], "first", 500*time.Millisecond)
-		restartFleet(ctx, s.cluster.tb, s.cluster, nil)
-		for _, e := range s.cluster.all {
-			s.connect(e)
-			s.use(ctx, e)
+		s.restart(ctx)
+		return s.request(s.other(), "second", last, "first"), release
+	}},
+	"all boxes were killed, its release has left": {releases: []string{"v1"}, want: refusal.StreamReleaseUnknown, resume: func(ctx context.Context, s *streams) (*streamCaller, string) {
+		last, release := s.beginBeforeReplacement("first")
+		s.restart(ctx)
+		return s.request(s.other(), "second", last, "first"), release
+	}},
+	"all boxes were killed twice, its release has left": {releases: []string{"v1"}, want: refusal.StreamReleaseUnknown, resume: func(ctx context.Context, s *streams) (*streamCaller, string) {
+		last, release := s.beginBeforeReplacement("first")
+		s.restart(ctx)
+		time.Sleep(2 * time.Second)
+		s.restart(ctx)
+		return s.request(s.other(), "second", last, "first"), release
+	}},
+	"all boxes were killed, its release has left, its callers try on": {releases: []string{"v1"}, want: refusal.StreamReleaseUnknown, resume: func(ctx context.Context, s *streams) (*streamCaller, string) {
+		last, release := s.beginBeforeReplacement("first")
+		s.restart(ctx)
+		time.Sleep(30 * time.Second) // over twice the route's time limit
+		return s.request(s.other(), "second", last, "first"), release
+	}},
+	"all boxes were killed, its release has left, the time limit is lowered": {releases: []string{"v1"}, want: refusal.StreamReleaseUnknown, resume: func(ctx context.Context, s *streams) (*streamCaller, string) {
+		last, release := s.beginBeforeReplacement("first")
+		s.restart(ctx)
+		s.cluster.table.put("op", "config", strings.NewReplacer(`"stride":4}`, movingEngines, `"version":3`, `"version":5`, `"timeout_ms":6000`, `"timeout_ms":1500`).Replace(enginesConfiguration))
+		time.Sleep(4 * time.Second)
+		return s.request(s.other(), "second", last, "first"), release
+	}},
+	"all boxes were killed, the first to return is asked": {releases: []string{"v1"}, want: refusal.StreamReleaseUnknown, resume: func(ctx context.Context, s *streams) (*streamCaller, string) {
+		last, release := s.beginBeforeReplacement("first")
+		for _, e := range s.cluster.running()[1:] {
+			s.killBox(e)
 		}
+		s.restart(ctx)
+		time.Sleep(14 * time.Second)
+		for _, e := range s.cluster.running()[1:] {
+			s.killBox(e)
+		}
+		startNewBox(ctx, s.cluster.tb, s.cluster, nil)
+		fresh := s.cluster.all[len(s.cluster.all)-1]
+		s.connect(fresh)
+		s.use(ctx, fresh)
+		s.cluster.waitAll(s.cluster.tb, "serves", 5*time.Second, (*Edge).ready)
+		return s.request(fresh, "second", last, "first"), release
+	}},
+	"the name of its release comes back": {releases: []string{"v1"}, resume: func(_ context.Context, s *streams) (*streamCaller, string) {
+		last, release := s.beginBeforeReplacement("first")
+		s.startEngines(2, "v1")
+		time.Sleep(2 * time.Second)
 		return s.request(s.other(), "second", last, "first"), release
 	}},
 	"at a box that is cut off": {releases: []string{"v1"}, want: refusal.StreamReleaseUnknown, later: true, resume: func(_ context.Context, s *streams) (*streamCaller, string) {
 		cut := s.cluster.all[5]
-		time.Sleep(12 * time.Second)
+		time.Sleep(origins.Retention)
 		s.cutOff(cut)
 		time.Sleep(500 * time.Millisecond)
 		s.startEngines(4, "v2")
@@ -142,7 +208,7 @@
 		return s.request(cut, "second", a.last, "first"), a.releases[0]
 	}},
 	"the store is down, one release": {releases: []string{"v1"}, resume: func(_ context.Context, s *streams) (*streamCaller, string) {
-		time.Sleep(12 * time.Second)
+		time.Sleep(origins.Retention)
 		s.cluster.table.setSilent(true)
 		time.Sleep(2 * time.Second)
 		last, release := s.begin(s.cluster.all[0], "first", 500*time.Millisecond)
@@ -195,7 +261,7 @@
 				is := is.New(t)
 				ctx, end := context.WithCancel(t.Context())
 				s := newStreams(ctx, t, 6, 4, tt.releases...)
-				time.Sleep(12 * time.Second) // twice the route's timeout
+				time.Sleep(origins.Retention)
 				s.load(ctx)
 				is.Equal(s.counts.complete, s.counts.sent)
 				s.cluster.mu.Lock()
--- a/route/route.go
+++ b/route/route.go
@@ -94,8 +94,7 @@
 	version       int
 	hosts         map[string][]Route // longest prefix first
 	services      map[string]Service
-	organisations map[string]Organisation  // by key
-	resumable     map[string]time.Duration // longest timeout of a service's resumable routes
+	organisations map[string]Organisation // by key
 	limits        Limits
 }
 
@@ -103,15 +102,10 @@
 func New(version int, routes []Route, services []Service, organisations []Organisation, limits Limits) *Table {
 	t := &Table{
 		version: version, hosts: map[string][]Route{}, services: map[string]Service{},
-		organisations: map[string]Organisation{}, resumable: map[string]time.Duration{}, limits: limits,
+		organisations: map[string]Organisation{}, limits: limits,
 	}
 	for _, r := range routes {
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
-		for _, s := range r.Split {
-			if r.Resumable {
-				t.resumable[s.Service] = max(t.resumable[s.Service], r.Timeout)
-			}
-		}
 	}
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -149,9 +143,6 @@
 	return s, ok
 }
 
-// ResumableFor returns the longest timeout of a service's resumable routes; 0 if it has none.
-func (t *Table) ResumableFor(service string) time.Duration { return t.resumable[service] }
-
 // ColdFor returns the longest ColdFor of all services.
 func (t *Table) ColdFor() time.Duration {
 	longest := time.Duration(0)
