soak, faultproxy, config: connections that fall silent; both bounds in every run

The soak could not silence a connection between boxes, and held the bounds of 2 s only while the store turned boxes away.

-silent silences the open connections between boxes, to the store and to workers for good, one way or both, several at once, while new ones work; a key is revoked and a worker leaves within 0.7 s, and one time in three a box is paused just after. It overlaps with all other faults. Boxes reach each other through a fault proxy now: listen.peers_advertised is the address at which other boxes reach a box, where it is not its own. The fault proxy silences one direction too.

CONFIG and DRAIN are checked in every run. Excused are boxes that were down, stopping or paused, boxes and times without the store, and arrivals over a link of a worker that was silent while the request was under way.

--- a/cmd/petrelstep-soak/main.go
+++ b/cmd/petrelstep-soak/main.go
@@ -31,6 +31,7 @@
 	flag.BoolVar(&o.RateLimits, "needs", false, "workers announce request limits")
 	flag.BoolVar(&o.Announcements, "words", false, "workers announce in their responses that they leave, and request backoffs")
 	flag.BoolVar(&o.Brittle, "brittle", false, "plain workers of few slots bear few rejections at times")
+	flag.BoolVar(&o.Silent, "silent", false, "open connections fall silent for good, while new ones work")
 	flag.BoolVar(&o.Site.Releases, "releases", false, "workers that stream are of two releases, and callers resume streams that break off")
 	flag.BoolVar(&o.TurnedAway, "turned-away", false, "instead of all other faults, the store turns some boxes away and serves the others")
 	flag.BoolVar(&o.Site.Rollouts, "rollouts", false, "the operator rolls out good and bad versions, in two regions")
--- a/config/config.go
+++ b/config/config.go
@@ -46,6 +46,14 @@
 	return c, nil
 }
 
+// PeersAddress returns the address at which other boxes reach this one.
+func (c Config) PeersAddress() string {
+	if c.Listen.PeersAdvertised != nil {
+		return *c.Listen.PeersAdvertised
+	}
+	return c.Listen.Peers
+}
+
 // defaults fills in the sections that the file omits: the generated decoder applies
 // the defaults of fields only within sections that are present.
 func (c *Config) defaults(raw []byte) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -158,7 +158,7 @@
 	d.table = table.New(platform, timeout)
 	d.memberList = platformmembers.New(platform, timeout)
 	d.members = members.New(members.Box{
-		Name: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: d.incarnation, State: members.Live,
+		Name: c.Box, Hall: c.Hall, Address: c.PeersAddress(), Incarnation: d.incarnation, State: members.Live,
 	})
 	d.peers = peer.New(d.certs.PeerClient())
 	d.broadcaster = broadcast.New(d.members, d.peers)
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -191,7 +191,7 @@
 }
 
 func (d *Daemon) member(state wire.MemberState) wire.Member {
-	return wire.Member{Box: d.config.Box, Hall: d.config.Hall, Address: d.config.Listen.Peers, State: state}
+	return wire.Member{Box: d.config.Box, Hall: d.config.Hall, Address: d.config.PeersAddress(), State: state}
 }
 
 // announceState writes this box's state to the platform's member list.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -203,7 +203,7 @@
 	e := &Edge{
 		config: c,
 		record: wire.BoxRecord{
-			Box: c.Box, Hall: c.Hall, Address: c.Listen.Peers, Incarnation: int(now.UnixMilli()),
+			Box: c.Box, Hall: c.Hall, Address: c.PeersAddress(), Incarnation: int(now.UnixMilli()),
 			Strong: s.Processors >= minHubProcessors && s.LinkMbit >= minHubLinkMbit,
 		},
 		log:         log,
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -157,7 +157,6 @@
 	m.skippedEntries = b.counter("petrelstep_entries_skipped", "Entries of the store that name no upstream or box to use, by reason.")
 	m.heldBytes, err = meter.Int64ObservableGauge("petrelstep_held", metric.WithDescription("Bytes held for callers that have not taken them yet."), metric.WithUnit("By"))
 	b.recordError(err)
-	m.configFetches = b.counter("petrelstep_configuration_fetches", "Configurations fetched from other boxes, by outcome.")
 	m.storeReads = b.counter("petrelstep_store_reads", "Times that a box began to read a table of the store for itself, by table and reason.")
 	m.fleetRequests = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
 	m.placeWait = b.histogram("petrelstep_place_wait", "Wait for a place at a plain upstream, by outcome; those that did not wait are not counted.")
@@ -177,9 +176,10 @@
 	return m, nil
 }
 
-// addLinkInstruments creates the instruments for connections to upstreams.
+// addLinkInstruments creates the instruments for connections to upstreams and boxes.
 func (m *Metrics) addLinkInstruments(b *builder) {
 	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
+	m.configFetches = b.counter("petrelstep_configuration_fetches", "Configurations fetched from other boxes, by outcome.")
 	m.retiredConnections = b.counter("petrelstep_peer_connections_retired", "Connections to other boxes that were silent while calls waited.")
 	m.connects = b.histogram("petrelstep_upstream_connect", "Time from the choice of an upstream to the first byte that is sent to it.")
 	m.linkChanges = b.counter("petrelstep_upstream_links", "Links of this box to upstreams that other boxes reach, by change.")
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -203,23 +203,15 @@
 	for {
 		select {
 		case <-silence.C:
-			if !AnsweredAtOnce(r.method) || r.attempts == maxAttempts {
-				continue
-			}
-			if left := r.retireIfSilent(r.address, r.first.Load()); left > 0 {
+			if left := r.repeatIfSilent(); left > 0 {
 				silence.Reset(left)
-				continue
 			}
-			r.start()
 		case got := <-r.results:
 			r.running--
 			if got.err == nil {
 				return r.succeeded(got)
 			}
-			var failed *Error
-			if errors.As(got.err, &failed) && failed.ConnectionLost && r.attempts < maxAttempts && r.ctx.Err() == nil {
-				r.start()
-			}
+			r.repeatIfLost(got.err)
 			if r.running == 0 {
 				return got.err
 			}
@@ -227,6 +219,26 @@
 	}
 }
 
+// repeatIfSilent calls a method that is answered at once again if its connection is silent, and
+// otherwise returns when to look again.
+func (r *repeatedCall) repeatIfSilent() (left time.Duration) {
+	if !AnsweredAtOnce(r.method) || r.attempts == maxAttempts {
+		return 0
+	}
+	if left = r.retireIfSilent(r.address, r.first.Load()); left == 0 {
+		r.start()
+	}
+	return left
+}
+
+// repeatIfLost calls again if an open connection was lost.
+func (r *repeatedCall) repeatIfLost(err error) {
+	var failed *Error
+	if errors.As(err, &failed) && failed.ConnectionLost && r.attempts < maxAttempts && r.ctx.Err() == nil {
+		r.start()
+	}
+}
+
 // succeeded returns an attempt's reply. A repeated call is no measure of the round trip.
 func (r *repeatedCall) succeeded(got result) error {
 	reflect.ValueOf(r.reply).Elem().Set(reflect.ValueOf(got.reply).Elem())
--- a/soak/checker/turnedaway.go
+++ b/soak/checker/turnedaway.go
@@ -27,14 +27,15 @@
 	bound    time.Duration
 	attempts map[string]Attempt
 	excused  map[string][]Span // by box
+	links    map[string][]Span // when they were broken, by worker
 }
 
 // CheckChanges checks that boxes act on revoked keys and leaving workers within a bound, counted
-// from the store's confirmation, while the store turns some of them away. Boxes that were disturbed
-// or did not reach the store are excused. It returns the violations and the number of requests
+// from the store's confirmation, also while the store turns some of them away. Boxes that were disturbed
+// or did not reach the store are excused, and arrivals over a link that was broken. It returns the violations and the number of requests
 // that were checked: those with a revoked key, and those at leaving workers.
-func (c *Checker) CheckChanges(attempts []Attempt, arrivals []Arrival, away []TurnedAway, departures []Departure, disrupted map[string][]Span, bound time.Duration) (violations []Violation, counted int) {
-	h := changeCheck{bound: bound, attempts: map[string]Attempt{}, excused: map[string][]Span{}}
+func (c *Checker) CheckChanges(attempts []Attempt, arrivals []Arrival, away []TurnedAway, departures []Departure, disrupted, links map[string][]Span, bound time.Duration) (violations []Violation, counted int) {
+	h := changeCheck{bound: bound, attempts: map[string]Attempt{}, excused: map[string][]Span{}, links: links}
 	for box, spans := range disrupted {
 		h.excused[box] = append(h.excused[box], spans...)
 	}
@@ -72,7 +73,7 @@
 		violations = append(violations, Violation{Config, r.ID, fmt.Sprintf("sent to %s %v after its key was revoked", a.Box, delay)})
 	}
 	at, leaves := left[r.Worker]
-	if delay := r.At.Sub(at); leaves && delay > h.bound && !h.isExcused(a.Box, at, r.At) {
+	if delay := r.At.Sub(at); leaves && delay > h.bound && !h.isExcused(a.Box, at, r.At) && !overlaps(h.links[r.Worker], a.Sent, r.At) {
 		violations = append(violations, Violation{Drain, r.ID, fmt.Sprintf("reached %s from %s %v after the store confirmed that it leaves", r.Worker, a.Box, delay)})
 	}
 	return violations
--- a/soak/checker/turnedaway_test.go
+++ b/soak/checker/turnedaway_test.go
@@ -20,6 +20,7 @@
 		arrives   float64 // seconds; the worker leaves at 10 s
 		away      []checker.TurnedAway
 		disrupted []checker.Span
+		broken    []checker.Span // link of the worker
 		want      string
 	}{
 		"a valid key":                         {attempt: checker.Attempt{Sent: at(20)}, arrives: 9},
@@ -31,6 +32,8 @@
 		"at a box that was paused before":     {attempt: checker.Attempt{Sent: at(7.1), Revoked: at(5)}, arrives: 7.1, disrupted: []checker.Span{span(1, 2.5)}},
 		"at a box that was paused long ago":   {attempt: checker.Attempt{Sent: at(7.1), Revoked: at(5)}, arrives: 7.1, disrupted: []checker.Span{span(0, 1.5)}, want: checker.Config},
 		"a worker that leaves":                {attempt: checker.Attempt{Sent: at(11)}, arrives: 11.9},
+		"held back by a broken link":          {attempt: checker.Attempt{Sent: at(11)}, arrives: 12.1, broken: []checker.Span{span(11.5, 12)}},
+		"sent after a link was broken":        {attempt: checker.Attempt{Sent: at(12)}, arrives: 12.1, broken: []checker.Span{span(11, 11.5)}, want: checker.Drain},
 		"a worker that left before":           {attempt: checker.Attempt{Sent: at(12)}, arrives: 12.1, want: checker.Drain},
 	}
 	for name, tt := range tests {
@@ -38,7 +41,7 @@
 			is := is.New(t)
 			tt.attempt.ID, tt.attempt.Box = "r", "b"
 			arrivals := []checker.Arrival{{Worker: "w", Arrival: worker.Arrival{ID: "r", At: at(tt.arrives)}}}
-			violations, _ := checker.New(1, 0, 0).CheckChanges([]checker.Attempt{tt.attempt}, arrivals, tt.away, []checker.Departure{{Worker: "w", At: at(10)}}, map[string][]checker.Span{"b": tt.disrupted}, 2*time.Second)
+			violations, _ := checker.New(1, 0, 0).CheckChanges([]checker.Attempt{tt.attempt}, arrivals, tt.away, []checker.Departure{{Worker: "w", At: at(10)}}, map[string][]checker.Span{"b": tt.disrupted}, map[string][]checker.Span{"w": tt.broken}, 2*time.Second)
 			if tt.want == "" {
 				is.Equal(len(violations), 0)
 				return
--- a/soak/faults/faults.go
+++ b/soak/faults/faults.go
@@ -73,6 +73,7 @@
 	out            io.Writer
 
 	turnedAwayRandom *rand.Rand // picks the boxes that the store turns away
+	silentRandom     *rand.Rand // picks the connections that fall silent
 
 	// gate is held for writing during a roll-out in calm, and for reading to begin a fault.
 	gate sync.RWMutex
@@ -89,7 +90,7 @@
 
 // New returns an injector for a site that writes a line to out for each fault.
 func New(s *site.Site, seed uint64, out io.Writer) *Injector {
-	return &Injector{site: s, random: rand.New(rand.NewPCG(seed, 0)), hallRandom: rand.New(rand.NewPCG(seed, 1)), rowRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)), announceRandom: rand.New(rand.NewPCG(seed, 4)), rolloutRandom: rand.New(rand.NewPCG(seed, 5)), brittleRandom: rand.New(rand.NewPCG(seed, 6)), turnedAwayRandom: rand.New(rand.NewPCG(seed, 7)), out: out}
+	return &Injector{site: s, random: rand.New(rand.NewPCG(seed, 0)), hallRandom: rand.New(rand.NewPCG(seed, 1)), rowRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)), announceRandom: rand.New(rand.NewPCG(seed, 4)), rolloutRandom: rand.New(rand.NewPCG(seed, 5)), brittleRandom: rand.New(rand.NewPCG(seed, 6)), turnedAwayRandom: rand.New(rand.NewPCG(seed, 7)), silentRandom: rand.New(rand.NewPCG(seed, 8)), out: out}
 }
 
 // plan is a fault to inject.
@@ -227,8 +228,8 @@
 		{"reload " + b.Name, 0, func(time.Duration) error { b.Signal(syscall.SIGHUP); return nil }},
 		{"reset callers of " + b.Name, 0, func(time.Duration) error { b.Link.Cut(0); return nil }},
 		{"mute the connections of " + b.Name + " to the store", 0, func(time.Duration) error { b.Store.Mute(); return nil }},
-		{"cut the store from " + b.Name, d.duration, forDuration(b.Store.Cut)},
-		{fmt.Sprint("silence the store link of ", b.Name, ", direction ", d.direction), d.duration, forDuration(func(duration time.Duration) { b.Store.Silence(d.direction, duration) })},
+		{"cut the store from " + b.Name, d.duration, whileStoreLost(b, b.Store.Cut)},
+		{fmt.Sprint("silence the store link of ", b.Name, ", direction ", d.direction), d.duration, whileStoreLost(b, func(duration time.Duration) { b.Store.Silence(d.direction, duration) })},
 	}
 }
 
@@ -293,11 +294,13 @@
 	})}
 }
 
-// forDuration returns a fault that calls do and lasts for the duration.
-func forDuration(do func(duration time.Duration)) func(time.Duration) error {
+// whileStoreLost returns a fault that calls do, which cuts a box off the store for the duration.
+func whileStoreLost(b *site.Box, do func(duration time.Duration)) func(time.Duration) error {
 	return func(duration time.Duration) error {
-		do(duration)
-		time.Sleep(duration)
+		b.WhileStoreLost(func() {
+			do(duration)
+			time.Sleep(duration)
+		})
 		return nil
 	}
 }
--- a/soak/site/box.go
+++ b/soak/site/box.go
@@ -35,12 +35,14 @@
 	Store *faultproxy.Proxy // link to the store
 	Gate  *storegate.Gate   // the store as the box sees it
 	Link  *faultproxy.Proxy // link to callers
+	Peers *faultproxy.Proxy // link of other boxes to it
 
 	// Lock serialises the faults injected into the process.
 	Lock sync.Mutex
 
 	mu          sync.Mutex
 	disruptions []checker.Span // when the process was down, stopping or paused
+	storeLost   []checker.Span // when it did not reach the store
 
 	options Options
 	hall    string
@@ -63,7 +65,10 @@
 	if b.ports, err = freePorts(); err != nil {
 		return nil, err
 	}
-	b.Link, err = faultproxy.New(b.ports[0])
+	if b.Link, err = faultproxy.New(b.ports[0]); err != nil {
+		return nil, err
+	}
+	b.Peers, err = faultproxy.New(b.ports[2])
 	return b, err
 }
 
@@ -101,6 +106,7 @@
 		}
 		b.ports = ports
 		b.Link.Retarget(ports[0])
+		b.Peers.Retarget(ports[2])
 	}
 	return &StartError{b.Name}
 }
@@ -155,6 +161,22 @@
 	return b.disruptions
 }
 
+// WhileStoreLost calls do, which cuts the box off the store, and records the time it takes.
+func (b *Box) WhileStoreLost(do func()) {
+	from := time.Now()
+	do()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.storeLost = append(b.storeLost, checker.Span{From: from, Until: time.Now()})
+}
+
+// StoreLost returns when the box did not reach the store.
+func (b *Box) StoreLost() []checker.Span {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.storeLost
+}
+
 // Ended is closed once the process has ended.
 func (b *Box) Ended() <-chan struct{} { return b.ended }
 
@@ -186,6 +208,7 @@
 	b.Store.Close()
 	_ = b.store.Close()
 	b.Link.Close()
+	b.Peers.Close()
 }
 
 // String returns the box's name and the path of its log.
@@ -199,9 +222,9 @@
 	if b.options.Rollouts {
 		rollouts = rolloutSettings()
 	}
-	text := fmt.Sprintf(`{"box":%q,"hall":%q,"listen":{"callers":%q,"admin":%q,"peers":%q},"platform":{"address":%q},"drain_ms":8000,
+	text := fmt.Sprintf(`{"box":%q,"hall":%q,"listen":{"callers":%q,"admin":%q,"peers":%q,"peers_advertised":%q},"platform":{"address":%q},"drain_ms":8000,
 "edge":{"ready":%q,"key_age_ms":%d,"leave_ms":2000,"balance":["shares","places","buffers"]%s}}`,
-		b.Name, b.hall, b.ports[0], b.ports[1], b.ports[2], b.Store.Address(), b.ports[3], KeyAge.Milliseconds(), rollouts)
+		b.Name, b.hall, b.ports[0], b.ports[1], b.ports[2], b.Peers.Address(), b.Store.Address(), b.ports[3], KeyAge.Milliseconds(), rollouts)
 	file := filepath.Join(dir, b.Name+".json")
 	return file, os.WriteFile(file, []byte(text), 0o644)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"petrelstep/soak/checker"
@@ -43,6 +44,7 @@
 	RateLimits    bool          // workers announce rate limits
 	Brittle       bool          // plain workers bear few rejections at times
 	Announcements bool          // workers announce leaving and backoffs in their responses
+	Silent        bool          // open connections fall silent for good, while new ones work
 	TurnedAway    bool          // instead of all other faults, the store turns some boxes away while it serves the others
 	Duration      time.Duration // of fault injection
 	Out           io.Writer     // receives a line for each fault
@@ -156,7 +158,7 @@
 	arrived, links := at.Arrivals()
 	violations, t.Announced = checker.New(site.Events, 0, 0).CheckAnnouncements(attempts, arrived, at.Disruptions(), links)
 	t.Violations = append(t.Violations, violations...)
-	violations, t.Changed = changes.check(attempts, arrived, at.Disruptions())
+	violations, t.Changed = changes.check(at, injector, attempts, arrived, links)
 	t.Violations = append(t.Violations, violations...)
 	t.checkRollouts(at, checker.RolloutHistory{
 		Attempts: attempts, Arrivals: arrived, Rollouts: at.Rollouts(), Disrupted: at.Disruptions(), StoreFaults: injector.StoreFaults(),
@@ -172,7 +174,12 @@
 	}
 	periods := make(chan []checker.LimitPeriod, 1)
 	go func() { periods <- s.runLimits(ctx, injector) }()
-	failures := make(chan error, 2)
+	failures := make(chan error, 3)
+	go func() {
+		var failed error
+		c.departures, failed = s.runSilent(ctx, injector)
+		failures <- failed
+	}()
 	go func() { failures <- s.runAnnouncements(ctx, injector) }()
 	go func() { failures <- s.runRollouts(ctx, injector) }()
 	err = injector.Run(ctx)
@@ -184,18 +191,28 @@
 	return <-periods, c, err
 }
 
-// changes are the changes in the store while it turned some boxes away.
+// runSilent silences open connections, if enabled.
+func (s *Soak) runSilent(ctx context.Context, injector *faults.Injector) ([]checker.Departure, error) {
+	if !s.Silent {
+		return nil, nil
+	}
+	return injector.RunSilent(ctx)
+}
+
+// changes are the workers that left by their rows, and the boxes that the store turned away.
 type changes struct {
 	away       []checker.TurnedAway
 	departures []checker.Departure
 }
 
-// check checks that the boxes acted on the changes in time, if there were any.
-func (c changes) check(attempts []checker.Attempt, arrived []checker.Arrival, disrupted map[string][]checker.Span) ([]checker.Violation, int) {
-	if len(c.away) == 0 {
-		return nil, 0
+// check checks that the boxes that could reach the store, themselves or by others, acted on the
+// changes in it in time.
+func (c changes) check(at *site.Site, injector *faults.Injector, attempts []checker.Attempt, arrived []checker.Arrival, links map[string][]checker.Span) ([]checker.Violation, int) {
+	disrupted := at.Disruptions()
+	for _, b := range at.Boxes {
+		disrupted[b.Name] = slices.Concat(disrupted[b.Name], b.StoreLost(), injector.StoreFaults())
 	}
-	return checker.New(site.Events, 0, 0).CheckChanges(attempts, arrived, c.away, c.departures, disrupted, changeTime+revocationSlack)
+	return checker.New(site.Events, 0, 0).CheckChanges(attempts, arrived, c.away, c.departures, disrupted, links, changeTime+revocationSlack)
 }
 
 // checkRollouts counts the roll-outs and checks their guarantees and those of regions.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,7 @@
 		announce   bool // workers announce leaving and backoffs in their responses
 		rollouts   bool // versions are rolled out, in two regions
 		releases   bool // workers are of two releases, and callers resume streams
+		silent     bool // open connections fall silent for good
 		duration   time.Duration
 	}{
 		"first seed":                   {seed: 1, duration: 6 * time.Second},
@@ -40,6 +41,7 @@
 		"workers announce leaving":     {seed: 7, announce: true, duration: 12 * time.Second},
 		"roll-outs":                    {seed: 10, rollouts: true, duration: 10 * time.Second},
 		"workers of two releases":      {seed: 1, releases: true, duration: 10 * time.Second},
+		"connections fall silent":      {seed: 1, silent: true, duration: 10 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -50,6 +52,7 @@
 				Poison:        tt.poison,
 				RateLimits:    tt.rateLimits,
 				Announcements: tt.announce,
+				Silent:        tt.silent,
 				Callers:       12,
 				Duration:      tt.duration,
 				Out:           t.Output(),
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -35,14 +35,20 @@
 	delayUntil time.Time
 }
 
+// end is an end of a connection through the proxy.
+type end struct {
+	direction Direction // of what is read from it
+	muted     bool
+}
+
 // Proxy forwards bytes between its own address and a target.
 type Proxy struct {
 	target      string
 	listener    net.Listener
 	mu          sync.Mutex
-	connections map[net.Conn]bool // true if muted
-	refuseUntil time.Time         // new connections are refused before
-	holds       [2]hold           // by direction
+	connections map[net.Conn]end
+	refuseUntil time.Time // new connections are refused before
+	holds       [2]hold   // by direction
 	closed      chan struct{}
 	all         sync.WaitGroup
 }
@@ -53,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: listener, connections: map[net.Conn]bool{}, closed: make(chan struct{})}
+	p := &Proxy{target: target, listener: listener, connections: map[net.Conn]end{}, closed: make(chan struct{})}
 	p.all.Go(p.serve)
 	return p, nil
 }
@@ -85,11 +91,17 @@
 
 // Mute discards all further bytes on the open connections, without closing them. New
 // connections work.
-func (p *Proxy) Mute() {
+func (p *Proxy) Mute() { p.MuteDirection(Both) }
+
+// MuteDirection is Mute for the bytes of one direction.
+func (p *Proxy) MuteDirection(direction Direction) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.connections {
-		p.connections[c] = true
+	for c, e := range p.connections {
+		if direction == Both || e.direction == direction {
+			e.muted = true
+			p.connections[c] = e
+		}
 	}
 }
 
@@ -138,15 +150,13 @@
 	}
 }
 
-func (p *Proxy) register(conns ...net.Conn) bool {
+func (p *Proxy) register(in, out net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Now().Before(p.refuseUntil) {
 		return false
 	}
-	for _, c := range conns {
-		p.connections[c] = false
-	}
+	p.connections[in], p.connections[out] = end{direction: ToTarget}, end{direction: FromTarget}
 	return true
 }
 
@@ -203,7 +213,7 @@
 func (p *Proxy) muted(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.connections[c]
+	return p.connections[c].muted
 }
 
 // wait holds bytes of one direction back; it returns false once the proxy is closed.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3054,6 +3054,9 @@
 
 	// Peers corresponds to the JSON schema field "peers".
 	Peers string `json:"peers"`
+
+	// The address at which other boxes reach this one, if it is not that of peers.
+	PeersAdvertised *string `json:"peers_advertised,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -3085,6 +3088,11 @@
 	if matched, _ := regexp.MatchString(`^[0-9.]+:[0-9]+$`, string(plain.Peers)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Peers", `^[0-9.]+:[0-9]+$`)
 	}
+	if plain.PeersAdvertised != nil {
+		if matched, _ := regexp.MatchString(`^[0-9.]+:[0-9]+$`, string(*plain.PeersAdvertised)); !matched {
+			return fmt.Errorf("field %s pattern match: must match %s", "PeersAdvertised", `^[0-9.]+:[0-9]+$`)
+		}
+	}
 	*j = Listen(plain)
 	return nil
 }
