config: limits.memory_mb and limits.descriptors of a box without edge

A box with its own interface has no setting for its memory or its file descriptors; edge.memory_mb and edge.descriptors apply to the other kind only.

Defaults: 20,000 streams (limits.streams) need some 2 GB at 102 KB each and two descriptors each, so that 4096 MiB and 65536 are met by no client within the other limits. Checked: go test ./config ./schemacheck passes; wire/ is regenerated.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2956,6 +2956,12 @@
 	// How long a generation outlives its caller.
 	ComebackMs int `json:"comeback_ms,omitempty,omitzero"`
 
+	// File descriptors that a box without edge may open.
+	Descriptors int `json:"descriptors,omitempty,omitzero"`
+
+	// Memory of a box without edge.
+	MemoryMb float64 `json:"memory_mb,omitempty,omitzero"`
+
 	// Waiting requests at a home box.
 	Queue int `json:"queue,omitempty,omitzero"`
 
@@ -2986,6 +2992,18 @@
 	if 0 > plain.ComebackMs {
 		return fmt.Errorf("field %s: must be >= %v", "comeback_ms", 0)
 	}
+	if v, ok := raw["descriptors"]; !ok || v == nil {
+		plain.Descriptors = 65536
+	}
+	if 64 > plain.Descriptors {
+		return fmt.Errorf("field %s: must be >= %v", "descriptors", 64)
+	}
+	if v, ok := raw["memory_mb"]; !ok || v == nil {
+		plain.MemoryMb = 4096.0
+	}
+	if 32 > plain.MemoryMb {
+		return fmt.Errorf("field %s: must be >= %v", "memory_mb", 32)
+	}
 	if v, ok := raw["queue"]; !ok || v == nil {
 		plain.Queue = 4096
 	}
