--- a/soak/site/box.go
+++ b/soak/site/box.go
@@ -177,6 +177,12 @@
 	return b.storeLost
 }
 
+// Process returns the id of the box's process.
+func (b *Box) Process() int { return b.command.Process.Pid }
+
+// Addresses returns the box's own addresses, without the proxies of its links.
+func (b *Box) Addresses() (callers, admin, ready string) { return b.ports[0], b.ports[1], b.ports[3] }
+
 // Ended is closed once the process has ended.
 func (b *Box) Ended() <-chan struct{} { return b.ended }
 
@@ -223,8 +229,20 @@
 		rollouts = rolloutSettings()
 	}
 	text := fmt.Sprintf(`{"box":%q,"hall":%q,"listen":{"callers":%q,"admin":%q,"peers":%q,"peers_advertised":%q},"platform":{"address":%q},"drain_ms":8000,
-"edge":{"ready":%q,"key_age_ms":%d,"leave_ms":2000,"balance":["shares","places","buffers"]%s}}`,
-		b.Name, b.hall, b.ports[0], b.ports[1], b.ports[2], b.Peers.Address(), b.Store.Address(), b.ports[3], KeyAge.Milliseconds(), rollouts)
+"edge":{"ready":%q,"key_age_ms":%d,"leave_ms":2000,"balance":["shares","places","buffers"]%s%s}}`,
+		b.Name, b.hall, b.ports[0], b.ports[1], b.ports[2], b.Peers.Address(), b.Store.Address(), b.ports[3], KeyAge.Milliseconds(), resourceSettings(b.options), rollouts)
 	file := filepath.Join(dir, b.Name+".json")
 	return file, os.WriteFile(file, []byte(text), 0o644)
 }
+
+// resourceSettings returns the settings of a box's memory and descriptors.
+func resourceSettings(o Options) string {
+	text := ""
+	if o.MemoryMB > 0 {
+		text += fmt.Sprintf(`,"memory_mb":%d`, o.MemoryMB)
+	}
+	if o.Descriptors > 0 {
+		text += fmt.Sprintf(`,"descriptors":%d`, o.Descriptors)
+	}
+	return text
+}
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -49,6 +49,10 @@
 
 	PlainSlots int // of each of them; 0 for the stand-in's usual number
 
+	MemoryMB    int // of each box; 0 for the default of the settings
+	Descriptors int // of each box; 0 for the default of the settings
+	Limits      platform.Limits
+
 	// Releases makes workers that stream be of two releases by turns, which their events name.
 	Releases bool
 
@@ -74,6 +78,7 @@
 
 	lastPoisonCrash time.Time
 	plainSlots      int
+	limits          platform.Limits
 	mixed           bool // see Options.Releases
 
 	regionsOf map[string][]string // allowed regions, by organisation
@@ -87,7 +92,7 @@
 func New(o Options) (*Site, error) {
 	s := &Site{
 		Platform: platform.New(platform.Options{}), workers: map[string]*Worker{}, keys: map[string]string{}, lastRevoked: map[string]string{},
-		plainSlots: o.PlainSlots, mixed: o.Releases, revoked: map[string]time.Time{}, releases: map[string]string{}, retired: map[string]bool{}, mended: map[string]bool{},
+		plainSlots: o.PlainSlots, limits: o.Limits, mixed: o.Releases, revoked: map[string]time.Time{}, releases: map[string]string{}, retired: map[string]bool{}, mended: map[string]bool{},
 	}
 	if o.Rollouts {
 		s.regionsOf = map[string][]string{"firm": {regions[halls[0]]}}
@@ -175,13 +180,21 @@
 		keys[organisation] = append(keys[organisation], key)
 	}
 	s.Platform.Declare(platform.Manifest{
-		Version: s.version, Keys: keys, Regions: s.regionsOf,
+		Version: s.version, Keys: keys, Regions: s.regionsOf, Limits: s.limits,
 		Routes: []platform.Route{
 			route(checker.Draft, "llm", 1), route(checker.Check, "llm", 2), route(checker.Once, "plain", 2), route(checker.Lookup, "plain", 2),
 		},
 	})
 }
 
+// SetLimits publishes a manifest with other limits for callers.
+func (s *Site) SetLimits(l platform.Limits) {
+	s.mu.Lock()
+	s.limits = l
+	s.mu.Unlock()
+	s.writeManifest()
+}
+
 // Revoke replaces an organisation's key by a new one.
 func (s *Site) Revoke(organisation string) {
 	s.mu.Lock()
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -25,8 +25,30 @@
 	Routes  []Route
 	Keys    map[string][]string // by organisation
 	Regions map[string][]string // allowed regions, by organisation
+	Limits  Limits
 }
 
+// Limits bound what callers may send, and how long they may take. Those that are 0 are not
+// declared, but for BodyBytes.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int // 65536 if it is 0
+	HeaderMs    int
+	IdleMs      int
+}
+
+func (l Limits) row() map[string]any {
+	row := map[string]any{"max_body_bytes": cmp.Or(l.BodyBytes, defaultBodyBytes)}
+	for name, value := range map[string]int{"max_header_bytes": l.HeaderBytes, "header_timeout_ms": l.HeaderMs, "idle_timeout_ms": l.IdleMs} {
+		if value > 0 {
+			row[name] = value
+		}
+	}
+	return row
+}
+
+const defaultBodyBytes = 64 << 10
+
 // Declare writes a manifest as the operator would.
 func (p *Platform) Declare(m Manifest) {
 	routes := []map[string]any{}
@@ -58,7 +80,7 @@
 		tenants = append(tenants, tenant)
 	}
 	p.put("op", "config", map[string]any{
-		"version": m.Version, "routes": routes, "services": services, "limits": map[string]any{"max_body_bytes": 65536}, "tenants": tenants,
+		"version": m.Version, "routes": routes, "services": services, "limits": m.Limits.row(), "tenants": tenants,
 	})
 }
 
