intake: one account of the memory and connections of clients

Callers' connections, heads and bodies were bounded nowhere: each address had its own server with constants, bodies were read into memory of any amount, and requests were counted at a constant whatever they held.

protect/capacity divides a box's memory and descriptors; protect/intake tracks each client's connection through its stages and charges it to one account. Where a part is used up, connections whose request is not complete give way: of what most of them do, the oldest; of heads and small bodies, the one with most bytes times time; of large bodies, one that has stalled.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -19,6 +19,7 @@
 	"petrelstep/links"
 	"petrelstep/liveness"
 	"petrelstep/peer/tunnel"
+	"petrelstep/protect/intake"
 	"petrelstep/quarantine"
 	"petrelstep/refusal"
 	"petrelstep/upstreamlimits"
@@ -101,6 +102,9 @@
 	skippedEntries     metric.Int64Counter
 	slowReaders        metric.Int64Counter
 	heldBytes          metric.Int64ObservableGauge
+	clientsClosed      metric.Int64Counter
+	clients            metric.Int64ObservableGauge
+	clientMemory       metric.Int64ObservableGauge
 	meter              metric.Meter
 	storeReads         metric.Int64Counter
 	fleetRequests      metric.Int64Counter
@@ -165,6 +169,7 @@
 	m.suspended = b.seconds("petrelstep_suspended", "Time in which the machine was suspended.")
 	m.quarantineChanges = b.counter("petrelstep_quarantine_changes", "Requests under which upstreams ended, by what became of them.")
 	m.brokenAnswers = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
+	m.addClientInstruments(&b)
 	m.addStreamInstruments(&b)
 	m.addLinkInstruments(&b)
 	m.addAnnouncementInstruments(&b)
@@ -176,6 +181,34 @@
 	return m, nil
 }
 
+// addClientInstruments creates the instruments for connections of clients.
+func (m *Metrics) addClientInstruments(b *builder) {
+	m.clientsClosed = b.counter("petrelstep_clients_closed", "Connections of clients that were closed, or whose request was refused before it was complete, by reason.")
+	var err error
+	m.clients, err = b.meter.Int64ObservableGauge("petrelstep_clients", metric.WithDescription("Open connections of clients."))
+	b.recordError(err)
+	m.clientMemory, err = b.meter.Int64ObservableGauge("petrelstep_client_memory", metric.WithDescription("Bytes in the account of clients' memory, by part."), metric.WithUnit("By"))
+	b.recordError(err)
+}
+
+// ClientClosed implements intake.Counter.
+func (m *Metrics) ClientClosed(reason string) {
+	m.clientsClosed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// ObserveClients registers functions that return the number of clients' connections, and the
+// bytes of their memory by part of the account.
+func (m *Metrics) ObserveClients(connections func() int, used func() map[string]int64) error {
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		o.ObserveInt64(m.clients, int64(connections()))
+		for part, bytes := range used() {
+			o.ObserveInt64(m.clientMemory, bytes, metric.WithAttributes(attribute.String("part", part)))
+		}
+		return nil
+	}, m.clients, m.clientMemory)
+	return err
+}
+
 // addLinkInstruments creates the instruments for connections to upstreams and boxes.
 func (m *Metrics) addLinkInstruments(b *builder) {
 	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
@@ -243,6 +276,9 @@
 	for _, r := range []string{SlowBoxFull, SlowStalled} {
 		m.slowReaders.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
 	}
+	for _, r := range intake.Reasons() {
+		m.clientsClosed.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
+	}
 	for _, class := range speeds.Classes() {
 		m.longAnswers.Add(ctx, 0, metric.WithAttributes(attribute.String("class", string(class))))
 	}
--- /dev/null
+++ b/protect/intake/room.go
@@ -0,0 +1,99 @@
+package intake
+
+import "time"
+
+// stalledAfter is the time without progress after which a large body gives way to another
+// one. A good link retransmits a lost packet well within it.
+const stalledAfter = 200 * time.Millisecond
+
+// makeRoom chooses the connections that have to give way, until connections, what is arriving
+// and the whole account are within their limits, or nobody is left who would.
+func (i *Intake) makeRoom(now time.Time) (ends []end) {
+	for i.remaining().connections > i.capacity.Connections() {
+		c := i.leastUsed()
+		if c == nil {
+			break
+		}
+		ends = append(ends, c.giveWay(ReasonConnections, false))
+	}
+	for i.remaining().arriving > i.capacity.Arriving() {
+		c := i.costliest(now, func(c *Conn) int64 { return c.used.arriving })
+		if c == nil {
+			break
+		}
+		ends = append(ends, c.giveWay(ReasonMemory, c.stage == stageBody))
+	}
+	for i.excess() > 0 {
+		c := i.costliest(now, func(c *Conn) int64 { return c.used.arriving + c.used.large })
+		if c == nil {
+			c = i.leastUsed()
+		}
+		if c == nil {
+			break
+		}
+		ends = append(ends, c.giveWay(ReasonMemory, c.stage == stageBody))
+	}
+	return ends
+}
+
+// makeRoomLarge chooses the large bodies that give way to that of c. It returns false if there
+// are not enough; a body that is alone always has room.
+func (i *Intake) makeRoomLarge(now time.Time, c *Conn) (ends []end, ok bool) {
+	for c.used.large > 0 && i.remaining().large > max(i.capacity.Large(), c.used.large) {
+		old := i.stalled(now)
+		if old == nil || old == c {
+			return ends, false
+		}
+		ends = append(ends, old.giveWay(ReasonMemory, true))
+	}
+	return ends, !c.ending
+}
+
+// costliest returns the connection whose request is arriving with the largest product of
+// bytes and time.
+func (i *Intake) costliest(now time.Time, size func(*Conn) int64) (found *Conn) {
+	var maxCost float64
+	for _, l := range i.listeners {
+		for _, s := range []stage{stageHead, stageBody} {
+			for c := l.lists[s].first; c != nil; c = c.next {
+				// A connection of this moment still has a cost.
+				cost := float64(size(c)) * (now.Sub(c.since) + time.Millisecond).Seconds()
+				if !c.ending && cost > maxCost {
+					found, maxCost = c, cost
+				}
+			}
+		}
+	}
+	return found
+}
+
+// stalled returns the large body that is arriving and has made no progress for some time, with
+// the largest product of bytes and that time.
+func (i *Intake) stalled(now time.Time) (found *Conn) {
+	var maxCost float64
+	for _, l := range i.listeners {
+		for c := l.lists[stageBody].first; c != nil; c = c.next {
+			stalled := now.Sub(c.progress)
+			if cost := float64(c.used.large) * stalled.Seconds(); !c.ending && stalled >= stalledAfter && cost > maxCost {
+				found, maxCost = c, cost
+			}
+		}
+	}
+	return found
+}
+
+// leastUsed returns the connection that gives way to another one, of the listener that has the
+// most that would.
+func (i *Intake) leastUsed() *Conn {
+	var most *Listener
+	count := 0
+	for _, l := range i.listeners {
+		if n := l.open - l.lists[stageServing].count; n > count {
+			most, count = l, n
+		}
+	}
+	if most == nil {
+		return nil
+	}
+	return most.leastUsed(nil)
+}
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -9,6 +9,7 @@
 const (
 	BadRequest           Reason = "bad_request"
 	TooLarge             Reason = "too_large"
+	BodyTimeout          Reason = "body_timeout"
 	NoKey                Reason = "no_key"
 	WrongKey             Reason = "wrong_key"
 	NotAllowed           Reason = "not_allowed"
@@ -72,6 +73,7 @@
 var defaults = map[Reason]reasonDefaults{
 	BadRequest:           {NotRun, http.StatusBadRequest},
 	TooLarge:             {NotRun, http.StatusRequestEntityTooLarge},
+	BodyTimeout:          {NotRun, http.StatusRequestTimeout},
 	NoKey:                {NotRun, http.StatusUnauthorized},
 	WrongKey:             {NotRun, http.StatusUnauthorized},
 	NotAllowed:           {NotRun, http.StatusForbidden},
