edge: bound the connections and heads of callers

What callers saw: with 1,500 connections that send nothing the box had 1,516 descriptors open where edge.descriptors is 1,000, and with all that the system allows taken, requests got 503 or no connection. 300 heads of many short fields, 60 KiB each and not ended, took 311 MiB where edge.memory_mb is 64; the platform ends such a process.

Cause: nothing bounded the number of connections, so that those of callers took the descriptors of upstreams, boxes and the store; and a head costs up to 50 times its bytes once its fields are in a map, for as long as the client likes.

Now the address of callers is tracked by protect/intake: connections beyond what descriptors and memory allow close the oldest of what most connections do, and heads are charged by bytes and fields as they arrive, so that the costliest is closed. It works because the bound is on the sum, whoever sends, and a crowd is what most connections do. What is held for other boxes is in the account too.

TestMaxRequests is as it was.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,6 +39,8 @@
 	"petrelstep/platform/upstream"
 	"petrelstep/prefill"
 	"petrelstep/protect/buffers"
+	"petrelstep/protect/capacity"
+	"petrelstep/protect/intake"
 	"petrelstep/quarantine"
 	"petrelstep/relay"
 	"petrelstep/reliability"
@@ -71,21 +73,13 @@
 	// boxes. With retryRatioFraction it lets two boxes in five restart at once within
 	// the limit.
 	retrySlackFraction = 0.8
-	// requestMemoryKB is the memory of one open stream (BenchmarkStreams, both ends in
-	// one process). Requests may use requestMemoryPercent of the box's memory.
-	requestMemoryKB      = 102
-	requestMemoryPercent = 50
 	// bufferMemoryPercent is the percentage of a box's memory that may be buffered for
 	// callers that read slowly, allocation overhead included: small, so that stalled
-	// callers leave most of requestMemoryPercent to other requests.
+	// callers leave most of the account of the intake to other requests.
 	bufferMemoryPercent = 12
 	// maxStreamBuffer is the number of bytes buffered per stream: enough for a long
 	// answer including event headers, so that a slow caller doesn't occupy an engine.
 	maxStreamBuffer = 128 << 10
-	// requestDescriptors counts the caller's and the upstream's connection;
-	// reservedDescriptors are kept for files, peers, the store and the box's own calls.
-	requestDescriptors  = 2
-	reservedDescriptors = 400
 	// closeTime is the part of the stop time reserved for closing connections
 	// and writing the last log lines (at most 0.2 s). Requests still in flight then are
 	// aborted properly, so that callers and engines notice.
@@ -162,6 +156,7 @@
 	upstreams       *upstream.Client
 	relay           *relay.Relay
 	buffers         *buffers.Buffers // nil if disabled
+	intake          *intake.Intake
 	callers         *callers.Handler
 	evacuator       *evacuate.Evacuator
 	rollouts        *rolloutControl // nil if disabled
@@ -273,6 +268,7 @@
 	s := e.config.Edge
 	e.retryBudget = retry.NewBudget(retryRatioFraction*s.RetryRatio, e.retrySlack(assumedBoxes))
 	e.buffers = e.newBuffers()
+	e.intake = e.newIntake()
 	prefillRate := prefill.New()
 	if e.config.Balances(wire.EdgeBalanceElemSpeeds) {
 		e.speeds = speeds.New(e.fleet, e.metrics, e.log)
@@ -337,6 +333,29 @@
 	return max(retrySlackFraction*e.config.Edge.RetrySlack/float64(max(boxes, 1)), 1)
 }
 
+// newIntake returns the account of the memory and the connections of callers.
+func (e *Edge) newIntake() *intake.Intake {
+	i := intake.New(e.capacity(), e.heldBytes, e.metrics, e.log)
+	if err := e.metrics.ObserveClients(i.Connections, i.Used); err != nil {
+		e.log.WithError(err).Warn("clients_not_counted")
+	}
+	return i
+}
+
+// capacity returns what the box has for its clients.
+func (e *Edge) capacity() capacity.Capacity {
+	return capacity.New(e.config.Edge.MemoryMb, e.config.Edge.Descriptors)
+}
+
+// heldBytes returns the bytes that are buffered for slow readers and for other boxes.
+func (e *Edge) heldBytes() int {
+	held := e.tunnels.Count() * tunnelBytes
+	if e.buffers != nil {
+		held += e.buffers.Held()
+	}
+	return held
+}
+
 // full reports whether the box holds as many requests as its memory and file
 // descriptors allow. Exceeding them would kill the box and every request on it.
 func (e *Edge) full() bool {
@@ -350,8 +369,7 @@
 // maxRequests returns the maximum number of concurrent requests for a box that has held
 // bytes buffered for slow readers.
 func maxRequests(s *wire.Edge, held int) int {
-	memoryKB := s.MemoryMb*1024*requestMemoryPercent/100 - float64(held)/1024
-	return max(min(int(memoryKB/requestMemoryKB), (s.Descriptors-reservedDescriptors)/requestDescriptors), 1)
+	return capacity.New(s.MemoryMb, s.Descriptors).MaxRequests(held)
 }
 
 // newBuffers returns the accounting of bytes buffered for slow readers, or nil if
--- a/edge/run.go
+++ b/edge/run.go
@@ -16,15 +16,18 @@
 	"petrelstep/peer/edgerpc"
 	"petrelstep/platform/manifest"
 	"petrelstep/probe"
+	"petrelstep/protect/intake"
 )
 
 const (
 	tickInterval  = 100 * time.Millisecond
-	headerTimeout = 10 * time.Second
-	// idleTimeout exceeds the idle timeout of every client and load balancer.
-	idleTimeout       = 90 * time.Second
-	maxHeaderBytes    = 64 << 10
-	drainPollInterval = 50 * time.Millisecond
+	sweepInterval = 250 * time.Millisecond
+	// defaultHeaderTime, defaultIdleTime and defaultHeaderBytes bound the clients of all addresses.
+	// The idle time exceeds that of every client and load balancer.
+	defaultHeaderTime  = 10 * time.Second
+	defaultIdleTime    = 90 * time.Second
+	defaultHeaderBytes = 64 << 10
+	drainPollInterval  = 50 * time.Millisecond
 	// peerMaxAge is how recently a box must have heard from another to judge whether
 	// the store answers other boxes.
 	peerMaxAge = time.Second
@@ -106,8 +109,12 @@
 // serve serves the box's addresses.
 func (e *Edge) serve(ctx context.Context, all *sync.WaitGroup, l Listeners) []*http.Server {
 	var servers []*http.Server
-	for listener, handler := range map[net.Listener]http.Handler{l.Callers: http.HandlerFunc(e.serveCaller), l.Ready: e.readiness(), l.Admin: e.admin()} {
-		s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callers := e.intake.Listener(l.Callers, "callers", e.capacity().Callers(), 0, defaultBounds)
+	s := callers.Server(http.HandlerFunc(e.serveCaller))
+	servers = append(servers, s)
+	all.Go(func() { e.serveHTTP(s, callers) })
+	for listener, handler := range map[net.Listener]http.Handler{l.Ready: e.readiness(), l.Admin: e.admin()} {
+		s := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdleTime, MaxHeaderBytes: defaultHeaderBytes}
 		servers = append(servers, s)
 		all.Go(func() { e.serveHTTP(s, listener) })
 	}
@@ -119,6 +126,11 @@
 	return servers
 }
 
+// defaultBounds returns the bounds of clients of all addresses.
+func defaultBounds() intake.Bounds {
+	return intake.Bounds{HeaderBytes: defaultHeaderBytes, HeaderTime: defaultHeaderTime, IdleTime: defaultIdleTime}
+}
+
 func (e *Edge) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		e.log.WithError(err).Error("not_served")
@@ -159,6 +171,7 @@
 		all.Go(func() { f.Run(ctx) })
 	}
 	all.Go(func() { e.timer.Every(ctx, "tick", tickInterval, e.tick) })
+	all.Go(func() { e.timer.Every(ctx, "sweep", sweepInterval, e.intake.Sweep) })
 	prober := probe.New(e.fleet, e.storeSilence, e.runs, e.upstreams, e.limits, e.rejectionLimits, e.backoff, e.log)
 	all.Go(func() {
 		e.timer.Every(ctx, "watch", probe.Period, func(now time.Time) { prober.Poll(ctx, now) })
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -21,6 +21,9 @@
 	// lentDivisor bounds the connections that are held open for other boxes, to
 	// 1/lentDivisor of the requests that this box can hold.
 	lentDivisor = 2
+	// tunnelBytes is the memory of a connection that is held open for another box: the bytes of
+	// a call in each direction.
+	tunnelBytes = 64 << 10
 	// overtakenAfter is the time after which a box that was overtaken by another one is left
 	// out for a while: several round trips within a region.
 	overtakenAfter = 50 * time.Millisecond
