edge: bound the clients of the balancer's and the operators' address

What callers saw: 1,500 connections that send nothing, opened at the address that the balancer asks or at that of operators, took 1,516 descriptors of 1,000; 300 heads of many fields took 313 and 137 MiB of 64.

Cause: the addresses had servers of their own without a bound; the one of operators closes nothing in its own time but idle connections and late heads.

Now both are tracked by the box's one account, with 64 connections each out of the descriptors that are not for callers, so that a crowd there takes nothing from callers, and one of callers takes nothing from the balancer. The servers are in a fixed order: at a planned stop the keep-alives of the callers' server end, where before it was any of the three.

--- a/edge/run.go
+++ b/edge/run.go
@@ -27,7 +27,9 @@
 	defaultHeaderTime  = 10 * time.Second
 	defaultIdleTime    = 90 * time.Second
 	defaultHeaderBytes = 64 << 10
-	drainPollInterval  = 50 * time.Millisecond
+	// operatorConnections bounds the connections of the balancer, and those of operators.
+	operatorConnections = 64
+	drainPollInterval   = 50 * time.Millisecond
 	// peerMaxAge is how recently a box must have heard from another to judge whether
 	// the store answers other boxes.
 	peerMaxAge = time.Second
@@ -109,14 +111,17 @@
 // serve serves the box's addresses.
 func (e *Edge) serve(ctx context.Context, all *sync.WaitGroup, l Listeners) []*http.Server {
 	var servers []*http.Server
-	callers := e.intake.Listener(l.Callers, "callers", e.capacity().Callers(), 0, defaultBounds)
-	s := callers.Server(http.HandlerFunc(e.serveCaller))
-	servers = append(servers, s)
-	all.Go(func() { e.serveHTTP(s, callers) })
-	for listener, handler := range map[net.Listener]http.Handler{l.Ready: e.readiness(), l.Admin: e.admin()} {
-		s := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdleTime, MaxHeaderBytes: defaultHeaderBytes}
+	for _, a := range []struct {
+		listener *intake.Listener
+		handler  http.Handler
+	}{
+		{e.intake.Listener(l.Callers, "callers", e.capacity().Callers(), 0, defaultBounds), http.HandlerFunc(e.serveCaller)},
+		{e.intake.Listener(l.Ready, "ready", operatorConnections, 0, defaultBounds), e.readiness()},
+		{e.intake.Listener(l.Admin, "admin", operatorConnections, 0, defaultBounds), e.admin()},
+	} {
+		s := a.listener.Server(a.handler)
 		servers = append(servers, s)
-		all.Go(func() { e.serveHTTP(s, listener) })
+		all.Go(func() { e.serveHTTP(s, a.listener) })
 	}
 	all.Go(func() {
 		if err := edgerpc.New(ctx, e, e.turns, e.tunnels).Serve(l.Peers); err != nil {
