--- a/relay/relay.go
+++ b/relay/relay.go
@@ -160,6 +160,11 @@
 	r.serveWhole(ctx, j, c)
 }
 
+// Refuse refuses a request that is not served.
+func (r *Relay) Refuse(req *exchange.Request, c exchange.Caller, err error) {
+	r.refuse(r.Log.WithField("request", req.ID), req, c, err)
+}
+
 // admit checks a request against the current configuration.
 func (r *Relay) admit(req *exchange.Request) (*job, error) {
 	if r.Full() {
