--- a/relay/relay.go
+++ b/relay/relay.go
@@ -160,6 +160,12 @@
 	r.serveWhole(ctx, j, c)
 }
 
+// Check returns the refusal of a request whose body has not arrived yet; nil for none.
+func (r *Relay) Check(req *exchange.Request) error {
+	_, err := r.admit(req)
+	return err
+}
+
 // Refuse refuses a request that is not served.
 func (r *Relay) Refuse(req *exchange.Request, c exchange.Caller, err error) {
 	r.refuse(r.Log.WithField("request", req.ID), req, c, err)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -339,6 +339,9 @@
 				req := request(tt.path)
 				req.Key = tt.key
 				c := &caller{}
+				var early refusal.Refusal
+				isEarly := errors.As(w.relay.Check(req), &early)
+				is.Equal(isEarly, tt.want != "" && tt.want != refusal.NoUpstream) // before the body has arrived
 				w.relay.Serve(t.Context(), req, c)
 				if tt.want == "" {
 					is.True(c.refused == nil)
@@ -346,6 +349,7 @@
 					return
 				}
 				is.Equal(c.refused.Reason(), tt.want)
+				is.True(!isEarly || early.Reason() == tt.want)
 				is.Equal(c.refused.Outcome(), refusal.NotRun)
 				is.Equal(len(w.sender.sends), 0) // "not run" is true
 				is.Equal(c.refused.RetryAfter() > 0, tt.retryAfter)
