integration: failing test of places taken by requests that have not arrived

900 bodies of 2 KiB, each short of its last byte, are connected to a box of 64 MiB with 4,096 descriptors. An ordinary request beside them is refused with box_full in each of ten tries, also where the crowd comes back after each close: a request is counted as served from its head on.

--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -207,3 +207,20 @@
 		})
 	}
 }
+
+// TestEdgePlaces checks that requests whose body has not arrived, and those of one organisation,
+// do not take all the places of requests, with more descriptors than the box can use.
+func TestEdgePlaces(t *testing.T) {
+	const descriptors = 4096
+	once := post(checker.Once, "key0")
+	for name, c := range map[string]crowd{
+		"bodies of 2 KiB":                 {clients: 900, sends: shortOfEnd(once, 2*kib, 2*kib)},
+		"bodies of 2 KiB, clients return": {clients: 900, returns: true, sends: shortOfEnd(once, 2*kib, 2*kib)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, p := start(t, site.Options{MemoryMB: edgeMemoryMB, Descriptors: descriptors, Limits: limits})
+			callers, _, _ := s.Boxes[0].Addresses()
+			survives(t, p, c, callers, lookup(s, callers, []byte("ordinary")))
+		})
+	}
+}
