edge: only requests that have arrived count as served

What callers saw: 900 bodies of 2 KiB that stop short of their end made the box full for everybody: each ordinary request got 503 (box_full).

Cause: a request was counted from its head on, at the memory of a whole stream, whatever of it had arrived; maxRequests did not know of bodies at all.

Now a request is counted once it is complete, in the account that also has its body, its connection, what is held for slow readers and for other boxes; what is arriving gives way to it. The numbers are those of before where nothing else is in the account (TestMaxRequests).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -358,13 +358,7 @@
 
 // full reports whether the box holds as many requests as its memory and file
 // descriptors allow. Exceeding them would kill the box and every request on it.
-func (e *Edge) full() bool {
-	held := 0
-	if e.buffers != nil {
-		held = e.buffers.Held()
-	}
-	return e.serving.Load() > int64(maxRequests(e.config.Edge, held))
-}
+func (e *Edge) full() bool { return e.intake.Full() }
 
 // maxRequests returns the maximum number of concurrent requests for a box that has held
 // bytes buffered for slow readers.
