--- a/relay/relay.go
+++ b/relay/relay.go
@@ -166,6 +166,16 @@
 	return err
 }
 
+// Organisation returns the organisation of a key; empty if it is not known.
+func (r *Relay) Organisation(key string) string {
+	table, _, _ := r.Routes.Current(time.Now())
+	if table == nil {
+		return ""
+	}
+	o, _ := table.Organisation(key)
+	return o.Name
+}
+
 // Refuse refuses a request that is not served.
 func (r *Relay) Refuse(req *exchange.Request, c exchange.Caller, err error) {
 	r.refuse(r.Log.WithField("request", req.ID), req, c, err)
