edge: the configuration's limits of heads and idle connections are in force

What callers saw: a change of max_header_bytes, header_timeout_ms or idle_timeout_ms in the configuration changed nothing. A client could take 10 s for a head and rest for 90 s, and have 64 KiB of head, whatever the operator declared; one that was allowed more was closed all the same.

Cause: manifest decodes the three limits into route.Limits, and nobody read them; the servers had constants.

Now the bounds of the callers' address are those of the configuration in force, looked at four times a second, and the constants where it has none. Time counts from the first byte of a head, so that a connection which rests is not late; and after a pause of the process nobody is closed before waiting bytes could be read.

--- a/edge/run.go
+++ b/edge/run.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -22,8 +23,8 @@
 const (
 	tickInterval  = 100 * time.Millisecond
 	sweepInterval = 250 * time.Millisecond
-	// defaultHeaderTime, defaultIdleTime and defaultHeaderBytes bound the clients of all addresses.
-	// The idle time exceeds that of every client and load balancer.
+	// defaultHeaderTime, defaultIdleTime and defaultHeaderBytes bound callers where the
+	// configuration does not, and the clients of the other addresses.
 	defaultHeaderTime  = 10 * time.Second
 	defaultIdleTime    = 90 * time.Second
 	defaultHeaderBytes = 64 << 10
@@ -115,7 +116,7 @@
 		listener *intake.Listener
 		handler  http.Handler
 	}{
-		{e.intake.Listener(l.Callers, "callers", e.capacity().Callers(), 0, defaultBounds), http.HandlerFunc(e.serveCaller)},
+		{e.intake.Listener(l.Callers, "callers", e.capacity().Callers(), 0, e.callerBounds), http.HandlerFunc(e.serveCaller)},
 		{e.intake.Listener(l.Ready, "ready", operatorConnections, 0, defaultBounds), e.readiness()},
 		{e.intake.Listener(l.Admin, "admin", operatorConnections, 0, defaultBounds), e.admin()},
 	} {
@@ -131,11 +132,24 @@
 	return servers
 }
 
-// defaultBounds returns the bounds of clients of all addresses.
+// defaultBounds returns the bounds of clients that the configuration does not limit.
 func defaultBounds() intake.Bounds {
 	return intake.Bounds{HeaderBytes: defaultHeaderBytes, HeaderTime: defaultHeaderTime, IdleTime: defaultIdleTime}
 }
 
+// callerBounds returns the bounds of callers under the current configuration.
+func (e *Edge) callerBounds() intake.Bounds {
+	b := defaultBounds()
+	table, _, _ := e.routes.Current(time.Now())
+	if table == nil {
+		return b
+	}
+	l := table.Limits()
+	return intake.Bounds{
+		HeaderBytes: cmp.Or(l.HeaderBytes, b.HeaderBytes), HeaderTime: cmp.Or(l.HeaderTime, b.HeaderTime), IdleTime: cmp.Or(l.IdleTime, b.IdleTime),
+	}
+}
+
 func (e *Edge) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		e.log.WithError(err).Error("not_served")
--- a/protect/intake/intake.go
+++ b/protect/intake/intake.go
@@ -26,6 +26,8 @@
 	// shareOfFree is how many times the free part of the account, and of the requests that can
 	// be served at once, one organisation may use.
 	shareOfFree = 8
+	// maxSweepGap is the time between sweeps from which the process counts as paused.
+	maxSweepGap = time.Second
 	// logRate and logBurst bound the lines about closed connections, per second.
 	logRate  = 10
 	logBurst = 20
@@ -84,7 +86,8 @@
 	ending    usage // of connections that have to give way and have not ended yet
 	requests  int   // requests that are being served
 	owners    map[string]*owner
-	omitted   int // lines that were not logged
+	swept     time.Time // when Sweep was last called
+	omitted   int       // lines that were not logged
 }
 
 // owner is what the requests of an organisation use while they are being served.
@@ -149,10 +152,18 @@
 	return sum
 }
 
-// Sweep closes the connections that have taken too long.
+// Sweep closes the connections that have taken too long. It is to be called several times a
+// second; after a longer pause of the process none is closed, as bytes may have arrived and wait to
+// be read.
 func (i *Intake) Sweep(now time.Time) {
 	var ends []end
 	i.mu.Lock()
+	paused := now.Sub(i.swept) > maxSweepGap
+	i.swept = now
+	if paused {
+		i.mu.Unlock()
+		return
+	}
 	for _, l := range i.listeners {
 		ends = append(ends, l.late(now)...)
 	}
--- a/protect/intake/intake_test.go
+++ b/protect/intake/intake_test.go
@@ -187,6 +187,20 @@
 	}
 }
 
+// TestSweepAfterPause checks that connections that became late while the process was paused are
+// closed only at the sweep after the next.
+func TestSweepAfterPause(t *testing.T) {
+	is := is.New(t)
+	s := newStand(capacity.New(64, 4096), 10)
+	c := s.connect()
+	s.Sweep(s.now.Add(50 * time.Second))
+	s.Sweep(s.now.Add(70 * time.Second))
+	is.Equal(len(s.closings), 0)
+	s.Sweep(s.now.Add(70*time.Second + 250*time.Millisecond))
+	is.Equal(s.closings[ReasonIdle], 1)
+	is.True(c.Conn.(*fakeConn).closed)
+}
+
 // TestAccount checks with up to thousands of connections that do anything that the account
 // stays within its limits, and that nothing is left in it in the end.
 func TestAccount(t *testing.T) {
