daemon: bound the connections and heads of the own interface's clients

What callers saw: at a box with petrelstep's own interface 1,500 connections that send nothing took 1,514 descriptors of 1,000; 300 heads of 900 KiB without an end 595 MiB of 64, heads of many fields 392 MiB, at the operators' address too.

Cause: the two servers had a time limit for heads, and no other: none for idle connections, none for their number, and the library's 1 MB for a head. No memory was set for such a box at all.

A TLS connection counts 40 KiB more. The limit of a head stays at 1 MiB.

Bodies are not bounded yet: 9 rows fail.

--- a/cmd/petrelstepd/main.go
+++ b/cmd/petrelstepd/main.go
@@ -85,6 +85,7 @@
 
 func newBox(ctx context.Context, c config.Config, log *logrus.Entry, counts *metrics.Metrics) (box, error) {
 	if c.Edge == nil {
+		debug.SetMemoryLimit(int64(memoryLimitShare * c.Limits.MemoryMb * megabyte))
 		d, err := daemon.New(ctx, c, log, counts)
 		if err != nil {
 			return nil, err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"petrelstep/platform/store"
 	"petrelstep/platform/table"
 	"petrelstep/poll"
+	"petrelstep/protect/intake"
 	"petrelstep/quota"
 	"petrelstep/resource"
 	"petrelstep/retry"
@@ -85,6 +86,7 @@
 	dispatcher      *dispatch.Dispatcher
 	front           *front.Front
 	admin           *admin.Admin
+	intake          *intake.Intake
 
 	unserved        *unserved.Models
 	startup         *startup.Startup
@@ -177,6 +179,10 @@
 // initInterfaces creates the interfaces for callers and operators.
 func (d *Daemon) initInterfaces() {
 	c := d.config
+	d.intake = intake.New(d.capacity(), func() int { return 0 }, d.metrics, d.log)
+	if err := d.metrics.ObserveClients(d.intake.Connections, d.intake.Used); err != nil {
+		d.log.WithError(err).Warn("clients_not_counted")
+	}
 	budget := retry.New()
 	d.dispatcher = dispatch.New(dispatch.Components{
 		Box: c.Box, Resources: d.resources, Cells: d.cellsNow, Homes: d.homes, Engines: d.engines, Loads: d.loads,
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,8 @@
 	"petrelstep/lease"
 	"petrelstep/peer/endpoint"
 	"petrelstep/poll"
+	"petrelstep/protect/capacity"
+	"petrelstep/protect/intake"
 	"petrelstep/reconcile"
 	"petrelstep/wire"
 )
@@ -28,7 +31,14 @@
 	cleanInterval      = 10 * time.Minute
 	// drainCheckInterval is how often a draining box checks for work in flight.
 	drainCheckInterval = 50 * time.Millisecond
-	headerTimeout      = 10 * time.Second
+	sweepInterval      = 250 * time.Millisecond
+	headerTime         = 10 * time.Second
+	// idleTime exceeds the idle timeout of the usual clients and load balancers.
+	idleTime = 90 * time.Second
+	// tlsBytes is the memory of a TLS connection beyond that of another one.
+	tlsBytes = 40 << 10
+	// operatorConnections bounds the connections of operators.
+	operatorConnections = 64
 	// leaveNotice is how long a draining box keeps answering with refusals, so that
 	// peers and the load balancer learn of the stop before the port closes.
 	leaveNotice = 1500 * time.Millisecond
@@ -117,6 +127,7 @@
 	all.Go(d.ledger.Run)
 	all.Go(func() { d.timer.Every(ctx, "round", grantRoundInterval, d.grants.Round) })
 	all.Go(func() { d.timer.Every(ctx, "share", time.Second, d.shareCapacity) })
+	all.Go(func() { d.timer.Every(ctx, "sweep", sweepInterval, d.intake.Sweep) })
 	all.Go(func() { d.pollTable(ctx) })
 	all.Go(func() { d.pollList(ctx) })
 	all.Go(func() { d.applyConfigurations(ctx) })
@@ -140,16 +151,41 @@
 }
 
 func (d *Daemon) httpServers(all *sync.WaitGroup, open listeners) []*http.Server {
-	callers := &http.Server{Handler: d.front.Handler(), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: d.admin.Handler(), ReadHeaderTimeout: headerTimeout}
-	serve := func(s *http.Server, l net.Listener) {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			d.log.WithError(err).Error("not_served")
-		}
+	moreBytes := int64(0)
+	if d.certs.Callers() != nil {
+		moreBytes = tlsBytes
+	}
+	callers := d.intake.Listener(open.callers, "callers", d.capacity().Callers(), moreBytes, bounds)
+	operators := d.intake.Listener(open.admin, "admin", operatorConnections, moreBytes, bounds)
+	var servers []*http.Server
+	for l, h := range map[*intake.Listener]http.Handler{callers: d.front.Handler(), operators: d.admin.Handler()} {
+		s := l.Server(h)
+		servers = append(servers, s)
+		all.Go(func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				d.log.WithError(err).Error("not_served")
+			}
+		})
+	}
+	return servers
+}
+
+// bounds returns the bounds of clients.
+func bounds() intake.Bounds {
+	return intake.Bounds{HeaderBytes: http.DefaultMaxHeaderBytes, HeaderTime: headerTime, IdleTime: idleTime}
+}
+
+// capacity returns what the box has for its clients, by its settings and by the number of
+// descriptors that the system allows.
+func (d *Daemon) capacity() capacity.Capacity {
+	descriptors := d.config.Limits.Descriptors
+	var allowed syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &allowed); err != nil {
+		d.log.WithError(err).Warn("descriptors_unknown")
+	} else if allowed.Cur < uint64(descriptors) {
+		descriptors = int(allowed.Cur)
 	}
-	all.Go(func() { serve(callers, open.callers) })
-	all.Go(func() { serve(operators, open.admin) })
-	return []*http.Server{callers, operators}
+	return capacity.New(d.config.Limits.MemoryMb, descriptors)
 }
 
 // awaitDrained refuses new requests and waits for those in flight, up to the drain time.
