front, admin: read the own interface's bodies into the account

What callers saw: at a box with petrelstep's own interface 150 bodies of 1 MiB, whole or in chunks, most short of their end, took 139 to 194 MiB of 64; so did operators' resources. A request held one of limits.streams from its head on.

Cause: as before the platform, io.ReadAll without a bound over all connections and without a limit of time, and a count that includes what has not arrived.

Now both read bodies by intake.ReadBody, within 2 min and 10 s for each 4 KiB (body_timeout, 408), and only complete requests count for limits.streams. An operator's resource that is incomplete is 400 in place of 413, and one that is late or finds no memory 408 or 503.

Evidence: eight rows of integration.TestOwnCallers and two of TestOwnOperators failed in three of three runs before and pass: 39 to 49 MiB of 64.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -19,6 +19,7 @@
 
 	"petrelstep/front"
 	"petrelstep/metrics"
+	"petrelstep/protect/intake"
 	"petrelstep/refusal"
 	"petrelstep/resource"
 	"petrelstep/schemacheck"
@@ -26,8 +27,14 @@
 	"petrelstep/wire"
 )
 
-// maxBodySize bounds the body of a resource, in bytes.
-const maxBodySize = 1 << 20
+const (
+	// maxBodySize bounds the body of a resource, in bytes.
+	maxBodySize = 1 << 20
+	// maxBodyTime bounds the time in which it arrives.
+	maxBodyTime = 2 * time.Minute
+	// retryAfterFull is the Retry-After of a request that this box has no memory for.
+	retryAfterFull = time.Second
+)
 
 // statusInterval is the time between status events of a watch without changes.
 const statusInterval = time.Second
@@ -157,9 +164,9 @@
 }
 
 func (a *Admin) servePut(w http.ResponseWriter, r *http.Request) error {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodySize))
+	raw, err := intake.ReadBody(w, r, intake.Body{Limit: maxBodySize, Until: time.Now().Add(maxBodyTime), RetryAfter: retryAfterFull})
 	if err != nil {
-		return refusal.New(refusal.TooLarge, "the resource is incomplete or too large")
+		return err
 	}
 	var item wire.Resource
 	if err := a.resource.Decode(raw, &item); err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -194,7 +194,7 @@
 		Box: c.Box, Resources: d.resources, Dispatcher: d.dispatcher, Engines: d.engines, Services: service.New(serviceTimeout),
 		Ledger: d.ledger, Flights: d.flights, Tickets: ticket.New(c.SharedKey()), Budget: budget,
 		Metrics: d.metrics, Log: d.log, NotifyResumed: d.notifyResumed, Ready: d.configured,
-		MaxBodySize: c.Limits.BodyBytes, MaxStreams: c.Limits.Streams,
+		MaxBodySize: c.Limits.BodyBytes, MaxStreams: c.Limits.Streams, Full: d.intake.Full,
 	})
 	writer := configwriter.New(d.table, verify.New(), d.resources, d.catchUp.Run)
 	d.admin = admin.New(admin.Components{
--- a/front/front.go
+++ b/front/front.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"petrelstep/inflight"
 	"petrelstep/ledger"
 	"petrelstep/metrics"
+	"petrelstep/protect/intake"
 	"petrelstep/refusal"
 	"petrelstep/resource"
 	"petrelstep/retry"
@@ -29,8 +29,12 @@
 	"petrelstep/wire"
 )
 
-// defaultRetryAfter is the Retry-After of refusals that have no better estimate.
-const defaultRetryAfter = time.Second
+const (
+	// defaultRetryAfter is the Retry-After of refusals that have no better estimate.
+	defaultRetryAfter = time.Second
+	// maxBodyTime bounds the time in which a body arrives.
+	maxBodyTime = 2 * time.Minute
+)
 
 // Components are the dependencies and limits of a Front.
 type Components struct {
@@ -47,15 +51,17 @@
 	Log           *logrus.Entry
 	NotifyResumed func(box, attempt string) // notifies a box that this one resumed a generation that it started
 	Ready         func() bool
-	MaxBodySize   int // in bytes
-	MaxStreams    int // requests served at the same time
+	MaxBodySize   int         // in bytes
+	MaxStreams    int         // requests served at the same time
+	Full          func() bool // reports whether the account of the callers' memory is used up
 }
 
 // Front is safe for use by several goroutines.
 type Front struct {
 	Components
 	generation *schemacheck.Checker
-	streams    atomic.Int64 // requests being served
+	streams    atomic.Int64 // requests that have not ended
+	complete   atomic.Int64 // of these, requests whose body has arrived
 	draining   atomic.Bool
 	rotation   atomic.Uint64 // rotates the order of a service's upstreams
 }
@@ -75,8 +81,8 @@
 func (f *Front) Handler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/generations", f.admitted(f.serveGeneration)).Methods(http.MethodPost)
-	r.HandleFunc("/v1/generations/{id}", f.admitted(f.serveResume)).Methods(http.MethodGet)
-	r.HandleFunc("/v1/generations/{id}", f.admitted(f.serveCancel)).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/generations/{id}", f.admitted(f.whole(f.serveResume))).Methods(http.MethodGet)
+	r.HandleFunc("/v1/generations/{id}", f.admitted(f.whole(f.serveCancel))).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/services/{service}/{path:.*}", f.admitted(f.serveService))
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.refuse(w, r, "", refusal.New(refusal.UnknownResource, "no such path: "+r.URL.Path))
@@ -96,9 +102,9 @@
 // written as the response.
 func (f *Front) admitted(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		n := f.streams.Add(1)
+		f.streams.Add(1)
 		defer f.streams.Add(-1)
-		c, err := f.admit(r, int(n))
+		c, err := f.admit(r)
 		id := ""
 		if err == nil {
 			id, err = next(w, r, c)
@@ -116,7 +122,7 @@
 
 // admit checks that the box serves requests and has capacity for one more, and
 // authenticates the caller. A draining box admits only resumed streams.
-func (f *Front) admit(r *http.Request, serving int) (caller, error) {
+func (f *Front) admit(r *http.Request) (caller, error) {
 	resuming := r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/v1/generations/")
 	if f.draining.Load() && !resuming {
 		return caller{}, refusal.New(refusal.Draining, "this box is shutting down").WithRetryAfter(defaultRetryAfter)
@@ -124,12 +130,39 @@
 	if !f.Ready() {
 		return caller{}, refusal.New(refusal.NotReady, "no configuration yet").WithRetryAfter(defaultRetryAfter)
 	}
-	if serving > f.MaxStreams {
-		return caller{}, refusal.New(refusal.BoxFull, "too many requests at this box").WithRetryAfter(defaultRetryAfter)
+	if int(f.complete.Load()) >= f.MaxStreams {
+		return caller{}, errFull
 	}
 	return f.authenticate(r)
 }
 
+// errFull refuses a request that this box has no room for.
+var errFull = refusal.New(refusal.BoxFull, "too many requests at this box").WithRetryAfter(defaultRetryAfter)
+
+// begin counts a complete request of an organisation as one that is being served, until the
+// returned function is called.
+func (f *Front) begin(r *http.Request, c caller) (end func(), err error) {
+	n := f.complete.Add(1)
+	end = func() { f.complete.Add(-1) }
+	if !intake.From(r.Context()).BeginRequest(c.name) || int(n) > f.MaxStreams || f.Full() {
+		end()
+		return nil, errFull
+	}
+	return end, nil
+}
+
+// whole calls next for a request without a body.
+func (f *Front) whole(next handler) handler {
+	return func(w http.ResponseWriter, r *http.Request, c caller) (string, error) {
+		end, err := f.begin(r, c)
+		if err != nil {
+			return "", err
+		}
+		defer end()
+		return next(w, r, c)
+	}
+}
+
 func (f *Front) authenticate(r *http.Request) (caller, error) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
@@ -173,17 +206,15 @@
 	return id[:min(len(id), maxLength)]
 }
 
-// readBody reads a request's body, up to MaxBodySize bytes.
-func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.MaxBodySize)))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, refusal.New(refusal.TooLarge, "the body is too large")
-	case err != nil:
-		return nil, refusal.New(refusal.BadRequest, "the body is incomplete")
+// receive reads a request's body, up to MaxBodySize bytes, and counts the request as one that is
+// being served, until the returned function is called.
+func (f *Front) receive(w http.ResponseWriter, r *http.Request, c caller) (body []byte, end func(), err error) {
+	body, err = intake.ReadBody(w, r, intake.Body{Limit: f.MaxBodySize, Until: time.Now().Add(maxBodyTime), RetryAfter: defaultRetryAfter})
+	if err != nil {
+		return nil, nil, err
 	}
-	return raw, nil
+	end, err = f.begin(r, c)
+	return body, end, err
 }
 
 // badRequest returns the refusal for a request that does not match the schema.
--- a/front/generation.go
+++ b/front/generation.go
@@ -34,10 +34,11 @@
 const maxWholeTries = 3
 
 func (f *Front) serveGeneration(w http.ResponseWriter, r *http.Request, c caller) (string, error) {
-	raw, err := f.readBody(w, r)
+	raw, end, err := f.receive(w, r, c)
 	if err != nil {
 		return "", err
 	}
+	defer end()
 	var body wire.GenerationRequest
 	if err := f.generation.Decode(raw, &body); err != nil {
 		return "", badRequest(err)
--- a/front/service.go
+++ b/front/service.go
@@ -28,10 +28,11 @@
 	if len(f.Resources.View().Services(name)) == 0 {
 		return "", refusal.New(refusal.UnknownService, name)
 	}
-	body, err := f.readBody(w, r)
+	body, end, err := f.receive(w, r, c)
 	if err != nil {
 		return "", err
 	}
+	defer end()
 	call := service.Call{Method: r.Method, Path: "/" + mux.Vars(r)["path"], Type: r.Header.Get("Content-Type"), Body: body}
 	if r.URL.RawQuery != "" {
 		call.Path += "?" + r.URL.RawQuery
