integration: whole requests that cost more than their bytes

Three rows more: heads of 60 KiB of many fields whose requests are complete, at both interfaces, and drafts of 1 MiB, whose JSON is decoded; the clients come back after each answer.

--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -98,6 +98,7 @@
 		"heads over the limit":               {clients: 900, sends: then(once, longField(100*kib))},
 		"heads of many fields":               {clients: 300, sends: then(once, manyFields(60*kib))},
 		"heads of many fields, then no body": {clients: 300, sends: then(once, manyFields(60*kib)+"Content-Length: 10\r\n\r\n")},
+		"whole heads of many fields":         {clients: 300, returns: true, sends: then(post(checker.Lookup, "key0"), "Connection: close\r\n"+manyFields(60*kib)+"Content-Length: 0\r\n\r\n")},
 		"heads by single bytes":              {clients: 300, sends: slowly(once)},
 		"empty lines":                        {clients: 300, sends: then(func(int) string { return "" }, strings.Repeat("\r\n", 30*kib))},
 		"empty lines after a request":        {clients: 300, sends: then(post(checker.Lookup, "key0"), "Content-Length: 0\r\n\r\n"+strings.Repeat("\r\n", 30*kib))},
--- a/integration/own_test.go
+++ b/integration/own_test.go
@@ -139,6 +139,7 @@
 func TestOwnCallers(t *testing.T) {
 	valid, unknown := postOwn("key-of-council"), postOwn("unknown")
 	draft := func(int) string { return head("POST /v1/generations", "box", "Authorization: Bearer key-of-council") }
+	prompt := `{"model":"assessor","class":"draft","max_tokens":100,"deadline_ms":10000,"prompt":"` + strings.Repeat("x", mib-200) + `"}`
 	for name, c := range map[string]crowd{
 		"bodies at once":                     {clients: 150, sends: shortOfEnd(valid, mib, mib)},
 		"bodies in pieces":                   {clients: 150, sends: shortOfEnd(valid, mib, 32*kib)},
@@ -146,6 +147,8 @@
 		"bodies with an unknown key":         {clients: 150, sends: shortOfEnd(unknown, mib, mib)},
 		"bodies, clients return":             {clients: 150, returns: true, sends: shortOfEnd(valid, mib, mib)},
 		"whole bodies":                       {clients: 150, returns: true, sends: then(valid, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", mib, strings.Repeat("x", mib)))},
+		"whole drafts":                       {clients: 150, returns: true, sends: then(draft, fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n%s", len(prompt), prompt))},
+		"whole heads of many fields":         {clients: 300, returns: true, sends: then(valid, "Connection: close\r\n"+manyFields(60*kib)+"Content-Length: 0\r\n\r\n")},
 		"small bodies":                       {clients: 900, sends: shortOfEnd(valid, 64*kib, 64*kib)},
 		"large chunks":                       {clients: 150, sends: chunked(valid, mib, 32*kib, "")},
 		"chunks of a byte":                   {clients: 150, sends: chunked(valid, mib/2, 1, "")},
