intake: bound what arrives while a request is being served

What callers saw: a client that sends requests one after the other without reading is not read while one is served, and what it sends stays in the kernel, which the users' platform counts as the box's memory: up to 6 MB a connection.

Cause: not reading is no bound; the receive buffer grows as the kernel likes.

Now the receive buffer of a client's connection has 64 KiB, and a connection on which over 32 KiB arrive before the answer is closed (read_ahead). Only those on which something arrived meanwhile are looked at, so that calm costs nothing.

Evidence: intake.TestReadAhead, on loopback: two of three clients are never closed without the check, and the one that sends a single request ahead is served.

--- a/protect/intake/conn.go
+++ b/protect/intake/conn.go
@@ -48,6 +48,7 @@
 	released   bool      // net/http has finished with it
 	bodyLimit  int
 	bodyRead   bool // the body is complete
+	sendsAhead bool // bytes have arrived while a request is being served
 	prev, next *Conn
 
 	used   usage
@@ -87,6 +88,8 @@
 	switch c.stage {
 	case stageNew, stageIdle:
 		c.enter(stageHead, now)
+	case stageServing:
+		c.sendsAhead = true
 	case stageBody:
 		if c.unmarked += len(p); c.unmarked >= progressBytes {
 			c.progress, c.unmarked = now, 0
@@ -220,6 +223,7 @@
 	i, now := c.listener.intake, time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	c.sendsAhead = false
 	c.bodyRead, c.bodyLimit, c.until, c.progress, c.unmarked = !hasBody, 0, time.Time{}, now, 0
 	if hasBody {
 		c.enter(stageBody, now)
--- a/protect/intake/intake.go
+++ b/protect/intake/intake.go
@@ -41,11 +41,12 @@
 	ReasonHeaderSize    = "header_size"    // the head is too large
 	ReasonBodyTimeout   = "body_timeout"   // the body was not complete in time, or paused
 	ReasonIdle          = "idle"           // no request came in time
+	ReasonReadAhead     = "read_ahead"     // too much was sent before the answer to a request
 )
 
 // Reasons lists every reason, for counters.
 func Reasons() []string {
-	return []string{ReasonConnections, ReasonMemory, ReasonHeaderTimeout, ReasonHeaderSize, ReasonBodyTimeout, ReasonIdle}
+	return []string{ReasonConnections, ReasonMemory, ReasonHeaderTimeout, ReasonHeaderSize, ReasonBodyTimeout, ReasonIdle, ReasonReadAhead}
 }
 
 // Counter counts connections that were closed, and requests that were refused, by reason.
@@ -181,12 +182,12 @@
 // finish closes connections, or interrupts the reading of their bodies, and logs that.
 func (i *Intake) finish(now time.Time, ends []end) {
 	for _, e := range ends {
+		i.report(now, e.Conn, e.reason)
 		if e.refused {
 			_ = e.Conn.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended
 		} else {
 			e.abort()
 		}
-		i.report(now, e.Conn, e.reason)
 	}
 }
 
--- a/protect/intake/listener.go
+++ b/protect/intake/listener.go
@@ -105,6 +105,7 @@
 // track begins to track a connection. It closes the connection and returns nil if no other
 // one gives way to it.
 func (l *Listener) track(inner net.Conn, now time.Time) *Conn {
+	limitUnread(inner)
 	c := &Conn{Conn: inner, listener: l, since: now, bodyRead: true}
 	i := l.intake
 	i.mu.Lock()
@@ -169,6 +170,11 @@
 			ends = append(ends, c.giveWay(ReasonBodyTimeout, true))
 		}
 	}
+	for c := l.lists[stageServing].first; c != nil; c = c.next {
+		if c.sendsAhead && !c.ending && unread(c.Conn) > maxReadAhead {
+			ends = append(ends, c.giveWay(ReasonReadAhead, false))
+		}
+	}
 	return ends
 }
 
--- a/protect/intake/server_test.go
+++ b/protect/intake/server_test.go
@@ -69,6 +69,7 @@
 type server struct {
 	*closings
 	intake *intake.Intake
+	hold   chan struct{} // requests are answered once it is closed; nil for at once
 
 	mu     sync.Mutex
 	bounds intake.Bounds
@@ -105,6 +106,9 @@
 		case !intake.From(r.Context()).BeginRequest(""):
 			http.Error(w, "full", http.StatusServiceUnavailable)
 		default:
+			if s.hold != nil {
+				<-s.hold
+			}
 			_, _ = fmt.Fprint(w, len(body))
 		}
 	}))
@@ -284,6 +288,45 @@
 	}
 }
 
+// TestReadAhead checks that a client that sends much before the answer to its request is closed,
+// and one that sends another request is served.
+func TestReadAhead(t *testing.T) {
+	for name, tt := range map[string]struct {
+		sends  string // after the first request
+		closed bool
+	}{
+		"another request": {sends: wholeRequest},
+		"many requests":   {sends: strings.Repeat(wholeRequest, 2000), closed: true},
+		"a large body":    {sends: requestHead + "Content-Length: 921600\r\n\r\n" + strings.Repeat("x", 900<<10), closed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			s := newServer()
+			s.hold = make(chan struct{})
+			s.serve(t, inner)
+			conn, err := net.Dial("tcp", inner.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, wholeRequest)
+			is.NoErr(err)
+			c := newClient(conn)
+			_, _ = io.WriteString(conn, tt.sends) // fails if the connection is closed meanwhile
+			if tt.closed {
+				<-c.ended
+				close(s.hold)
+				s.closings.mu.Lock()
+				defer s.closings.mu.Unlock()
+				is.Equal(s.counts[intake.ReasonReadAhead], 1)
+				return
+			}
+			close(s.hold)
+			is.Equal([]string{<-c.answers, <-c.answers}, []string{"HTTP/1.1 200 OK", "HTTP/1.1 200 OK"})
+		})
+	}
+}
+
 // TestRefusalReachesSender checks that a client that reads only after it has sent everything
 // gets the whole refusal.
 func TestRefusalReachesSender(t *testing.T) {
