intake: a request refused for a small body has its connection closed

What callers saw: a client that pauses in a body of up to 4 KiB got its 408, and then a reset or no answer at all, as the library tries to read the rest of a small body before it sends the answer.

Cause: only answers to large bodies closed the connection by themselves.

Now each refusal for a body says that the connection is closed, and what still arrives is discarded, whatever the size. Evidence: intake.TestTime, row "a small body that pauses"; the fields of Conn are put in order by what they are for.

--- a/protect/intake/body.go
+++ b/protect/intake/body.go
@@ -47,12 +47,13 @@
 		return nil, nil
 	}
 	body, err := c.readBody(r.Body, r.ContentLength, b)
+	if err == nil && !c.completeBody() {
+		err = b.full()
+	}
 	if err != nil {
+		w.Header().Set(connectionHeader, "close")
 		return nil, c.dropBody(b, err)
 	}
-	if !c.completeBody() {
-		return nil, c.dropBody(b, b.full())
-	}
 	w.Header().Del(connectionHeader)
 	return body, nil
 }
@@ -192,7 +193,7 @@
 	i := c.listener.intake
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	c.body = 0
+	c.body, c.bodyRefused = 0, true
 	c.account()
 	switch {
 	case !c.ending:
--- a/protect/intake/conn.go
+++ b/protect/intake/conn.go
@@ -33,28 +33,30 @@
 	// Guarded by the lock of the intake.
 	stage      stage
 	since      time.Time // when the stage began
-	progress   time.Time // when bytes of the body last arrived
-	until      time.Time // until when the body has to be complete; zero if nothing limits it
+	prev, next *Conn     // in the list of the stage
+	used       usage     // of the account
 	received   int64     // bytes of this request
 	head       int64     // bytes of memory of the head
-	body       int64     // bytes of memory of the body
-	unmarked   int       // bytes of the body since progress
-	request    bool      // it is counted as a request
-	owner      *owner    // of the request
-	owned      int64     // bytes of the account that are counted for the owner
-	ending     bool      // it has to give way
-	lingers    bool      // the rest of its request is being discarded
-	closed     bool      // its descriptor is closed
-	released   bool      // net/http has finished with it
-	bodyLimit  int
-	bodyRead   bool // the body is complete
-	sendsAhead bool // bytes have arrived while a request is being served
-	prev, next *Conn
-
-	used   usage
-	reason string // why it has to give way
-
-	organisation string // of the request
+	sendsAhead bool      // bytes have arrived while a request is being served
+
+	body        int64     // bytes of memory of the body
+	bodyLimit   int       // bytes
+	until       time.Time // until when the body has to be complete; zero if nothing limits it
+	progress    time.Time // when progressBytes of the body had last arrived
+	unmarked    int       // bytes of the body since then
+	bodyRead    bool      // the body is complete
+	bodyRefused bool      // the request is refused for its body
+
+	request      bool // it is counted as a request
+	organisation string
+	owner        *owner // what the organisation uses
+	owned        int64  // bytes of the account that are counted for the owner
+
+	ending   bool   // it has to give way
+	reason   string // why
+	lingers  bool   // the rest of its request is being discarded
+	closed   bool   // its descriptor is closed
+	released bool   // net/http has finished with it
 }
 
 // From returns the connection of a request; nil if it is not tracked.
@@ -224,7 +226,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	c.sendsAhead = false
-	c.bodyRead, c.bodyLimit, c.until, c.progress, c.unmarked = !hasBody, 0, time.Time{}, now, 0
+	c.bodyRead, c.bodyRefused, c.bodyLimit = !hasBody, false, 0
+	c.until, c.progress, c.unmarked = time.Time{}, now, 0
 	if hasBody {
 		c.enter(stageBody, now)
 	} else {
@@ -255,12 +258,13 @@
 	i.finish(now, ends)
 }
 
-// stopReading ends the reading of a request that was answered before its body was read.
-func (c *Conn) stopReading() {
+// stopReading ends the reading of a request that was answered before its body was read, if the
+// body is large or the request is refused for it.
+func (c *Conn) stopReading(largeBody bool) {
 	i := c.listener.intake
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	c.answered.Store(!c.bodyRead)
+	c.answered.Store(!c.bodyRead && (largeBody || c.bodyRefused))
 }
 
 // Close implements net.Conn. A connection whose client may still be sending a refused request
--- a/protect/intake/listener.go
+++ b/protect/intake/listener.go
@@ -76,14 +76,12 @@
 		defer c.end()
 		// net/http reads the rest of a small body before it sends the answer. Else the connection
 		// is closed unless the handler reads the body to its end.
-		mayLinger := r.ContentLength < 0 || r.ContentLength > firstBodyBytes
-		if mayLinger {
+		largeBody := r.ContentLength < 0 || r.ContentLength > firstBodyBytes
+		if largeBody {
 			w.Header().Set(connectionHeader, "close")
 		}
 		h.ServeHTTP(w, r)
-		if mayLinger {
-			c.stopReading()
-		}
+		c.stopReading(largeBody)
 	})
 }
 
--- a/protect/intake/server_test.go
+++ b/protect/intake/server_test.go
@@ -167,6 +167,7 @@
 	"a head after a rest":             {steps: []step{{sends: wholeRequest, reads: "HTTP/1.1 200", waits: 12 * time.Second}, {sends: "POST /a HT", waits: time.Hour}}, closed: 15 * time.Second, reason: intake.ReasonHeaderTimeout},
 	"a body on a slow link":           {steps: []step{{sends: bodyRequest}, {sends: someBody, every: 4096, pause: time.Second, reads: "HTTP/1.1 200"}}},
 	"a body that pauses":              {steps: []step{{sends: bodyRequest + someBody[:60000]}, {reads: "HTTP/1.1 408"}}, reason: intake.ReasonBodyTimeout},
+	"a small body that pauses":        {steps: []step{{sends: requestHead + "Content-Length: 100\r\n\r\nabc"}, {reads: "HTTP/1.1 408"}}, reason: intake.ReasonBodyTimeout},
 	"a body without progress":         {steps: []step{{sends: bodyRequest}, {sends: someBody[:2000], every: 100, pause: 600 * time.Millisecond}, {reads: "HTTP/1.1 408"}}, reason: intake.ReasonBodyTimeout},
 	"a body beyond the request's end": {steps: []step{{sends: bodyRequest}, {sends: someBody[:59000], every: 4096, pause: 2200 * time.Millisecond, reads: "HTTP/1.1 408"}}, reason: intake.ReasonBodyTimeout},
 	"a lossy link": {steps: []step{
