--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,7 +39,6 @@
 	"petrelstep/platform/upstream"
 	"petrelstep/prefill"
 	"petrelstep/protect/buffers"
-	"petrelstep/protect/capacity"
 	"petrelstep/protect/intake"
 	"petrelstep/quarantine"
 	"petrelstep/relay"
@@ -333,39 +332,6 @@
 	return max(retrySlackFraction*e.config.Edge.RetrySlack/float64(max(boxes, 1)), 1)
 }
 
-// newIntake returns the account of the memory and the connections of callers.
-func (e *Edge) newIntake() *intake.Intake {
-	i := intake.New(e.capacity(), e.heldBytes, e.metrics, e.log)
-	if err := e.metrics.ObserveClients(i.Connections, i.Used); err != nil {
-		e.log.WithError(err).Warn("clients_not_counted")
-	}
-	return i
-}
-
-// capacity returns what the box has for its clients.
-func (e *Edge) capacity() capacity.Capacity {
-	return capacity.New(e.config.Edge.MemoryMb, e.config.Edge.Descriptors)
-}
-
-// heldBytes returns the bytes that are buffered for slow readers and for other boxes.
-func (e *Edge) heldBytes() int {
-	held := e.tunnels.Count() * tunnelBytes
-	if e.buffers != nil {
-		held += e.buffers.Held()
-	}
-	return held
-}
-
-// full reports whether the box holds as many requests as its memory and file
-// descriptors allow. Exceeding them would kill the box and every request on it.
-func (e *Edge) full() bool { return e.intake.Full() }
-
-// maxRequests returns the maximum number of concurrent requests for a box that has held
-// bytes buffered for slow readers.
-func maxRequests(s *wire.Edge, held int) int {
-	return capacity.New(s.MemoryMb, s.Descriptors).MaxRequests(held)
-}
-
 // newBuffers returns the accounting of bytes buffered for slow readers, or nil if
 // disabled.
 func (e *Edge) newBuffers() *buffers.Buffers {
--- a/edge/run.go
+++ b/edge/run.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -21,16 +20,9 @@
 )
 
 const (
-	tickInterval  = 100 * time.Millisecond
-	sweepInterval = 250 * time.Millisecond
-	// defaultHeaderTime, defaultIdleTime and defaultHeaderBytes bound callers where the
-	// configuration does not, and the clients of the other addresses.
-	defaultHeaderTime  = 10 * time.Second
-	defaultIdleTime    = 90 * time.Second
-	defaultHeaderBytes = 64 << 10
-	// operatorConnections bounds the connections of the balancer, and those of operators.
-	operatorConnections = 64
-	drainPollInterval   = 50 * time.Millisecond
+	tickInterval      = 100 * time.Millisecond
+	sweepInterval     = 250 * time.Millisecond
+	drainPollInterval = 50 * time.Millisecond
 	// peerMaxAge is how recently a box must have heard from another to judge whether
 	// the store answers other boxes.
 	peerMaxAge = time.Second
@@ -132,24 +124,6 @@
 	return servers
 }
 
-// defaultBounds returns the bounds of clients that the configuration does not limit.
-func defaultBounds() intake.Bounds {
-	return intake.Bounds{HeaderBytes: defaultHeaderBytes, HeaderTime: defaultHeaderTime, IdleTime: defaultIdleTime}
-}
-
-// callerBounds returns the bounds of callers under the current configuration.
-func (e *Edge) callerBounds() intake.Bounds {
-	b := defaultBounds()
-	table, _, _ := e.routes.Current(time.Now())
-	if table == nil {
-		return b
-	}
-	l := table.Limits()
-	return intake.Bounds{
-		HeaderBytes: cmp.Or(l.HeaderBytes, b.HeaderBytes), HeaderTime: cmp.Or(l.HeaderTime, b.HeaderTime), IdleTime: cmp.Or(l.IdleTime, b.IdleTime),
-	}
-}
-
 func (e *Edge) serveHTTP(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		e.log.WithError(err).Error("not_served")
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -159,8 +159,6 @@
 	m.hallChanges = b.counter("petrelstep_hall_changes", "Halls heard to be evacuated or taken back, by change.")
 	m.upstreamRestarts = b.counter("petrelstep_upstream_restarts", "Upstreams heard to have started again under their ids.")
 	m.skippedEntries = b.counter("petrelstep_entries_skipped", "Entries of the store that name no upstream or box to use, by reason.")
-	m.heldBytes, err = meter.Int64ObservableGauge("petrelstep_held", metric.WithDescription("Bytes held for callers that have not taken them yet."), metric.WithUnit("By"))
-	b.recordError(err)
 	m.storeReads = b.counter("petrelstep_store_reads", "Times that a box began to read a table of the store for itself, by table and reason.")
 	m.fleetRequests = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
 	m.placeWait = b.histogram("petrelstep_place_wait", "Wait for a place at a plain upstream, by outcome; those that did not wait are not counted.")
@@ -181,34 +179,6 @@
 	return m, nil
 }
 
-// addClientInstruments creates the instruments for connections of clients.
-func (m *Metrics) addClientInstruments(b *builder) {
-	m.clientsClosed = b.counter("petrelstep_clients_closed", "Connections of clients that were closed, or whose request was refused before it was complete, by reason.")
-	var err error
-	m.clients, err = b.meter.Int64ObservableGauge("petrelstep_clients", metric.WithDescription("Open connections of clients."))
-	b.recordError(err)
-	m.clientMemory, err = b.meter.Int64ObservableGauge("petrelstep_client_memory", metric.WithDescription("Bytes in the account of clients' memory, by part."), metric.WithUnit("By"))
-	b.recordError(err)
-}
-
-// ClientClosed implements intake.Counter.
-func (m *Metrics) ClientClosed(reason string) {
-	m.clientsClosed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
-}
-
-// ObserveClients registers functions that return the number of clients' connections, and the
-// bytes of their memory by part of the account.
-func (m *Metrics) ObserveClients(connections func() int, used func() map[string]int64) error {
-	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		o.ObserveInt64(m.clients, int64(connections()))
-		for part, bytes := range used() {
-			o.ObserveInt64(m.clientMemory, bytes, metric.WithAttributes(attribute.String("part", part)))
-		}
-		return nil
-	}, m.clients, m.clientMemory)
-	return err
-}
-
 // addLinkInstruments creates the instruments for connections to upstreams and boxes.
 func (m *Metrics) addLinkInstruments(b *builder) {
 	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
