integration: a change of the configuration's limit of heads is in force

With a limit of 64 KiB a head of 20 KiB is served, with 8 KiB it gets 431, and again with 64 KiB it is served, at a process of the daemon whose configuration comes from the stand-in store.

--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -225,3 +225,30 @@
 		})
 	}
 }
+
+// TestChangedLimits checks that a changed limit of heads is in force, lowered and raised.
+func TestChangedLimits(t *testing.T) {
+	is := is.New(t)
+	s, _ := start(t, site.Options{MemoryMB: edgeMemoryMB, Descriptors: edgeDescriptors, Limits: limits})
+	callers, _, _ := s.Boxes[0].Addresses()
+	request := post(checker.Lookup, "key0")(1) + longField(20*kib) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	status := func() string {
+		conn, err := net.Dial("tcp", callers)
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, request)
+		is.NoErr(err)
+		answer, _ := io.ReadAll(conn) // its end may be cut off
+		return strings.TrimPrefix(string(answer[:min(len(answer), 12)]), "HTTP/1.1 ")
+	}
+	is.Equal(status(), "200")
+	for _, change := range []struct {
+		limit int
+		want  string
+	}{{8 * kib, "431"}, {64 * kib, "200"}} {
+		s.SetLimits(platform.Limits{HeaderBytes: change.limit, BodyBytes: mib})
+		for began := time.Now(); status() != change.want; time.Sleep(10 * time.Millisecond) {
+			is.True(time.Since(began) < settleTime) // the change is never in force
+		}
+	}
+}
