intake: a body that finds no room at first is refused as such

By reading: where the first buffer of a body is refused, readBody wrapped the refusal into one for an incomplete body. The connection has to give way then, so that callers got box_full all the same; now the reason does not depend on that.

--- a/protect/intake/body.go
+++ b/protect/intake/body.go
@@ -64,6 +64,9 @@
 		return nil, b.tooLarge()
 	}
 	buf, err := c.grow(nil, firstSize(length), b)
+	if err != nil {
+		return nil, err
+	}
 	for err == nil {
 		if len(buf) == cap(buf) {
 			if buf, err = c.growChecked(buf, length, &b); err != nil {
