integration: the largest body over a slow link

A body of 4 MiB at 20 Mbit/s, with a pause of 0.6 s after each megabyte, is served by a process of the size of the smallest box.

--- a/integration/edge_test.go
+++ b/integration/edge_test.go
@@ -252,3 +252,31 @@
 		}
 	}
 }
+
+// TestSlowLink checks that the smallest box serves the largest body over a link of 20 Mbit/s that
+// pauses at times.
+func TestSlowLink(t *testing.T) {
+	const piece, interval, pauseEvery, pause = 50_000, 20 * time.Millisecond, 20, 600 * time.Millisecond
+	is := is.New(t)
+	s, _ := start(t, site.Options{MemoryMB: smallestMemoryMB, Descriptors: smallestDescriptors, Limits: platform.Limits{
+		HeaderBytes: 16 * kib, BodyBytes: largestBody, HeaderMs: 3000, IdleMs: 15000,
+	}})
+	callers, _, _ := s.Boxes[0].Addresses()
+	conn, err := net.Dial("tcp", callers)
+	is.NoErr(err)
+	defer conn.Close()
+	request := fmt.Sprintf("%sContent-Length: %d\r\nConnection: close\r\n\r\n%s", post(checker.Once, "key0")(1), largestBody, strings.Repeat("x", largestBody))
+	for n := 1; request != ""; n++ {
+		size := min(piece, len(request))
+		_, err := io.WriteString(conn, request[:size])
+		is.NoErr(err)
+		request = request[size:]
+		time.Sleep(interval)
+		if n%pauseEvery == 0 {
+			time.Sleep(pause)
+		}
+	}
+	answer, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 200"))
+}
