--- a/edge/edge.go
+++ b/edge/edge.go
@@ -232,6 +232,7 @@
 	e.tunnelChoice = tunnel.NewChoice(c.Hall, e.regions, rand.New(rand.NewPCG(uint64(e.record.Incarnation), 9)))
 	e.tunnels = newTunnelServer(e)
 	e.storeClock = e.store.ClockAt
+	e.store.OnRestore(e.onStoreRestored)
 	e.boxes = manifest.NewBoxes(e.store, counts, log)
 	e.quarantineStore = &quarantineStore{table: blocklist.New(e.store), log: log}
 	e.quarantine = quarantine.New(counts, e.quarantineStore, log)
@@ -413,13 +414,13 @@
 func (e *Edge) departed(ctx context.Context) fleet.Listener {
 	return func(u fleet.Upstream, source string) {
 		if u.State != fleet.Leaving {
-			e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "born": u.StartedAt, "source": source}).Info("upstream_back")
+			e.log.WithFields(logrus.Fields{"upstream": u.ID, "service": u.Service, "born": u.StartedAt, "source": source, "version": u.Version}).Info("upstream_back")
 			return
 		}
 		runs := len(e.runs.At(u.ID))
 		age, _ := e.fleet.Age(time.Now())
 		e.log.WithFields(logrus.Fields{
-			"upstream": u.ID, "service": u.Service, "born": u.StartedAt, "source": source, "runs": runs, "age_ms": min(age, neverAge).Milliseconds(),
+			"upstream": u.ID, "service": u.Service, "born": u.StartedAt, "source": source, "runs": runs, "age_ms": min(age, neverAge).Milliseconds(), "version": u.Version,
 		}).Info("upstream_leaves")
 		if e.config.Edge.Moves != wire.EdgeMovesNone {
 			e.evacuator.Evacuate(ctx, u)
--- a/edge/storefollow.go
+++ b/edge/storefollow.go
@@ -34,6 +34,21 @@
 	confirm func(sent time.Time)
 }
 
+// onStoreRestored logs and counts that the store came back from an older copy.
+func (e *Edge) onStoreRestored(before, after int) {
+	now := time.Now()
+	version, configurationAge := 0, neverAge
+	if table, age, _ := e.routes.Current(now); table != nil {
+		version, configurationAge = table.Version(), min(age, neverAge)
+	}
+	fleetAge, _ := e.fleet.Age(now)
+	e.metrics.StoreRestored()
+	e.log.WithFields(logrus.Fields{
+		"era": after, "before": before, "reads": e.IsReader(), "version": version,
+		"age_ms": configurationAge.Milliseconds(), "upstreams_age_ms": min(fleetAge, neverAge).Milliseconds(),
+	}).Warn("store_restored")
+}
+
 // Confirm implements tablesync.Observer.
 func (s storeAnswers) Confirm(sent time.Time) { s.confirm(sent) }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -150,14 +150,14 @@
 }
 
 // Put applies one entry of the table; its state is Leaving if the upstream announced
-// it.
-func (f *Fleet) Put(now time.Time, u Upstream) {
+// it. It reports whether the entry was not outdated.
+func (f *Fleet) Put(now time.Time, u Upstream) (applied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.put(now, u)
+	return f.put(now, u)
 }
 
-func (f *Fleet) put(now time.Time, u Upstream) {
+func (f *Fleet) put(now time.Time, u Upstream) (applied bool) {
 	u.Announced = u.State == Leaving
 	e, ok := f.all[u.ID]
 	switch {
@@ -168,19 +168,20 @@
 		f.set(now, e, u)
 		f.recordChange(e)
 	case e.older(u.StartedAt):
-		return
+		return false
 	case e.newer(u.StartedAt):
 		e.listed = true
 		f.restart(now, e, u, "entry")
-		return
+		return true
 	case u.Version <= e.upstream.Version && !u.Announced && e.upstream.State == Leaving, u.Version < e.upstream.Version:
-		return // outdated
+		return false
 	default:
 		f.renew(now, e, u)
 	}
 	if u.Announced {
 		f.markLeaving(now, e, "entry")
 	}
+	return true
 }
 
 // renew applies a newer entry of the same incarnation. An upstream that has announced
@@ -253,14 +254,17 @@
 
 // Remove applies the removal of an entry by a change of a version. The upstream is
 // leaving, although it may not have announced it; after an outage of the store its
-// entry may only have expired.
-func (f *Fleet) Remove(now time.Time, id string, version int64, outage bool) {
+// entry may only have expired. Remove reports whether the removal was not outdated.
+func (f *Fleet) Remove(now time.Time, id string, version int64, outage bool) (applied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e, ok := f.all[id]; ok && version >= e.upstream.Version {
-		f.set(now, e, e.upstream.withVersion(version))
-		f.unlist(now, e, outage, "removed")
+	e, ok := f.all[id]
+	if !ok || version < e.upstream.Version {
+		return false
 	}
+	f.set(now, e, e.upstream.withVersion(version))
+	f.unlist(now, e, outage, "removed")
+	return true
 }
 
 func (f *Fleet) unlist(now time.Time, e *entry, outage bool, source string) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -107,6 +107,7 @@
 	clientMemory       metric.Int64ObservableGauge
 	meter              metric.Meter
 	storeReads         metric.Int64Counter
+	storeRestores      metric.Int64Counter
 	fleetRequests      metric.Int64Counter
 	skippedSecondTries metric.Int64Counter
 	placeWait          metric.Float64Histogram
@@ -160,6 +161,7 @@
 	m.upstreamRestarts = b.counter("petrelstep_upstream_restarts", "Upstreams heard to have started again under their ids.")
 	m.skippedEntries = b.counter("petrelstep_entries_skipped", "Entries of the store that name no upstream or box to use, by reason.")
 	m.storeReads = b.counter("petrelstep_store_reads", "Times that a box began to read a table of the store for itself, by table and reason.")
+	m.storeRestores = b.counter("petrelstep_store_restores", "Times that the store was found to have come back from an older copy.")
 	m.fleetRequests = b.counter("petrelstep_fleets_told", "Answers to boxes that want the whole fleet, by outcome.")
 	m.placeWait = b.histogram("petrelstep_place_wait", "Wait for a place at a plain upstream, by outcome; those that did not wait are not counted.")
 	m.skippedSecondTries = b.counter("petrelstep_second_tries_not_sent", "Second tries that were due and not sent, by reason.")
@@ -354,6 +356,9 @@
 	m.storeReads.Add(context.Background(), 1, metric.WithAttributes(attribute.String("table", table), attribute.String("reason", reason)))
 }
 
+// StoreRestored counts that the store came back from an older copy.
+func (m *Metrics) StoreRestored() { m.storeRestores.Add(context.Background(), 1) }
+
 // PeerConnectionRetired counts a connection to another box that was silent while calls waited.
 func (m *Metrics) PeerConnectionRetired() { m.retiredConnections.Add(context.Background(), 1) }
 
--- /dev/null
+++ b/revision/revision.go
@@ -0,0 +1,35 @@
+// Package revision orders what is read from the platform's store. The store numbers its
+// transactions; when it is restored from an older copy it begins a new era and assigns the
+// numbers after the copy's again.
+package revision
+
+import "strconv"
+
+// versionBits is the number of low bits that hold the version.
+const versionBits = 48
+
+// Bounds of the parts of a revision.
+const (
+	MaxEra     = 1<<(63-versionBits) - 1
+	MaxVersion = 1<<versionBits - 1
+)
+
+// Revision is a version of the store in one of its eras. The revisions of a later era are
+// greater than all those of earlier ones. The zero value is before all others.
+type Revision int64
+
+// New returns the revision of a version in an era, which must not exceed the bounds.
+func New(era int, version int64) Revision {
+	return Revision(int64(era)<<versionBits | version)
+}
+
+// Era returns the era; 0 if the store names none.
+func (r Revision) Era() int { return int(r >> versionBits) }
+
+// Version returns the store's number, which is unique only within the era.
+func (r Revision) Version() int64 { return int64(r & MaxVersion) }
+
+// String returns the revision as era/version, for the log.
+func (r Revision) String() string {
+	return strconv.Itoa(r.Era()) + "/" + strconv.FormatInt(r.Version(), 10)
+}
