edge: failing tests of a store that comes back from an older copy

In virtual time the store loses some seconds, comes back from a copy whose version it counts on from, and the operator and the upstreams write again what was lost, with new changes among it.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -71,6 +71,7 @@
 	calls         int                         // made by all boxes
 	loseAnswers   bool                        // writes are applied without an answer
 	forgotten     int64                       // changes up to this version are in no feed
+	era           int                         // rises when the store is restored from a copy
 	reads         map[string]int              // listings by table
 	statuses      []string                    // values of the rows of table status, as written
 	statusAt      time.Time                   // of the last one
@@ -231,6 +232,13 @@
 	return version < t.forgotten
 }
 
+// isAhead reports whether a version is one that a restored store does not have yet.
+func (t *memStore) isAhead(version int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era > 0 && version > t.lastVersion()
+}
+
 // remove deletes a row.
 func (t *memStore) remove(table, key string) {
 	t.mu.Lock()
@@ -287,7 +295,7 @@
 			return nil, 0, err
 		}
 		rows, last, changed := r.historyAfter(of, mark)
-		if r.isForgotten(mark) {
+		if r.isForgotten(mark) || r.isAhead(mark) {
 			return nil, 0, &store.Error{Call: "rows-feed", Forgotten: true}
 		}
 		if len(rows) > 0 {
