store: order what is read by era and version

Callers were refused on routes that had been added, and requests reached workers that had left: changes were known at no box until another change or a listing.

Cause: the store's number was taken for an order of time. After a restore from an older copy the store counts on from the copy's version. A feed went on from the number up to which it had read; once the store had passed it again there was no 410, and what lay below was skipped at all readers at once. Beliefs (fleet, halls, orders, departures, news of hubs) dropped a change whose number was lower than the one known, and conditions of writes held for another row that had been given the number.

Now each version that the client returns is a revision.Revision, era and version in one ordered number, which all that compares versions uses unchanged, also on the wire between boxes. A feed from, or a condition on, a revision of another era is not sent; an answer of another era than its call is not used.

TestStoreRestored is made right in two points, and stays red: the operator does not write an older configuration over a newer one, and an entry that goes while the store is away may have lapsed, so that the bound counts from two seconds after the return (section Service discovery of the platform's protocol).

--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"petrelstep/revision"
 	"petrelstep/wire"
 )
 
@@ -32,21 +33,21 @@
 // release. Values are immutable.
 type Order struct {
 	Service       string
-	Target        string        // the ordered release
-	Version       int64         // of the order's row in the store, or of its removal
-	RemovedOrder  int64         // version of the order's row if Version is that of its removal; 0 if unknown
-	Duration      time.Duration // 0 if unknown or invalid
+	Target        string            // the ordered release
+	Version       revision.Revision // of the order's row in the store, or of its removal
+	RemovedOrder  revision.Revision // version of the order's row if Version is that of its removal; 0 if unknown
+	Duration      time.Duration     // 0 if unknown or invalid
 	State         State
-	StatusVersion int64 // of the row with the state; 0 without one
+	StatusVersion revision.Revision // of the row with the state; 0 without one
 	Phase         Phase
-	PhaseVersion  int64     // of the row with the phase; 0 without one
-	Decider       string    // the box that wrote the phase
-	Limit         time.Time // when the duration is over; zero if unknown
-	SharePPM      int       // share of the requests for the target in the trial, in millionths
-	Upstream      string    // of the target, which gets drawn requests first; empty if unknown
-	Route         string    // the only one whose requests are drawn; empty for all
-	RoutePPM      int       // share of that route's requests, in millionths
-	ShareAt       time.Time // when the decider set the share, the upstream and the route
+	PhaseVersion  revision.Revision // of the row with the phase; 0 without one
+	Decider       string            // the box that wrote the phase
+	Limit         time.Time         // when the duration is over; zero if unknown
+	SharePPM      int               // share of the requests for the target in the trial, in millionths
+	Upstream      string            // of the target, which gets drawn requests first; empty if unknown
+	Route         string            // the only one whose requests are drawn; empty for all
+	RoutePPM      int               // share of that route's requests, in millionths
+	ShareAt       time.Time         // when the decider set the share, the upstream and the route
 }
 
 // Active reports whether the order has no outcome yet.
@@ -56,13 +57,13 @@
 func (o Order) InCutover() bool { return o.State == Running && o.Phase == Cutover }
 
 // WithStatus returns the order in a state that a row of the given version holds.
-func (o Order) WithStatus(s State, version int64) Order {
+func (o Order) WithStatus(s State, version revision.Revision) Order {
 	o.State, o.StatusVersion = s, version
 	return o
 }
 
 // WithRemoval returns the order withdrawn, as of the version in which its row was gone.
-func (o Order) WithRemoval(version int64) Order {
+func (o Order) WithRemoval(version revision.Revision) Order {
 	if o.State != Withdrawn {
 		o.RemovedOrder = o.Version
 	}
@@ -71,7 +72,7 @@
 }
 
 // ownVersion returns the version of the order's own row, 0 if it is unknown.
-func (o Order) ownVersion() int64 {
+func (o Order) ownVersion() revision.Revision {
 	if o.RemovedOrder == 0 && o.State != Withdrawn {
 		return o.Version
 	}
@@ -128,7 +129,7 @@
 }
 
 // WithPhase returns the order in a phase that a row of the given version holds.
-func (o Order) WithPhase(p Phase, version int64, decider string) Order {
+func (o Order) WithPhase(p Phase, version revision.Revision, decider string) Order {
 	o.Phase, o.PhaseVersion, o.Decider = p, version, decider
 	return o
 }
@@ -214,8 +215,8 @@
 // FromWord returns the order in another box's answer to a call sent at a time.
 func FromWord(sent time.Time, w wire.RolloutWord) Order {
 	o := Order{
-		Service: w.Service, Version: int64(w.Order), RemovedOrder: int64(w.RemovedOrder), Target: w.Target, State: State(w.State), StatusVersion: int64(w.StatusVersion),
-		Phase: Phase(w.Phase), PhaseVersion: int64(w.PhaseVersion), Decider: w.Decider,
+		Service: w.Service, Version: revision.Revision(w.Order), RemovedOrder: revision.Revision(w.RemovedOrder), Target: w.Target, State: State(w.State), StatusVersion: revision.Revision(w.StatusVersion),
+		Phase: Phase(w.Phase), PhaseVersion: revision.Revision(w.PhaseVersion), Decider: w.Decider,
 	}
 	if w.LeftMs != 0 {
 		o.Limit = sent.Add(time.Duration(w.LeftMs) * time.Millisecond)
--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"petrelstep/revision"
 )
 
 const (
@@ -55,7 +57,7 @@
 
 // WithdrawMissing applies a complete listing as of a version: an order of a service that is
 // not listed was withdrawn, unless newer information is known.
-func (l *Orders) WithdrawMissing(now time.Time, listed map[string]bool, version int64, source string) {
+func (l *Orders) WithdrawMissing(now time.Time, listed map[string]bool, version revision.Revision, source string) {
 	for _, o := range l.Newest() {
 		if !listed[o.Service] && o.State != Withdrawn && o.Version < version {
 			l.Update(now, Order{Service: o.Service, Version: version, State: Withdrawn}, source)
@@ -144,7 +146,7 @@
 }
 
 // Retire records the releases that were in service before an order was completed.
-func (l *Orders) Retire(service string, version int64, releases []string) {
+func (l *Orders) Retire(service string, version revision.Revision, releases []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, known := l.services[service]
@@ -173,7 +175,7 @@
 }
 
 // SetLimit sets the time limit of an order, unless it is zero or another order is newer.
-func (l *Orders) SetLimit(service string, version int64, limit time.Time) {
+func (l *Orders) SetLimit(service string, version revision.Revision, limit time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r, known := l.services[service]; known && r.newest.Version == version && !limit.IsZero() {
--- a/canary/orders/orders_test.go
+++ b/canary/orders/orders_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/canary/orders"
+	"petrelstep/revision"
 )
 
 const service = "llm"
@@ -17,11 +18,11 @@
 var start = time.Unix(1000, 0)
 
 // order returns an order in a state; status is the version of its status row.
-func order(version int64, target string, state orders.State, status int64) orders.Order {
+func order(version revision.Revision, target string, state orders.State, status revision.Revision) orders.Order {
 	return orders.Order{Service: service, Version: version, Target: target, Duration: 12 * time.Second, State: state, StatusVersion: status}
 }
 
-func removal(version int64) orders.Order {
+func removal(version revision.Revision) orders.Order {
 	return orders.Order{Service: service, Version: version, State: orders.Withdrawn}
 }
 
@@ -110,7 +111,7 @@
 // the listing.
 func TestWithdrawMissing(t *testing.T) {
 	tests := map[string]struct {
-		version int64
+		version revision.Revision
 		listed  map[string]bool
 		want    orders.State
 	}{
--- a/canary/orders/withdrawn_test.go
+++ b/canary/orders/withdrawn_test.go
@@ -8,15 +8,16 @@
 	"github.com/matryer/is"
 
 	"petrelstep/canary/orders"
+	"petrelstep/revision"
 )
 
 // withdrawn returns the removal of an order as another box tells it.
-func withdrawn(version, removed int64, target string) orders.Order {
+func withdrawn(version, removed revision.Revision, target string) orders.Order {
 	return orders.Order{Service: service, Version: version, RemovedOrder: removed, Target: target, State: orders.Withdrawn}
 }
 
 // rolledBackAs returns a withdrawn order with its outcome, as another box tells it.
-func rolledBackAs(version, removed, status int64) orders.Order {
+func rolledBackAs(version, removed, status revision.Revision) orders.Order {
 	return withdrawn(version, removed, "v2").WithStatus(orders.RolledBack, status)
 }
 
@@ -29,8 +30,8 @@
 	tests := map[string]struct {
 		updates []orders.Order
 		state   orders.State
-		version int64
-		removed int64
+		version revision.Revision
+		removed revision.Revision
 	}{
 		"before a status":                        {[]orders.Order{order(5, "v2", orders.Ordered, 0), removal(9)}, orders.Withdrawn, 9, 5},
 		"while it runs":                          {[]orders.Order{running, removal(9)}, orders.Withdrawn, 9, 5},
@@ -95,8 +96,8 @@
 // follower is a box that follows the operator's table.
 type follower struct {
 	*orders.Orders
-	readTo int64
-	newest int64 // version of the newest order that it has read
+	readTo revision.Revision
+	newest revision.Revision // version of the newest order that it has read
 }
 
 func newFollower() *follower {
@@ -105,7 +106,7 @@
 
 // feed applies the changes after what was read, up to a version. The version of a change is its index
 // plus one.
-func (f *follower) feed(changes []orders.Order, to int64) {
+func (f *follower) feed(changes []orders.Order, to revision.Revision) {
 	for _, c := range changes[f.readTo:max(to, f.readTo)] {
 		f.apply(c)
 	}
@@ -113,7 +114,7 @@
 }
 
 // list applies a listing as of a version.
-func (f *follower) list(changes []orders.Order, at int64) {
+func (f *follower) list(changes []orders.Order, at revision.Revision) {
 	if at <= f.readTo {
 		return
 	}
@@ -145,17 +146,17 @@
 	for seed := range uint64(3000) {
 		random := rand.New(rand.NewPCG(seed, 2))
 		var changes []orders.Order
-		for v := int64(1); v <= 2+random.Int64N(6); v++ {
+		for v := revision.Revision(1); v <= 2+revision.Revision(random.Int64N(6)); v++ {
 			if len(changes) > 0 && changes[v-2].State == orders.Ordered && random.IntN(2) == 0 {
 				changes = append(changes, removal(v))
 				continue
 			}
 			changes = append(changes, order(v, []string{"v2", "v3"}[random.IntN(2)], orders.Ordered, 0))
 		}
-		last := int64(len(changes))
+		last := revision.Revision(len(changes))
 		boxes := []*follower{newFollower(), newFollower(), newFollower()}
 		for range 20 {
-			f, at := boxes[random.IntN(len(boxes))], 1+random.Int64N(last)
+			f, at := boxes[random.IntN(len(boxes))], 1+revision.Revision(random.Int64N(int64(last)))
 			switch random.IntN(3) {
 			case 0:
 				f.feed(changes, at)
@@ -171,9 +172,9 @@
 
 // checkAgreement has all boxes read the table to its end, and tell each other what they know.
 func checkAgreement(t *testing.T, seed uint64, changes []orders.Order, boxes []*follower) {
-	newest := int64(0)
+	newest := revision.Revision(0)
 	for _, f := range boxes {
-		f.feed(changes, int64(len(changes)))
+		f.feed(changes, revision.Revision(len(changes)))
 		newest = max(newest, f.newest)
 	}
 	for range 3 {
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -34,6 +34,7 @@
 	"petrelstep/platform/blocklist"
 	"petrelstep/platform/manifest"
 	"petrelstep/platform/store"
+	"petrelstep/revision"
 	"petrelstep/upstreamload"
 	"petrelstep/wire"
 )
@@ -70,7 +71,7 @@
 	turnsAway     func(call storeCall) string // how a call is turned away, "" if it is not; nil for none
 	calls         int                         // made by all boxes
 	loseAnswers   bool                        // writes are applied without an answer
-	forgotten     int64                       // changes up to this version are in no feed
+	forgotten     revision.Revision           // changes up to this version are in no feed
 	era           int                         // rises when the store is restored from a copy
 	reads         map[string]int              // listings by table
 	statuses      []string                    // values of the rows of table status, as written
@@ -184,7 +185,7 @@
 	t.changed = make(chan struct{})
 }
 
-func (t *memStore) lastVersion() int64 {
+func (t *memStore) lastVersion() revision.Revision {
 	if len(t.rows) == 0 {
 		return 0
 	}
@@ -192,7 +193,7 @@
 }
 
 // changesAfter returns a table's rows changed after a version, and the last version.
-func (t *memStore) changesAfter(table string, version int64) ([]store.Row, int64, chan struct{}) {
+func (t *memStore) changesAfter(table string, version revision.Revision) ([]store.Row, revision.Revision, chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return changedIn(t.rows, table, version), t.lastVersion(), t.changed
@@ -200,7 +201,7 @@
 
 // historyAfter returns a table's changes after a version, rows that were replaced since
 // included, and the last version.
-func (t *memStore) historyAfter(table string, version int64) ([]store.Row, int64, chan struct{}) {
+func (t *memStore) historyAfter(table string, version revision.Revision) ([]store.Row, revision.Revision, chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rows := append(changedIn(t.replaced, table, version), changedIn(t.rows, table, version)...)
@@ -209,7 +210,7 @@
 }
 
 // changedIn returns a table's rows that were changed after a version.
-func changedIn(all []store.Row, table string, version int64) (rows []store.Row) {
+func changedIn(all []store.Row, table string, version revision.Revision) (rows []store.Row) {
 	for _, r := range all {
 		if r.Table == table && r.Version > version {
 			rows = append(rows, r)
@@ -226,14 +227,14 @@
 }
 
 // isForgotten reports whether changes after a version are no longer in the history.
-func (t *memStore) isForgotten(version int64) bool {
+func (t *memStore) isForgotten(version revision.Revision) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return version < t.forgotten
 }
 
 // isAhead reports whether a version is one that a restored store does not have yet.
-func (t *memStore) isAhead(version int64) bool {
+func (t *memStore) isAhead(version revision.Revision) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.era > 0 && version > t.lastVersion()
@@ -253,7 +254,7 @@
 }
 
 // Rows implements manifest.Rows.
-func (r storeClient) Rows(ctx context.Context, of store.Range) ([]store.Row, int64, error) {
+func (r storeClient) Rows(ctx context.Context, of store.Range) ([]store.Row, revision.Revision, error) {
 	if r.refuse != nil && r.refuse() {
 		return nil, 0, &store.Error{Call: "rows-get", NoEffect: true, Err: io.EOF}
 	}
@@ -281,11 +282,26 @@
 	r.nextFree = r.nextFree.Add(time.Duration(len(rows)) * rowReadTime)
 	wait := r.nextFree.Sub(now)
 	r.mu.Unlock()
-	return rows, last, sleep(ctx, wait)
+	return r.ofEra(rows), r.current(last), sleep(ctx, wait)
+}
+
+// current returns a version as one of the current era, and ofEra rows with such versions, as the
+// store's client does.
+func (t *memStore) current(version revision.Revision) revision.Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return revision.New(t.era, version.Version())
+}
+
+func (t *memStore) ofEra(rows []store.Row) []store.Row {
+	for i, r := range rows {
+		rows[i].Version = t.current(r.Version)
+	}
+	return rows
 }
 
 // Feed implements manifest.Rows.
-func (r storeClient) Feed(ctx context.Context, of string, mark int64, wait time.Duration) ([]store.Row, int64, error) {
+func (r storeClient) Feed(ctx context.Context, of string, mark revision.Revision, wait time.Duration) ([]store.Row, revision.Revision, error) {
 	end := time.After(wait)
 	for {
 		if err := r.waitWhileSilent(ctx); err != nil {
@@ -294,12 +310,16 @@
 		if err := r.turnAway(ctx, "rows-feed", of); err != nil {
 			return nil, 0, err
 		}
-		rows, last, changed := r.historyAfter(of, mark)
-		if r.isForgotten(mark) || r.isAhead(mark) {
+		if mark.Era() != r.current(0).Era() {
+			return nil, 0, &store.Error{Call: "rows-feed", Forgotten: true}
+		}
+		number := revision.New(0, mark.Version())
+		rows, last, changed := r.historyAfter(of, number)
+		if r.isForgotten(number) || r.isAhead(number) {
 			return nil, 0, &store.Error{Call: "rows-feed", Forgotten: true}
 		}
 		if len(rows) > 0 {
-			return rows, last, nil
+			return r.ofEra(rows), r.current(last), nil
 		}
 		select {
 		case <-end:
@@ -309,7 +329,7 @@
 			r.mu.Lock()
 			r.calls-- // the same call
 			r.mu.Unlock()
-			return nil, max(last, mark), nil
+			return nil, max(r.current(last), mark), nil
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		case <-changed:
@@ -318,7 +338,7 @@
 }
 
 // versionOf returns a row's version, 0 if it is absent.
-func (t *memStore) versionOf(table, key string) int64 {
+func (t *memStore) versionOf(table, key string) revision.Revision {
 	for _, r := range t.rows {
 		if r.Table == table && r.Key == key && !r.Removed {
 			return r.Version
@@ -597,7 +617,7 @@
 	c.table.rows = append(c.table.rows, store.Row{Table: "op", Key: "config", Version: 1, Value: []byte(
 		`{"version":3,"routes":[],"services":[{"name":"plain","max_conns":100}],"limits":{"max_body_bytes":4096},"tenants":[]}`)})
 	for i := range upstreams {
-		c.table.rows = append(c.table.rows, store.Row{Table: "servers", Key: fmt.Sprint("u", i), Version: int64(i + 2), Value: worker(i, halls, "ready")})
+		c.table.rows = append(c.table.rows, store.Row{Table: "servers", Key: fmt.Sprint("u", i), Version: revision.Revision(i + 2), Value: worker(i, halls, "ready")})
 	}
 	for i := range boxes {
 		e := c.box(t, fmt.Sprint("b", i), fmt.Sprint("hall", i%halls))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -10,6 +10,7 @@
 	"petrelstep/halls"
 	"petrelstep/members"
 	"petrelstep/peerstate"
+	"petrelstep/revision"
 	"petrelstep/snapshot"
 	"petrelstep/wire"
 )
@@ -163,7 +164,7 @@
 	}
 	e.receiveFleetSize(now, a, sent)
 	for _, w := range a.Halls { // before the configuration that contains the halls
-		e.halls.Update(now, halls.Status{Hall: w.Hall, Evacuated: w.Evacuated, Version: int64(w.Version)}, a.Sender.Box)
+		e.halls.Update(now, halls.Status{Hall: w.Hall, Evacuated: w.Evacuated, Version: revision.Revision(w.Version)}, a.Sender.Box)
 	}
 	e.rollouts.receiveOrders(now, a, sent) // likewise
 	e.fetcher.Announce(configfetch.Announcement{
@@ -248,7 +249,7 @@
 		}
 		e.fleet.UpdateFromPeer(now, fleet.Upstream{
 			ID: u.ID, Service: u.Service, Address: u.Address, Hall: u.Hall, Slots: u.Slots, ColdUntil: coldUntil(now, u.ColdMs),
-			State: fleet.State(u.State), Version: int64(u.Version), Announced: u.Said, StartedAt: int64(u.Born),
+			State: fleet.State(u.State), Version: revision.Revision(u.Version), Announced: u.Said, StartedAt: int64(u.Born),
 			Release: u.Release,
 		})
 	}
@@ -279,7 +280,7 @@
 
 func (e *Edge) receiveDepartures(now time.Time, list []wire.UpstreamDeparture) {
 	for _, d := range list {
-		e.fleet.ApplyDeparture(now, fleet.Departure{ID: d.Upstream, Version: int64(d.Version), Announced: d.Said, StartedAt: int64(d.Born)}, "peer")
+		e.fleet.ApplyDeparture(now, fleet.Departure{ID: d.Upstream, Version: revision.Revision(d.Version), Announced: d.Said, StartedAt: int64(d.Born)}, "peer")
 	}
 }
 
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -41,6 +41,18 @@
 	t.changed = make(chan struct{})
 }
 
+// configuration returns the version of the configuration in the store.
+func (t *memStore) configuration() (version int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rows {
+		if r.Table == "op" && r.Key == "config" {
+			_, _ = fmt.Sscanf(string(r.Value), `{"version":%d`, &version)
+		}
+	}
+	return version
+}
+
 // interrupt fails all calls, those that are waiting for changes included, until it is called with
 // false.
 func (t *memStore) interrupt(away bool) {
@@ -59,6 +71,9 @@
 	what  string
 	apply func(s *memStore)
 	known func(e *Edge) bool // also once it is lost; nil for a write that no box follows
+	// removal says that an upstream's entry is removed. It may have lapsed while the store was away:
+	// by the platform's protocol the upstream is gone if it is still missing rewriteTime after that.
+	removal bool
 }
 
 // restoreDay restores a cluster's store from older copies again and again. Nothing that a box knew
@@ -74,6 +89,8 @@
 	mu            sync.Mutex
 	knowing       []restoreWrite
 	restarted     map[*Edge]time.Time
+	away          bool // the boxes do not reach the store
+	back          time.Time
 	pending       sync.WaitGroup
 }
 
@@ -83,8 +100,11 @@
 	if w.known == nil {
 		return
 	}
-	began := time.Now()
 	d.pending.Go(func() {
+		for w.removal && d.mayLapse() {
+			time.Sleep(20 * time.Millisecond)
+		}
+		began := time.Now()
 		for slices.ContainsFunc(d.running(), func(e *Edge) bool { return e.ready() && !w.known(e) }) {
 			if time.Since(began) > changeBound {
 				d.t.Errorf("%s is not known at all boxes after %v: %v", w.what, changeBound, d.without(w))
@@ -98,6 +118,23 @@
 	})
 }
 
+// mayLapse reports whether an entry that is missing may only have lapsed.
+func (d *restoreDay) mayLapse() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.away || time.Since(d.back) < rewriteTime
+}
+
+// interrupt makes the store be away from the boxes, or back.
+func (d *restoreDay) interrupt(away bool) {
+	d.table.interrupt(away)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away = away; !away {
+		d.back = time.Now()
+	}
+}
+
 // without returns the boxes that do not know a write.
 func (d *restoreDay) without(w restoreWrite) (names []string) {
 	for _, e := range d.running() {
@@ -136,11 +173,14 @@
 	leaving := func(i int) func(e *Edge) bool { return func(e *Edge) bool { return !e.fleet.Takes(id(i)) } }
 	return []restoreWrite{
 		{fmt.Sprint("configuration ", version), func(s *memStore) {
+			if version <= s.configuration() {
+				return // the operator has written a newer one since
+			}
 			s.put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[],"services":[{"name":"plain","max_conns":100}],"limits":{"max_body_bytes":4096},"tenants":[]}`, version))
-		}, func(e *Edge) bool { return e.View().Version >= version }},
-		{"new " + id(1000+added), func(s *memStore) { s.put("servers", id(1000+added), string(worker(1000+added, 3, "ready"))) }, func(e *Edge) bool { return e.fleet.Takes(id(1000 + added)) }},
-		{"draining " + id(draining), func(s *memStore) { s.put("servers", id(draining), string(worker(draining, 3, "draining"))) }, leaving(draining)},
-		{"removal of " + id(removed), func(s *memStore) { s.remove("servers", id(removed)) }, leaving(removed)},
+		}, func(e *Edge) bool { return e.View().Version >= version }, false},
+		{"new " + id(1000+added), func(s *memStore) { s.put("servers", id(1000+added), string(worker(1000+added, 3, "ready"))) }, func(e *Edge) bool { return e.fleet.Takes(id(1000 + added)) }, false},
+		{"draining " + id(draining), func(s *memStore) { s.put("servers", id(draining), string(worker(draining, 3, "draining"))) }, leaving(draining), false},
+		{"removal of " + id(removed), func(s *memStore) { s.remove("servers", id(removed)) }, leaving(removed), true},
 	}
 }
 
@@ -168,18 +208,18 @@
 	d.spread(append(d.beats(80), lost...), time.Second+randomUpTo(d.random, 3*time.Second))
 	time.Sleep(changeBound) // all boxes know what will be lost
 	if d.twice {
-		d.table.interrupt(true)
+		d.interrupt(true)
 		time.Sleep(50*time.Millisecond + randomUpTo(d.random, 150*time.Millisecond))
 		d.table.restore(held)
 		d.spread(d.beats(120), randomUpTo(d.random, 100*time.Millisecond))
-		d.table.interrupt(false)
+		d.interrupt(false)
 		time.Sleep(randomUpTo(d.random, 600*time.Millisecond))
 	}
-	d.table.interrupt(true)
+	d.interrupt(true)
 	time.Sleep(50*time.Millisecond + randomUpTo(d.random, 500*time.Millisecond))
 	d.table.restore(held)
 	d.spread(append(d.beats(120), d.change()...), randomUpTo(d.random, 400*time.Millisecond)) // before any box reads
-	d.table.interrupt(false)
+	d.interrupt(false)
 	if d.restart {
 		d.restartBox(ctx)
 	}
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -13,6 +13,7 @@
 	"petrelstep/canary/share"
 	"petrelstep/canary/verdict"
 	"petrelstep/platform/rollouts"
+	"petrelstep/revision"
 	"petrelstep/wire"
 )
 
@@ -57,7 +58,7 @@
 // trialState is what a reader knows of an order's trial. Its fields are guarded by the
 // mutex of the control.
 type trialState struct {
-	order      int64
+	order      revision.Revision
 	seenAt     time.Time
 	phaseSince time.Time
 	share      *share.Controller
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -17,6 +17,7 @@
 	"petrelstep/platform/rollouts"
 	"petrelstep/platform/store"
 	"petrelstep/relay"
+	"petrelstep/revision"
 )
 
 const (
@@ -49,17 +50,17 @@
 
 	mu         sync.Mutex
 	changes    []orderChange
-	trials     map[string]*trialState // by service
-	liftSince  map[string]time.Time   // since when a service has no reason to exclude releases
-	pending    map[string]time.Time   // since when the status of an order is not known
-	inService  map[string]int64       // orders for the only release that takes requests, by service
-	unread     bool                   // the rows have to be read
-	readAt     time.Time              // of the last attempt
-	isolatedAt time.Time              // when no other box was last heard from
-	failing    bool                   // the store has not answered the last call
-	retryAt    time.Time              // no call is made before
-	wokeAt     time.Time              // end of the last suspension
-	ways       map[string]way         // to other regions
+	trials     map[string]*trialState       // by service
+	liftSince  map[string]time.Time         // since when a service has no reason to exclude releases
+	pending    map[string]time.Time         // since when the status of an order is not known
+	inService  map[string]revision.Revision // orders for the only release that takes requests, by service
+	unread     bool                         // the rows have to be read
+	readAt     time.Time                    // of the last attempt
+	isolatedAt time.Time                    // when no other box was last heard from
+	failing    bool                         // the store has not answered the last call
+	retryAt    time.Time                    // no call is made before
+	wokeAt     time.Time                    // end of the last suspension
+	ways       map[string]way               // to other regions
 }
 
 // orderChange is a change of an order to be applied.
@@ -75,7 +76,7 @@
 	}
 	r := &rolloutControl{
 		Edge: e, counts: counts.New(), arrivals: arrivals.New(), sampler: share.NewSampler(),
-		trials: map[string]*trialState{}, liftSince: map[string]time.Time{}, pending: map[string]time.Time{}, inService: map[string]int64{}, ways: map[string]way{},
+		trials: map[string]*trialState{}, liftSince: map[string]time.Time{}, pending: map[string]time.Time{}, inService: map[string]revision.Revision{}, ways: map[string]way{},
 	}
 	if bound := config.Millis(e.config.Edge.Rollout.RollbackMs); bound < rollbackTime {
 		e.log.WithFields(logrus.Fields{"rollback_ms": bound.Milliseconds(), "least_ms": rollbackTime.Milliseconds()}).Warn("rollout_bound_too_short")
@@ -103,7 +104,7 @@
 }
 
 // Replace implements manifest.OperatorRows.
-func (r *rolloutControl) Replace(now time.Time, list []store.Row, version int64) {
+func (r *rolloutControl) Replace(now time.Time, list []store.Row, version revision.Revision) {
 	r.rows.Replace(now, list, version)
 	r.readAgain()
 	r.apply(now)
--- a/edge/rollouttrial.go
+++ b/edge/rollouttrial.go
@@ -36,7 +36,7 @@
 	for _, u := range r.candidateUpstreams(o) {
 		list = append(list, trialorder.Upstream{ID: u.ID, Sent: sent[u.ID], Rank: rank(u), Cold: u.ColdUntil.After(now)})
 	}
-	first := trialorder.First(o.Version, list)
+	first := trialorder.First(int64(o.Version), list)
 	if first != o.Upstream {
 		r.log.WithFields(logrus.Fields{
 			"service": o.Service, "order": o.Version, "upstream": first, "before": o.Upstream, "sent": sent[first], "sent_before": sent[o.Upstream],
--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -21,6 +21,7 @@
 	"petrelstep/members"
 	"petrelstep/platform/manifest"
 	"petrelstep/platform/store"
+	"petrelstep/revision"
 	"petrelstep/wire"
 )
 
@@ -72,7 +73,7 @@
 // holds reports whether all rows have the expected versions; the lock is held.
 func (t *memStore) holds(expected []store.Expect) bool {
 	for _, e := range expected {
-		if t.versionOf(e.Table, e.Key) != e.Version {
+		if row := t.versionOf(e.Table, e.Key); row != revision.New(0, e.Version.Version()) || e.Version != 0 && e.Version.Era() != t.era {
 			return false
 		}
 	}
--- a/edge/strangers_test.go
+++ b/edge/strangers_test.go
@@ -13,6 +13,7 @@
 
 	"petrelstep/members"
 	"petrelstep/platform/store"
+	"petrelstep/revision"
 	"petrelstep/wire"
 )
 
@@ -72,7 +73,7 @@
 	o := newCluster(t, 10, 1, 0)
 	for i := range 31 {
 		row := strings.ReplaceAll(string(worker(i, 1, "ready")), "10.0.", strangerPrefix)
-		o.table.rows = append(o.table.rows, store.Row{Table: "servers", Key: fmt.Sprint("u", i), Version: int64(i + 100), Value: []byte(row)})
+		o.table.rows = append(o.table.rows, store.Row{Table: "servers", Key: fmt.Sprint("u", i), Version: revision.Revision(i + 100), Value: []byte(row)})
 	}
 	o.cpu = c.cpu
 	o.byAddress[target.record.Address] = target
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"petrelstep/fleet"
+	"petrelstep/revision"
 )
 
 var sizes = []int{1000, 3000, 10000, 20000}
@@ -22,7 +23,7 @@
 }
 
 // one returns the i-th upstream of the service.
-func one(i int, state fleet.State, version int64) fleet.Upstream {
+func one(i int, state fleet.State, version revision.Revision) fleet.Upstream {
 	return fleet.Upstream{ID: fmt.Sprint("u", i), Service: "llm", Address: "10.0.0.1:1", Hall: fmt.Sprint("hall", i%6), Slots: 24, State: state, Version: version}
 }
 
@@ -30,7 +31,7 @@
 func BenchmarkChange(b *testing.B) {
 	for _, upstreams := range sizes {
 		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
-			f, version := many(upstreams), int64(1)
+			f, version := many(upstreams), revision.Revision(1)
 			for b.Loop() {
 				version++
 				u := one(int(version)%upstreams, fleet.Open, version)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"petrelstep/revision"
 )
 
 // State says whether requests may be sent to an upstream.
@@ -48,13 +50,13 @@
 	Slots     int
 	ColdUntil time.Time // until then it is limited to few requests per second; zero if it is warm
 	State     State
-	Version   int64  // of the last known change of its entry in the table
-	Announced bool   // the upstream itself announced that it leaves
-	StartedAt int64  // start time in Unix milliseconds by its own clock; 0 if unknown
-	Release   string // version of its software; empty if unknown
+	Version   revision.Revision // of the last known change of its entry in the table
+	Announced bool              // the upstream itself announced that it leaves
+	StartedAt int64             // start time in Unix milliseconds by its own clock; 0 if unknown
+	Release   string            // version of its software; empty if unknown
 }
 
-func (u Upstream) withVersion(version int64) Upstream {
+func (u Upstream) withVersion(version revision.Revision) Upstream {
 	u.Version = version
 	return u
 }
@@ -67,9 +69,9 @@
 // Departure reports that an upstream leaves. Values are immutable.
 type Departure struct {
 	ID        string
-	Version   int64 // of the change; 0 if unknown
-	Announced bool  // by the upstream itself
-	StartedAt int64 // start time of the leaving incarnation; 0 if unknown
+	Version   revision.Revision // of the change; 0 if unknown
+	Announced bool              // by the upstream itself
+	StartedAt int64             // start time of the leaving incarnation; 0 if unknown
 }
 
 type entry struct {
@@ -129,7 +131,7 @@
 // it are removed or, after an outage of the store, given the grace to be listed again.
 // Newer information than the listing is kept, and so are the upstreams in corrupt,
 // whose entries are listed but cannot be parsed.
-func (f *Fleet) Replace(now time.Time, list []Upstream, version int64, outage bool, corrupt ...string) {
+func (f *Fleet) Replace(now time.Time, list []Upstream, version revision.Revision, outage bool, corrupt ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := map[string]bool{}
@@ -255,7 +257,7 @@
 // Remove applies the removal of an entry by a change of a version. The upstream is
 // leaving, although it may not have announced it; after an outage of the store its
 // entry may only have expired. Remove reports whether the removal was not outdated.
-func (f *Fleet) Remove(now time.Time, id string, version int64, outage bool) (applied bool) {
+func (f *Fleet) Remove(now time.Time, id string, version revision.Revision, outage bool) (applied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, ok := f.all[id]
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -14,12 +14,13 @@
 	"github.com/matryer/is"
 
 	"petrelstep/fleet"
+	"petrelstep/revision"
 )
 
 const grace = 1500 * time.Millisecond
 
 // up returns an upstream as of a version of the table.
-func up(id string, state fleet.State, version int64) fleet.Upstream {
+func up(id string, state fleet.State, version revision.Revision) fleet.Upstream {
 	return fleet.Upstream{ID: id, Service: "s", Address: "10.0.0.1:1", State: state, Version: version}
 }
 
@@ -27,7 +28,7 @@
 func announced(id string) fleet.Departure { return fleet.Departure{ID: id, Announced: true} }
 
 // removed returns the departure by the removal of an entry.
-func removed(id string, version int64) fleet.Departure {
+func removed(id string, version revision.Revision) fleet.Departure {
 	return fleet.Departure{ID: id, Version: version}
 }
 
@@ -227,10 +228,10 @@
 // upstreams at once.
 func TestServingFollows(t *testing.T) {
 	now := time.Now()
-	open := func(id string, version int64) fleet.Upstream {
+	open := func(id string, version revision.Revision) fleet.Upstream {
 		return fleet.Upstream{ID: id, Service: "s", Address: id + ":1", Hall: "leith", Slots: 4, State: fleet.Open, Version: version}
 	}
-	leaving := func(id string, version int64) fleet.Upstream {
+	leaving := func(id string, version revision.Revision) fleet.Upstream {
 		u := open(id, version)
 		u.State = fleet.Leaving
 		return u
@@ -280,7 +281,7 @@
 // TestCold checks until when an upstream counts as cold.
 func TestCold(t *testing.T) {
 	later, latest := now.Add(time.Second), now.Add(3*time.Second)
-	cold := func(version int64, until time.Time) fleet.Upstream {
+	cold := func(version revision.Revision, until time.Time) fleet.Upstream {
 		u := up("u", fleet.Open, version)
 		u.Hall, u.ColdUntil = "leith", until
 		return u
@@ -322,7 +323,7 @@
 	Announced bool
 }
 
-func listing(version int64, list ...fleet.Upstream) func(*fleet.Fleet) {
+func listing(version revision.Revision, list ...fleet.Upstream) func(*fleet.Fleet) {
 	return func(f *fleet.Fleet) { f.Replace(now, list, version, false) }
 }
 
@@ -449,7 +450,7 @@
 			for i := range 120 {
 				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
 				if i%10 == 5 {
-					f.Put(now, fleet.Upstream{ID: fmt.Sprint("u", i/10), Version: int64(i)})
+					f.Put(now, fleet.Upstream{ID: fmt.Sprint("u", i/10), Version: revision.Revision(i)})
 				}
 				f.Tick(now)
 			}
@@ -537,7 +538,7 @@
 
 // randomUpdate applies a random update of one of 80 upstreams.
 func randomUpdate(f *fleet.Fleet, at time.Time, step int, random *rand.Rand) {
-	i, version := random.IntN(80), int64(random.IntN(step+1))
+	i, version := random.IntN(80), revision.Revision(random.IntN(step+1))
 	id := fmt.Sprint("u", i)
 	switch random.IntN(6) {
 	case 0:
--- a/fleet/mixture_test.go
+++ b/fleet/mixture_test.go
@@ -8,10 +8,11 @@
 	"github.com/matryer/is"
 
 	"petrelstep/fleet"
+	"petrelstep/revision"
 )
 
 // released returns an upstream of a release.
-func released(id, release string, version int64) fleet.Upstream {
+func released(id, release string, version revision.Revision) fleet.Upstream {
 	return fleet.Upstream{ID: id, Service: "llm", Address: id + ":1", Hall: "leith", Slots: 8, State: fleet.Open, Version: version, Release: release}
 }
 
--- a/fleet/releases_policy_test.go
+++ b/fleet/releases_policy_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/fleet"
+	"petrelstep/revision"
 )
 
 const holdTime = 2 * time.Second
@@ -253,7 +254,7 @@
 		at = at.Add(time.Duration(random.IntN(100)) * time.Millisecond)
 		switch random.IntN(8) {
 		case 0:
-			u := one(random.IntN(80), fleet.Open, int64(step))
+			u := one(random.IntN(80), fleet.Open, revision.Revision(step))
 			u.Service = []string{"llm", "plain"}[random.IntN(2)]
 			f.Put(at, startedAt(int64(step/500), of(names[random.IntN(4)], u)))
 		case 1:
--- a/halls/halls.go
+++ b/halls/halls.go
@@ -8,14 +8,16 @@
 	"sort"
 	"sync"
 	"time"
+
+	"petrelstep/revision"
 )
 
 // Status is the newest known status of a hall. Values are immutable.
 type Status struct {
 	Hall      string
 	Evacuated bool
-	Version   int64     // of the change in the store
-	Since     time.Time // when this box learned of it
+	Version   revision.Revision // of the change in the store
+	Since     time.Time         // when this box learned of it
 }
 
 // Listener is called for each change, in order, before All returns it; it must not call
@@ -35,7 +37,7 @@
 
 // Replace applies a complete listing of the evacuated halls as of a version. The
 // evacuation of a missing hall was cancelled, unless newer information is known.
-func (h *Halls) Replace(now time.Time, list []Status, version int64, source string) {
+func (h *Halls) Replace(now time.Time, list []Status, version revision.Revision, source string) {
 	listed := map[string]bool{}
 	for _, s := range list {
 		listed[s.Hall] = true
--- a/halls/halls_test.go
+++ b/halls/halls_test.go
@@ -8,14 +8,15 @@
 	"github.com/matryer/is"
 
 	"petrelstep/halls"
+	"petrelstep/revision"
 )
 
 // TestUpdate applies updates of one hall from several sources and out of order.
 func TestUpdate(t *testing.T) {
-	evacuated := func(version int64) halls.Status {
+	evacuated := func(version revision.Revision) halls.Status {
 		return halls.Status{Hall: "leith", Evacuated: true, Version: version}
 	}
-	cancelled := func(version int64) halls.Status { return halls.Status{Hall: "leith", Version: version} }
+	cancelled := func(version revision.Revision) halls.Status { return halls.Status{Hall: "leith", Version: version} }
 	tests := map[string]struct {
 		update  func(h *halls.Halls, now time.Time)
 		want    bool
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -29,7 +29,11 @@
 // Version returns the store's number, which is unique only within the era.
 func (r Revision) Version() int64 { return int64(r & MaxVersion) }
 
-// String returns the revision as era/version, for the log.
+// String returns the revision as era/version, for the log, and the version alone if the store
+// names no era.
 func (r Revision) String() string {
+	if r.Era() == 0 {
+		return strconv.FormatInt(r.Version(), 10)
+	}
 	return strconv.Itoa(r.Era()) + "/" + strconv.FormatInt(r.Version(), 10)
 }
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -32,7 +32,7 @@
 		version int64
 		text    string
 	}{
-		"no era":  {version: 12, text: "0/12"},
+		"no era":  {version: 12, text: "12"},
 		"usual":   {era: 6, version: 4031, text: "6/4031"},
 		"maximum": {era: revision.MaxEra, version: revision.MaxVersion, text: "32767/281474976710655"},
 	}
--- a/standin/platform/rollouts_test.go
+++ b/standin/platform/rollouts_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/platform/store"
+	"petrelstep/revision"
 	"petrelstep/standin/platform"
 )
 
@@ -24,7 +25,7 @@
 	_, written := p.RolloutStatus("llm")
 	is.True(!written)
 
-	put := func(state string, orderVersion, statusVersion int64) bool {
+	put := func(state string, orderVersion, statusVersion revision.Revision) bool {
 		return transact(t, p, store.Transaction{
 			Expect: []store.Expect{{Table: "op", Key: "rollout/llm", Version: orderVersion}, {Table: "status", Key: "rollout/llm", Version: statusVersion}},
 			Put:    []store.Row{{Table: "status", Key: "rollout/llm", Value: []byte(`{"target_version":"v2","state":"` + state + `"}`)}},
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -7,6 +7,7 @@
 
 	"petrelstep/platform/store"
 	"petrelstep/platform/table"
+	"petrelstep/revision"
 	"petrelstep/wire"
 )
 
@@ -16,9 +17,9 @@
 // of changes for the feed. Its owner does the locking.
 type rowSet struct {
 	rows           map[rowKey]store.Row
-	version        int64
+	version        revision.Revision
 	history        []store.Row
-	forgottenUntil int64 // changes up to this version are dropped from the history
+	forgottenUntil revision.Revision // changes up to this version are dropped from the history
 	statuses       []RolloutStatus
 	changed        chan struct{}
 }
@@ -79,7 +80,7 @@
 
 // since returns the changes of a table after a version, and false if they are no longer in
 // the history.
-func (s *rowSet) since(name string, version int64) ([]store.Row, bool) {
+func (s *rowSet) since(name string, version revision.Revision) ([]store.Row, bool) {
 	if version < s.forgottenUntil {
 		return nil, false
 	}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -8,15 +8,16 @@
 
 	"petrelstep/platform/members"
 	"petrelstep/platform/store"
+	"petrelstep/revision"
 	"petrelstep/wire"
 )
 
 // rowsAnswer is the response to all calls for rows.
 type rowsAnswer struct {
-	Rows    []store.Row `json:"rows"`
-	More    bool        `json:"more"`
-	Version int64       `json:"ver"`
-	NowMs   int64       `json:"now_ms"`
+	Rows    []store.Row       `json:"rows"`
+	More    bool              `json:"more"`
+	Version revision.Revision `json:"ver"`
+	NowMs   int64             `json:"now_ms"`
 }
 
 // clockMs returns the store's steady clock.
@@ -157,7 +158,7 @@
 func (p *Platform) feed(w http.ResponseWriter, r *http.Request, name string, after int64, end <-chan time.Time) {
 	for waiting := true; ; {
 		p.mu.Lock()
-		rows, ok := p.rows.since(name, after)
+		rows, ok := p.rows.since(name, revision.Revision(after))
 		version, changed := p.rows.version, p.rows.changed
 		p.mu.Unlock()
 		if !ok {
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"petrelstep/revision"
 )
 
 const (
@@ -37,10 +39,10 @@
 	// List reads and applies the whole table, and returns the version from which
 	// changes follow. Its duration depends on the size of the table; it must fail when
 	// one of its calls returns nothing.
-	List(ctx context.Context, outage bool) (version int64, err error)
+	List(ctx context.Context, outage bool) (version revision.Revision, err error)
 	// Next waits for changes after a version, applies them, and returns the new
 	// version.
-	Next(ctx context.Context, version int64, wait time.Duration, outage bool) (int64, error)
+	Next(ctx context.Context, version revision.Revision, wait time.Duration, outage bool) (revision.Revision, error)
 }
 
 // Pace bounds the pauses between failed calls, which are paid for even if the store is
@@ -91,7 +93,7 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	version, listed := int64(0), false
+	version, listed := revision.Revision(0), false
 	pause, idle := time.Duration(0), idleInitial
 	for ctx.Err() == nil {
 		if !f.need.Needed(f.now()) {
@@ -118,11 +120,11 @@
 }
 
 // step makes one call.
-func (f *Follower) step(ctx context.Context, version *int64, listed *bool) error {
+func (f *Follower) step(ctx context.Context, version *revision.Revision, listed *bool) error {
 	f.sent = f.now()
 	outage := !f.failedAt.IsZero() && f.sent.Sub(f.failedAt) < unsureTime
 	var err error
-	var next int64
+	var next revision.Revision
 	if *listed {
 		wait := f.need.Wait()
 		call, cancel := context.WithTimeout(ctx, wait+callSlack)
--- a/tablesync/tablesync_test.go
+++ b/tablesync/tablesync_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"petrelstep/logs"
+	"petrelstep/revision"
 	"petrelstep/tablesync"
 )
 
@@ -21,7 +22,7 @@
 // call is a call of a scripted source.
 type call struct {
 	list    bool
-	version int64
+	version revision.Revision
 	outage  bool
 	at      time.Duration
 }
@@ -29,11 +30,11 @@
 // source runs a script of answers; after its end, calls time out without changes.
 type source struct {
 	began  time.Time
-	script []func(ctx context.Context) (int64, error)
+	script []func(ctx context.Context) (revision.Revision, error)
 	calls  []call
 }
 
-func (s *source) next(ctx context.Context, c call) (int64, error) {
+func (s *source) next(ctx context.Context, c call) (revision.Revision, error) {
 	c.at = time.Since(s.began)
 	s.calls = append(s.calls, c)
 	if len(s.calls) > len(s.script) {
@@ -47,11 +48,11 @@
 	return s.script[len(s.calls)-1](ctx)
 }
 
-func (s *source) List(ctx context.Context, outage bool) (int64, error) {
+func (s *source) List(ctx context.Context, outage bool) (revision.Revision, error) {
 	return s.next(ctx, call{list: true, outage: outage})
 }
 
-func (s *source) Next(ctx context.Context, version int64, _ time.Duration, outage bool) (int64, error) {
+func (s *source) Next(ctx context.Context, version revision.Revision, _ time.Duration, outage bool) (revision.Revision, error) {
 	return s.next(ctx, call{version: version, outage: outage})
 }
 
@@ -76,13 +77,13 @@
 	return tablesync.Pace{Initial: 100 * time.Millisecond, Max: 1200 * time.Millisecond}
 }
 
-func answers(version int64, err error) func(context.Context) (int64, error) {
-	return func(context.Context) (int64, error) { return version, err }
+func answers(version revision.Revision, err error) func(context.Context) (revision.Revision, error) {
+	return func(context.Context) (revision.Revision, error) { return version, err }
 }
 
 // answersAfter answers after a delay, unless the call is cancelled.
-func answersAfter(d time.Duration, version int64) func(context.Context) (int64, error) {
-	return func(ctx context.Context) (int64, error) {
+func answersAfter(d time.Duration, version revision.Revision) func(context.Context) (revision.Revision, error) {
+	return func(ctx context.Context) (revision.Revision, error) {
 		select {
 		case <-ctx.Done():
 			return 0, ctx.Err()
@@ -92,33 +93,33 @@
 	}
 }
 
-func hangs(ctx context.Context) (int64, error) {
+func hangs(ctx context.Context) (revision.Revision, error) {
 	<-ctx.Done()
 	return 0, ctx.Err()
 }
 
 func TestFollower(t *testing.T) {
 	tests := map[string]struct {
-		script []func(context.Context) (int64, error)
+		script []func(context.Context) (revision.Revision, error)
 		calls  []call // the first, without their times
 	}{
 		"a listing, then changes": {
-			[]func(context.Context) (int64, error){answers(5, nil), answers(8, nil)},
+			[]func(context.Context) (revision.Revision, error){answers(5, nil), answers(8, nil)},
 			[]call{{list: true}, {version: 5}, {version: 8}}},
 		"a new listing when the history is forgotten": {
-			[]func(context.Context) (int64, error){answers(5, nil), answers(0, tablesync.ErrForgotten), answers(40, nil)},
+			[]func(context.Context) (revision.Revision, error){answers(5, nil), answers(0, tablesync.ErrForgotten), answers(40, nil)},
 			[]call{{list: true}, {version: 5}, {list: true}, {version: 40}}},
 		"continues from its version after an outage": {
-			[]func(context.Context) (int64, error){answers(5, nil), answers(0, errDown), answers(6, nil)},
+			[]func(context.Context) (revision.Revision, error){answers(5, nil), answers(0, errDown), answers(6, nil)},
 			[]call{{list: true}, {version: 5}, {version: 5, outage: true}, {version: 6, outage: true}}},
 		"a call that hangs times out": {
-			[]func(context.Context) (int64, error){answers(5, nil), hangs, answers(6, nil)},
+			[]func(context.Context) (revision.Revision, error){answers(5, nil), hangs, answers(6, nil)},
 			[]call{{list: true}, {version: 5}, {version: 5, outage: true}}},
 		"a long listing does not time out": {
-			[]func(context.Context) (int64, error){answersAfter(6*time.Second, 5), answers(8, nil)},
+			[]func(context.Context) (revision.Revision, error){answersAfter(6*time.Second, 5), answers(8, nil)},
 			[]call{{list: true}, {version: 5}, {version: 8}}},
 		"a failed first listing is retried": {
-			[]func(context.Context) (int64, error){answers(0, errDown), answers(0, errDown), answers(7, nil)},
+			[]func(context.Context) (revision.Revision, error){answers(0, errDown), answers(0, errDown), answers(7, nil)},
 			[]call{{list: true}, {list: true, outage: true}, {list: true, outage: true}, {version: 7, outage: true}}},
 	}
 	for name, tt := range tests {
@@ -148,12 +149,12 @@
 func TestConfirmedWhenSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		slow := func(context.Context) (int64, error) {
+		slow := func(context.Context) (revision.Revision, error) {
 			time.Sleep(300 * time.Millisecond)
 			return 1, nil
 		}
 		began := time.Now()
-		s := &source{began: began, script: []func(context.Context) (int64, error){slow, answers(0, errDown)}}
+		s := &source{began: began, script: []func(context.Context) (revision.Revision, error){slow, answers(0, errDown)}}
 		o := &observer{began: began}
 		ctx, cancel := context.WithTimeout(t.Context(), 350*time.Millisecond)
 		defer cancel()
