fleet, halls: don't take an older copy of the store for news

Requests reached upstreams that had left, and upstreams that had just started were given up, after the store came back from an older copy.

Cause: a listing was taken for all that is true. Evacuations that the copy lacks were ended. A box that started meanwhile knew nothing but the copy.

Now what the first listing of an era contradicts of newer knowledge of an earlier one counts only RestoreTime later, unless it is written again; what is written since counts at once. An entry is known to be in the copy if the copy has entries as new as it; if it is missing all the same, it was removed. A kept removal takes the version of the copy's entry, so that boxes that have read only the copy learn of it.

--- a/edge/run.go
+++ b/edge/run.go
@@ -221,6 +221,7 @@
 // tick expires outdated state.
 func (e *Edge) tick(now time.Time) {
 	e.fleet.Tick(now)
+	e.halls.Tick(now)
 	e.quarantine.Tick(now)
 	e.newStreamOrigins().sendUnsent(now)
 	e.limiter.tick(now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,9 @@
 	listed   bool
 	changed  int // number of its last change
 
+	restored bool       // its entry is missing since the store came back from an older copy
+	reopen   *reopening // nil if there is none
+
 	releaseSince time.Time // when its release became known; set only while new releases are held
 }
 
@@ -94,6 +97,7 @@
 	all              map[string]*entry
 	index            index
 	releases         releases
+	left             map[string]departed  // by id, for retention
 	mixtures         map[string]*mixture  // by service
 	closed           map[string]time.Time // halls whose upstreams take no new work, by the time they were closed
 	listeners        []Listener
@@ -107,7 +111,7 @@
 // New returns an empty fleet. After an outage of the store, an upstream that is missing
 // from a listing is given grace to be listed again.
 func New(grace time.Duration) *Fleet {
-	return &Fleet{grace: grace, all: map[string]*entry{}, index: newIndex(), releases: newReleases(), mixtures: map[string]*mixture{}, closed: map[string]time.Time{}}
+	return &Fleet{grace: grace, all: map[string]*entry{}, index: newIndex(), releases: newReleases(), left: map[string]departed{}, mixtures: map[string]*mixture{}, closed: map[string]time.Time{}}
 }
 
 // Subscribe calls l, on its own goroutine, for each upstream that leaves or is open
@@ -134,6 +138,7 @@
 func (f *Fleet) Replace(now time.Time, list []Upstream, version revision.Revision, outage bool, corrupt ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	copied := f.copiedVersion(list)
 	listed := map[string]bool{}
 	for _, id := range corrupt {
 		listed[id] = true
@@ -143,11 +148,22 @@
 		f.put(now, u)
 	}
 	for id, e := range f.all {
-		if listed[id] || !e.listed || e.upstream.Version > version {
+		waiting := e.restored && e.upstream.State == Missing
+		switch {
+		case listed[id] || !e.listed && !waiting || e.upstream.Version > version:
+			continue
+		case waiting && e.upstream.Version.Era() < version.Era():
+			e.since = now // the store has been restored once more
+			f.set(now, e, e.upstream.withVersion(version))
+			f.recordChange(e)
+			continue
+		case waiting:
 			continue
 		}
+		restored := version.Era() > e.upstream.Version.Era() && e.upstream.Version.Version() > copied
 		f.set(now, e, e.upstream.withVersion(version))
-		f.unlist(now, e, outage, "listing")
+		f.unlist(now, e, outage || restored, "listing")
+		e.restored = restored
 	}
 }
 
@@ -163,6 +179,9 @@
 	u.Announced = u.State == Leaving
 	e, ok := f.all[u.ID]
 	switch {
+	case !ok && !u.Announced && f.hasLeft(u):
+		f.addLeft(now, u)
+		return true
 	case !ok:
 		e = &entry{since: now, listed: true}
 		u.State = Open
@@ -177,6 +196,9 @@
 		return true
 	case u.Version <= e.upstream.Version && !u.Announced && e.upstream.State == Leaving, u.Version < e.upstream.Version:
 		return false
+	case !u.Announced && e.defersReopening(u):
+		f.deferReopening(now, e, u)
+		return true
 	default:
 		f.renew(now, e, u)
 	}
@@ -190,6 +212,7 @@
 // that it leaves stays leaving.
 func (f *Fleet) renew(now time.Time, e *entry, u Upstream) {
 	old := e.upstream
+	e.reopen = nil
 	u.State, u.Announced, u.StartedAt = old.State, old.Announced || u.Announced, max(old.StartedAt, u.StartedAt)
 	if !u.Announced && old.State != Open {
 		u.State, e.since = Open, now
@@ -219,7 +242,7 @@
 	if leaving {
 		u.State = Open
 	}
-	e.since = now
+	e.since, e.reopen = now, nil
 	f.set(now, e, u)
 	e.listed = e.listed || !leaving // one that leaves and has no entry expires after retention
 	f.recordChange(e)
@@ -264,13 +287,19 @@
 	if !ok || version < e.upstream.Version {
 		return false
 	}
+	if e.upstream.State == Leaving && !e.upstream.Announced {
+		f.recordChange(e) // removed again since the store was restored; other boxes may wait for it
+	}
 	f.set(now, e, e.upstream.withVersion(version))
 	f.unlist(now, e, outage, "removed")
 	return true
 }
 
 func (f *Fleet) unlist(now time.Time, e *entry, outage bool, source string) {
-	e.listed = false
+	if e.reopen != nil {
+		f.recordChange(e) // other boxes may wait for it, too
+	}
+	e.listed, e.restored, e.reopen = false, false, nil
 	if outage && e.upstream.State == Open {
 		e.since = now
 		f.set(now, e, e.upstream.withState(Missing))
@@ -302,6 +331,9 @@
 		return
 	}
 	u := e.upstream.withVersion(max(e.upstream.Version, d.Version))
+	if d.Announced || e.reopen != nil && d.Version > e.reopen.upstream.Version {
+		e.reopen = nil
+	}
 	u.Announced = u.Announced || d.Announced
 	if u.Announced != e.upstream.Announced {
 		f.recordChange(e)
@@ -340,12 +372,15 @@
 	defer f.mu.Unlock()
 	for id, e := range f.index.departing {
 		switch {
-		case e.upstream.State == Missing && now.Sub(e.since) >= f.grace:
+		case e.upstream.State == Missing && now.Sub(e.since) >= f.graceOf(e):
 			f.markLeaving(now, e, "missing")
+		case e.reopen != nil && !now.Before(e.reopen.at):
+			f.applyReopening(now, e)
 		case e.upstream.State == Leaving && now.Sub(e.since) >= retentionOf(e):
 			f.forget(now, id, e)
 		}
 	}
+	f.expireLeft(now)
 	f.expireHolds(now)
 	f.recordHistory(now)
 }
@@ -413,13 +448,7 @@
 	defer f.mu.Unlock()
 	e, ok := f.all[u.ID]
 	if !ok {
-		if u.State == Leaving && !u.Announced {
-			return // this box has never sent it a request
-		}
-		e = &entry{since: now, listed: true}
-		f.all[u.ID] = e
-		f.set(now, e, u)
-		f.recordChange(e)
+		f.addFromPeer(now, u)
 		return
 	}
 	if e.older(u.StartedAt) {
@@ -433,13 +462,35 @@
 	if u.Version < e.upstream.Version && !u.Announced {
 		return
 	}
+	if u.State == Open && !u.Announced && e.defersReopening(u) {
+		f.deferReopening(now, e, u)
+		return
+	}
 	f.applyPeerUpdate(now, e, u)
 }
 
+// addFromPeer applies a report of an upstream that this box does not know.
+func (f *Fleet) addFromPeer(now time.Time, u Upstream) {
+	switch {
+	case u.State == Leaving && !u.Announced:
+		f.left[u.ID] = departed{upstream: u, at: now} // this box has never sent it a request
+	case !u.Announced && f.hasLeft(u):
+		f.addLeft(now, u)
+	default:
+		e := &entry{since: now, listed: true}
+		f.all[u.ID] = e
+		f.set(now, e, u)
+		f.recordChange(e)
+	}
+}
+
 // applyPeerUpdate applies a report of the known incarnation that is not older than what
 // is known.
 func (f *Fleet) applyPeerUpdate(now time.Time, e *entry, u Upstream) {
 	old := e.upstream
+	if u.Version > old.Version || u.Announced {
+		e.reopen = nil
+	}
 	merged, newer := old.withVersion(max(old.Version, u.Version)), u.Version > old.Version
 	merged.StartedAt, merged.Announced = max(old.StartedAt, u.StartedAt), old.Announced || u.Announced
 	if newer {
@@ -452,11 +503,14 @@
 		f.recordChange(e)
 	}
 	f.set(now, e, merged)
+	if merged.Version.Era() > old.Version.Era() && old.State == Missing && u.State == Missing {
+		e.since, e.restored = now, true // the store has been restored once more
+	}
 	switch {
 	case u.State == Leaving:
 		f.markLeaving(now, e, "hub")
 	case newer && !merged.Announced && old.State != u.State, old.State == Open && u.State == Missing:
-		e.since = now
+		e.since, e.restored = now, u.Version.Era() > old.Version.Era()
 		f.set(now, e, merged.withState(u.State))
 		f.recordChange(e)
 		if old.State == Leaving && u.State == Open {
--- a/halls/halls.go
+++ b/halls/halls.go
@@ -29,14 +29,26 @@
 	changed Listener
 
 	mu       sync.Mutex
-	statuses map[string]Status // by hall, evacuated or not
+	statuses map[string]Status       // by hall, evacuated or not
+	missing  map[string]cancellation // by hall
+}
+
+// cancellation is the end of an evacuation that is missing from an older copy of the store. It
+// counts unless the evacuation is written again by then.
+type cancellation struct {
+	status Status
+	source string
+	at     time.Time
 }
 
 // New returns Halls without an evacuated hall.
-func New(changed Listener) *Halls { return &Halls{changed: changed, statuses: map[string]Status{}} }
+func New(changed Listener) *Halls {
+	return &Halls{changed: changed, statuses: map[string]Status{}, missing: map[string]cancellation{}}
+}
 
 // Replace applies a complete listing of the evacuated halls as of a version. The
-// evacuation of a missing hall was cancelled, unless newer information is known.
+// evacuation of a missing hall was cancelled, unless newer information is known. If the evacuation
+// is known from an earlier era of the store, it may only be missing from the copy.
 func (h *Halls) Replace(now time.Time, list []Status, version revision.Revision, source string) {
 	listed := map[string]bool{}
 	for _, s := range list {
@@ -44,10 +56,43 @@
 		h.Update(now, s, source)
 	}
 	for _, s := range h.All() {
-		if !listed[s.Hall] && s.Evacuated {
-			h.Update(now, Status{Hall: s.Hall, Version: version}, source)
+		cancelled := Status{Hall: s.Hall, Version: version}
+		switch {
+		case listed[s.Hall] || !s.Evacuated:
+		case s.Version.Era() < version.Era():
+			h.deferCancellation(now, cancelled, source)
+		default:
+			h.Update(now, cancelled, source)
+		}
+	}
+}
+
+func (h *Halls) deferCancellation(now time.Time, s Status, source string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known, ok := h.missing[s.Hall]; !ok || known.status.Version.Era() < s.Version.Era() {
+		h.missing[s.Hall] = cancellation{status: s, source: source, at: now.Add(revision.RestoreTime)}
+	}
+}
+
+// Tick ends evacuations that were not written again after the store was restored.
+func (h *Halls) Tick(now time.Time) {
+	for _, c := range h.due(now) {
+		h.Update(now, c.status, c.source)
+	}
+}
+
+// due removes and returns the cancellations that now count.
+func (h *Halls) due(now time.Time) (list []cancellation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for hall, c := range h.missing {
+		if !now.Before(c.at) {
+			list = append(list, c)
+			delete(h.missing, hall)
 		}
 	}
+	return list
 }
 
 // Update applies a status, unless the known one is as new.
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -3,7 +3,15 @@
 // numbers after the copy's again.
 package revision
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
+
+// RestoreTime is the time after the store was restored in which the copy may lack what was added,
+// and hold what was removed: what was lost is written again within two seconds, and known to all
+// boxes within another.
+const RestoreTime = 3 * time.Second
 
 // versionBits is the number of low bits that hold the version.
 const versionBits = 48
