edge: write rows of boxes again that a restored store has lost

Seen by operators: after the store came back from an older copy, boxes whose rows it had lost stay out of the table of boxes, and after a restart of all no box finds them.

Cause: a box writes its row once, when it joins; nobody looks at the table again.

Now who sees the restore in the store's own answers (the readers, and the standbys while they read) lists the table once and writes, a hundred by a call, what is missing of the boxes heard from, or stands there at the address of an earlier incarnation. The copy is only compared with, never believed. In a large fleet no box hears all others and few hubs call the store: answers between boxes carry the era (`era`), and each hub writes the rows of the boxes that call it, and its hall's size.

Line `boxes_restored`: era, stored, written, took_ms.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -50,7 +50,7 @@
 	e.rejectionLimits.Update(now, from.RejectionLimits, e.members.IsHubBox(now, from.Sender.Box))
 	e.rollouts.receiveCounts(now, from)
 	e.receiveReport(now, from.Sender.Box, gossipReport(from), from.Counts, peerstate.Coverage{Boxes: from.Covers, Recent: from.CoversNear})
-	a := wire.GossipAnswer{Sender: e.record, FleetName: e.config.Edge.Fleet, Leaving: e.draining.Load(), Tells: e.loadScope(now, from.Wants), StoreSilentMs: e.storeAge(now)}
+	a := wire.GossipAnswer{Sender: e.record, FleetName: e.config.Edge.Fleet, Leaving: e.draining.Load(), Tells: e.loadScope(now, from.Wants), StoreSilentMs: e.storeAge(now), Era: e.registrar.restoredEra()}
 	switch a.Tells {
 	case wire.GossipScopeOwn:
 		r, coverage := e.aggregatedReport(now, from.WantsSpeeds)
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -65,17 +65,20 @@
 	fleetListings map[string]int // of the upstreams, by box
 	boxRowsRead   int            // rows of boxes read
 	writes        writeStats
-	refuse        func() bool                 // reports whether to refuse the next connection; nil for never
-	silent        bool                        // calls block until their context ends
-	cutOff        func(box string) bool       // reports whether a box can't reach the store; nil for never
-	turnsAway     func(call storeCall) string // how a call is turned away, "" if it is not; nil for none
-	calls         int                         // made by all boxes
-	loseAnswers   bool                        // writes are applied without an answer
-	forgotten     revision.Revision           // changes up to this version are in no feed
-	era           int                         // rises when the store is restored from a copy
-	reads         map[string]int              // listings by table
-	statuses      []string                    // values of the rows of table status, as written
-	statusAt      time.Time                   // of the last one
+	refuse        func() bool                        // reports whether to refuse the next connection; nil for never
+	silent        bool                               // calls block until their context ends
+	cutOff        func(box string) bool              // reports whether a box can't reach the store; nil for never
+	turnsAway     func(call storeCall) string        // how a call is turned away, "" if it is not; nil for none
+	calls         int                                // made by all boxes
+	loseAnswers   bool                               // writes are applied without an answer
+	forgotten     revision.Revision                  // changes up to this version are in no feed
+	era           int                                // rises when the store is restored from a copy
+	away          bool                               // all calls fail
+	eras          map[string]int                     // as of the last answer, by box
+	onRestore     map[string]func(before, after int) // by box
+	reads         map[string]int                     // listings by table
+	statuses      []string                           // values of the rows of table status, as written
+	statusAt      time.Time                          // of the last one
 }
 
 // setSilent makes the store block calls or answer them again.
@@ -102,6 +105,13 @@
 	t.turnsAway = turnsAway
 }
 
+// listenRestores sets what a box does when it learns of a restore.
+func (t *memStore) listenRestores(box string, f func(before, after int)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onRestore[box] = f
+}
+
 // resetListings forgets which boxes have listed tables.
 func (t *memStore) resetListings() {
 	t.mu.Lock()
@@ -253,6 +263,18 @@
 	box string
 }
 
+// answered tells the box of a restore of the store, as the store's client does.
+func (r storeClient) answered() {
+	r.mu.Lock()
+	before, known := r.eras[r.box]
+	after, restored := r.era, r.onRestore[r.box]
+	r.eras[r.box] = after
+	r.mu.Unlock()
+	if known && after > before && restored != nil {
+		restored(before, after)
+	}
+}
+
 // Rows implements manifest.Rows.
 func (r storeClient) Rows(ctx context.Context, of store.Range) ([]store.Row, revision.Revision, error) {
 	if r.refuse != nil && r.refuse() {
@@ -264,6 +286,7 @@
 	if err := r.turnAway(ctx, "rows-get", of.Table); err != nil {
 		return nil, 0, err
 	}
+	r.answered()
 	rows, last, _ := r.changesAfter(of.Table, 0)
 	rows = slices.DeleteFunc(rows, func(o store.Row) bool { return o.Removed })
 	r.mu.Lock()
@@ -310,6 +333,7 @@
 		if err := r.turnAway(ctx, "rows-feed", of); err != nil {
 			return nil, 0, err
 		}
+		r.answered()
 		if mark.Era() != r.current(0).Era() {
 			return nil, 0, &store.Error{Call: "rows-feed", Forgotten: true}
 		}
@@ -609,7 +633,7 @@
 	c := &cluster{
 		tb: t, regions: regions, farDelay: 30 * time.Millisecond,
 		balance:     balance,
-		table:       &memStore{changed: make(chan struct{}), listings: map[string]int{}, fleetListings: map[string]int{}, reads: map[string]int{}},
+		table:       &memStore{changed: make(chan struct{}), listings: map[string]int{}, fleetListings: map[string]int{}, reads: map[string]int{}, eras: map[string]int{}, onRestore: map[string]func(before, after int){}},
 		quarantines: &memQuarantines{rows: map[fingerprint.Fingerprint]blocklist.Entry{}},
 		cancels:     map[*Edge]context.CancelFunc{}, latency: func(string) time.Duration { return 0 },
 		isolated: map[string]bool{}, byAddress: map[string]*Edge{}, cpu: map[string]*processor{}, calls: map[string]map[string]int{}, methods: map[string]int{},
@@ -675,6 +699,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cpu[name] = &processor{}
+	c.table.listenRestores(name, e.onStoreRestored)
 	return e
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -163,6 +163,7 @@
 		e.members.MarkNamedAsHub(now)
 	}
 	e.receiveFleetSize(now, a, sent)
+	e.registrar.receiveEra(a.Era)
 	for _, w := range a.Halls { // before the configuration that contains the halls
 		e.halls.Update(now, halls.Status{Hall: w.Hall, Evacuated: w.Evacuated, Version: revision.Revision(w.Version)}, a.Sender.Box)
 	}
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -62,6 +62,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.away = away
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -170,9 +170,7 @@
 		e.timer.Every(ctx, "watch", probe.Period, func(now time.Time) { prober.Poll(ctx, now) })
 	})
 	all.Go(func() { e.join(ctx) })
-	all.Go(func() {
-		e.timer.Every(ctx, "register", registerInterval, func(time.Time) { e.registrar.write(ctx) })
-	})
+	all.Go(func() { e.registrar.run(ctx) })
 	all.Go(func() { e.restoreQuarantine(ctx) })
 	all.Go(func() { e.rollouts.run(ctx) })
 	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
--- a/edge/start_test.go
+++ b/edge/start_test.go
@@ -40,6 +40,13 @@
 		return false, nil, &store.Error{Call: "rows-tx", Err: err}
 	}
 	r.mu.Lock()
+	away := r.away
+	r.mu.Unlock()
+	if away {
+		return false, nil, &store.Error{Call: "rows-tx", Status: http.StatusServiceUnavailable, NoEffect: true}
+	}
+	r.answered()
+	r.mu.Lock()
 	at := time.Now()
 	if r.writes.free.Before(at) {
 		r.writes.free = at
@@ -93,7 +100,7 @@
 		go f.Run(ctx)
 	}
 	go e.timer.Every(ctx, "tick", tickInterval, e.tick)
-	go e.timer.Every(ctx, "register", registerInterval, func(time.Time) { e.registrar.write(ctx) })
+	go e.registrar.run(ctx)
 	go e.join(ctx)
 	go gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2107,6 +2107,9 @@
 	// Last change of the hub's ends that the answer holds.
 	EndsAt int `json:"ends_at,omitempty,omitzero"`
 
+	// Of the store, by its restores that this box knows of; 0 if it knows of none.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Failures corresponds to the JSON schema field "failures".
 	Failures []UpstreamFailures `json:"failures,omitempty,omitzero"`
 
@@ -2240,6 +2243,9 @@
 	if v, ok := raw["ends_at"]; !ok || v == nil {
 		plain.EndsAt = 0
 	}
+	if v, ok := raw["era"]; !ok || v == nil {
+		plain.Era = 0
+	}
 	if v, ok := raw["fleet"]; !ok || v == nil {
 		plain.Fleet = ""
 	}
