lease: never let a fence go back with a restored store

Seen by operators: after the store came back from an older copy two boxes could hold a hall's lease at once.

Cause: a lease that was acquired in the lost seconds is free, or its predecessor's, in the copy. Others took it at once and counted the fence on from the copy's.

Now each holder keeps the highest fence that it has seen. A row with a lower one is of an older copy: a holder whose lease has not lapsed acquires it again with a higher fence, all others wait as for another holder, and fences go on above the highest seen. A holder that finds another's row gives the lease up at once.

Not covered: a box that starts after the restore knows no fence. It takes a lease that is free in the copy, with a fence that an earlier holder may have until its lease lapses or it reads the row.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -30,14 +30,21 @@
 	duration time.Duration
 	grace    time.Duration // waited after a lapse, for orders still in progress
 
-	mu              sync.Mutex
-	fence           int
-	until           time.Time                           // end of the own lease, by this box's clock
-	began           time.Time                           // start of the own lease, by this box's clock
-	suspendedSince  func(since time.Time) time.Duration // suspended time, nil if unknown
-	version         int
-	observedVersion int // version of another holder's row
-	observedAt      time.Time
+	mu             sync.Mutex
+	fence          int
+	until          time.Time                           // end of the own lease, by this box's clock
+	began          time.Time                           // start of the own lease, by this box's clock
+	suspendedSince func(since time.Time) time.Duration // suspended time, nil if unknown
+	version        int
+	highest        int         // highest fence known
+	observed       observation // of a row that this holder may not write yet
+	observedAt     time.Time
+}
+
+// observation is a state of the row.
+type observation struct {
+	version, fence int
+	holder         string
 }
 
 // New returns the lease of a key, not held yet.
@@ -59,6 +66,10 @@
 func (l *Lease) Held(now time.Time) (fence int, left time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.held(now)
+}
+
+func (l *Lease) held(now time.Time) (fence int, left time.Duration) {
 	if l.until.IsZero() {
 		return 0, 0
 	}
@@ -86,25 +97,43 @@
 	}
 	next := wire.LeaseRecord{Holder: l.holder, Fence: record.Fence, UntilMs: int(now.Add(l.duration).UnixMilli())}
 	if record.Holder != l.holder || !l.ownsVersion(row.Version) {
-		next.Fence++
+		next.Fence = l.nextFence()
 	}
 	return l.write(ctx, now, row.Version, next)
 }
 
-// mayWrite reports whether the lease is held by this holder, free or lapsed.
+// mayWrite reports whether the lease is held by this holder, free or lapsed. A row whose fence is
+// lower than one known is of a store that was restored from an older copy: whoever acquired the
+// lease in between may still act, unless that is this holder. One that holds it still acquires it
+// again at once; all others wait as for another holder.
 func (l *Lease) mayWrite(now time.Time, row wire.Row, record wire.LeaseRecord) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if row.Version == 0 || record.Holder == "" || record.Holder == l.holder {
+	wentBack := record.Fence < l.highest
+	l.highest = max(l.highest, record.Fence)
+	_, left := l.held(now)
+	switch {
+	case wentBack && left > 0:
+		l.version = 0
+		return true
+	case !wentBack && (row.Version == 0 || record.Holder == "" || record.Holder == l.holder):
 		return true
 	}
-	if row.Version != l.observedVersion {
-		l.observedVersion, l.observedAt = row.Version, now
-		return false
+	l.until, l.version = time.Time{}, 0
+	seen := observation{version: row.Version, fence: record.Fence, holder: record.Holder}
+	if seen != l.observed || l.observedAt.IsZero() {
+		l.observed, l.observedAt = seen, now
 	}
 	return now.Sub(l.observedAt) > l.duration+l.duration/driftDivisor+l.grace
 }
 
+// nextFence returns a fence above all that are known.
+func (l *Lease) nextFence() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.highest + 1
+}
+
 func (l *Lease) ownsVersion(version int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,6 +159,7 @@
 		return nil
 	}
 	l.fence, l.version, l.began, l.until = next.Fence, version+1, began, began.Add(l.duration)
+	l.highest, l.observedAt = max(l.highest, next.Fence), time.Time{}
 	return nil
 }
 
