ledger: write records of calls again that a restored store has lost

Seen by callers: a call that must not run twice ran again at another box, if the store came back from an older copy without its record.

Cause: a key without a row counts as new, and nobody wrote the row again.

Now a box that learns of a restore writes the rows of its calls of the last minute again (without their answers: those become unknown) and begins no call for 2.5 s, which gets 503, not run. A box that learns of it by the answer to the very write that records a call does not dispatch that call, and frees its key. Line `store_restored` of the daemon: era, before, calls.

Evidence: TestCallRestored, without the fix: dispatched twice in all three states of the call. After: none of nine cases (both boxes learn at once, the first 1 s later, the second by its own write).

Not covered: a box that ends in the lost seconds takes its records along; the next call with such a key is dispatched. A box that learns of the restore over 2.5 s later than another writes its rows too late for that one. A call whose answer was lost with its row stays unknown, although its box knew the answer.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -157,6 +157,7 @@
 func (d *Daemon) initClients() {
 	c := d.config
 	platform, timeout := store.New(c.Platform.Address, d.metrics), config.Millis(c.Platform.TimeoutMs)
+	platform.OnRestore(d.onStoreRestored)
 	d.table = table.New(platform, timeout)
 	d.memberList = platformmembers.New(platform, timeout)
 	d.members = members.New(members.Box{
@@ -167,6 +168,12 @@
 	d.catchUp = catchup.New(d.table, d.resources)
 }
 
+// onStoreRestored handles that the store came back from an older copy.
+func (d *Daemon) onStoreRestored(before, after int) {
+	calls := d.ledger.StoreRestored()
+	d.log.WithFields(logrus.Fields{"era": after, "before": before, "calls": calls}).Warn("store_restored")
+}
+
 // initCoordination creates the components that coordinate with the other boxes.
 func (d *Daemon) initCoordination(ctx context.Context) {
 	c := d.config
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -60,6 +60,7 @@
 	incarnation int
 	retention   time.Duration
 	group       *group
+	recent      recent
 	ctx         context.Context
 }
 
@@ -75,6 +76,10 @@
 // Begin requests the right to dispatch a call. It returns an entry, or the
 // stored answer of an earlier dispatch, or a refusal.Refusal.
 func (l *Ledger) Begin(ctx context.Context, c Call) (*Entry, *wire.LedgerRecord, error) {
+	began := time.Now()
+	if l.recent.isRestoring(began) {
+		return nil, nil, restoring()
+	}
 	e := &Entry{Token: uniqueid.New(), key: rowKey(c)}
 	e.record = wire.LedgerRecord{
 		State: wire.LedgerRecordStateDispatched, Token: e.Token, Box: l.box, Incarnation: l.incarnation,
@@ -86,6 +91,10 @@
 		switch r.outcome {
 		case written:
 			e.version++
+			if !l.recent.add(e, began) {
+				go l.undo(e)
+				return nil, nil, restoring()
+			}
 			return e, nil, nil
 		case refused:
 			return nil, nil, refusal.New(refusal.StoreDown, "the call could not be recorded").WithRetryAfter(retryAfter)
@@ -163,6 +172,7 @@
 // finish writes the final state of an entry. If that takes longer than
 // finishTimeout, the write continues in the background.
 func (l *Ledger) finish(e *Entry, record wire.LedgerRecord) {
+	l.recent.finish(e, record)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
