edge: write quarantines again that a restored store has lost

Seen by operators: after the store came back from an older copy and all boxes were restarted, a request that ends engines was let in again, or one that was released was refused again.

Cause: a quarantine's row is written or removed once, when it changes.

Now a box that sees the restore in the store's own answers (readers, and standbys while they read) lists the table once, within a second, puts what is refused here and missing, and removes what was cleared here and is there again. Rows that the box knows nothing of stay. Line `quarantines_restored`: stored, written, removed.

Not covered: the rows of quarantines whose box forgot them in the lost seconds (an hour after the last end) stay until they are removed by hand or end again.

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -99,6 +100,33 @@
 	})
 }
 
+// rewriteQuarantine makes the stored quarantines those known here, if this box has seen that the
+// store was restored from an older copy. Stored ones that are not known here stay.
+func (e *Edge) rewriteQuarantine(ctx context.Context) {
+	if !e.quarantineStore.restored.CompareAndSwap(true, false) {
+		return
+	}
+	stored, err := e.quarantineStore.table.All(ctx)
+	if err != nil {
+		e.quarantineStore.restored.Store(true) // again at the next tick
+		e.log.WithError(err).Warn("quarantines_not_read")
+		return
+	}
+	put, removed := 0, 0
+	for fp, known := range e.quarantine.Known() {
+		_, found := stored[fp]
+		switch {
+		case known.Refused && !found:
+			e.quarantineStore.put(fp, blocklist.Entry{Part: known.Part, Upstreams: known.Upstreams})
+			put++
+		case !known.Refused && found:
+			e.quarantineStore.Delete(fp)
+			removed++
+		}
+	}
+	e.log.WithFields(logrus.Fields{"stored": len(stored), "written": put, "removed": removed}).Info("quarantines_restored")
+}
+
 // quarantineTable is the storage that outlives all boxes.
 type quarantineTable interface {
 	Put(ctx context.Context, fp fingerprint.Fingerprint, e blocklist.Entry) error
@@ -108,8 +136,9 @@
 
 // quarantineStore writes quarantines to the platform's store in the background.
 type quarantineStore struct {
-	table quarantineTable
-	log   *logrus.Entry
+	table    quarantineTable
+	log      *logrus.Entry
+	restored atomic.Bool // rows may be missing since the store was restored
 }
 
 // Save implements quarantine.Store.
--- a/edge/run.go
+++ b/edge/run.go
@@ -172,6 +172,9 @@
 	all.Go(func() { e.join(ctx) })
 	all.Go(func() { e.registrar.run(ctx) })
 	all.Go(func() { e.restoreQuarantine(ctx) })
+	all.Go(func() {
+		e.timer.Every(ctx, "quarantine_rows", registerInterval, func(time.Time) { e.rewriteQuarantine(ctx) })
+	})
 	all.Go(func() { e.rollouts.run(ctx) })
 	all.Go(func() { gossip.New(e.members, e.peers, e, e.timer, e.log).Run(ctx) })
 }
--- a/edge/storefollow.go
+++ b/edge/storefollow.go
@@ -44,6 +44,7 @@
 	fleetAge, _ := e.fleet.Age(now)
 	e.metrics.StoreRestored()
 	e.registrar.storeRestored(after)
+	e.quarantineStore.restored.Store(true)
 	e.log.WithFields(logrus.Fields{
 		"era": after, "before": before, "reads": e.IsReader(), "version": version,
 		"age_ms": configurationAge.Milliseconds(), "upstreams_age_ms": min(fleetAge, neverAge).Milliseconds(),
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -172,11 +172,7 @@
 
 // setRefused counts, logs and stores a change of whether a request is refused.
 func (q *Quarantine) setRefused(now time.Time, fp fingerprint.Fingerprint, s *suspect) {
-	var upstreams []string
-	for inc := range s.ends {
-		upstreams = append(upstreams, inc.upstream)
-	}
-	slices.Sort(upstreams)
+	upstreams := s.upstreams()
 	log := q.log.WithFields(logrus.Fields{
 		"fingerprint": fp, "part": s.part, "ends": s.count(now), "last_ms": now.Sub(s.newest).Milliseconds(), "own": s.own, "upstreams": upstreams, "cut": len(q.attempts[fp]),
 	})
@@ -199,6 +195,34 @@
 	}
 }
 
+// upstreams returns the sorted ids of the upstreams that ended.
+func (s *suspect) upstreams() (ids []string) {
+	for inc := range s.ends {
+		ids = append(ids, inc.upstream)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Known is a request or part that is refused, or that was refused and then cleared.
+type Known struct {
+	Part, Refused bool
+	Upstreams     []string // that ended under it, if it is refused
+}
+
+// Known returns the requests and parts that the store should have or should not have.
+func (q *Quarantine) Known() map[fingerprint.Fingerprint]Known {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known := map[fingerprint.Fingerprint]Known{}
+	for fp, s := range q.suspects {
+		if s.refused || !s.cleared.IsZero() {
+			known[fp] = Known{Part: s.part, Refused: s.refused, Upstreams: s.upstreams()}
+		}
+	}
+	return known
+}
+
 // View returns the refused requests and parts.
 func (q *Quarantine) View(now time.Time) []wire.Quarantined {
 	q.mu.Lock()
