canary/orders: keep orders over a restore of the store

An order that stood in an older copy of the store got a greater revision there, and counted as a new one: its trial began again, its outcome was undone. One that the copy lacked was withdrawn, one that had been withdrawn or replaced in the lost seconds was revived.

A row of a later era is now the known order if it has its number and target, or its target within RestoreTime; the order takes the new version and keeps all else. What the copy holds against newer knowledge counts RestoreTime after the box has learned of the era, unless it is written again; what is changed after the first listing counts at once, a lower number included. An outcome or a cutover is not undone by an earlier state.

TestWithdrawalsAgree and the other tests of the package pass unchanged.

--- a/canary/orders/order.go
+++ b/canary/orders/order.go
@@ -48,6 +48,8 @@
 	Route         string            // the only one whose requests are drawn; empty for all
 	RoutePPM      int               // share of that route's requests, in millionths
 	ShareAt       time.Time         // when the decider set the share, the upstream and the route
+
+	first revision.Revision // Version before the store was restored; 0 if it was not
 }
 
 // Active reports whether the order has no outcome yet.
@@ -96,6 +98,11 @@
 	return o.Version > other.Version
 }
 
+// standsAfter reports whether the order's row stands in a later era of the store than that of its removal.
+func (o Order) standsAfter(removed Order) bool {
+	return removed.State == Withdrawn && o.isSameAs(removed) && o.Active() && o.Version.Era() > removed.Version.Era()
+}
+
 // withKnownRemoval returns the order as it is known beside an earlier one that was removed: if the
 // removal was read as of a version after this order too, its row is gone as well.
 func (o Order) withKnownRemoval(earlier Order) Order {
@@ -184,12 +191,16 @@
 		o.Limit = u.Limit
 	}
 	o.RemovedOrder = max(o.RemovedOrder, u.RemovedOrder)
-	if u.StatusVersion > o.StatusVersion {
+	if u.StatusVersion != 0 && !o.keepsState(u) {
 		o = o.WithStatus(u.State, u.StatusVersion)
 	}
+	cutover := o.Phase == Cutover || u.Phase == Cutover // an older copy of the store may lack it
 	if u.PhaseVersion > o.PhaseVersion {
 		o = o.WithPhase(u.Phase, u.PhaseVersion, u.Decider)
 	}
+	if cutover {
+		o.Phase = Cutover
+	}
 	if u.PhaseVersion == o.PhaseVersion && u.ShareAt.After(o.ShareAt) {
 		o = o.WithShare(u.SharePPM, u.ShareAt).WithUpstream(u.Upstream).WithRoute(u.Route, u.RoutePPM)
 	}
--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -37,6 +37,7 @@
 
 	mu       sync.Mutex
 	services map[string]*record
+	restore  restore
 }
 
 // record is what is known of a service.
@@ -47,6 +48,7 @@
 	lifted   bool      // no release is excluded any more
 	endedAt  time.Time // when this box learned of the newest order's outcome
 	retired  []string  // releases in service before the newest order was completed
+	deferred deferred  // does not count yet; empty if there is none
 }
 
 // New returns Orders without an order. changed is called for each change except of the
@@ -58,6 +60,7 @@
 // WithdrawMissing applies a complete listing as of a version: an order of a service that is
 // not listed was withdrawn, unless newer information is known.
 func (l *Orders) WithdrawMissing(now time.Time, listed map[string]bool, version revision.Revision, source string) {
+	l.Listed(now, version)
 	for _, o := range l.Newest() {
 		if !listed[o.Service] && o.State != Withdrawn && o.Version < version {
 			l.Update(now, Order{Service: o.Service, Version: version, State: Withdrawn}, source)
@@ -69,7 +72,11 @@
 func (l *Orders) Update(now time.Time, u Order, source string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.restore = l.restore.withRead(now, u.Version)
 	r, known := l.services[u.Service]
+	if known {
+		u = l.align(now, r, u, source)
+	}
 	switch {
 	case !known && u.Target == "":
 		return // the removal of an order that this box never knew
@@ -77,6 +84,12 @@
 		r = &record{}
 		l.services[u.Service] = r
 		l.set(now, r, u, source)
+	case l.restore.contradicts(now, r.newest, u):
+		if r.deferred.at.IsZero() || r.deferred.order.Version.Era() < u.Version.Era() {
+			r.deferred = deferred{order: u, source: source, at: l.restore.until}
+		}
+	case u.standsAfter(r.newest):
+		l.begin(now, r, u, source)
 	case u.isNewerThan(r.newest):
 		l.replace(now, r, u.withKnownRemoval(r.newest), source)
 	case u.Version == r.newest.Version && !r.newest.isNewerThan(u):
@@ -84,7 +97,7 @@
 	case u.isOutcomeOf(r.newest):
 		// Written before the order was removed, or by a box that knows an earlier version of its removal.
 		l.set(now, r, r.newest.WithStatus(u.State, u.StatusVersion), source)
-	default:
+	case !u.isSameAs(r.newest):
 		r.remember(u)
 	}
 }
@@ -104,6 +117,12 @@
 		return
 	}
 	r.remember(before)
+	l.begin(now, r, u, source)
+}
+
+// begin makes an order the newest one of its service.
+func (l *Orders) begin(now time.Time, r *record, u Order, source string) {
+	r.replaced = slices.DeleteFunc(r.replaced, func(o Order) bool { return l.restore.isSame(now, o, u) })
 	r.endedAt, r.retired, r.active, r.lifted = time.Time{}, nil, false, false
 	l.set(now, r, u, source)
 }
