platform/rollouts: write lost outcomes again after a restore

After a restore the status said running, or nothing, of an order that had been completed or rolled back; the phase of the copy was not recognised, as it names its order by a revision of the earlier era; the time limit counted anew; and a status of an earlier order with the same target could count for an order that the copy lacks.

An outcome that was read in an earlier era than the order's row is lost unless the status says it. The deciding reader writes it again, under the rows as read in the new era (reason=outcome_lost).

--- a/canary/decider/decider.go
+++ b/canary/decider/decider.go
@@ -80,6 +80,7 @@
 	InvalidOrder   Reason = "invalid_order"
 	UnknownService Reason = "unknown_service"
 	RowsUnknown    Reason = "rows_unknown"
+	OutcomeLost    Reason = "outcome_lost" // by the store, which was restored
 )
 
 // Situation is what a box knows of an order.
@@ -90,6 +91,7 @@
 	Refused       bool          // the order cannot be carried out
 	StatusRunning bool          // the status in the store is running
 	StatusMissing bool          // no status was written for the order, which was withdrawn
+	OutcomeLost   bool          // the store was restored from a copy without the order's outcome
 	KnownFor      time.Duration // since this box learned of the order, or of its removal
 
 	KnownService bool          // the configuration in force names the service
@@ -125,8 +127,8 @@
 func Decide(s Situation) Decision {
 	o := s.Order
 	switch {
-	case o.State == orders.Completed, o.State == orders.RolledBack:
-		return Decision{Wait, Ended}
+	case o.HasOutcome():
+		return s.ended()
 	case !s.RowsRead:
 		return Decision{Wait, RowsUnknown}
 	case o.State == orders.Withdrawn:
@@ -160,6 +162,21 @@
 	return s.First
 }
 
+// ended decides about an order with an outcome, which is written again if the store has lost it.
+func (s Situation) ended() Decision {
+	switch {
+	case !s.OutcomeLost:
+		return Decision{Wait, Ended}
+	case !s.RowsRead:
+		return Decision{Wait, RowsUnknown}
+	case !s.decides():
+		return Decision{Wait, OtherDecides}
+	case s.Order.State == orders.Completed:
+		return Decision{Complete, OutcomeLost}
+	}
+	return Decision{RollBack, OutcomeLost}
+}
+
 // withdrawn decides about an order that was withdrawn. As for other roll-backs, readers that do not
 // decide write later than the one that does, which the store may not answer.
 func (s Situation) withdrawn() Decision {
--- a/canary/decider/decider_test.go
+++ b/canary/decider/decider_test.go
@@ -54,6 +54,12 @@
 
 func missingUnread(x *decider.Situation) { x.StatusMissing, x.RowsRead = true, false }
 
+func lost(x *decider.Situation) { x.OutcomeLost = true }
+
+func lostElsewhere(x *decider.Situation) { x.OutcomeLost, x.Holder = true, false }
+
+func lostUnread(x *decider.Situation) { x.OutcomeLost, x.RowsRead = true, false }
+
 // decisionTest is a situation and the decision in it.
 type decisionTest struct {
 	order  orders.Order
@@ -161,6 +167,10 @@
 		"the same at another reader":   {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingElsewhere, decider.Decision{Action: decider.Wait, Reason: decider.OtherDecides}},
 		"the same, 0.5 s later":        {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingForLong, decider.Decision{Action: decider.RollBack, Reason: decider.OrderWithdrawn}},
 		"the same, status not read":    {ordered().WithStatus(orders.Withdrawn, 0), 8 * s, missingUnread, decider.Decision{Action: decider.Wait, Reason: decider.RowsUnknown}},
+		"completed, outcome lost":      {cutover().WithStatus(orders.Completed, 9), s, lost, decider.Decision{Action: decider.Complete, Reason: decider.OutcomeLost}},
+		"rolled back, outcome lost":    {trial().WithStatus(orders.RolledBack, 9), s, lost, decider.Decision{Action: decider.RollBack, Reason: decider.OutcomeLost}},
+		"the same, another decides":    {trial().WithStatus(orders.RolledBack, 9), s, lostElsewhere, decider.Decision{Action: decider.Wait, Reason: decider.OtherDecides}},
+		"the same, rows not read":      {trial().WithStatus(orders.RolledBack, 9), s, lostUnread, decider.Decision{Action: decider.Wait, Reason: decider.RowsUnknown}},
 		"withdrawn":                    {trial().WithStatus(orders.Withdrawn, 6), 8 * s, nil, decider.Decision{Action: decider.RollBack, Reason: decider.OrderWithdrawn}},
 		"withdrawn, status not read":   {trial().WithStatus(orders.Withdrawn, 6), 8 * s, func(x *decider.Situation) { x.RowsRead = false }, decider.Decision{Action: decider.Wait, Reason: decider.RowsUnknown}},
 		"withdrawn at another reader":  {trial().WithStatus(orders.Withdrawn, 6), 8 * s, otherHolds, decider.Decision{Action: decider.Wait, Reason: decider.OtherDecides}},
--- a/edge/rolloutsituation.go
+++ b/edge/rolloutsituation.go
@@ -18,7 +18,7 @@
 	t, rows := r.trial(o), r.rows.Of(o)
 	_, named := r.service(o.Service)
 	s := decider.Situation{
-		Now: now, Order: o, RowsRead: rows.Read, Refused: rows.Refused, StatusRunning: rows.StatusRunning, StatusMissing: rows.StatusMissing, KnownFor: now.Sub(t.seenAt),
+		Now: now, Order: o, RowsRead: rows.Read, Refused: rows.Refused, StatusRunning: rows.StatusRunning, StatusMissing: rows.StatusMissing, OutcomeLost: rows.OutcomeLost, KnownFor: now.Sub(t.seenAt),
 		KnownService: named || now.Sub(t.seenAt) < unknownServiceDelay,
 		Holder:       rows.Holder == r.self(), HolderInTouch: r.inTouch(now, o, rows.Holder),
 		FleetKnown:     r.fleetIsCurrent(now),
