edge: go on with a roll-out after a restore of the store

Callers met a second trial of a release, for up to its whole duration again, and boxes counted its requests from zero, by which the bound would allow as many again. The state of a trial was kept by the version of the order's row, which changes with the store's era.

Trial, exclusions and counts go on by Order.Identity; the change of version is logged (rollout_order_restored). Readers read the rows of an order whose outcome may be lost, and decide about it.

--- a/canary/counts/counts.go
+++ b/canary/counts/counts.go
@@ -77,6 +77,15 @@
 	c.active.Store(int32(len(c.services)))
 }
 
+// Continue goes on counting for a service's order under another number.
+func (c *Counts) Continue(name string, order int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.services[name]; ok {
+		s.order = order
+	}
+}
+
 // SetBefore records how many requests the box sent just before an order, by route.
 func (c *Counts) SetBefore(name string, order int, sent map[string]int) {
 	c.mu.Lock()
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -79,7 +79,7 @@
 	if r.IsLargeFleet() {
 		delay = share.LargeFleetFeedbackDelay
 	}
-	return &trialState{order: o.Version, seenAt: now, share: share.New(now, r.bounds(), delay), verdict: verdict.New()}
+	return &trialState{order: o.Identity(), seenAt: now, share: share.New(now, r.bounds(), delay), verdict: verdict.New()}
 }
 
 func (r *rolloutControl) bounds() share.Bounds {
@@ -92,7 +92,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, known := r.trials[o.Service]
-	if !known || t.order != o.Version {
+	if !known || t.order != o.Identity() {
 		t = r.newTrial(time.Now(), o)
 		r.trials[o.Service] = t
 	}
@@ -111,6 +111,7 @@
 // updateShares applies changes, and at a reader updates the verdicts; the box that decides
 // also sets the shares.
 func (r *rolloutControl) updateShares(now time.Time) {
+	r.orders.Tick(now)
 	r.apply(now)
 	r.recordIsolation(now)
 	if !r.IsReader() {
@@ -251,7 +252,7 @@
 		return
 	}
 	for _, o := range r.orders.Newest() {
-		if !o.Active() && o.State != orders.Withdrawn {
+		if o.HasOutcome() && !o.StatusMayBeLost() {
 			continue
 		}
 		if o.InCutover() { // which may last a second only
@@ -336,7 +337,7 @@
 	interval = otherReadInterval
 	for _, o := range r.orders.Newest() {
 		rows := r.rows.Of(o)
-		if !o.Active() && (o.State != orders.Withdrawn || rows.Read && !rows.OutcomeDue()) {
+		if o.HasOutcome() && !o.StatusMayBeLost() || !o.Active() && rows.Read && !rows.OutcomeDue() {
 			continue
 		}
 		holder := rows.Holder == r.self()
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -173,13 +173,18 @@
 	if o.RemovedOrder != 0 {
 		log = log.WithField("removed_order", o.RemovedOrder)
 	}
-	if c.before.Version != o.Version && o.State != orders.Withdrawn {
+	isNew := c.before.Identity() != o.Identity()
+	if !isNew && c.before.Version != o.Version {
+		log.WithFields(logrus.Fields{"before": c.before.Version, "state": o.State}).Info("rollout_order_restored")
+		r.counts.Continue(o.Service, int(o.Version))
+	}
+	if isNew && o.State != orders.Withdrawn {
 		log.WithField("state", o.State).Info("rollout_ordered")
 		r.mu.Lock()
 		r.trials[o.Service] = r.newTrial(now, o)
 		r.mu.Unlock()
 	}
-	if c.before.Version != o.Version {
+	if isNew {
 		delete(r.liftSince, o.Service)
 		r.recordInService(now, c.before, o)
 		r.mu.Lock()
@@ -188,13 +193,13 @@
 	}
 	if o.Active() {
 		r.counts.Begin(o.Service, int(o.Version), o.Target)
-		if c.before.Version != o.Version {
+		if isNew {
 			r.counts.SetBefore(o.Service, int(o.Version), r.arrivals.Of(now, o.Service))
 		}
 	} else {
 		r.counts.End(o.Service)
 	}
-	if o.Active() && (c.before.Phase != o.Phase || c.before.Decider != o.Decider || c.before.Version != o.Version) && o.Phase != orders.NoPhase {
+	if o.Active() && (c.before.Phase != o.Phase || c.before.Decider != o.Decider || isNew) && o.Phase != orders.NoPhase {
 		t := r.trial(o)
 		r.mu.Lock()
 		t.phaseSince = now
@@ -221,7 +226,7 @@
 	defer r.mu.Unlock()
 	delete(r.inService, o.Service)
 	if complete && len(list) > 0 && !other && !again {
-		r.inService[o.Service] = o.Version
+		r.inService[o.Service] = o.Identity()
 	}
 }
 
@@ -230,8 +235,8 @@
 func (r *rolloutControl) isInService(o orders.Order) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	version, only := r.inService[o.Service]
-	return only && version == o.Version
+	identity, only := r.inService[o.Service]
+	return only && identity == o.Identity()
 }
 
 // releases returns which releases of an order's service take requests.
--- a/edge/rolloutview.go
+++ b/edge/rolloutview.go
@@ -23,7 +23,7 @@
 			v.SharePpm = o.SharePPM
 		}
 		r.mu.Lock()
-		if t, known := r.trials[o.Service]; known && t.order == o.Version {
+		if t, known := r.trials[o.Service]; known && t.order == o.Identity() {
 			v.Sent, v.SentCandidate, v.WaitsFor = t.sent, t.candidate, string(t.waits)
 			v.Bound, v.Evidence = int(r.bounds().Limit(t.sent)), t.verdict.Evidence()
 		}
