answers: refuse an unframed answer cut while the request was written

A worker answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still written. Callers got the part as a whole answer. Cause: a socket reports an error once; the write that fails by the reset consumes it, and the read after it sees an ordinary end, which ends an answer without a length.

Fix: answers.Conn follows the bytes of each request. An end within an answer whose request is not written whole is an UnreadError; a write that runs then is awaited, as the worker may have read its bytes. An answer with a length or in chunks ends before the connection does, so that early ones are delivered as before. Refused answers are counted and logged (answer_refused) by relay, and are else as other broken answers.

--- /dev/null
+++ b/answers/conn.go
@@ -0,0 +1,130 @@
+// Package answers checks what HTTP clients read: whether an answer without a length has come to its
+// end, and whether its status and the names of its fields are valid. net/http checks neither.
+package answers
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// writeWait bounds the wait for a write that runs as the answer ends: the server may have read its
+// bytes already.
+const writeWait = time.Second
+
+// UnreadError says that the connection ended within an answer before the whole request was written.
+// Where a write fails by a reset, the read after it sees an ordinary end.
+type UnreadError struct {
+	Err error // of the write; nil if it was not the cause
+}
+
+// Error implements error.
+func (e *UnreadError) Error() string {
+	if e.Err == nil {
+		return "connection ended within an answer, before the whole request was written"
+	}
+	return "connection ended within an answer, and writing the request failed: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreadError) Unwrap() error { return e.Err }
+
+// Conn is a client's connection that returns an *UnreadError instead of io.EOF if the request is not
+// written whole. It reads and writes HTTP/1.1; its writes come from one goroutine, and each request
+// has a length or no body.
+type Conn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	request  request
+	writing  bool
+	answered bool  // a byte has arrived since the request began
+	failed   error // of a write
+}
+
+// NewConn returns a connection that checks how answers end.
+func NewConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn}
+	c.changed = sync.NewCond(&c.mu)
+	return c
+}
+
+// Dial returns a function that opens connections that check how answers end.
+func Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.begin()
+	n, err := c.Conn.Write(p)
+	c.end(p[:n], err)
+	return n, err
+}
+
+// begin records that a write begins.
+func (c *Conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.request.written() {
+		c.answered = false
+	}
+	c.writing = true
+}
+
+// end records the bytes that were written.
+func (c *Conn) end(p []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request.add(p)
+	c.writing = false
+	if err != nil {
+		c.failed = err
+	}
+	c.changed.Broadcast()
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = c.answered || n > 0
+	if err == io.EOF && c.answered {
+		return n, c.checkEnd()
+	}
+	return n, err
+}
+
+// checkEnd returns io.EOF if the request was written whole. The lock is held.
+func (c *Conn) checkEnd() error {
+	expired := false
+	if c.writing {
+		timer := time.AfterFunc(writeWait, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			expired = true
+			c.changed.Broadcast()
+		})
+		defer timer.Stop()
+	}
+	for c.writing && !expired {
+		c.changed.Wait()
+	}
+	if c.writing || c.failed != nil || !c.request.written() {
+		return &UnreadError{Err: c.failed}
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/answers/reason.go
@@ -0,0 +1,19 @@
+package answers
+
+import "errors"
+
+// Reasons for refusing an answer.
+const (
+	Unread = "unread" // the connection ended before the whole request was written
+)
+
+// Reasons returns all reasons for refusing an answer, for counters.
+func Reasons() []string { return []string{Unread} }
+
+// Reason returns why an answer was refused; empty for any other error.
+func Reason(err error) string {
+	if errors.As(err, new(*UnreadError)) {
+		return Unread
+	}
+	return ""
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
+	"petrelstep/answers"
 	"petrelstep/backoff"
 	"petrelstep/balance/speeds"
 	"petrelstep/links"
@@ -113,6 +114,7 @@
 	placeWait          metric.Float64Histogram
 	longAnswers        metric.Int64Counter
 	brokenAnswers      metric.Int64Counter
+	refusedAnswers     metric.Int64Counter
 	quarantineChanges  metric.Int64Counter
 	originsRecorded    metric.Int64Counter
 	originsFound       metric.Int64Counter
@@ -168,7 +170,7 @@
 	m.longAnswers = b.counter("petrelstep_long_answers_placed", "Long answers given room, by how their engine keeps their pause.")
 	m.suspended = b.seconds("petrelstep_suspended", "Time in which the machine was suspended.")
 	m.quarantineChanges = b.counter("petrelstep_quarantine_changes", "Requests under which upstreams ended, by what became of them.")
-	m.brokenAnswers = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
+	m.addAnswerInstruments(&b)
 	m.addClientInstruments(&b)
 	m.addStreamInstruments(&b)
 	m.addLinkInstruments(&b)
@@ -182,6 +184,11 @@
 }
 
 // addLinkInstruments creates the instruments for connections to upstreams and boxes.
+func (m *Metrics) addAnswerInstruments(b *builder) {
+	m.brokenAnswers = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
+	m.refusedAnswers = b.counter("petrelstep_upstream_answers_refused", "Answers of upstreams that were refused, by reason.")
+}
+
 func (m *Metrics) addLinkInstruments(b *builder) {
 	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
 	m.configFetches = b.counter("petrelstep_configuration_fetches", "Configurations fetched from other boxes, by outcome.")
@@ -232,6 +239,9 @@
 	for _, f := range liveness.Findings() {
 		m.brokenAnswers.Add(ctx, 0, metric.WithAttributes(attribute.String("finding", string(f))))
 	}
+	for _, r := range answers.Reasons() {
+		m.refusedAnswers.Add(ctx, 0, metric.WithAttributes(attribute.String("reason", r)))
+	}
 	for _, change := range links.Changes() {
 		m.linkChanges.Add(ctx, 0, metric.WithAttributes(attribute.String("change", change)))
 	}
@@ -395,6 +405,11 @@
 	m.brokenAnswers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("finding", string(found))))
 }
 
+// AnswerRefused counts an answer of an upstream that was refused.
+func (m *Metrics) AnswerRefused(reason string) {
+	m.refusedAnswers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // Suspended adds time during which the machine was suspended.
 func (m *Metrics) Suspended(d time.Duration) { m.suspended.Add(context.Background(), d.Seconds()) }
 
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -78,8 +78,9 @@
 	ask      wire.TunnelOpen
 	openedAt time.Time
 	lastCall time.Time
-	calls    int // that are running
-	bytes    int // sent to the box
+	calls    int  // that are running
+	bytes    int  // sent to the box
+	failed   bool // a write failed, which may have consumed the error that a read would return
 }
 
 // NewServer returns a server without open connections.
@@ -191,7 +192,7 @@
 	data.Data = string(buf[:n])
 	switch {
 	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
-	case err == io.EOF:
+	case err == io.EOF && !s.writeFailed(t):
 		data.Closed = true
 	default:
 		data.Broken = true
@@ -209,10 +210,20 @@
 	if err := t.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err = io.WriteString(t.conn, ask.Data)
+	if _, err = io.WriteString(t.conn, ask.Data); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		t.failed = true
+	}
 	return err
 }
 
+func (s *Server) writeFailed(t *served) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.failed
+}
+
 // Close closes a connection.
 func (s *Server) Close(ask wire.TunnelClose) {
 	s.mu.Lock()
--- a/peer/tunnel/tunnel_test.go
+++ b/peer/tunnel/tunnel_test.go
@@ -135,6 +135,43 @@
 	}
 }
 
+// resetConn is a connection that was reset: a write returns the error, a read an ordinary end.
+type resetConn struct{ net.Conn }
+
+func (resetConn) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+func (resetConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+// TestEndAfterFailedWrite guards against a reset that crosses a tunnel as an ordinary end, as a write
+// to the upstream has consumed its error.
+func TestEndAfterFailedWrite(t *testing.T) {
+	for name, writes := range map[string]bool{"a write failed": true, "nothing was written": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := tunnel.NewServer(tunnel.ServerComponents{
+				Dial: func(context.Context, links.Target) (net.Conn, error) {
+					near, far := net.Pipe()
+					t.Cleanup(func() { _ = far.Close() })
+					return resetConn{near}, nil
+				},
+				Target: func(id, address string) (links.Target, bool) {
+					return links.Target{Upstream: id, Address: address}, true
+				},
+				Refusal: func(wire.TunnelOpen, int) string { return "" },
+				Counter: &counts{n: map[string]int{}}, Log: logs.New(io.Discard, "error", "b1"),
+			})
+			opened := server.Open(t.Context(), wire.TunnelOpen{Upstream: "u1", Address: "u1:1"})
+			if writes {
+				is.True(server.Write(wire.TunnelWrite{ID: opened.ID, Data: "some"}) != nil)
+			}
+			data, err := server.Read(wire.TunnelRead{ID: opened.ID, MaxBytes: 1})
+			is.NoErr(err)
+			is.Equal(data.Broken, writes)
+			is.Equal(data.Closed, !writes)
+		})
+	}
+}
+
 // TestClosed checks that the connection to the upstream is closed when the caller leaves, and when
 // its box is no longer heard from.
 func TestClosed(t *testing.T) {
--- a/relay/disconnect.go
+++ b/relay/disconnect.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"petrelstep/answers"
 	"petrelstep/exchange"
 	"petrelstep/fleet"
 	"petrelstep/liveness"
@@ -20,6 +21,7 @@
 // handleBroken handles a send that failed after the given number of events. Failures other
 // than a broken connection say nothing about the upstream.
 func (r *Relay) handleBroken(ctx context.Context, j *job, sent brokenSend, err error) {
+	r.recordRefused(j, sent.upstream, err)
 	if r.Liveness == nil || ctx.Err() != nil || !isConnectionError(err) {
 		return
 	}
@@ -43,6 +45,16 @@
 	}
 }
 
+// recordRefused counts and logs an answer that was refused.
+func (r *Relay) recordRefused(j *job, u fleet.Upstream, err error) {
+	reason := answers.Reason(err)
+	if reason == "" {
+		return
+	}
+	r.Metrics.AnswerRefused(reason)
+	j.log.WithError(err).WithFields(logrus.Fields{"reason": reason, "upstream": u.ID, "service": u.Service}).Warn("answer_refused")
+}
+
 // handleConnRefused records an upstream as ended if it refused the connection.
 func (r *Relay) handleConnRefused(u fleet.Upstream, err error) {
 	var failed *exchange.FailedError
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -51,6 +52,7 @@
 	connects time.Duration // until the connection is open
 	onOpen   func()        // called as it is open
 	body     string
+	restErr  error  // at the end of the rest; nil for an ordinary end
 	rest     string // of a long answer, after the buffered part
 	cutAfter error  // error at the end of the body
 	events   []int  // ids; the stream ends normally after them unless cutAfter is set
@@ -158,7 +160,7 @@
 	n := copy(p, b.reply.rest)
 	b.reply.rest = b.reply.rest[n:]
 	if n == 0 {
-		return 0, io.EOF
+		return 0, cmp.Or(b.reply.restErr, io.EOF)
 	}
 	return n, nil
 }
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -352,6 +352,7 @@
 	log := j.log.WithFields(logrus.Fields{"upstream": result.resp.upstream.ID, "status": result.resp.answer.Status, "took_ms": took.Milliseconds(), "hall": result.resp.upstream.Hall, "aim_ms": j.route.Aim.Milliseconds()})
 	if err != nil {
 		c.Abort()
+		r.recordRefused(j, result.resp.upstream, err)
 		if reason := slowReader(err); r.Buffers != nil && reason != "" {
 			r.Metrics.SlowEnded(reason)
 			log = log.WithFields(slowReaderFields(err)).WithField("reason", reason)
--- a/upstream/engine/engine.go
+++ b/upstream/engine/engine.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"petrelstep/answers"
 	"petrelstep/sse"
 	"petrelstep/wire"
 )
@@ -70,7 +71,7 @@
 func New() *Engine {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         answers.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/upstream/service/service.go
+++ b/upstream/service/service.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"petrelstep/answers"
 )
 
 // Call is one call to a service. Values are immutable.
@@ -63,7 +65,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Service{http: &http.Client{
 		Timeout:   timeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Transport: &http.Transport{DialContext: answers.Dial(dialer.DialContext), DisableKeepAlives: true},
 	}}
 }
 
