answers: refuse an answer whose status no answer has

A worker in trouble sent an answer with status 000 and the client got it as an answer. Cause: net/http reads any three digits as a status, 000 and 099 as 0 and 99; and a 101 that nobody asked for as an answer without a body.

Fix: answers.Transport, the transport of all these clients, refuses a status below 200 or above 599 (RFC 9110, section 15) with a StatusError. 1xx before an answer are read by net/http.

--- a/answers/conn.go
+++ b/answers/conn.go
@@ -52,8 +52,10 @@
 	return c
 }
 
-// Dial returns a function that opens connections that check how answers end.
-func Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checkedDial returns a function that opens connections that check how answers end.
+func checkedDial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -63,9 +65,6 @@
 	}
 }
 
-// NetConn returns the connection below.
-func (c *Conn) NetConn() net.Conn { return c.Conn }
-
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.begin()
--- a/answers/reason.go
+++ b/answers/reason.go
@@ -4,15 +4,19 @@
 
 // Reasons for refusing an answer.
 const (
+	Status = "status" // no answer has the status
 	Unread = "unread" // the connection ended before the whole request was written
 )
 
 // Reasons returns all reasons for refusing an answer, for counters.
-func Reasons() []string { return []string{Unread} }
+func Reasons() []string { return []string{Status, Unread} }
 
 // Reason returns why an answer was refused; empty for any other error.
 func Reason(err error) string {
-	if errors.As(err, new(*UnreadError)) {
+	switch {
+	case errors.As(err, new(*StatusError)):
+		return Status
+	case errors.As(err, new(*UnreadError)):
 		return Unread
 	}
 	return ""
--- /dev/null
+++ b/answers/transport.go
@@ -0,0 +1,32 @@
+package answers
+
+import (
+	"net"
+	"net/http"
+)
+
+// Transport is an http.Transport that checks the answers it returns.
+type Transport struct{ *http.Transport }
+
+// NewTransport returns a transport that checks answers. It changes how t opens connections.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = checkedDial(dial)
+	return &Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
--- a/client/client.go
+++ b/client/client.go
@@ -61,14 +61,12 @@
 	// maxResumes bounds the attempts to resume one stream.
 	maxResumes = 20
 	resumeWait = 100 * time.Millisecond
-	// dialTimeout bounds one attempt to connect to a box.
-	dialTimeout = 10 * time.Second
 )
 
 // New returns a client for the boxes with the given base URLs and an API key.
 func New(boxes []string, key string) *Client {
-	transport := &http.Transport{DialContext: answers.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext), MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}
-	return &Client{http: &http.Client{Transport: transport}, boxes: boxes, key: key}
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}
+	return &Client{http: &http.Client{Transport: answers.NewTransport(transport)}, boxes: boxes, key: key}
 }
 
 // Close closes idle connections.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -183,12 +183,13 @@
 	return m, nil
 }
 
-// addLinkInstruments creates the instruments for connections to upstreams and boxes.
+// addAnswerInstruments creates the instruments for answers of upstreams that were not delivered.
 func (m *Metrics) addAnswerInstruments(b *builder) {
 	m.brokenAnswers = b.counter("petrelstep_upstream_breaks", "Answers that broke off, by what was found of their upstreams.")
 	m.refusedAnswers = b.counter("petrelstep_upstream_answers_refused", "Answers of upstreams that were refused, by reason.")
 }
 
+// addLinkInstruments creates the instruments for connections to upstreams and boxes.
 func (m *Metrics) addLinkInstruments(b *builder) {
 	m.dials = b.counter("petrelstep_upstream_dials", "Connections to upstreams that this box tried to open itself, by outcome.")
 	m.configFetches = b.counter("petrelstep_configuration_fetches", "Configurations fetched from other boxes, by outcome.")
--- a/upstream/engine/engine.go
+++ b/upstream/engine/engine.go
@@ -71,12 +71,12 @@
 func New() *Engine {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         answers.Dial(dialer.DialContext),
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}
-	return &Engine{http: &http.Client{Transport: transport}}
+	return &Engine{http: &http.Client{Transport: answers.NewTransport(transport)}}
 }
 
 // Close closes idle connections.
--- a/upstream/service/service.go
+++ b/upstream/service/service.go
@@ -65,7 +65,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Service{http: &http.Client{
 		Timeout:   timeout,
-		Transport: &http.Transport{DialContext: answers.Dial(dialer.DialContext), DisableKeepAlives: true},
+		Transport: answers.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
 	}}
 }
 
