answers: refuse an answer with an invalid name of a header or trailer

A worker in trouble sent an answer with a blank in the name of a field; the client got it as an answer, with the line passed on, or with a body that was not the worker's (`Content-Length : 4` is no length, so all that follows is body). Cause: net/textproto keeps a name with a blank as it is.

Before the fix TestFieldNames fails in all 9 ways of reading for: a blank, a blank before the colon, a trailer with either, and one announced, e.g. TestFieldNames/blank_before_the_colon: read as an answer: "HTTP/1.1 200 OK..." A control byte, zero byte, DEL, bare CR, tab before the colon, byte above 127, delimiter, no name, no colon, a control byte in a value or in a trailer's name failed in net/http before, in all 9 ways; they stay in the test.

Fix: answers.Transport refuses names that are no tokens (RFC 9110, 5.6.2) with a FieldError: those of the head before it returns the answer, those of trailers in place of the body's end.

--- a/answers/transport.go
+++ b/answers/transport.go
@@ -28,5 +28,6 @@
 		resp.Body.Close()
 		return nil, err
 	}
+	resp.Body = &trailerBody{ReadCloser: resp.Body, resp: resp}
 	return resp, nil
 }
--- a/relay/refused_test.go
+++ b/relay/refused_test.go
@@ -15,7 +15,7 @@
 // TestRefusedAnswers guards against answers that are refused without being counted, that are delivered
 // as whole, or after which a request is repeated that may have run.
 func TestRefusedAnswers(t *testing.T) {
-	refused := map[string]error{answers.Unread: &answers.UnreadError{}, answers.Status: &answers.StatusError{Status: 0}}
+	refused := map[string]error{answers.Unread: &answers.UnreadError{}, answers.Field: &answers.FieldError{Name: "X Own"}, answers.Status: &answers.StatusError{Status: 0}}
 	is.New(t).Equal(len(refused), len(answers.Reasons()))
 	tests := map[string]struct {
 		path    string
