standin: play answers that are none

The stand-in worker had no answer without a length that a reset ends while the request is written, and none with an invalid status or name of a field. The faults early_200, bad_status, bad_field and bad_trailer play them. With the checks of package answers taken out all eight rows of TestBrokenAnswersOfWorker fail; with them they pass. The soak does not play the faults yet.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -317,6 +317,10 @@
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if fault == Early200 {
+		w.breakOff(out, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -326,7 +330,7 @@
 		w.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if w.fail(out, r, id, fault, bad) {
+	if w.sendInvalid(out, id, fault) || w.fail(out, r, id, fault, bad) {
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
