standin: the store comes back from an older copy of its rows

The system's own rows, members and objects since the copy are lost. Users see the header besides, from 1.

TestRollout used a new client for each call. One that has had no answer knows no era, and now refuses a version of era 1 ("era 1, expected 0"): the test keeps one client for all calls, as a box does. It checks as much as before.

--- a/soak/site/box.go
+++ b/soak/site/box.go
@@ -15,6 +15,7 @@
 	"petrelstep/client"
 	"petrelstep/soak/checker"
 	"petrelstep/standin/faultproxy"
+	"petrelstep/standin/platform"
 	"petrelstep/standin/readylog"
 	"petrelstep/standin/storegate"
 	"petrelstep/wire"
@@ -52,8 +53,8 @@
 	store   *http.Server // serves Gate
 }
 
-func newBox(o Options, name, hall string, store http.Handler) (*Box, error) {
-	b := &Box{Name: name, options: o, hall: hall, Gate: storegate.New(store)}
+func newBox(o Options, name, hall string, store *platform.Platform) (*Box, error) {
+	b := &Box{Name: name, options: o, hall: hall, Gate: storegate.New(store.Handler(), store.SetEra)}
 	storeAddress, server, err := serve(b.Gate)
 	if err != nil {
 		return nil, err
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -111,9 +111,8 @@
 			return s, err
 		}
 	}
-	store := s.Platform.Handler()
 	for i := range o.Boxes {
-		b, err := newBox(o, fmt.Sprint("box", i+1), halls[i%len(halls)], store)
+		b, err := newBox(o, fmt.Sprint("box", i+1), halls[i%len(halls)], s.Platform)
 		if err != nil {
 			return s, err
 		}
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -20,7 +20,7 @@
 	r.Handle("/objects/{name:.*}", p.withFault(Objects, p.serveObject)).Methods(http.MethodGet, http.MethodPut)
 	r.Handle("/weights/take", p.withFault(Weights, p.serveWeights)).Methods(http.MethodPost)
 	r.HandleFunc("/faults", p.serveFault).Methods(http.MethodPost)
-	return r
+	return p.serveUnlessSuspended(r)
 }
 
 // withFault applies a component's fault to a call: before it for down, after it for a lost
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,7 +1,8 @@
 // Package platform is the stand-in for the platform's services: the metadata store's
 // published calls (rows, transactions, the feed of changes) with a delayed list of boxes,
 // an object store, and a rate-limited weight store. Faults make them be down or slow, lose
-// the reply to a write that took effect, return an older state, or drop the history.
+// the reply to a write that took effect, return an older state, or drop the history. The
+// metadata store can be restored from an older copy of its rows.
 package platform
 
 import (
@@ -55,6 +56,11 @@
 	lag     time.Duration
 	reads   int
 	commits int
+
+	era       int
+	suspended bool                 // the store is away until it is restored
+	back      *sync.Cond           // signals its return
+	written   map[rowKey]store.Row // by the operator and the workers, last
 }
 
 type memberChange struct {
@@ -65,7 +71,7 @@
 
 // New returns an empty platform.
 func New(options Options) *Platform {
-	return &Platform{
+	p := &Platform{
 		started: time.Now(),
 		rows:    newRowSet(),
 		objects: map[string][]byte{},
@@ -73,7 +79,11 @@
 		weights: limiter(options.WeightsPerSec),
 		writes:  limiter(options.WritesPerSecond),
 		lag:     options.MemberLag,
+		era:     1,
+		written: map[rowKey]store.Row{},
 	}
+	p.back = sync.NewCond(&p.mu)
+	return p
 }
 
 func limiter(perSecond float64) *rate.Limiter {
--- a/standin/platform/rollouts_test.go
+++ b/standin/platform/rollouts_test.go
@@ -19,21 +19,22 @@
 func TestRollout(t *testing.T) {
 	is := is.New(t)
 	p := platform.New(platform.Options{})
+	c := client(t, p)
 	p.OrderRollout("llm", "v2", 12*time.Second)
-	order := rowOf(t, p, "op", "rollout/llm")
+	order := rowOf(t, c, "op", "rollout/llm")
 	is.Equal(string(order.Value), `{"duration_s":12,"service":"llm","target_version":"v2"}`)
 	_, written := p.RolloutStatus("llm")
 	is.True(!written)
 
 	put := func(state string, orderVersion, statusVersion revision.Revision) bool {
-		return transact(t, p, store.Transaction{
+		return transact(t, c, store.Transaction{
 			Expect: []store.Expect{{Table: "op", Key: "rollout/llm", Version: orderVersion}, {Table: "status", Key: "rollout/llm", Version: statusVersion}},
 			Put:    []store.Row{{Table: "status", Key: "rollout/llm", Value: []byte(`{"target_version":"v2","state":"` + state + `"}`)}},
 		})
 	}
 	is.True(put("running", order.Version, 0))
 	is.True(!put("completed", order.Version, 0)) // the status has changed
-	running := rowOf(t, p, "status", "rollout/llm")
+	running := rowOf(t, c, "status", "rollout/llm")
 	p.WithdrawRollout("llm")
 	is.True(!put("completed", order.Version, running.Version)) // the order is gone
 	p.Forget()
@@ -57,18 +58,18 @@
 	return s
 }
 
-func rowOf(t *testing.T, p *platform.Platform, table, key string) store.Row {
+func rowOf(t *testing.T, c *store.Store, table, key string) store.Row {
 	t.Helper()
-	rows, _, err := client(t, p).Rows(context.Background(), store.Range{Table: table, From: key, Until: key + "0"})
+	rows, _, err := c.Rows(context.Background(), store.Range{Table: table, From: key, Until: key + "0"})
 	if err != nil || len(rows) != 1 {
 		t.Fatal(rows, err)
 	}
 	return rows[0]
 }
 
-func transact(t *testing.T, p *platform.Platform, tx store.Transaction) bool {
+func transact(t *testing.T, c *store.Store, tx store.Transaction) bool {
 	t.Helper()
-	done, _, err := client(t, p).Transact(context.Background(), tx)
+	done, _, err := c.Transact(context.Background(), tx)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -79,9 +79,9 @@
 }
 
 // since returns the changes of a table after a version, and false if they are no longer in
-// the history.
+// the history, or the store doesn't have the version.
 func (s *rowSet) since(name string, version revision.Revision) ([]store.Row, bool) {
-	if version < s.forgottenUntil {
+	if version < s.forgottenUntil || version > s.version {
 		return nil, false
 	}
 	rows := []store.Row{}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -30,14 +30,22 @@
 func (p *Platform) Put(rows ...store.Row) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rows.apply(store.Transaction{Put: rows})
+	p.applyWritten(store.Transaction{Put: rows})
 }
 
 // Remove removes rows as the platform's operator and workers would.
 func (p *Platform) Remove(rows ...store.Row) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rows.apply(store.Transaction{Remove: rows})
+	p.applyWritten(store.Transaction{Remove: rows})
+}
+
+// applyWritten applies what the operator and the workers write, once the store is there; the
+// lock is held.
+func (p *Platform) applyWritten(tx store.Transaction) {
+	p.awaitBack()
+	p.rows.apply(tx)
+	p.recordWritten(tx)
 }
 
 // Forget drops the history of changes, so that the feed's readers have to list all rows again.
@@ -80,6 +88,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.abortIfSuspended()
+	p.setEra(w.Header())
 	now, ok := p.rows.expectationsHold(tx)
 	if !ok {
 		w.Header().Set("Content-Type", "application/json")
@@ -118,6 +128,8 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		p.abortIfSuspended()
+		p.setEra(w.Header())
 		p.reads++
 		state := p.table()
 		rows := state.inRange(wanted)
@@ -156,11 +168,19 @@
 }
 
 func (p *Platform) feed(w http.ResponseWriter, r *http.Request, name string, after int64, end <-chan time.Time) {
-	for waiting := true; ; {
+	for waiting, era := true, 0; ; {
 		p.mu.Lock()
+		if era == 0 {
+			era = p.era
+			p.setEra(w.Header())
+		}
+		ended := p.suspended || p.era != era
 		rows, ok := p.rows.since(name, revision.Revision(after))
 		version, changed := p.rows.version, p.rows.changed
 		p.mu.Unlock()
+		if ended {
+			panic(http.ErrAbortHandler)
+		}
 		if !ok {
 			http.Error(w, "forgotten", http.StatusGone)
 			return
--- a/standin/storegate/storegate.go
+++ b/standin/storegate/storegate.go
@@ -15,15 +15,18 @@
 
 // Gate is the store as seen by one box. It is safe for concurrent use.
 type Gate struct {
-	store http.Handler
+	store  http.Handler
+	setEra func(http.Header)
 
 	mu     sync.Mutex
 	status int
 	until  time.Time
 }
 
-// New returns a gate that serves a store.
-func New(store http.Handler) *Gate { return &Gate{store: store} }
+// New returns a gate that serves a store. setEra sets the store's own headers of a rejection.
+func New(store http.Handler, setEra func(http.Header)) *Gate {
+	return &Gate{store: store, setEra: setEra}
+}
 
 // TurnAway answers all calls with a status for a while, those under way too.
 func (g *Gate) TurnAway(status int, duration time.Duration) {
@@ -53,6 +56,7 @@
 	status, away := g.status, time.Now().Before(g.until)
 	g.mu.Unlock()
 	if away {
+		g.setEra(w.Header())
 		w.Header().Set("Retry-After", retryAfter)
 		w.WriteHeader(status)
 	}
