soak: restore the store from older copies, and check CONFIG and DRAIN

With -restored the store comes back from copies 1 to 6 s old, at times twice within a second, while keys are revoked, workers leave, announced or not, and boxes start. What was lost is written again within 1.9 s in a drawn order, with writes to other tables between. The checker counts 2.0 s (and 0.5 s for the machine) from confirmations that the store did not lose within the bound; a change that a box knew for so long binds it over the gap, and a configuration that a worker saw in force at a box binds that life of its process.

--- a/cmd/petrelstep-soak/main.go
+++ b/cmd/petrelstep-soak/main.go
@@ -34,6 +34,7 @@
 	flag.BoolVar(&o.Silent, "silent", false, "open connections fall silent for good, while new ones work")
 	flag.BoolVar(&o.Site.Releases, "releases", false, "workers that stream are of two releases, and callers resume streams that break off")
 	flag.BoolVar(&o.TurnedAway, "turned-away", false, "instead of all other faults, the store turns some boxes away and serves the others")
+	flag.BoolVar(&o.Restored, "restored", false, "instead of all other faults, the store comes back from copies some seconds old")
 	flag.BoolVar(&o.Site.Rollouts, "rollouts", false, "the operator rolls out good and bad versions, in two regions")
 	flag.DurationVar(&o.Duration, "for", 20*time.Second, "how long to inject faults")
 	flag.Parse()
--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -42,6 +42,8 @@
 	Sent         time.Time
 	Ended        time.Time
 	Revoked      time.Time // when its key was revoked before it was sent; zero if it was not
+	Added        int       // configuration that added its key
+	Dropped      int       // configuration that dropped its key; 0 if it was not dropped before the response ended
 	Status       int       // 0 without a response
 	Sealed       bool
 	Answer       string // body as far as received
--- a/soak/faults/faults.go
+++ b/soak/faults/faults.go
@@ -74,6 +74,7 @@
 
 	turnedAwayRandom *rand.Rand // picks the boxes that the store turns away
 	silentRandom     *rand.Rand // picks the connections that fall silent
+	restoredRandom   *rand.Rand // picks the copies that the store comes back from
 
 	// gate is held for writing during a roll-out in calm, and for reading to begin a fault.
 	gate sync.RWMutex
@@ -90,7 +91,7 @@
 
 // New returns an injector for a site that writes a line to out for each fault.
 func New(s *site.Site, seed uint64, out io.Writer) *Injector {
-	return &Injector{site: s, random: rand.New(rand.NewPCG(seed, 0)), hallRandom: rand.New(rand.NewPCG(seed, 1)), rowRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)), announceRandom: rand.New(rand.NewPCG(seed, 4)), rolloutRandom: rand.New(rand.NewPCG(seed, 5)), brittleRandom: rand.New(rand.NewPCG(seed, 6)), turnedAwayRandom: rand.New(rand.NewPCG(seed, 7)), silentRandom: rand.New(rand.NewPCG(seed, 8)), out: out}
+	return &Injector{site: s, random: rand.New(rand.NewPCG(seed, 0)), hallRandom: rand.New(rand.NewPCG(seed, 1)), rowRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)), announceRandom: rand.New(rand.NewPCG(seed, 4)), rolloutRandom: rand.New(rand.NewPCG(seed, 5)), brittleRandom: rand.New(rand.NewPCG(seed, 6)), turnedAwayRandom: rand.New(rand.NewPCG(seed, 7)), silentRandom: rand.New(rand.NewPCG(seed, 8)), restoredRandom: rand.New(rand.NewPCG(seed, 9)), out: out}
 }
 
 // plan is a fault to inject.
--- a/soak/faults/silent.go
+++ b/soak/faults/silent.go
@@ -48,7 +48,7 @@
 		s.site.Revoke(p.organisation)
 		if w := s.site.Pick("plain", 0); w != nil {
 			all.Go(func() {
-				d, failure := s.site.LeaveByRow(w, leavingServes)
+				d, failure := s.site.LeaveByRow(w, true, leavingServes)
 				mu.Lock()
 				defer mu.Unlock()
 				departures = append(departures, d)
--- a/soak/faults/turnedaway.go
+++ b/soak/faults/turnedaway.go
@@ -151,7 +151,7 @@
 			if w == nil {
 				return
 			}
-			d, failure := s.site.LeaveByRow(w, leavingServes)
+			d, failure := s.site.LeaveByRow(w, true, leavingServes)
 			fail(failure)
 			mu.Lock()
 			defer mu.Unlock()
--- a/soak/loadgen/loadgen.go
+++ b/soak/loadgen/loadgen.go
@@ -188,6 +188,7 @@
 	a.Ended = time.Now()
 	a.GaveUp = ctx.Err() != nil
 	a.Revoked = l.site.Revoked(key)
+	a.Added, a.Dropped = l.site.Versions(key)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.attempts = append(l.attempts, a)
--- a/soak/site/site.go
+++ b/soak/site/site.go
@@ -30,6 +30,7 @@
 	// regionDelay is the delay between regions, one way, while a site runs.
 	regionDelay = 15 * time.Millisecond
 	siteLife    = 24 * time.Hour
+	versionStep = 2 // between versions of the manifest
 	// PoisonBody is the body of the request that crashes every worker that runs it.
 	PoisonBody = "each worker ends that runs this"
 )
@@ -76,6 +77,12 @@
 	revoked     map[string]time.Time // revocation time by key
 	nextID      int
 
+	storeThere sync.RWMutex // held for writing while the store is away
+
+	added   map[string]int // configuration that added a key
+	dropped map[string]int // configuration that dropped a key
+	changes []checker.Change
+
 	lastPoisonCrash time.Time
 	plainSlots      int
 	limits          platform.Limits
@@ -93,12 +100,14 @@
 	s := &Site{
 		Platform: platform.New(platform.Options{}), workers: map[string]*Worker{}, keys: map[string]string{}, lastRevoked: map[string]string{},
 		plainSlots: o.PlainSlots, limits: o.Limits, mixed: o.Releases, revoked: map[string]time.Time{}, releases: map[string]string{}, retired: map[string]bool{}, mended: map[string]bool{},
+		added: map[string]int{}, dropped: map[string]int{},
 	}
 	if o.Rollouts {
 		s.regionsOf = map[string][]string{"firm": {regions[halls[0]]}}
 	}
 	for i, organisation := range []string{"council", "firm"} {
 		s.keys[fmt.Sprint("key", i)] = organisation
+		s.added[fmt.Sprint("key", i)] = versionStep
 	}
 	s.writeManifest()
 	for range o.Engines {
@@ -171,9 +180,14 @@
 
 // writeManifest publishes the next version of the manifest.
 func (s *Site) writeManifest() {
+	s.confirm(checker.Change{Version: s.declare()})
+}
+
+// declare writes the next version of the manifest, and returns it.
+func (s *Site) declare() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version += 2
+	s.version += versionStep
 	keys := map[string][]string{}
 	for key, organisation := range s.keys {
 		keys[organisation] = append(keys[organisation], key)
@@ -184,6 +198,7 @@
 			route(checker.Draft, "llm", 1), route(checker.Check, "llm", 2), route(checker.Once, "plain", 2), route(checker.Lookup, "plain", 2),
 		},
 	})
+	return s.version
 }
 
 // SetLimits publishes a manifest with other limits for callers.
@@ -196,6 +211,8 @@
 
 // Revoke replaces an organisation's key by a new one.
 func (s *Site) Revoke(organisation string) {
+	s.storeThere.RLock()
+	defer s.storeThere.RUnlock()
 	s.mu.Lock()
 	s.nextID++
 	var revoked string
@@ -206,7 +223,9 @@
 	}
 	delete(s.keys, revoked)
 	s.lastRevoked[organisation] = revoked
-	s.keys[fmt.Sprint("key-", s.nextID)] = organisation
+	key := fmt.Sprint("key-", s.nextID)
+	s.keys[key] = organisation
+	s.added[key], s.dropped[revoked] = s.version+versionStep, s.version+versionStep
 	s.mu.Unlock()
 	s.writeManifest()
 	s.mu.Lock()
--- a/soak/site/workers.go
+++ b/soak/site/workers.go
@@ -223,22 +223,34 @@
 }
 
 // LeaveByRow starts a replacement, then ends a worker a while after the store has confirmed that
-// it leaves. Only its row says so.
-func (s *Site) LeaveByRow(w *Worker, notice time.Duration) (checker.Departure, error) {
+// it leaves. Only its row says so, which is removed at once if the leaving is not announced.
+func (s *Site) LeaveByRow(w *Worker, announced bool, notice time.Duration) (checker.Departure, error) {
 	if err := s.replace(w); err != nil {
 		return checker.Departure{}, err
 	}
 	s.mu.Lock()
 	delete(s.workers, w.ID)
 	s.mu.Unlock()
-	s.announce(w, true)
-	d := checker.Departure{Worker: w.ID, At: time.Now()}
+	d := s.depart(w, announced)
 	time.Sleep(notice)
 	s.Platform.Withdraw(w.ID)
 	w.end()
 	return d, nil
 }
 
+// depart writes to a worker's row that it leaves, or removes it.
+func (s *Site) depart(w *Worker, announced bool) checker.Departure {
+	s.storeThere.RLock()
+	defer s.storeThere.RUnlock()
+	if announced {
+		s.announce(w, true)
+	} else {
+		s.Platform.Withdraw(w.ID)
+	}
+	s.confirm(checker.Change{Worker: w.ID})
+	return checker.Departure{Worker: w.ID, At: time.Now()}
+}
+
 // Leave starts a replacement, then ends a worker after its notice. A worker that doesn't
 // announce that it is leaving only loses its row.
 func (s *Site) Leave(w *Worker, announced bool) error {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,7 @@
 	Announcements bool          // workers announce leaving and backoffs in their responses
 	Silent        bool          // open connections fall silent for good, while new ones work
 	TurnedAway    bool          // instead of all other faults, the store turns some boxes away while it serves the others
+	Restored      bool          // instead of all other faults, the store comes back from older copies
 	Duration      time.Duration // of fault injection
 	Out           io.Writer     // receives a line for each fault
 }
@@ -74,7 +75,7 @@
 	Limited                                int // requests at workers that announced limits
 	Falls                                  int // crashes of workers by rejections
 	Announced                              int // announcements of leaving or backoff
-	Changed                                int // requests with a revoked key or at a leaving worker, while boxes were turned away
+	Changed                                int // requests with a revoked key or at a leaving worker, while the store turned boxes away or lost changes
 	Rollouts                               RolloutCounts
 	CompletedBad                           []string // bad versions that were completed
 	BadAfter                               []string // responses of these afterwards
@@ -160,6 +161,7 @@
 	t.Violations = append(t.Violations, violations...)
 	violations, t.Changed = changes.check(at, injector, attempts, arrived, links)
 	t.Violations = append(t.Violations, violations...)
+	s.checkRestored(&t, at, attempts, arrived, links)
 	t.checkRollouts(at, checker.RolloutHistory{
 		Attempts: attempts, Arrivals: arrived, Rollouts: at.Rollouts(), Disrupted: at.Disruptions(), StoreFaults: injector.StoreFaults(),
 	}, ran)
@@ -168,6 +170,9 @@
 
 // inject injects all kinds of faults that are enabled, until ctx ends.
 func (s *Soak) inject(ctx context.Context, injector *faults.Injector) (limits []checker.LimitPeriod, c changes, err error) {
+	if s.Restored {
+		return nil, c, injector.RunRestored(ctx)
+	}
 	if s.TurnedAway {
 		c.away, c.departures, err = injector.RunTurnedAway(ctx)
 		return nil, c, err
@@ -215,6 +220,15 @@
 	return checker.New(site.Events, 0, 0).CheckChanges(attempts, arrived, c.away, c.departures, disrupted, links, changeTime+revocationSlack)
 }
 
+// checkRestored checks that boxes acted on changes that a restored store lost and confirmed again.
+func (s *Soak) checkRestored(t *Result, at *site.Site, attempts []checker.Attempt, arrived []checker.Arrival, links map[string][]checker.Span) {
+	if !s.Restored {
+		return
+	}
+	violations, counted := checker.New(site.Events, 0, 0).CheckRestored(attempts, arrived, at.Changes(), at.Disruptions(), links, changeTime+revocationSlack)
+	t.Changed, t.Violations = counted, append(t.Violations, violations...)
+}
+
 // checkRollouts counts the roll-outs and checks their guarantees and those of regions.
 func (t *Result) checkRollouts(at *site.Site, h checker.RolloutHistory, ran []checker.Execution) {
 	for _, r := range h.Rollouts {
