--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,8 +80,7 @@
 	listed   bool
 	changed  int // number of its last change
 
-	restored bool       // its entry is missing since the store came back from an older copy
-	reopen   *reopening // nil if there is none
+	reopen *reopening // nil if there is none
 
 	releaseSince time.Time // when its release became known; set only while new releases are held
 }
@@ -148,22 +147,16 @@
 		f.put(now, u)
 	}
 	for id, e := range f.all {
-		waiting := e.restored && e.upstream.State == Missing
-		switch {
-		case listed[id] || !e.listed && !waiting || e.upstream.Version > version:
-			continue
-		case waiting && e.upstream.Version.Era() < version.Era():
-			e.since = now // the store has been restored once more
-			f.set(now, e, e.upstream.withVersion(version))
-			f.recordChange(e)
+		if listed[id] || e.upstream.Version > version {
 			continue
-		case waiting:
+		}
+		if !e.listed {
+			f.renewRemoval(now, e, version)
 			continue
 		}
-		restored := version.Era() > e.upstream.Version.Era() && e.upstream.Version.Version() > copied
+		lost := version.Era() > e.upstream.Version.Era() && e.upstream.Version.Version() > copied
 		f.set(now, e, e.upstream.withVersion(version))
-		f.unlist(now, e, outage || restored, "listing")
-		e.restored = restored
+		f.unlist(now, e, outage || lost, "listing")
 	}
 }
 
@@ -299,7 +292,7 @@
 	if e.reopen != nil {
 		f.recordChange(e) // other boxes may wait for it, too
 	}
-	e.listed, e.restored, e.reopen = false, false, nil
+	e.listed, e.reopen = false, nil
 	if outage && e.upstream.State == Open {
 		e.since = now
 		f.set(now, e, e.upstream.withState(Missing))
@@ -372,7 +365,7 @@
 	defer f.mu.Unlock()
 	for id, e := range f.index.departing {
 		switch {
-		case e.upstream.State == Missing && now.Sub(e.since) >= f.graceOf(e):
+		case e.upstream.State == Missing && now.Sub(e.since) >= f.grace:
 			f.markLeaving(now, e, "missing")
 		case e.reopen != nil && !now.Before(e.reopen.at):
 			f.applyReopening(now, e)
@@ -503,14 +496,11 @@
 		f.recordChange(e)
 	}
 	f.set(now, e, merged)
-	if merged.Version.Era() > old.Version.Era() && old.State == Missing && u.State == Missing {
-		e.since, e.restored = now, true // the store has been restored once more
-	}
 	switch {
 	case u.State == Leaving:
 		f.markLeaving(now, e, "hub")
 	case newer && !merged.Announced && old.State != u.State, old.State == Open && u.State == Missing:
-		e.since, e.restored = now, u.Version.Era() > old.Version.Era()
+		e.since = now
 		f.set(now, e, merged.withState(u.State))
 		f.recordChange(e)
 		if old.State == Leaving && u.State == Open {
--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -52,14 +52,6 @@
 	f.recordChange(e)
 }
 
-// graceOf returns how long an upstream may be missing from the table.
-func (f *Fleet) graceOf(e *entry) time.Duration {
-	if e.restored {
-		return max(f.grace, revision.RestoreTime)
-	}
-	return f.grace
-}
-
 // applyReopening opens an upstream whose removal was not written again.
 func (f *Fleet) applyReopening(now time.Time, e *entry) {
 	u := e.reopen.upstream
@@ -91,3 +83,13 @@
 		}
 	}
 }
+
+// renewRemoval gives an upstream that has left in an earlier era of the store, and that the restored
+// store does not list either, the version of the listing: an entry that is written later is newer.
+func (f *Fleet) renewRemoval(now time.Time, e *entry, version revision.Revision) {
+	if e.upstream.Version.Era() == version.Era() || e.upstream.Announced {
+		return
+	}
+	f.set(now, e, e.upstream.withVersion(version))
+	f.recordChange(e)
+}
