--- a/standin/platform/restore_test.go
+++ b/standin/platform/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -179,7 +180,11 @@
 	<-written
 	is.Equal(tableOf(t, p, "op"), "config=1")
 	_, _, err = s.Rows(t.Context(), store.Range{Table: "op"})
+	var other *store.EraError
+	is.True(errors.As(err, &other)) // one answer of another era is not believed
+	_, restored, err := s.Rows(t.Context(), store.Range{Table: "op"})
 	is.NoErr(err)
+	is.Equal(restored.Era(), version.Era()+1)
 }
 
 func tableOf(t *testing.T, p *platform.Platform, table string) string {
