fleet, halls, orders: change by an older copy only once the table is read

What an older copy contradicts now counts only by a table that was read, by this box or another, RestoreTime after it. A removal of the same era that another box has reported is no longer undone by an older entry: it was opened 3 s later.

--- a/canary/orders/restored.go
+++ b/canary/orders/restored.go
@@ -99,19 +99,20 @@
 	return known && !r.isReplaced(o) && l.restore.isSame(now, r.newest, o)
 }
 
-// Tick applies what was not written again after the store was restored.
-func (l *Orders) Tick(now time.Time) {
-	for _, d := range l.due(now) {
+// Tick applies what was not written again after the store was restored, by the table as read at a
+// time.
+func (l *Orders) Tick(now, read time.Time) {
+	for _, d := range l.due(read) {
 		l.Update(now, d.order, d.source)
 	}
 }
 
 // due removes and returns the deferred orders that now count.
-func (l *Orders) due(now time.Time) (list []deferred) {
+func (l *Orders) due(read time.Time) (list []deferred) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.services {
-		if r.deferred.at.IsZero() || now.Before(r.deferred.at) {
+		if r.deferred.at.IsZero() || read.Before(r.deferred.at) {
 			continue
 		}
 		if r.deferred.order.Version.Era() == l.restore.era {
--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -111,7 +111,7 @@
 // updateShares applies changes, and at a reader updates the verdicts; the box that decides
 // also sets the shares.
 func (r *rolloutControl) updateShares(now time.Time) {
-	r.orders.Tick(now)
+	r.orders.Tick(now, r.configurationRead(now))
 	r.apply(now)
 	r.recordIsolation(now)
 	if !r.IsReader() {
--- a/edge/run.go
+++ b/edge/run.go
@@ -222,7 +222,7 @@
 // tick expires outdated state.
 func (e *Edge) tick(now time.Time) {
 	e.fleet.Tick(now)
-	e.halls.Tick(now)
+	e.halls.Tick(now, e.configurationRead(now))
 	e.quarantine.Tick(now)
 	e.newStreamOrigins().sendUnsent(now)
 	e.limiter.tick(now)
@@ -246,6 +246,16 @@
 	log.Info("configuration_confirmed")
 }
 
+// configurationRead returns when the operator's table was last read, by this box or another; zero
+// for never.
+func (e *Edge) configurationRead(now time.Time) time.Time {
+	table, age, _ := e.routes.Current(now)
+	if table == nil || age >= neverAge {
+		return time.Time{}
+	}
+	return now.Add(-age)
+}
+
 // drainAll announces the stop so that callers go elsewhere, and waits for the requests
 // in flight.
 func (e *Edge) drainAll(ctx context.Context, servers []*http.Server) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -154,7 +154,7 @@
 			f.renewRemoval(now, e, version)
 			continue
 		}
-		lost := version.Era() > e.upstream.Version.Era() && e.upstream.Version.Version() > copied
+		lost := version.Era() > e.upstream.Version.Era() && e.upstream.Version > copied
 		f.set(now, e, e.upstream.withVersion(version))
 		f.unlist(now, e, outage || lost, "listing")
 	}
@@ -367,7 +367,7 @@
 		switch {
 		case e.upstream.State == Missing && now.Sub(e.since) >= f.grace:
 			f.markLeaving(now, e, "missing")
-		case e.reopen != nil && !now.Before(e.reopen.at):
+		case e.reopen != nil && !f.confirmed.Before(e.reopen.at):
 			f.applyReopening(now, e)
 		case e.upstream.State == Leaving && now.Sub(e.since) >= retentionOf(e):
 			f.forget(now, id, e)
@@ -466,7 +466,9 @@
 func (f *Fleet) addFromPeer(now time.Time, u Upstream) {
 	switch {
 	case u.State == Leaving && !u.Announced:
-		f.left[u.ID] = departed{upstream: u, at: now} // this box has never sent it a request
+		if known, ok := f.left[u.ID]; !ok || known.upstream.Version <= u.Version {
+			f.left[u.ID] = departed{upstream: u, at: now} // this box has never sent it a request
+		}
 	case !u.Announced && f.hasLeft(u):
 		f.addLeft(now, u)
 	default:
--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -7,7 +7,7 @@
 )
 
 // reopening is an entry, read from an older copy of the store, of an upstream that is known to have
-// left. It counts unless the removal is written again by then.
+// left. It counts unless the removal is written again by then, as the table says that is read later.
 type reopening struct {
 	upstream Upstream
 	at       time.Time
@@ -21,11 +21,11 @@
 
 // copiedVersion returns a version of an earlier era of the store up to which the listed entries
 // include all changes: the highest of an entry that the store still has in that version.
-func (f *Fleet) copiedVersion(list []Upstream) (version int64) {
+func (f *Fleet) copiedVersion(list []Upstream) (version revision.Revision) {
 	for _, u := range list {
 		e, ok := f.all[u.ID]
 		if ok && e.upstream.Version.Era() < u.Version.Era() && e.upstream.Version.Version() == u.Version.Version() {
-			version = max(version, u.Version.Version())
+			version = max(version, e.upstream.Version)
 		}
 	}
 	return version
@@ -66,8 +66,12 @@
 	return ok && u.StartedAt <= d.upstream.StartedAt && (u.Version <= d.upstream.Version || u.Version.Era() > d.upstream.Version.Era())
 }
 
-// addLeft adds an upstream that has left, by an entry that may be of an older copy of the store.
+// addLeft adds an upstream that has left, by an entry that may be of an older copy of the store. An
+// entry that is older than the removal in the same era adds nothing.
 func (f *Fleet) addLeft(now time.Time, u Upstream) {
+	if u.Version.Era() == f.left[u.ID].upstream.Version.Era() {
+		return
+	}
 	e := &entry{since: now, listed: true}
 	f.all[u.ID] = e
 	f.set(now, e, f.left[u.ID].upstream)
--- a/halls/halls.go
+++ b/halls/halls.go
@@ -75,19 +75,20 @@
 	}
 }
 
-// Tick ends evacuations that were not written again after the store was restored.
-func (h *Halls) Tick(now time.Time) {
-	for _, c := range h.due(now) {
+// Tick ends evacuations that were not written again after the store was restored, by the table as
+// read at a time.
+func (h *Halls) Tick(now, read time.Time) {
+	for _, c := range h.due(read) {
 		h.Update(now, c.status, c.source)
 	}
 }
 
 // due removes and returns the cancellations that now count.
-func (h *Halls) due(now time.Time) (list []cancellation) {
+func (h *Halls) due(read time.Time) (list []cancellation) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for hall, c := range h.missing {
-		if !now.Before(c.at) {
+		if !read.Before(c.at) {
 			list = append(list, c)
 			delete(h.missing, hall)
 		}
