answers: count a request as not sent by what was written

Cause: "not sent" was told from any error of a dial in the chain of causes. A tunnel's calls share one connection between two boxes; when that is lost, the next call has to open another one, and its failure is such an error. A refused dial to the other box also counted as the end of the upstream. The class: the form of an error taken as proof of what happened to a request.

Now the transport records on which connections a request is tried, lets nothing more be written once the call has failed, and says *UnsentError only if no byte of it was written. A tunnel's write says so if the other box could not be connected to.

--- a/answers/conn.go
+++ b/answers/conn.go
@@ -1,5 +1,6 @@
 // Package answers checks what HTTP clients read: whether an answer without a length has come to its
-// end, and whether its status and the names of its fields are valid. net/http checks neither.
+// end, and whether its status and the names of its fields are valid. net/http checks neither. Of a
+// call without an answer it tells whether its request was sent.
 package answers
 
 import (
@@ -37,12 +38,14 @@
 type Conn struct {
 	net.Conn
 
-	mu       sync.Mutex
-	changed  *sync.Cond
-	request  request
-	writing  bool
-	answered bool  // a byte has arrived since the request began
-	failed   error // of a write
+	mu        sync.Mutex
+	changed   *sync.Cond
+	request   request
+	writing   bool
+	answered  bool  // a byte has arrived since the request began
+	failed    error // of a write
+	sent      bool  // a byte of the request may have been sent
+	abandoned bool  // nothing may be written any more
 }
 
 // NewConn returns a connection that checks how answers end.
@@ -67,20 +70,33 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.begin()
+	if !c.begin() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Write(p)
 	c.end(p[:n], err)
 	return n, err
 }
 
-// begin records that a write begins.
-func (c *Conn) begin() {
+// beginRequest records that a request will be written next.
+func (c *Conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = false
+}
+
+// begin records that a write begins; false if it must not.
+func (c *Conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.abandoned {
+		return false
+	}
 	if c.request.written() {
 		c.answered = false
 	}
 	c.writing = true
+	return true
 }
 
 // end records the bytes that were written.
@@ -89,6 +105,7 @@
 	defer c.mu.Unlock()
 	c.request.add(p)
 	c.writing = false
+	c.sent = c.sent || len(p) > 0 || err != nil && !isUnsent(err)
 	if err != nil {
 		c.failed = err
 	}
@@ -109,21 +126,38 @@
 
 // checkEnd returns io.EOF if the request was written whole. The lock is held.
 func (c *Conn) checkEnd() error {
-	expired := false
-	if c.writing {
-		timer := time.AfterFunc(writeWait, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			expired = true
-			c.changed.Broadcast()
-		})
-		defer timer.Stop()
-	}
-	for c.writing && !expired {
-		c.changed.Wait()
-	}
+	c.awaitWrite()
 	if c.writing || c.failed != nil || !c.request.written() {
 		return &UnreadError{Err: c.failed}
 	}
 	return io.EOF
 }
+
+// abandon lets nothing more be written. It reports whether nothing of the request was sent.
+func (c *Conn) abandon() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abandoned = true
+	if !c.sent {
+		c.awaitWrite()
+	}
+	return !c.sent && !c.writing
+}
+
+// awaitWrite waits for the end of a write that is running, for writeWait at most. The lock is held.
+func (c *Conn) awaitWrite() {
+	if !c.writing {
+		return
+	}
+	expired := false
+	timer := time.AfterFunc(writeWait, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		expired = true
+		c.changed.Broadcast()
+	})
+	defer timer.Stop()
+	for c.writing && !expired {
+		c.changed.Wait()
+	}
+}
--- a/answers/transport.go
+++ b/answers/transport.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.Transport that checks the answers it returns.
@@ -18,11 +19,13 @@
 	return &Transport{t}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The error is an *UnsentError if no byte of the request was
+// written.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	tried := &attempts{}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), tried.trace())))
 	if err != nil {
-		return nil, err
+		return nil, tried.failure(err)
 	}
 	if err := checkHead(resp); err != nil {
 		resp.Body.Close()
--- a/client/client.go
+++ b/client/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -82,7 +81,7 @@
 	}
 	r := &streamState{start: time.Now(), hash: xxhash.New(), token: token}
 	resp, err := c.do(ctx, http.MethodPost, c.boxURL(box)+"/v1/generations", raw, nil)
-	for n := 1; n < len(c.boxes) && neverSent(err); n++ {
+	for n := 1; n < len(c.boxes) && answers.Unsent(err); n++ {
 		box++
 		resp, err = c.do(ctx, http.MethodPost, c.boxURL(box)+"/v1/generations", raw, nil)
 	}
@@ -102,12 +101,6 @@
 	return r.out
 }
 
-// neverSent reports whether a call failed before any byte was sent.
-func neverSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // resume continues a stream after the last received token.
 func (c *Client) resume(ctx context.Context, box int, r *streamState) {
 	header := http.Header{}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -73,6 +73,13 @@
 	return errors.As(err, &e) && e.Unreachable
 }
 
+// NotSent reports whether a call failed before any byte of it was sent. err is the error of the call
+// itself: among its causes may be those of other calls.
+func NotSent(err error) bool {
+	e, ok := err.(*Error)
+	return ok && e.Unreachable && !e.ConnectionLost
+}
+
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/peer/tunnel/conn.go
+++ b/peer/tunnel/conn.go
@@ -20,7 +20,10 @@
 )
 
 // BrokenError reports that a tunnel, or the connection to its upstream, broke.
-type BrokenError struct{ Err error }
+type BrokenError struct {
+	Err    error
+	unsent bool // no byte to write was sent to the other box
+}
 
 // Error implements error.
 func (e *BrokenError) Error() string { return "tunnel broken: " + e.Err.Error() }
@@ -28,6 +31,9 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
+// Unsent reports whether a write failed before any of its bytes was sent.
+func (e *BrokenError) Unsent() bool { return e.unsent }
+
 // conn is a connection to an upstream through another box. One task of its own reads; a call is
 // never repeated, so that no byte is lost or read twice.
 type conn struct {
@@ -61,9 +67,9 @@
 		switch {
 		case c.err != nil:
 		case err != nil:
-			c.err = &BrokenError{err}
+			c.err = &BrokenError{Err: err}
 		case data.Broken:
-			c.err = &BrokenError{io.ErrUnexpectedEOF}
+			c.err = &BrokenError{Err: io.ErrUnexpectedEOF}
 		case data.Closed:
 			c.err = io.EOF
 		}
@@ -134,7 +140,7 @@
 		err := c.calls.Call(call, c.box, peer.TunnelWrite, wire.TunnelWrite{ID: c.id, Data: string(p[:n])}, &wire.Nothing{})
 		cancel()
 		if err != nil {
-			return written, &BrokenError{err}
+			return written, &BrokenError{Err: err, unsent: written == 0 && peer.NotSent(err)}
 		}
 		written, p = written+n, p[n:]
 	}
--- a/upstream/engine/engine.go
+++ b/upstream/engine/engine.go
@@ -186,8 +186,7 @@
 }
 
 func transportErrorKind(err error) Kind {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if answers.Unsent(err) {
 		return NotSent
 	}
 	return Indeterminate
--- a/upstream/service/service.go
+++ b/upstream/service/service.go
@@ -81,8 +81,7 @@
 	req.Header.Set("Petrelstep-Attempt", c.Attempt)
 	resp, err := s.http.Do(req)
 	if err != nil {
-		var op *net.OpError
-		return Answer{}, &Error{NotSent: errors.As(err, &op) && op.Op == "dial", Err: err}
+		return Answer{}, &Error{NotSent: answers.Unsent(err), Err: err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
