dialer: don't take a box that does not listen for an upstream that does

The request failed as refused, and the upstream was recorded as ended.

Cause: the race looked for ECONNREFUSED in the chain of the error, which an answered refusal and a failed call to the box both had. Now the box's answer says so in a field (PeerError.Refused), and an error of the call to the box says nothing of the upstream.

Before: dialer.TestDial fails in both new rows (upstream silent and other boxes down: refused; refused here, one box down: not tried at the next box).

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -59,11 +59,13 @@
 	connects        = way{after: roundTrip}
 	silent          = way{after: noAnswer, err: os.ErrDeadlineExceeded}
 	refuses         = way{after: roundTrip, err: syscall.ECONNREFUSED}
+	refusesPeer     = way{after: roundTrip, err: &dialer.PeerError{Outcome: links.Refused, Refused: true}}
+	peerRefuses     = way{after: roundTrip, err: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}} // the box does not listen
 	cutOff          = way{after: roundTrip, err: &dialer.PeerError{Outcome: "link_cut", CutOff: true}}
 	timesOut        = way{after: noAnswer, err: &dialer.PeerError{Outcome: links.TimedOut, Unreached: true}}
 	farRefuses      = way{after: farRoundTrip, err: syscall.ECONNREFUSED}
 	farConnects     = way{after: farRoundTrip}
-	farRefusedTwice = way{after: 2 * farRoundTrip, err: syscall.ECONNREFUSED}
+	farRefusedTwice = way{after: 2 * farRoundTrip, err: &dialer.PeerError{Outcome: links.Refused, Refused: true}}
 	gone            = way{after: roundTrip, err: io.EOF}
 	slow            = way{after: 20 * time.Millisecond}
 )
@@ -168,28 +170,30 @@
 // of the link.
 func TestDial(t *testing.T) {
 	tests := map[string]dialTest{
-		"direct":                                {direct: []way{connects}, peers: []way{connects}, within: roundTrip},
-		"an opening packet is lost":             {direct: []way{silent, connects}, peers: []way{slow}, within: noAnswer + roundTrip, asked: 1},
-		"cut, hangs":                            {direct: []way{silent, silent}, peers: []way{connects}, via: "p0", within: noAnswer + roundTrip, cut: true, asked: 1},
-		"cut, refuses":                          {direct: []way{refuses}, peers: []way{connects}, via: "p0", within: 2 * roundTrip, cut: true, asked: 1},
-		"the first peer is cut off too":         {direct: []way{refuses}, peers: []way{cutOff, connects}, via: "p1", within: 3 * roundTrip, cut: true, asked: 2},
-		"the first peer does not answer":        {direct: []way{refuses}, peers: []way{{after: time.Hour}, connects}, via: "p1", within: 2*roundTrip + 60*time.Millisecond, cut: true, asked: 2},
-		"ended":                                 {direct: []way{refuses}, peers: []way{refuses, refuses, refuses, connects}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
-		"ended, one box says so":                {direct: []way{refuses}, peers: []way{{after: time.Hour}, refuses}, via: "none", refused: true, within: 2 * roundTrip, asked: 2},
-		"ended, this box reaches another":       {direct: []way{refuses}, peers: []way{{after: time.Hour}, {after: time.Hour}}, another: &connects, via: "none", refused: true, within: roundTrip + 50*time.Millisecond, asked: 2},
-		"ended, far away, checked":              {check: true, direct: []way{farRefuses}, peers: []way{farRefusedTwice, farRefusedTwice}, another: &farConnects, via: "none", refused: true, within: 2 * farRoundTrip, asked: 2},
-		"cut, refuses, others are reached":      {direct: []way{refuses}, peers: []way{connects}, another: &connects, via: "p0", within: 2 * roundTrip, cut: true, asked: 1},
-		"ended, no other box":                   {direct: []way{refuses}, via: "none", refused: true, within: roundTrip},
-		"ended, other boxes do not answer":      {direct: []way{refuses}, peers: []way{gone, gone, gone}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
-		"silent, other boxes are cut off":       {direct: []way{silent, silent}, peers: []way{cutOff, cutOff, cutOff}, via: "none", suspected: true, within: twoTimeout + 30*time.Millisecond, asked: 3},
-		"refused, other boxes are cut off":      {direct: []way{refuses}, peers: []way{cutOff, cutOff, cutOff}, via: "none", suspected: true, within: 4 * roundTrip, asked: 3},
-		"refused here, silent to others":        {direct: []way{refuses}, peers: []way{timesOut, timesOut, timesOut}, via: "none", within: twoTimeout + 30*time.Millisecond, asked: 3},
-		"silent to all":                         {direct: []way{silent, silent}, peers: []way{timesOut, timesOut, timesOut}, via: "none", within: twoTimeout + 30*time.Millisecond, asked: 3},
-		"believed to be cut":                    {believed: true, direct: []way{connects}, peers: []way{connects}, via: "p0", within: roundTrip, cut: true, asked: 1},
-		"believed to be cut, peers are cut off": {believed: true, direct: []way{connects}, peers: []way{cutOff, cutOff}, within: 3 * roundTrip, asked: 2},
-		"believed to be cut, ended":             {believed: true, direct: []way{refuses}, peers: []way{refuses, refuses, refuses}, via: "none", refused: true, within: 4 * roundTrip, cut: true, asked: 3},
-		"another link is cut":                   {suspect: true, direct: []way{silent, silent}, peers: []way{connects}, via: "p0", within: 30*time.Millisecond + roundTrip, cut: true, asked: 1},
-		"another link is cut, this one is not":  {suspect: true, direct: []way{connects}, peers: []way{connects}, within: roundTrip},
+		"direct":                                 {direct: []way{connects}, peers: []way{connects}, within: roundTrip},
+		"an opening packet is lost":              {direct: []way{silent, connects}, peers: []way{slow}, within: noAnswer + roundTrip, asked: 1},
+		"cut, hangs":                             {direct: []way{silent, silent}, peers: []way{connects}, via: "p0", within: noAnswer + roundTrip, cut: true, asked: 1},
+		"cut, refuses":                           {direct: []way{refuses}, peers: []way{connects}, via: "p0", within: 2 * roundTrip, cut: true, asked: 1},
+		"the first peer is cut off too":          {direct: []way{refuses}, peers: []way{cutOff, connects}, via: "p1", within: 3 * roundTrip, cut: true, asked: 2},
+		"the first peer does not answer":         {direct: []way{refuses}, peers: []way{{after: time.Hour}, connects}, via: "p1", within: 2*roundTrip + 60*time.Millisecond, cut: true, asked: 2},
+		"ended":                                  {direct: []way{refuses}, peers: []way{refusesPeer, refusesPeer, refusesPeer, connects}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
+		"ended, one box says so":                 {direct: []way{refuses}, peers: []way{{after: time.Hour}, refusesPeer}, via: "none", refused: true, within: 2 * roundTrip, asked: 2},
+		"ended, this box reaches another":        {direct: []way{refuses}, peers: []way{{after: time.Hour}, {after: time.Hour}}, another: &connects, via: "none", refused: true, within: roundTrip + 50*time.Millisecond, asked: 2},
+		"ended, far away, checked":               {check: true, direct: []way{farRefuses}, peers: []way{farRefusedTwice, farRefusedTwice}, another: &farConnects, via: "none", refused: true, within: 2 * farRoundTrip, asked: 2},
+		"cut, refuses, others are reached":       {direct: []way{refuses}, peers: []way{connects}, another: &connects, via: "p0", within: 2 * roundTrip, cut: true, asked: 1},
+		"ended, no other box":                    {direct: []way{refuses}, via: "none", refused: true, within: roundTrip},
+		"ended, other boxes do not answer":       {direct: []way{refuses}, peers: []way{gone, gone, gone}, via: "none", refused: true, within: 4 * roundTrip, asked: 3},
+		"silent, other boxes are cut off":        {direct: []way{silent, silent}, peers: []way{cutOff, cutOff, cutOff}, via: "none", suspected: true, within: twoTimeout + 30*time.Millisecond, asked: 3},
+		"refused, other boxes are cut off":       {direct: []way{refuses}, peers: []way{cutOff, cutOff, cutOff}, via: "none", suspected: true, within: 4 * roundTrip, asked: 3},
+		"silent, other boxes do not listen":      {direct: []way{silent, silent}, peers: []way{peerRefuses, peerRefuses, peerRefuses}, via: "none", within: twoTimeout + 30*time.Millisecond, asked: 3},
+		"refused, one other box does not listen": {direct: []way{refuses}, peers: []way{peerRefuses, connects}, via: "p1", within: 3 * roundTrip, cut: true, asked: 2},
+		"refused here, silent to others":         {direct: []way{refuses}, peers: []way{timesOut, timesOut, timesOut}, via: "none", within: twoTimeout + 30*time.Millisecond, asked: 3},
+		"silent to all":                          {direct: []way{silent, silent}, peers: []way{timesOut, timesOut, timesOut}, via: "none", within: twoTimeout + 30*time.Millisecond, asked: 3},
+		"believed to be cut":                     {believed: true, direct: []way{connects}, peers: []way{connects}, via: "p0", within: roundTrip, cut: true, asked: 1},
+		"believed to be cut, peers are cut off":  {believed: true, direct: []way{connects}, peers: []way{cutOff, cutOff}, within: 3 * roundTrip, asked: 2},
+		"believed to be cut, ended":              {believed: true, direct: []way{refuses}, peers: []way{refusesPeer, refusesPeer, refusesPeer}, via: "none", refused: true, within: 4 * roundTrip, cut: true, asked: 3},
+		"another link is cut":                    {suspect: true, direct: []way{silent, silent}, peers: []way{connects}, via: "p0", within: 30*time.Millisecond + roundTrip, cut: true, asked: 1},
+		"another link is cut, this one is not":   {suspect: true, direct: []way{connects}, peers: []way{connects}, within: roundTrip},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/dialer/race.go
+++ b/dialer/race.go
@@ -140,11 +140,12 @@
 		r.asked--
 		var answered *PeerError
 		switch {
-		case errors.Is(a.err, syscall.ECONNREFUSED):
+		case !errors.As(a.err, &answered): // the box itself was not reached
+		case answered.Refused:
 			r.refused++
-		case errors.As(a.err, &answered) && answered.Unreached:
+		case answered.Unreached:
 			r.silent++
-		case answered != nil && answered.CutOff:
+		case answered.CutOff:
 			r.cutOff++
 		}
 		r.startPeer()
@@ -246,6 +247,7 @@
 type PeerError struct {
 	Peer      string
 	Outcome   string
+	Refused   bool // the upstream refused the connection
 	Unreached bool // its links are intact, and the upstream did not answer
 	CutOff    bool // it is cut off from the upstream too
 }
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -119,8 +119,8 @@
 	if errors.As(err, &failed) {
 		outcome = failed.Outcome
 		e.tunnelChoice.Failed(time.Now(), b, outcome)
-		if outcome != "" && outcome != links.Refused {
-			err = &dialer.PeerError{Peer: b.Name, Outcome: outcome, Unreached: outcome == links.TimedOut || outcome == links.Failed, CutOff: outcome == tunnel.LinkCut}
+		if outcome != "" {
+			err = &dialer.PeerError{Peer: b.Name, Outcome: outcome, Refused: outcome == links.Refused, Unreached: outcome == links.TimedOut || outcome == links.Failed, CutOff: outcome == tunnel.LinkCut}
 		}
 	}
 	e.metrics.TunnelOpened(outcome)
--- a/peer/tunnel/client.go
+++ b/peer/tunnel/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"petrelstep/links"
@@ -61,12 +60,7 @@
 }
 
 // Unwrap returns the cause.
-func (e *OpenError) Unwrap() error {
-	if e.Outcome == links.Refused {
-		return syscall.ECONNREFUSED
-	}
-	return e.Err
-}
+func (e *OpenError) Unwrap() error { return e.Err }
 
 // Open connects to an upstream through the box at an address. The error is an *OpenError.
 func (c *Client) Open(ctx context.Context, address string, t links.Target) (net.Conn, error) {
