front: refuse a call as not run only if no try of it was sent

Cause: only the error of the last try was looked at. Now any try that may have been sent makes the outcome unknown.

Before: front.TestRepeatableOutcome fails in its row "only the second may have run it": not_run where unknown is due.

--- a/front/service.go
+++ b/front/service.go
@@ -70,7 +70,7 @@
 // callRepeatable makes an idempotent call and retries it at the next upstream if it
 // fails, within the retry budget.
 func (f *Front) callRepeatable(w http.ResponseWriter, r *http.Request, call service.Call, targets []target) error {
-	var last error
+	sent := false
 	for n := range retry.MaxTries {
 		if n > 0 {
 			if !f.Budget.Spend() {
@@ -85,12 +85,12 @@
 			f.answer(w, answer)
 			return nil
 		}
-		last = err
+		sent = sent || !service.NotSent(err)
 		if r.Context().Err() != nil {
 			break
 		}
 	}
-	if service.NotSent(last) {
+	if !sent {
 		return refusal.New(refusal.NoUpstream, "the service cannot be reached").WithRetryAfter(defaultRetryAfter)
 	}
 	return refusal.New(refusal.UpstreamLost, "the service gave no answer").WithOutcome(refusal.Unknown).WithRetryAfter(defaultRetryAfter)
