edge: count listings of standbys apart in the test of lost rows

The bound of the readers stays as it is, and a standby may list once if it has logged that it reads as one (store_read reason=standby).

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -77,6 +77,7 @@
 	eras          map[string]int                     // as of the last answer, by box
 	onRestore     map[string]func(before, after int) // by box
 	reads         map[string]int                     // listings by table
+	boxListers    map[string]int                     // listings of the table of boxes, by box
 	statuses      []string                           // values of the rows of table status, as written
 	statusAt      time.Time                          // of the last one
 }
@@ -292,6 +293,9 @@
 	r.mu.Lock()
 	r.listings[r.box]++
 	r.reads[of.Table]++
+	if of.Table == "boxes" {
+		r.boxListers[r.box]++
+	}
 	switch of.Table {
 	case "servers":
 		r.fleetListings[r.box]++
@@ -633,7 +637,7 @@
 	c := &cluster{
 		tb: t, regions: regions, farDelay: 30 * time.Millisecond,
 		balance:     balance,
-		table:       &memStore{changed: make(chan struct{}), listings: map[string]int{}, fleetListings: map[string]int{}, reads: map[string]int{}, eras: map[string]int{}, onRestore: map[string]func(before, after int){}},
+		table:       &memStore{changed: make(chan struct{}), listings: map[string]int{}, fleetListings: map[string]int{}, reads: map[string]int{}, boxListers: map[string]int{}, eras: map[string]int{}, onRestore: map[string]func(before, after int){}},
 		quarantines: &memQuarantines{rows: map[fingerprint.Fingerprint]blocklist.Entry{}},
 		cancels:     map[*Edge]context.CancelFunc{}, latency: func(string) time.Duration { return 0 },
 		isolated: map[string]bool{}, byAddress: map[string]*Edge{}, cpu: map[string]*processor{}, calls: map[string]map[string]int{}, methods: map[string]int{},
--- a/edge/restoredboxes_test.go
+++ b/edge/restoredboxes_test.go
@@ -3,22 +3,27 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"petrelstep/members"
 	"petrelstep/platform/store"
+	"petrelstep/readpolicy"
 	"petrelstep/wire"
 )
 
 // rowsLostTest is a restore of the store that loses the rows of some boxes.
 type rowsLostTest struct {
 	boxes, halls, lost int
-	maxListings        int                             // in the 5 s after, by the boxes that follow the store and the hubs of a large fleet
+	maxListings        int                             // in the 5 s after, by the readers and the hubs of a large fleet
 	moved              bool                            // the copy has rows of the boxes at an earlier address
 	restore            func(c *cluster, old storeCopy) // nil for one restore
 }
@@ -48,8 +53,27 @@
 	c.table.interrupt(false)
 }
 
+// standbyReads records the boxes that read the store because it answers no reader.
+type standbyReads struct {
+	mu    sync.Mutex
+	boxes map[string]bool
+}
+
+// Levels implements logrus.Hook.
+func (*standbyReads) Levels() []logrus.Level { return []logrus.Level{logrus.InfoLevel} }
+
+// Fire implements logrus.Hook.
+func (s *standbyReads) Fire(e *logrus.Entry) error {
+	if e.Message == "store_read" && e.Data["reason"] == readpolicy.Standby {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.boxes[fmt.Sprint(e.Data["box"])] = true
+	}
+	return nil
+}
+
 // run plays the restore and returns the boxes that are missing from the table in time, and how
-// often the table was listed.
+// often the table was listed by others than standbys of which no reader was answered.
 func (tt rowsLostTest) run(ctx context.Context, t *testing.T) (unlisted []string, listings int) {
 	c := newStoppedCluster(t, tt.boxes, tt.halls, 60)
 	c.table.era = 1
@@ -71,6 +95,11 @@
 	c.waitAll(t, "serves", 5*time.Second, (*Edge).ready)
 	time.Sleep(8 * time.Second)
 	is.New(t).Equal(len(c.unlistedBoxes()), 0)
+	standbys := &standbyReads{boxes: map[string]bool{}}
+	for _, e := range c.all {
+		e.log.Logger.SetLevel(logrus.InfoLevel)
+		e.log.Logger.AddHook(standbys)
+	}
 	before := c.table.boxListings()
 	if tt.restore == nil {
 		tt.restore = restoreNow
@@ -79,14 +108,29 @@
 	time.Sleep(rewriteTime)
 	unlisted = c.unlistedBoxes()
 	time.Sleep(3 * time.Second)
-	return unlisted, c.table.boxListings() - before
+	return unlisted, standbys.without(before, c.table.boxListings())
+}
+
+// without returns how often the table was listed between two counts, but for one listing of each
+// standby that read the store.
+func (s *standbyReads) without(before, after map[string]int) (listings int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for box, n := range after {
+		n -= before[box]
+		if s.boxes[box] && n > 0 {
+			n--
+		}
+		listings += n
+	}
+	return listings
 }
 
-// boxListings returns how often the table of boxes was listed.
-func (t *memStore) boxListings() int {
+// boxListings returns how often each box has listed the table of boxes.
+func (t *memStore) boxListings() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.reads["boxes"]
+	return maps.Clone(t.boxListers)
 }
 
 // TestBoxRowsRestored guards against boxes that no other finds after a restart of all, as the store
@@ -104,7 +148,7 @@
 			time.Sleep(600 * time.Millisecond)
 			restoreNow(c, old)
 		}},
-		"77 boxes, two of three readers cut off": {boxes: 77, halls: 3, lost: 20, maxListings: members.MaxReaders + members.MaxStandbys, restore: func(c *cluster, old storeCopy) {
+		"77 boxes, two of three readers cut off": {boxes: 77, halls: 3, lost: 20, maxListings: members.MaxReaders, restore: func(c *cluster, old storeCopy) {
 			readers := c.readers()
 			c.table.setCutOff(func(box string) bool { return slices.Contains(readers[1:], box) })
 			restoreNow(c, old)
