fleet: tell other boxes of entries that are written again after a restore

The readers listed after the write, at 12.00; for them the entry had only a newer revision, which was not recorded as a change, so the standbys, which no longer read, were never told.

Now an entry of a new era whose number is not below the newest one that the copy has unchanged counts as a change, also for hubs that learn it from others. The test failed before in two of three rows; the row of an entry that the copy has shows that a restore does not have all entries told again.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -144,7 +144,11 @@
 	}
 	for _, u := range list {
 		listed[u.ID] = true
+		rewritten := f.isRewritten(u, copied)
 		f.put(now, u)
+		if e, ok := f.all[u.ID]; ok && rewritten {
+			f.recordChange(e) // a box that has read the copy may lack it
+		}
 	}
 	for id, e := range f.all {
 		if listed[id] || e.upstream.Version > version {
@@ -494,7 +498,7 @@
 	if u.Release != "" && (newer || old.Release == "") { // boxes that do not know it send none
 		merged.Release = u.Release
 	}
-	if merged.StartedAt != old.StartedAt || !merged.ColdUntil.Equal(old.ColdUntil) || merged.Release != old.Release {
+	if u.Version.Era() > old.Version.Era() || merged.StartedAt != old.StartedAt || !merged.ColdUntil.Equal(old.ColdUntil) || merged.Release != old.Release {
 		f.recordChange(e)
 	}
 	f.set(now, e, merged)
--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -31,6 +31,13 @@
 	return version
 }
 
+// isRewritten reports whether a listed entry may have been written since the store was restored from
+// a copy with changes up to a version.
+func (f *Fleet) isRewritten(u Upstream, copied revision.Revision) bool {
+	e, ok := f.all[u.ID]
+	return ok && u.Version.Era() > e.upstream.Version.Era() && u.Version.Version() >= copied.Version()
+}
+
 // defersReopening reports whether an entry would reopen an upstream that is known to have left in
 // an earlier era of the store, from whose copy the entry may be. One that was changed since the
 // copy was first read is newer than the copy.
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +103,52 @@
 		})
 	}
 }
+
+// TestRewrittenTold guards against an upstream that one box gives up for good, as it has read the
+// restored store before the upstream's entry was written again, and that the boxes which have read it
+// later take for unchanged.
+func TestRewrittenTold(t *testing.T) {
+	tests := map[string]struct {
+		id      string
+		version int64 // that the reader finds
+		told    bool
+	}{
+		"written again":                   {"new", 60, true},
+		"written again in the same order": {"new", 41, true},
+		"in the copy":                     {"old", 5, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			boxes := map[string]*fleet.Fleet{}
+			before := []fleet.Upstream{at("old", fleet.Open, 1, 5), at("kept", fleet.Open, 1, 40), at("new", fleet.Open, 1, 41)}
+			for _, name := range []string{"early", "reader", "hub"} {
+				boxes[name] = fleet.New(grace)
+				boxes[name].Replace(now, before, revision.New(1, 41), false)
+			}
+			early, reader, hub := boxes["early"], boxes["reader"], boxes["hub"]
+			_, seen := reader.Since(0)
+			_, seenByHub := hub.Since(0)
+			early.Replace(now, []fleet.Upstream{at("old", fleet.Open, 2, 5), at("kept", fleet.Open, 2, 40)}, revision.New(2, 40), false)
+			after := map[string]int64{"old": 5, "kept": 40, "new": 41}
+			after[tt.id] = tt.version
+			var list []fleet.Upstream
+			for id, version := range after {
+				list = append(list, at(id, fleet.Open, 2, version))
+			}
+			reader.Replace(now, list, revision.New(2, 70), false)
+			changed, _ := reader.Since(seen)
+			for _, u := range changed {
+				hub.UpdateFromPeer(now, u)
+			}
+			changed, _ = hub.Since(seenByHub)
+			for _, u := range changed {
+				early.UpdateFromPeer(now, u)
+			}
+			is.Equal(slices.ContainsFunc(changed, func(u fleet.Upstream) bool { return u.ID == tt.id }), tt.told)
+			early.Tick(now.Add(2 * grace))
+			is.True(early.Takes(tt.id))
+		})
+	}
+}
