answers: don't take a request for unsent once its connection has another

Seen by review: a request that ran and was answered counted as not sent.

Cause: net/http may give a connection back before it hands over an answer without a body. If the call is cancelled in that moment and another request takes the connection, that one's state was read as the first one's.

Each request on a connection now has a number, and one whose connection has a later request counts as sent.

--- a/answers/conn.go
+++ b/answers/conn.go
@@ -44,7 +44,8 @@
 	writing   bool
 	answered  bool  // a byte has arrived since the request began
 	failed    error // of a write
-	sent      bool  // a byte of the request may have been sent
+	requests  int   // that were begun
+	sent      bool  // a byte of the last one may have been sent
 	abandoned bool  // nothing may be written any more
 }
 
@@ -78,11 +79,13 @@
 	return n, err
 }
 
-// beginRequest records that a request will be written next.
-func (c *Conn) beginRequest() {
+// beginRequest records that a request will be written next, and returns its number.
+func (c *Conn) beginRequest() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.requests++
 	c.sent = false
+	return c.requests
 }
 
 // begin records that a write begins; false if it must not.
@@ -133,10 +136,14 @@
 	return io.EOF
 }
 
-// abandon lets nothing more be written. It reports whether nothing of the request was sent.
-func (c *Conn) abandon() bool {
+// abandon lets nothing more be written, and reports whether nothing of a request was sent. The
+// connection may be in use for a later one: then the request was answered.
+func (c *Conn) abandon(request int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.requests != request {
+		return false
+	}
 	c.abandoned = true
 	if !c.sent {
 		c.awaitWrite()
--- a/answers/unsent.go
+++ b/answers/unsent.go
@@ -33,10 +33,16 @@
 	return ok && e.Unsent()
 }
 
+// attempt is a request on a connection.
+type attempt struct {
+	conn    *Conn
+	request int // its number on the connection
+}
+
 // attempts follows the connections on which a transport tries to send one request.
 type attempts struct {
 	mu     sync.Mutex
-	conns  []*Conn
+	conns  []attempt
 	hidden bool // a connection is not known, as TLS wraps it
 }
 
@@ -50,8 +56,7 @@
 			a.hidden = true
 			return
 		}
-		conn.beginRequest()
-		a.conns = append(a.conns, conn)
+		a.conns = append(a.conns, attempt{conn, conn.beginRequest()})
 	}}
 }
 
@@ -60,8 +65,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	unsent := !a.hidden
-	for _, conn := range a.conns {
-		unsent = conn.abandon() && unsent
+	for _, tried := range a.conns {
+		unsent = tried.conn.abandon(tried.request) && unsent
 	}
 	if !unsent {
 		return err
