answers: don't take a redirected request that ran for unsent

The client follows redirects, and the failure was that of the second request.

A request that an answer redirected (http.Request.Response) is never unsent.

--- a/answers/transport.go
+++ b/answers/transport.go
@@ -20,11 +20,14 @@
 }
 
 // RoundTrip implements http.RoundTripper. The error is an *UnsentError if no byte of the request was
-// written.
+// written, nor of one that was redirected to it.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	tried := &attempts{}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), tried.trace())))
 	if err != nil {
+		if req.Response != nil { // of the request that was redirected
+			return nil, err
+		}
 		return nil, tried.failure(err)
 	}
 	if err := checkHead(resp); err != nil {
--- a/upstream/service/service_test.go
+++ b/upstream/service/service_test.go
@@ -25,3 +25,24 @@
 	is.Equal(a.Status, http.StatusServiceUnavailable)
 	is.Equal(a.RetryAfter, "7")
 }
+
+// TestRedirectUnsent guards against a call that ran and counts as not sent, as the address to which
+// it was redirected could not be reached.
+func TestRedirectUnsent(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	for _, status := range []int{http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			runs := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				runs++
+				http.Redirect(w, r, closed.URL+"/done", status)
+			}))
+			defer server.Close()
+			_, err := service.New(time.Second).Do(t.Context(), service.Call{Method: http.MethodPost, Address: strings.TrimPrefix(server.URL, "http://"), Path: "/x", Body: []byte("x")})
+			is.Equal(runs, 1)
+			is.True(!service.NotSent(err))
+		})
+	}
+}
