--- a/peer/tunnel/conn.go
+++ b/peer/tunnel/conn.go
@@ -83,12 +83,13 @@
 }
 
 // poll asks for the next bytes. While the buffer is full it only keeps the tunnel open.
-func (c *conn) poll() (data wire.TunnelData, err error) {
+func (c *conn) poll() (wire.TunnelData, error) {
 	free := c.awaitSpace()
 	call, cancel := context.WithTimeout(c.ctx, pollTime+callGrace)
 	defer cancel()
 	ask := wire.TunnelRead{ID: c.id, MaxBytes: free, WaitMs: int(pollTime.Milliseconds())}
-	err = c.calls.Call(call, c.box, peer.TunnelRead, ask, &data)
+	var data wire.TunnelData
+	err := c.calls.Call(call, c.box, peer.TunnelRead, ask, &data)
 	if err != nil {
 		if c.ctx.Err() == nil && call.Err() != nil {
 			c.calls.Forget(c.box) // the connection to the box hangs
