dispatch: an attempt that ends while it connects is no engine's failure

Seen by review, since what was not written counts as not sent: a deadline that passed while an engine was connected to counted as the engine's failure, and the request went on to the others, where it was cancelled at once: one silent engine and three requests past their deadline left all three ineligible.

The kind "not sent" now leads to another try only if the attempt was not ended by its caller or deadline; those are refused as "deadline", not run.

--- a/dispatch/failed.go
+++ b/dispatch/failed.go
@@ -15,7 +15,10 @@
 // the retry reason; the reason is empty if the request must not be retried.
 func (d *Dispatcher) classifyFailure(ctx context.Context, t try, err error) (refusal.Refusal, string) {
 	var lost *generation.LostError
+	ended := ctx.Err() != nil || errors.Is(err, context.Canceled) // by the caller or the deadline
 	switch {
+	case engine.KindOf(err) == engine.NotSent && ended:
+		return refusal.New(refusal.Deadline, "no connection to an engine in time").WithRetryAfter(retryAfter), ""
 	case engine.KindOf(err) == engine.NotSent, engine.KindOf(err) == engine.Rejected:
 		d.Health.RecordFailure(t.engine)
 		return refusal.New(refusal.NoUpstream, "engine did not accept the request").WithRetryAfter(retryAfter), metrics.RetryNeverStarted
@@ -23,7 +26,7 @@
 		d.Health.RecordFailure(t.engine)
 		return refusal.New(refusal.UpstreamLost, "engine lost the generation before its first token").WithRetryAfter(retryAfter), metrics.RetryEngineLost
 	}
-	pastDeadline := ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	pastDeadline := ended || errors.Is(err, context.DeadlineExceeded)
 	if !pastDeadline {
 		d.Health.RecordFailure(t.engine)
 	}
