relay, front: callers that leave while a box connects are no refusals

Seen by review, since what was not written counts as not sent: a caller that left while its request's connection was opened counted as refused for want of an upstream, and one whose deadline passed then was told so. front went on to further services after its caller had left.

--- a/front/service.go
+++ b/front/service.go
@@ -116,7 +116,7 @@
 	for _, t := range targets {
 		call.Address = t.upstream.Address
 		answer, err := f.Services.Do(r.Context(), call)
-		if err == nil || !service.NotSent(err) {
+		if err == nil || !service.NotSent(err) || r.Context().Err() != nil {
 			return answer, err
 		}
 		f.Metrics.Retried(metrics.RetryNeverStarted)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -629,11 +629,14 @@
 // so the refusal does not claim otherwise unless nothing was sent.
 func refusalFor(ctx context.Context, err error) refusal.Refusal {
 	var refused refusal.Refusal
-	var failed *exchange.FailedError
 	switch {
 	case errors.As(err, &refused):
 		return refused
-	case errors.As(err, &failed) && failed.NotSent:
+	case errors.Is(ctx.Err(), context.Canceled) && isNotSent(err):
+		return refusal.New(refusal.CallerGone, "the caller disconnected").WithOutcome(refusal.NotRun)
+	case ctx.Err() != nil && isNotSent(err):
+		return refusal.New(refusal.Deadline, "no upstream was reached in time").WithRetryAfter(retryAfterAllBoxes)
+	case isNotSent(err):
 		return refusal.New(refusal.NoUpstream, "no upstream could be reached").WithRetryAfter(retryAfterAllBoxes)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return refusal.New(refusal.TimedOut, "no answer in time")
