fleet: tell a box that read an older copy of a removal written again

The removal was written again at 11.462. A reader listed at 11.465, without u2; as its u2 already had a version of the new era, by hearsay, it took the removal for known and told nobody.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,6 +81,7 @@
 	changed  int // number of its last change
 
 	reopen *reopening // nil if there is none
+	copied bool       // it has left, and its version may be that of an entry in an older copy of the store
 
 	releaseSince time.Time // when its release became known; set only while new releases are held
 }
@@ -288,6 +289,7 @@
 		f.recordChange(e) // removed again since the store was restored; other boxes may wait for it
 	}
 	f.set(now, e, e.upstream.withVersion(version))
+	e.copied = false
 	f.unlist(now, e, outage, "removed")
 	return true
 }
@@ -521,6 +523,7 @@
 	f.index.markChanged(before, u)
 	f.releases.markChanged(before, u)
 	e.upstream = u
+	e.copied = u.State == Leaving && (e.copied || before.State == Leaving && u.Version.Era() > before.Version.Era())
 	f.index.updateDeparting(e)
 	f.updateMixture(now, before, u)
 	f.recordRelease(now, e, before, u)
--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -96,11 +96,13 @@
 }
 
 // renewRemoval gives an upstream that has left in an earlier era of the store, and that the restored
-// store does not list either, the version of the listing: an entry that is written later is newer.
+// store does not list either, the version of the listing: an entry that is written later is newer, and
+// boxes that have read an older copy learn of the removal.
 func (f *Fleet) renewRemoval(now time.Time, e *entry, version revision.Revision) {
-	if e.upstream.Version.Era() == version.Era() || e.upstream.Announced {
+	if e.upstream.Version.Era() == version.Era() && !e.copied || e.upstream.Announced {
 		return
 	}
 	f.set(now, e, e.upstream.withVersion(version))
+	e.copied = false
 	f.recordChange(e)
 }
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -152,3 +152,38 @@
 		})
 	}
 }
+
+// TestRemovalTold guards against an upstream that has left and that a box offers again for good: it has
+// read the restored store before the removal was written again, and those that have read it later take
+// the removal for known, as that box has told them the version of the copy's entry.
+func TestRemovalTold(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	boxes := map[string]*fleet.Fleet{}
+	for _, name := range []string{"early", "reader"} {
+		boxes[name] = fleet.New(grace)
+		boxes[name].Replace(now, []fleet.Upstream{at("old", fleet.Open, 1, 5), at("kept", fleet.Open, 1, 20)}, revision.New(1, 30), false)
+		boxes[name].Remove(now, "kept", revision.New(1, 90), false)
+	}
+	early, reader := boxes["early"], boxes["reader"]
+	_, seenByReader := early.Since(0)
+	early.Replace(now, []fleet.Upstream{at("old", fleet.Open, 2, 5), at("kept", fleet.Open, 2, 20)}, revision.New(2, 45), false)
+	departures, _ := early.Departing(now, time.Minute, seenByReader)
+	for _, d := range departures {
+		reader.ApplyDeparture(now, d, "peer")
+	}
+	_, seen := reader.Since(0)
+	reader.Replace(now, []fleet.Upstream{at("old", fleet.Open, 2, 5)}, revision.New(2, 60), false)
+	changed, _ := reader.Since(seen)
+	for _, u := range changed {
+		early.UpdateFromPeer(now, u)
+	}
+	later := now.Add(revision.RestoreTime + time.Millisecond)
+	early.Confirm(later)
+	early.Tick(later)
+	is.True(!early.Takes("kept"))
+	_, seen = reader.Since(0)
+	reader.Replace(now, []fleet.Upstream{at("old", fleet.Open, 2, 5)}, revision.New(2, 61), false)
+	changed, _ = reader.Since(seen)
+	is.Equal(len(changed), 0) // told once
+}
