relay: send a moved run back only if its target does not work on it

Cause: relay.continueMoved tried the source after any failure at the target. The form of the failure says nothing: a reset comes after the run has begun, too.

Now the source is tried only if nothing was sent, if the target answered without a stream, or if it has ended. Otherwise the run is stopped at the target by the call that moves runs, which stops first, and sent there again: with the copy of the stop, or, if the target did not know the run, with the first one, which serves once. A resumable stream that cannot go on so is resumed like any other.

Lost by it: a run that the target dropped as its channel closed cannot be told from one that it preempted, which goes on later.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -291,7 +291,7 @@
 	e.relay = relay.New(relay.Components{
 		Routes: e.routes, Fleet: e.fleet, Picker: chooser, Admitter: e, Places: e.places, Loads: e.loads, Reliability: e.reliability, Speeds: e.speeds, Sender: e.upstreams,
 		Liveness: liveness.New(e.upstreams, e.fleet), Quarantine: e.quarantine, Trials: e.newTrials(), Origins: e.newStreamOrigins(), Rollouts: e.relayRollouts(), Limits: e.limits, Limiter: e.limiter, RejectionLimits: e.rejectionLimits, Slots: e.slots, Backoff: e.backoff, Budget: e.retryBudget,
-		Runs: e.runs, OutputLengths: outputlen.New(), Prefill: prefillRate, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, Buffers: e.buffers, ServeStale: s.ServeStale, Reaches: e.reaches, StoreSilence: e.fleetStoreSilence, Log: e.log,
+		Runs: e.runs, Mover: e.upstreams, OutputLengths: outputlen.New(), Prefill: prefillRate, Metrics: e.metrics, Stopping: e.stopping, Full: e.full, Buffers: e.buffers, ServeStale: s.ServeStale, Reaches: e.reaches, StoreSilence: e.fleetStoreSilence, Log: e.log,
 	})
 	e.callers = callers.New(e.relay, e.maxBodySize, e.draining.Load)
 	e.evacuator = evacuate.New(evacuate.Components{
--- a/edge/streamreleases_test.go
+++ b/edge/streamreleases_test.go
@@ -132,7 +132,7 @@
 
 // use makes a box move runs between the engines, and its answers end when it is killed.
 func (s *streams) use(ctx context.Context, e *Edge) {
-	e.evacuator.Mover = s.engines
+	e.evacuator.Mover, e.relay.Mover = s.engines, s.engines
 	e.fleet.Subscribe(e.departed(ctx))
 	s.boxMu.Lock()
 	defer s.boxMu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"petrelstep/backoff"
 	"petrelstep/balance/places"
 	"petrelstep/balance/speeds"
+	"petrelstep/evacuate"
 	"petrelstep/exchange"
 	"petrelstep/fingerprint"
 	"petrelstep/fleet"
@@ -81,6 +82,7 @@
 	Backoff         *backoff.Tracker        // backoffs requested by upstreams; nil: they are ignored
 	Budget          *retry.Budget
 	Runs            *runs.Runs
+	Mover           evacuate.Mover       // stops moved runs whose answer was lost; nil: they are not stopped
 	OutputLengths   *outputlen.Estimator // of answers, in tokens
 	Prefill         *prefill.Prefill
 	Metrics         *metrics.Metrics
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,15 +15,6 @@
 	"petrelstep/runs"
 )
 
-const (
-	// maxHandoffTries bounds the number of upstreams tried for a stream that was moved.
-	maxHandoffTries = 2
-	// evacuationGrace is how long a run on its way to a hall may still continue there
-	// after the hall is known to be evacuated. Halls accept requests for 5 s; a box learns
-	// of an evacuation up to 1.5 s late.
-	evacuationGrace = 2 * time.Second
-)
-
 // OrderError says that the events of a stream have a gap.
 type OrderError struct{ Last, Got int }
 
@@ -164,10 +155,7 @@
 		if !f.run.IsStopping() { // the source of a move closes its stream by itself
 			r.handleBroken(ctx, f.job, brokenSend{f.resp.upstream, f.resp.startedAt, f.count, !f.resp.lastHealthy.IsZero()}, err)
 		}
-		if continued, moved := r.continueMoved(ctx, f); moved {
-			if !continued {
-				return err
-			}
+		if r.continueMoved(ctx, f) {
 			continue
 		}
 		if !f.job.route.Resumable || !r.mayResume(ctx, f.job) {
@@ -301,49 +289,6 @@
 	f.resp.entry.Progress(f.lastEventAt, per, j.remainingTokens(made))
 }
 
-// continueMoved continues a run at the upstream to which it was moved. moved reports
-// whether it was moved.
-func (r *Relay) continueMoved(ctx context.Context, f *forwarder) (continued, moved bool) {
-	h, ok := f.run.AwaitHandoff(ctx)
-	if !ok {
-		return false, false
-	}
-	began := time.Now()
-	at := h.Target
-	for range maxHandoffTries {
-		if since, closed := r.Fleet.Closed(at.Hall); closed && time.Since(since) > evacuationGrace {
-			f.job.log.WithFields(logrus.Fields{"upstream": at.ID, "hall": at.Hall}).Warn("not_gone_on_evacuated")
-			at = h.Source
-			continue
-		}
-		if !r.Fleet.IsCurrent(at) {
-			f.job.log.WithField("upstream", at.ID).Warn("not_gone_on_restarted")
-			at = h.Source
-			continue
-		}
-		r.Picker.Sent(time.Now(), f.job.service, at)
-		resp, err := r.sendTo(ctx, f.job, at, f.lastEvent, &h.Copy)
-		log := f.job.log.WithFields(logrus.Fields{
-			"upstream": at.ID, "after": f.lastEvent, "copy": h.Copy.ID, "took_ms": time.Since(began).Milliseconds(), "release": at.Release, "from_release": f.resp.upstream.Release,
-		})
-		if err == nil && resp.answer.Status == http.StatusOK {
-			f.resp, f.moved = resp, true
-			f.moves++
-			f.run.MovedTo(at)
-			r.Metrics.Retried(metrics.RetryMoved)
-			log.Info("went_on")
-			return true, true
-		}
-		if err == nil {
-			log = log.WithField("status", resp.answer.Status)
-			resp.close()
-		}
-		log.WithError(err).Warn("not_gone_on")
-		at = h.Source
-	}
-	return false, true
-}
-
 // mayResume reports whether another upstream may be tried, and spends a retry from the
 // budget.
 func (r *Relay) mayResume(ctx context.Context, j *job) bool {
