rollouts: count an order found in a listing from when it may have been written

The operator got an outcome after the time limit: a box that begins to read the store and finds an order in its first listing counted the limit from then, up to 2 s after the order was written. Boxes that follow the feed learn of it at once.

Cause: Rollouts.see took the time of the listing. The box knows better: the table was without the order as of its last confirmation, which readers and hubs tell. The limit counts from there now, 2 s before the listing at most, as by then each box in touch knows a change. An order may have up to 2 s less, never more than the operator gave.

--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -31,6 +31,8 @@
 	// pendingHold is how long the target of an order whose status is not known is not
 	// served beside other releases.
 	pendingHold = 2 * time.Second
+	// maxUntoldTime is how long a change takes at most until every box in touch knows it.
+	maxUntoldTime = 2 * time.Second
 	// liftDelay is how long a service must have had only upstreams of excluded releases, or
 	// none of them, before they are no longer excluded.
 	liftDelay = 2 * time.Second
@@ -105,11 +107,20 @@
 
 // Replace implements manifest.OperatorRows.
 func (r *rolloutControl) Replace(now time.Time, list []store.Row, version revision.Revision) {
-	r.rows.Replace(now, list, version)
+	r.rows.ReplaceSince(now, r.knownAsOf(now), list, version)
 	r.readAgain()
 	r.apply(now)
 }
 
+// knownAsOf returns the time as of which this box knew the orders before a listing; now if it knew none.
+func (r *rolloutControl) knownAsOf(now time.Time) time.Time {
+	age, known := r.routes.Age(now)
+	if !known {
+		return now
+	}
+	return now.Add(-min(age, maxUntoldTime))
+}
+
 // Update implements manifest.OperatorRows.
 func (r *rolloutControl) Update(now time.Time, list []store.Row) {
 	r.rows.Update(now, list)
