edge: let standbys decide about roll-outs while no reader is served

Cause: only readers decide (rolloutControl.decide), and none of them could write.

Now the standbys may decide once no reader was answered for 1.5 s, the first in the rendezvous order that the store answers. They read the store then, and have the sums, as all boxes of up to 240 call them, and those of larger fleets are hubs. With the first answer to a reader the first reader takes over. Where no standby is served a reader is first.

--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -108,13 +108,14 @@
 	r.timer.Every(ctx, "rollout_decide", decideInterval, func(now time.Time) { r.decide(ctx, now) })
 }
 
-// updateShares applies changes, and at a reader updates the verdicts; the box that decides
+// updateShares applies changes, and at a box that may decide updates the verdicts; the box that decides
 // also sets the shares.
 func (r *rolloutControl) updateShares(now time.Time) {
 	r.orders.Tick(now, r.configurationRead(now))
 	r.apply(now)
 	r.recordIsolation(now)
-	if !r.IsReader() {
+	r.logStandby(now)
+	if !r.decidesNow(now) {
 		return
 	}
 	for _, o := range r.orders.Newest() {
@@ -240,7 +241,7 @@
 	return rollouts.Box{Name: r.config.Box, Incarnation: r.record.Incarnation}
 }
 
-// decide reads the rows if needed, and at a reader decides about each order.
+// decide reads the rows if needed, and at a box that may decide decides about each order.
 func (r *rolloutControl) decide(ctx context.Context, now time.Time) {
 	r.mu.Lock()
 	pausing := now.Before(r.retryAt)
@@ -248,7 +249,7 @@
 	if pausing || r.readDue(now) && !r.read(ctx) {
 		return
 	}
-	if !r.IsReader() || !r.Joined() {
+	if !r.decidesNow(time.Now()) || !r.Joined() {
 		return
 	}
 	for _, o := range r.orders.Newest() {
@@ -316,7 +317,7 @@
 // as the status of one is not known. Without an order, there is no call. Only readers read
 // at once after a change or a failure.
 func (r *rolloutControl) readDue(now time.Time) bool {
-	reader := r.IsReader()
+	reader := r.decidesNow(now)
 	interval, needed := otherReadInterval, false
 	if reader {
 		interval, needed = r.ordersReadDue(now)
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -63,6 +63,8 @@
 	retryAt    time.Time                    // no call is made before
 	wokeAt     time.Time                    // end of the last suspension
 	ways       map[string]way               // to other regions
+
+	standbyDecides bool // this box may decide in place of the readers
 }
 
 // orderChange is a change of an order to be applied.
--- a/edge/rolloutsituation.go
+++ b/edge/rolloutsituation.go
@@ -7,7 +7,6 @@
 	"petrelstep/canary/orders"
 	"petrelstep/fleet"
 	"petrelstep/platform/rollouts"
-	"petrelstep/storecontact"
 )
 
 // spreadTime is how long requests still go to a candidate after the decision to roll it back.
@@ -97,22 +96,6 @@
 	return known && age <= maxFleetAge
 }
 
-// isFirstReader reports whether this box is first in the rendezvous order of a service
-// among the readers in touch that the store answers, without one that decided and is lost.
-func (r *rolloutControl) isFirstReader(now time.Time, service, lost string) bool {
-	first, found := r.members.ReachableOwner(now, rolloutOwnerKey+service, func(name string) bool {
-		return name != lost && r.members.IsReaderBox(now, name) && r.heardWithin(now, name, deciderMaxAge) && !r.isTurnedAway(now, name)
-	})
-	return found && first.Name == r.config.Box
-}
-
-// isTurnedAway reports whether a reader has reported that the store does not answer it about the
-// orders.
-func (r *rolloutControl) isTurnedAway(now time.Time, reader string) bool {
-	silence, reported := r.contact.BoxSilence(now, storecontact.Configuration, reader)
-	return reported && silence > deciderMaxAge
-}
-
 // inTouch reports whether the box that wrote an order's phase still decides: this
 // incarnation of it was heard from recently, reads the store and sends shares.
 func (r *rolloutControl) inTouch(now time.Time, o orders.Order, box rollouts.Box) bool {
@@ -126,7 +109,7 @@
 	r.mu.Lock()
 	sharing := now.Sub(o.ShareAt) < deciderMaxAge || now.Sub(t.phaseSince) < deciderMaxAge
 	r.mu.Unlock()
-	if box.Name == "" || !sharing || !r.members.IsReaderBox(now, box.Name) || !r.heardWithin(now, box.Name, deciderMaxAge) {
+	if box.Name == "" || !sharing || !r.mayDecide(now, box.Name) || !r.heardWithin(now, box.Name, deciderMaxAge) {
 		return false
 	}
 	for _, b := range r.members.All(now) {
--- a/members/hubs.go
+++ b/members/hubs.go
@@ -335,6 +335,11 @@
 	return m.standbys
 }
 
+// IsStandbyBox reports whether the named box is one of the standbys.
+func (m *Members) IsStandbyBox(now time.Time, name string) bool {
+	return slices.ContainsFunc(m.Standbys(now), func(b Box) bool { return b.Name == name })
+}
+
 // StandbysToCall returns the standbys that this box calls in addition to the hubs. Boxes of a
 // large fleet that are not hubs depend on their hubs alone.
 func (m *Members) StandbysToCall(now time.Time) []Box {
@@ -375,8 +380,18 @@
 // OwnerAmong returns the first of some hubs in the rendezvous order of a key, and false if
 // there is none.
 func (m *Members) OwnerAmong(now time.Time, key string, eligible func(Box) bool) (Box, bool) {
+	return firstOf(m.Hubs(now), key, eligible)
+}
+
+// StandbyOwner returns the first of some standbys in the rendezvous order of a key, and false if there
+// is none.
+func (m *Members) StandbyOwner(now time.Time, key string, eligible func(Box) bool) (Box, bool) {
+	return firstOf(m.Standbys(now), key, eligible)
+}
+
+func firstOf(boxes []Box, key string, eligible func(Box) bool) (Box, bool) {
 	first, found, maxWeight := Box{}, false, uint64(0)
-	for _, b := range m.Hubs(now) {
+	for _, b := range boxes {
 		w := weight(key, b.Name)
 		if (!found || w > maxWeight) && eligible(b) {
 			first, found, maxWeight = b, true, w
--- a/storecontact/storecontact.go
+++ b/storecontact/storecontact.go
@@ -28,6 +28,7 @@
 	unreported time.Time // when a reader last reported no answers
 
 	readers map[string]time.Time // last answer to each reader
+	others  map[string]time.Time // last answer to each box that is no reader
 }
 
 // Tracker holds the last answers to the other boxes. It is safe for concurrent use.
@@ -61,6 +62,8 @@
 	c := t.tables[table]
 	if reader {
 		c.readers = withAnswer(c.readers, box, at)
+	} else {
+		c.others = withAnswer(c.others, box, at)
 	}
 	if at.After(c.other) {
 		c.other = at
@@ -80,12 +83,12 @@
 	t.tables[table] = c
 }
 
-func withAnswer(readers map[string]time.Time, box string, at time.Time) map[string]time.Time {
-	if readers == nil {
-		readers = map[string]time.Time{}
+func withAnswer(boxes map[string]time.Time, box string, at time.Time) map[string]time.Time {
+	if boxes == nil {
+		boxes = map[string]time.Time{}
 	}
-	readers[box] = at
-	return readers
+	boxes[box] = at
+	return boxes
 }
 
 // RecordUnreported records that a reader's report does not contain its answers.
@@ -112,6 +115,15 @@
 	return now.Sub(at), ok
 }
 
+// OtherSilence returns the time since the store last answered a box that is no reader, as it last
+// reported; false if it has reported none.
+func (t *Tracker) OtherSilence(now time.Time, table Table, box string) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.tables[table].others[box]
+	return now.Sub(at), ok
+}
+
 // Silence returns the time since the store last answered a reader or another box; false if
 // unknown.
 func (t *Tracker) Silence(now time.Time, table Table) (time.Duration, bool) {
--- a/storecontact/storecontact_test.go
+++ b/storecontact/storecontact_test.go
@@ -78,3 +78,20 @@
 		is.True(!reported)
 	}
 }
+
+// TestOtherSilence checks how long the store has not answered one box that is no reader.
+func TestOtherSilence(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c := storecontact.New()
+	c.Record(table, "a", false, now.Add(-3*time.Second))
+	c.Record(table, "b", true, now)
+	c.Record(storecontact.Upstreams, "c", false, now)
+	silence, reported := c.OtherSilence(now, table, "a")
+	is.True(reported)
+	is.Equal(silence, 3*time.Second)
+	for _, box := range []string{"b", "c", "d"} {
+		_, reported = c.OtherSilence(now, table, box)
+		is.True(!reported)
+	}
+}
