ledger: hold calls back until all daemons have written theirs again

Callers saw a call with an Idempotency-Key run twice when the store came back from a copy without its record: at a daemon that had started since, and at one that learned of the restore over 3 s before the dispatcher.

Cause: a daemon held calls back for 3 s from when its client noticed the restore. One that starts since never notices it, and 3 s say nothing of what others have written. A dispatcher looked at the store by chance, in reads for other needs.

Now a daemon holds calls back in an era (not_run, Retry-After, no write to the store) until a row of that era says that it is settled: each daemon confirms in a row of its own that its calls are written again, and who finds all others confirmed or gone, 3 s after it saw the era, settles it. Daemons look at the era at their start, and once a second while they have calls of the last minute. Rows name their era, so that a copy's rows say nothing of the next one. Records are kept for a minute after they were written again too, and replace a row that a daemon left behind when it ended.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -180,7 +180,7 @@
 	d.grants = grantserver.New(d.params(), d.lengths, d.health, d.enginesOf)
 	d.homes = grantclient.New(d.members, d.peers, d.grants, d.metrics)
 	d.flights = inflight.New(d.homes, d.lengths, d.engines, config.Millis(c.Limits.ComebackMs))
-	d.ledger = ledger.New(ctx, d.table, d, c.Box, d.incarnation, config.Millis(c.AnswersKeptMs))
+	d.ledger = ledger.New(ctx, d.table, d, c.Box, d.incarnation, config.Millis(c.AnswersKeptMs)).WithOthers(d.otherDispatchers, d.log)
 }
 
 // initInterfaces creates the interfaces for callers and operators.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -10,6 +10,7 @@
 
 	"petrelstep/digest"
 	"petrelstep/heartbeat"
+	"petrelstep/ledger"
 	"petrelstep/members"
 	"petrelstep/peer"
 	"petrelstep/poll"
@@ -273,3 +274,14 @@
 	}
 	return false
 }
+
+// otherDispatchers returns the other boxes of the fleet, which may have dispatched calls.
+func (d *Daemon) otherDispatchers() []ledger.Other {
+	var others []ledger.Other
+	for _, b := range d.members.All(time.Now()) {
+		if b.Name != d.config.Box {
+			others = append(others, ledger.Other{Box: b.Name, Heard: b.State == members.Live})
+		}
+	}
+	return others
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -8,8 +8,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"petrelstep/refusal"
 	"petrelstep/uniqueid"
 	"petrelstep/wire"
@@ -61,25 +64,41 @@
 	retention   time.Duration
 	group       *group
 	recent      recent
+	eras        *eraWatch
 	ctx         context.Context
 }
 
 // New returns a ledger for one incarnation of a box; answers are stored for
 // retention. Run has to be called for its writes to be committed.
 func New(ctx context.Context, t Table, owners Owners, box string, incarnation int, retention time.Duration) *Ledger {
-	return &Ledger{table: t, owners: owners, box: box, incarnation: incarnation, retention: retention, group: newGroup(t), ctx: ctx}
+	l := &Ledger{table: t, owners: owners, box: box, incarnation: incarnation, retention: retention, group: newGroup(t), ctx: ctx}
+	l.eras = newEraWatch(ctx, t, &l.recent, box, l.writeAgain)
+	return l
+}
+
+// WithOthers sets the boxes whose calls are to be written again before any begins after a restore of
+// the store. It is called before Run.
+func (l *Ledger) WithOthers(others func() []Other, log *logrus.Entry) *Ledger {
+	l.eras.others, l.eras.log = others, log
+	return l
 }
 
-// Run commits writes until the ledger's ctx ends.
-func (l *Ledger) Run() { l.group.run(l.ctx) }
+// Run commits writes, and follows the store's era, until the ledger's ctx ends.
+func (l *Ledger) Run() {
+	var all sync.WaitGroup
+	all.Go(func() { l.eras.run(l.ctx) })
+	l.group.run(l.ctx)
+	all.Wait()
+}
 
 // Begin requests the right to dispatch a call. It returns an entry, or the
 // stored answer of an earlier dispatch, or a refusal.Refusal.
 func (l *Ledger) Begin(ctx context.Context, c Call) (*Entry, *wire.LedgerRecord, error) {
 	began := time.Now()
-	if l.recent.isRestoring(began) {
+	if l.recent.isClosed() {
 		return nil, nil, restoring()
 	}
+	eraKnown := l.eras.known.Load()
 	e := &Entry{Token: uniqueid.New(), key: rowKey(c)}
 	e.record = wire.LedgerRecord{
 		State: wire.LedgerRecordStateDispatched, Token: e.Token, Box: l.box, Incarnation: l.incarnation,
@@ -91,7 +110,8 @@
 		switch r.outcome {
 		case written:
 			e.version++
-			if !l.recent.add(e, began) {
+			// A row that was written in an unknown era may be one that another box is to write again.
+			if !eraKnown && !l.eras.neverRestored(ctx) || !l.recent.add(e, began) {
 				go l.undo(e)
 				return nil, nil, restoring()
 			}
@@ -204,7 +224,7 @@
 			version = r.row.Version
 			continue
 		}
-		if !l.sleep(rewriteInterval) {
+		if !sleep(l.ctx, rewriteInterval) {
 			return
 		}
 	}
@@ -218,11 +238,11 @@
 	l.rewrite(e, record)
 }
 
-func (l *Ledger) sleep(d time.Duration) bool {
+func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-l.ctx.Done():
+	case <-ctx.Done():
 		return false
 	case <-t.C:
 		return true
--- a/standin/platform/direct.go
+++ b/standin/platform/direct.go
@@ -37,6 +37,14 @@
 	return d.platform.Scan(prefix, after), nil
 }
 
+// ScanEra returns the rows whose keys begin with prefix, and the store's era.
+func (d *Direct) ScanEra(ctx context.Context, prefix string) (rows []wire.Row, era int, err error) {
+	rows, err = d.Scan(ctx, prefix, "")
+	d.platform.mu.Lock()
+	defer d.platform.mu.Unlock()
+	return rows, d.platform.era, err
+}
+
 // Transact applies the writes if all checks hold.
 func (d *Direct) Transact(ctx context.Context, tx wire.Transaction) (wire.TransactionAnswer, error) {
 	effect := func() { d.platform.Transact(tx) }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2787,6 +2787,76 @@
 	return nil
 }
 
+// What a box, or all of them, have done about the calls whose records a restored
+// store may have lost.
+type LedgerEra struct {
+	// The box that wrote the row.
+	Box string `json:"box,omitempty,omitzero"`
+
+	// The store's era of which the row speaks; it says nothing of later ones.
+	Era int `json:"era"`
+
+	// A box is writing, or has written, its calls again; settled: all that may have
+	// dispatched calls have.
+	State LedgerEraState `json:"state"`
+}
+
+type LedgerEraState string
+
+const LedgerEraStateSettled LedgerEraState = "settled"
+const LedgerEraStateWriting LedgerEraState = "writing"
+const LedgerEraStateWritten LedgerEraState = "written"
+
+var enumValues_LedgerEraState = []interface{}{
+	"writing",
+	"written",
+	"settled",
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *LedgerEraState) UnmarshalJSON(value []byte) error {
+	var v string
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	var ok bool
+	for _, expected := range enumValues_LedgerEraState {
+		if reflect.DeepEqual(v, expected) {
+			ok = true
+			break
+		}
+	}
+	if !ok {
+		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_LedgerEraState, v)
+	}
+	*j = LedgerEraState(v)
+	return nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *LedgerEra) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["era"]; raw != nil && !ok {
+		return fmt.Errorf("field era in LedgerEra: required")
+	}
+	if _, ok := raw["state"]; raw != nil && !ok {
+		return fmt.Errorf("field state in LedgerEra: required")
+	}
+	type Plain LedgerEra
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if v, ok := raw["box"]; !ok || v == nil {
+		plain.Box = ""
+	}
+	*j = LedgerEra(plain)
+	return nil
+}
+
 // The state of a call that must not be repeated.
 type LedgerRecord struct {
 	// AtMs corresponds to the JSON schema field "at_ms".
