fleet: count the grace after a restore from the last failed call

Traced by the boxes' logs: the removal was confirmed at 35.53, right after the store's return. The readers' calls failed until 35.3 to 36.0, and they listed at 36.51 to 36.86, as they pause up to 1.2 s between calls that fail. From the listing the upstream had the grace of an outage, 1.5 s, and was left at 38.04 to 38.18; the bound of 2.0 s ended at 37.53.

After a restore the grace now counts from when the last failed call was sent: whatever was confirmed since then is obeyed within the leave time. An upstream that only the lost seconds had is given up sooner, until it is written again; DRAIN wins over serving. Outages without a restore are as they were.

--- a/edge/storefollow.go
+++ b/edge/storefollow.go
@@ -54,6 +54,13 @@
 // Confirm implements tablesync.Observer.
 func (s storeAnswers) Confirm(sent time.Time) { s.confirm(sent) }
 
+// Failed implements tablesync.Observer.
+func (s storeAnswers) Failed(sent time.Time) {
+	if s.table == storecontact.Upstreams {
+		s.edge.fleet.RecordFailure(sent)
+	}
+}
+
 // Answered implements tablesync.Observer.
 func (s storeAnswers) Answered(at time.Time) {
 	s.edge.recordStoreAnswer(at)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -105,6 +105,7 @@
 	changes          int
 	history          []checkpoint // recent changes, for historyRetention
 	confirmed        time.Time
+	failed           time.Time                           // when the last call to the store was sent that had no answer
 	suspendedSince   func(since time.Time) time.Duration // returns how long the machine was suspended; nil for never
 }
 
@@ -159,9 +160,10 @@
 			f.renewRemoval(now, e, version)
 			continue
 		}
-		lost := version.Era() > e.upstream.Version.Era() && e.upstream.Version > copied
+		restored := version.Era() > e.upstream.Version.Era()
+		lost := restored && e.upstream.Version > copied
 		f.set(now, e, e.upstream.withVersion(version))
-		f.unlist(now, e, outage || lost, "listing")
+		f.unlist(now, e, outage || lost, restored, "listing")
 	}
 }
 
@@ -290,17 +292,17 @@
 	}
 	f.set(now, e, e.upstream.withVersion(version))
 	e.copied = false
-	f.unlist(now, e, outage, "removed")
+	f.unlist(now, e, outage, false, "removed")
 	return true
 }
 
-func (f *Fleet) unlist(now time.Time, e *entry, outage bool, source string) {
+func (f *Fleet) unlist(now time.Time, e *entry, outage, restored bool, source string) {
 	if e.reopen != nil {
 		f.recordChange(e) // other boxes may wait for it, too
 	}
 	e.listed, e.reopen = false, nil
 	if outage && e.upstream.State == Open {
-		e.since = now
+		e.since = f.missingSince(now, restored)
 		f.set(now, e, e.upstream.withState(Missing))
 		f.recordChange(e)
 		return
@@ -394,6 +396,13 @@
 	}
 }
 
+// RecordFailure records when a call to the store was sent that had no answer.
+func (f *Fleet) RecordFailure(sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = sent
+}
+
 // SetSuspendedSince sets the function that returns how long the machine was suspended
 // since a time. Ages include that duration, which the monotonic clock does not count.
 func (f *Fleet) SetSuspendedSince(suspended func(since time.Time) time.Duration) {
--- a/fleet/restored.go
+++ b/fleet/restored.go
@@ -38,6 +38,15 @@
 	return ok && u.Version.Era() > e.upstream.Version.Era() && u.Version.Version() >= copied.Version()
 }
 
+// missingSince returns from when the grace of a missing upstream counts. A restored store may have been
+// back, and its removal written again, since the last call that failed.
+func (f *Fleet) missingSince(now time.Time, restored bool) time.Time {
+	if !restored || f.failed.IsZero() || now.Sub(f.failed) > revision.RestoreTime {
+		return now
+	}
+	return f.failed
+}
+
 // defersReopening reports whether an entry would reopen an upstream that is known to have left in
 // an earlier era of the store, from whose copy the entry may be. One that was changed since the
 // copy was first read is newer than the copy.
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -187,3 +187,32 @@
 	changed, _ = reader.Since(seen)
 	is.Equal(len(changed), 0) // told once
 }
+
+// TestRemovedDuringReturn guards against requests to an upstream that has left, as its grace counted
+// from the listing: the store may have been back, and the removal written again, over a second before.
+func TestRemovedDuringReturn(t *testing.T) {
+	const late = time.Second // from the last failed call to the listing
+	tests := map[string]struct {
+		failed time.Duration // before the listing; 0 for no failed call
+		grace  time.Duration // after it
+	}{
+		"calls failed until then":  {failed: late, grace: grace - late},
+		"calls failed long before": {failed: time.Minute, grace: grace},
+		"no call failed":           {grace: grace},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, now := fleet.New(grace), time.Now()
+			f.Replace(now, []fleet.Upstream{at("old", fleet.Open, 1, 5), at("gone", fleet.Open, 1, 20)}, revision.New(1, 30), false)
+			if tt.failed > 0 {
+				f.RecordFailure(now.Add(-tt.failed))
+			}
+			f.Replace(now, []fleet.Upstream{at("old", fleet.Open, 2, 5)}, revision.New(2, 40), true)
+			f.Tick(now.Add(tt.grace - time.Millisecond))
+			is.True(f.Takes("gone"))
+			f.Tick(now.Add(tt.grace))
+			is.True(!f.Takes("gone"))
+		})
+	}
+}
--- a/tablesync/tablesync.go
+++ b/tablesync/tablesync.go
@@ -63,13 +63,15 @@
 	Pace() Pace
 }
 
-// Observer is notified of the store's answers.
+// Observer is notified of the ends of calls.
 type Observer interface {
 	// Confirm is called when all changes up to a time are known, by the answer to a
 	// call sent then.
 	Confirm(sent time.Time)
 	// Answered is called when the store answered.
 	Answered(at time.Time)
+	// Failed is called when a call sent at a time had no answer.
+	Failed(sent time.Time)
 }
 
 // Follower follows a table. It is not safe for concurrent use.
@@ -151,6 +153,7 @@
 
 func (f *Follower) recordFailure(err error) {
 	f.failedAt = f.now()
+	f.observer.Failed(f.sent)
 	if !f.lost {
 		f.lost = true
 		f.log.WithError(err).Warn("store_lost")
--- a/tablesync/tablesync_test.go
+++ b/tablesync/tablesync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,12 +59,14 @@
 
 // observer records confirmations and answers, by the time since the start.
 type observer struct {
-	began               time.Time
-	confirmed, answered []time.Duration
+	began                       time.Time
+	confirmed, answered, failed []time.Duration
 }
 
 func (o *observer) Confirm(sent time.Time) { o.confirmed = append(o.confirmed, sent.Sub(o.began)) }
 
+func (o *observer) Failed(sent time.Time) { o.failed = append(o.failed, sent.Sub(o.began)) }
+
 func (o *observer) Answered(at time.Time) { o.answered = append(o.answered, at.Sub(o.began)) }
 
 // need makes a follower needed from a time on.
@@ -129,9 +132,11 @@
 				s := &source{began: time.Now(), script: tt.script}
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 				defer cancel()
-				f := tablesync.New("t", s, &observer{}, need{}, logs.New(io.Discard, "info", "b"))
+				o := &observer{began: s.began}
+				f := tablesync.New("t", s, o, need{}, logs.New(io.Discard, "info", "b"))
 				f.Run(ctx)
 				is.True(len(s.calls) >= len(tt.calls))
+				is.Equal(len(o.failed) > 0, slices.ContainsFunc(s.calls, func(c call) bool { return c.outage }))
 				for i, want := range tt.calls {
 					got := s.calls[i]
 					got.at = 0
