resource: order what a restored table gives out again by its era

Seen: after a restore of the store from an older copy, daemons of the own interface stayed at one revision with different configurations for good, and what had been accepted in the lost seconds (a key that was revoked, say) was gone at daemons that started since (TestConfigurationRestored).

Cause: the restored table gives out the revisions of the lost seconds again, and catchup, resource and configwriter compared the bare numbers: a daemon at 5 took the row chg/6 of the other history for the change after its own, and nobody wrote the lost changes again.

Now configurations and writes of resources are ordered by the store's era and the revision (resource.Position; fields era beside revision, which daemons of before leave out and skip). A daemon that reads a later era reads all rows and writes again what they lack or have from before, removals too, each as the write that it was, so that it does not matter who does so, how many do, and in which order. The table's revision rises above all that were given out to it. Changes of another era from peers add what is newer, and replace nothing that is not there. A resource that was written in the lost seconds and since has the later write, with a version above both; of an organisation the keys are dropped that the lost write does not have. A write whose reply was lost before the restore is unknown_outcome unless its change is there.

Not in it: daemons of before beside these were not run, only sets without an era; a change that no daemon in touch knows is lost.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -144,7 +144,7 @@
 	list := wire.ResourceList{Revision: view.Revision, Items: []wire.Resource{}}
 	for _, item := range view.Resources {
 		if kind == "" || kind == string(item.Kind) {
-			list.Items = append(list.Items, item)
+			list.Items = append(list.Items, withoutEra(item))
 		}
 	}
 	sort.Slice(list.Items, func(i, j int) bool {
@@ -160,7 +160,14 @@
 	if !ok {
 		return refusal.New(refusal.UnknownResource, vars["kind"]+"/"+vars["name"])
 	}
-	return send(w, item)
+	return send(w, withoutEra(item))
+}
+
+// withoutEra returns a resource as operators get it. They may send it back to a box that does not
+// know the field.
+func withoutEra(item wire.Resource) wire.Resource {
+	item.Era = 0
+	return item
 }
 
 func (a *Admin) servePut(w http.ResponseWriter, r *http.Request) error {
@@ -205,7 +212,7 @@
 	a.Log.WithFields(logrus.Fields{
 		"kind": done.Kind, "name": done.Name, "version": done.Version, "revision": done.Revision, "removed": done.Removed,
 	}).Info("resource_accepted")
-	return send(w, done)
+	return send(w, withoutEra(done))
 }
 
 // serveWatch streams each change after a revision. It sends the status with each
@@ -224,7 +231,7 @@
 		set := a.Resources.Since(since)
 		var buf []byte
 		for _, item := range set.Items {
-			buf = sse.AppendEvent(buf, "resource", mustJSON(item))
+			buf = sse.AppendEvent(buf, "resource", mustJSON(withoutEra(item)))
 		}
 		since = max(since, set.Revision)
 		buf = sse.AppendEvent(buf, "status", mustJSON(a.Status()))
--- a/catchup/catchup.go
+++ b/catchup/catchup.go
@@ -1,12 +1,11 @@
 // Package catchup updates the configuration in force at a box from the
 // platform's table. It never reverts to an older state, even if the table
-// returns one.
+// returns one. When the table was restored from an older copy, it writes again
+// what the box still has.
 package catchup
 
 import (
 	"context"
-	"encoding/json"
-	"strconv"
 
 	"petrelstep/configwriter"
 	"petrelstep/resource"
@@ -23,28 +22,40 @@
 // Error implements error.
 func (*UnsteadyError) Error() string { return "the table changed during each read" }
 
+// Rewritten is what was written again after a restore of the table.
+type Rewritten struct {
+	Before, After resource.Position // of the configuration in force, and of the table
+	Resources     int
+}
+
 // CatchUp updates the configuration in force from the table.
 type CatchUp struct {
 	table     configwriter.Table
 	resources *resource.Resources
+	rewritten func(Rewritten)
 }
 
 // New returns a CatchUp from the table t to r.
 func New(t configwriter.Table, r *resource.Resources) *CatchUp {
-	return &CatchUp{table: t, resources: r}
+	return &CatchUp{table: t, resources: r, rewritten: func(Rewritten) {}}
 }
 
+// OnRewritten calls f after each transaction that writes again what a restored table lost. It
+// must be called before Run.
+func (c *CatchUp) OnRewritten(f func(Rewritten)) { c.rewritten = f }
+
 // Run updates the configuration once.
 func (c *CatchUp) Run(ctx context.Context) error {
-	newest, err := c.revision(ctx)
+	row, era, err := c.table.GetInEra(ctx, configwriter.RevisionKey)
 	if err != nil {
 		return err
 	}
-	now := c.resources.View().Revision
-	if newest <= now {
+	newest := resource.PositionOf(configwriter.State{Era: era, Revision: row}.Set())
+	now := c.resources.View().Position()
+	if !newest.After(now) {
 		return nil
 	}
-	if now > 0 {
+	if newest.Era == now.Era && now.Revision > 0 {
 		complete, err := c.changes(ctx, now, newest)
 		if err != nil || complete {
 			return err
@@ -53,23 +64,13 @@
 	return c.snapshot(ctx)
 }
 
-// revision returns the latest revision in the table.
-func (c *CatchUp) revision(ctx context.Context) (int, error) {
-	row, err := c.table.Get(ctx, configwriter.RevisionKey)
-	if err != nil {
-		return 0, err
-	}
-	revision, _ := strconv.Atoi(row.Value) // no row is revision 0
-	return revision, nil
-}
-
 // changes applies the changes between two revisions; complete is false at a gap.
-func (c *CatchUp) changes(ctx context.Context, now, newest int) (complete bool, err error) {
-	rows, err := c.table.Scan(ctx, configwriter.ChangePrefix, configwriter.ChangeKey(now))
-	if err != nil {
+func (c *CatchUp) changes(ctx context.Context, now, newest resource.Position) (complete bool, err error) {
+	rows, era, err := c.table.ScanInEra(ctx, configwriter.ChangePrefix, configwriter.ChangeKey(now.Revision))
+	if err != nil || era != newest.Era {
 		return false, err
 	}
-	set := wire.ChangeSet{Revision: newest, Since: now}
+	set := wire.ChangeSet{Era: era, Revision: newest.Revision, Since: now.Revision}
 	for _, row := range rows {
 		if change, ok := configwriter.DecodeChange(row); ok {
 			set.Items = append(set.Items, change.Resource)
@@ -78,38 +79,54 @@
 	return c.resources.Apply(set), nil
 }
 
-// snapshot reads the complete state. An equal revision before and after proves
-// that no write overlapped the read.
+// snapshot applies the complete state, after what it has lost by a restore is written again.
 func (c *CatchUp) snapshot(ctx context.Context) error {
 	for range maxSnapshotTries {
-		before, err := c.revision(ctx)
+		state, steady, err := c.read(ctx)
 		if err != nil {
 			return err
 		}
-		rows, err := c.table.Scan(ctx, configwriter.ResourcePrefix, "")
-		if err != nil {
-			return err
+		if !steady {
+			continue
 		}
-		after, err := c.revision(ctx)
-		if err != nil {
-			return err
+		set := state.Set()
+		again, renumber := c.resources.Lost(set)
+		if !renumber {
+			c.resources.Apply(set)
+			return nil
 		}
-		if before != after {
-			continue
+		if err := c.writeAgain(ctx, state, again); err != nil {
+			return err
 		}
-		c.resources.Apply(wire.ChangeSet{Revision: after, Items: decodeAll(rows)})
-		return nil
 	}
 	return &UnsteadyError{}
 }
 
-func decodeAll(rows []wire.Row) []wire.Resource {
-	items := []wire.Resource{}
-	for _, row := range rows {
-		var r wire.Resource
-		if json.Unmarshal([]byte(row.Value), &r) == nil {
-			items = append(items, r)
-		}
+// read reads the complete state. An equal revision before and after proves that
+// no write overlapped the read.
+func (c *CatchUp) read(ctx context.Context) (s configwriter.State, steady bool, err error) {
+	before, first, err := c.table.GetInEra(ctx, configwriter.RevisionKey)
+	if err != nil {
+		return s, false, err
+	}
+	rows, era, err := c.table.ScanInEra(ctx, configwriter.ResourcePrefix, "")
+	if err != nil {
+		return s, false, err
+	}
+	after, last, err := c.table.GetInEra(ctx, configwriter.RevisionKey)
+	if err != nil {
+		return s, false, err
+	}
+	return configwriter.State{Era: last, Revision: after, Rows: rows}, before == after && first == era && era == last, nil
+}
+
+// writeAgain sends one transaction. If another box writes meanwhile, or the reply is lost, the
+// next read of the state shows what is still missing.
+func (c *CatchUp) writeAgain(ctx context.Context, s configwriter.State, again []wire.Resource) error {
+	now := c.resources.View().Position()
+	revision, done, err := configwriter.WriteAgain(ctx, c.table, s, again, now.Revision)
+	if done {
+		c.rewritten(Rewritten{Before: now, After: resource.Position{Era: s.Era, Revision: revision}, Resources: len(again)})
 	}
-	return items
+	return err
 }
--- a/configwriter/configwriter.go
+++ b/configwriter/configwriter.go
@@ -37,8 +37,9 @@
 
 // Table is the platform's table.
 type Table interface {
-	Get(ctx context.Context, key string) (wire.Row, error)
-	Scan(ctx context.Context, prefix, after string) ([]wire.Row, error)
+	// GetInEra and ScanInEra return also the store's era in which the rows were read.
+	GetInEra(ctx context.Context, key string) (row wire.Row, era int, err error)
+	ScanInEra(ctx context.Context, prefix, after string) (rows []wire.Row, era int, err error)
 	Transact(ctx context.Context, tx wire.Transaction) (wire.TransactionAnswer, error)
 }
 
@@ -82,17 +83,18 @@
 	if places := w.verifier.Mistakes(view, r); len(places) > 0 {
 		return r, false, refusal.New(refusal.BadRequest, "the resource is invalid").WithPlaces(places)
 	}
-	revision, err := w.table.Get(ctx, RevisionKey)
+	row, era, err := w.table.GetInEra(ctx, RevisionKey)
 	if err != nil {
 		return r, false, refusal.New(refusal.StoreDown, "the table cannot be read").WithRetryAfter(retryAfter)
 	}
-	if at, _ := strconv.Atoi(revision.Value); at != view.Revision {
-		return r, true, nil // the checks were made against an older configuration
+	if at := resource.PositionOf(State{Era: era, Revision: row}.Set()); at != view.Position() {
+		return r, true, nil // the checks were made against another configuration
 	}
 	next := r
 	next.Version = r.Version + 1
 	next.Revision = view.Revision + 1
-	return w.commit(ctx, r, next, revision.Version)
+	next.Era = era
+	return w.commit(ctx, r, next, row.Version)
 }
 
 // commit sends one transaction until its outcome is known. If it is sent again
@@ -118,13 +120,17 @@
 
 func (w *Writer) resolveConflict(ctx context.Context, r, next wire.Resource, token string, rows []wire.Row, lost bool) (wire.Resource, bool, error) {
 	if lost {
-		row, err := w.table.Get(ctx, ChangeKey(next.Revision))
+		row, era, err := w.table.GetInEra(ctx, ChangeKey(next.Revision))
 		if err != nil {
 			return r, false, refusal.New(refusal.UnknownOutcome, "the table's reply was lost").WithRetryAfter(retryAfter)
 		}
 		if change, ok := DecodeChange(row); ok && change.Token == token {
 			return next, false, nil
 		}
+		if era != next.Era {
+			// Boxes that read it before the restore write it again.
+			return r, false, refusal.New(refusal.UnknownOutcome, "the table was restored before it replied").WithRetryAfter(retryAfter)
+		}
 	}
 	for _, row := range rows {
 		if row.Key == resourceKey(r) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,19 +88,19 @@
 	admin           *admin.Admin
 	intake          *intake.Intake
 
-	unserved        *unserved.Models
-	startup         *startup.Startup
-	caughtUp        atomic.Bool
-	highestRevision atomic.Int64 // highest revision that a peer has reported
-	draining        atomic.Bool
-	drain           chan struct{}
-	cancel          context.CancelFunc // cancels work that outlives single requests
-	drainOnce       sync.Once
+	unserved  *unserved.Models
+	startup   *startup.Startup
+	caughtUp  atomic.Bool
+	draining  atomic.Bool
+	drain     chan struct{}
+	cancel    context.CancelFunc // cancels work that outlives single requests
+	drainOnce sync.Once
 
 	mu             sync.Mutex
 	pollTargets    []poll.Engine // engines that this box is home of
 	cells          *cells.Cells
-	cellsRevision  int // revision that cells were built from
+	cellsView      *resource.View    // that cells were built from
+	reported       resource.Position // newest configuration that a peer has reported
 	placers        map[placement.Method]*placement.Placer
 	placementSince map[string]time.Time
 	peersUnserved  map[string][]string // placed models that other boxes know no engine for, by box
@@ -166,12 +166,21 @@
 	d.peers = peer.New(d.certs.PeerClient())
 	d.broadcaster = broadcast.New(d.members, d.peers)
 	d.catchUp = catchup.New(d.table, d.resources)
+	d.catchUp.OnRewritten(d.logRewritten)
 }
 
 // onStoreRestored handles that the store came back from an older copy.
 func (d *Daemon) onStoreRestored(before, after int) {
 	calls := d.ledger.StoreRestored()
 	d.log.WithFields(logrus.Fields{"era": after, "before": before, "calls": calls}).Warn("store_restored")
+	go d.readTable(context.Background())
+}
+
+// logRewritten logs that resources which the restored table had lost were written again.
+func (d *Daemon) logRewritten(r catchup.Rewritten) {
+	d.log.WithFields(logrus.Fields{
+		"era": r.After.Era, "revision": r.After.Revision, "before": r.Before.Era, "before_revision": r.Before.Revision, "resources": r.Resources,
+	}).Warn("configuration_rewritten")
 }
 
 // initCoordination creates the components that coordinate with the other boxes.
@@ -218,7 +227,7 @@
 		if err != nil {
 			return r, err
 		}
-		set := wire.ChangeSet{Revision: done.Revision, Since: done.Revision - 1, Items: []wire.Resource{done}}
+		set := wire.ChangeSet{Era: done.Era, Revision: done.Revision, Since: done.Revision - 1, Items: []wire.Resource{done}}
 		d.resources.Apply(set)
 		d.broadcaster.Broadcast(ctx, set)
 		return done, nil
@@ -230,8 +239,8 @@
 	view := d.resources.View()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.cellsRevision != view.Revision {
-		d.cells, d.cellsRevision = cells.New(view, d.config.CellSize), view.Revision
+	if d.cellsView != view {
+		d.cells, d.cellsView = cells.New(view, d.config.CellSize), view
 	}
 	return d.cells
 }
@@ -273,13 +282,15 @@
 }
 
 // configured reports whether this box has a configuration to serve with. If the table
-// was unavailable at start, it is the highest revision that its peers have reported.
+// was unavailable at start, it is the newest one that its peers have reported.
 func (d *Daemon) configured() bool {
 	if d.caughtUp.Load() {
 		return true
 	}
-	revision := int64(d.resources.View().Revision)
-	return revision > 0 && revision >= d.highestRevision.Load()
+	now := d.resources.View().Position()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Revision > 0 && !d.reported.After(now)
 }
 
 // started reports whether this box knew an engine for each placed model, or had time to
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"petrelstep/digest"
 	"petrelstep/heartbeat"
 	"petrelstep/ledger"
@@ -15,6 +17,7 @@
 	"petrelstep/peer"
 	"petrelstep/poll"
 	"petrelstep/quota"
+	"petrelstep/resource"
 	"petrelstep/wire"
 )
 
@@ -32,10 +35,10 @@
 // Beat returns the heartbeat for a peer.
 func (d *Daemon) Beat(to members.Box) wire.Heartbeat {
 	now := time.Now()
-	self := d.members.Self()
+	self, view := d.members.Self(), d.resources.View()
 	beat := wire.Heartbeat{
 		Box: self.Name, Hall: self.Hall, Address: self.Address, Incarnation: self.Incarnation,
-		Revision: d.resources.View().Revision, Leaving: d.draining.Load(),
+		Era: view.Era, Revision: view.Revision, Leaving: d.draining.Load(),
 	}
 	for name, incarnation := range d.health.LeavingIncarnations() {
 		beat.GoneUpstreams = append(beat.GoneUpstreams, name+"@"+strconv.Itoa(incarnation))
@@ -95,9 +98,10 @@
 			d.health.MarkLeaving(name, n)
 		}
 	}
-	d.fetchNewer(from.Revision, from.Address)
+	d.fetchNewer(resource.Position{Era: from.Era, Revision: from.Revision}, from.Address)
+	view := d.resources.View()
 	answer := wire.HeartbeatAnswer{
-		Incarnation: d.members.Self().Incarnation, Revision: d.resources.View().Revision, Leaving: d.draining.Load(),
+		Incarnation: d.members.Self().Incarnation, Era: view.Era, Revision: view.Revision, Leaving: d.draining.Load(),
 	}
 	answer.Unserved = d.unserved.List(now) // after the revision: never of an older one
 	return answer
@@ -116,7 +120,7 @@
 }
 
 func boxOf(h wire.Heartbeat) members.Box {
-	b := members.Box{Name: h.Box, Hall: h.Hall, Address: h.Address, Incarnation: h.Incarnation, Revision: h.Revision, State: members.Live}
+	b := members.Box{Name: h.Box, Hall: h.Hall, Address: h.Address, Incarnation: h.Incarnation, Era: h.Era, Revision: h.Revision, State: members.Live}
 	if h.Leaving {
 		b.State = members.Leaving
 	}
@@ -126,32 +130,42 @@
 // Answered handles the answer to a heartbeat.
 func (d *Daemon) Answered(_ context.Context, b members.Box, a wire.HeartbeatAnswer) {
 	d.digestFor(b).Delivered(b.Name, a.Incarnation)
-	b.Incarnation, b.Revision, b.State = a.Incarnation, a.Revision, members.Live
+	b.Incarnation, b.Era, b.Revision, b.State = a.Incarnation, a.Era, a.Revision, members.Live
 	if a.Leaving {
 		b.State = members.Leaving
 	}
 	d.recordPeer(time.Now(), b, a.Unserved)
-	d.fetchNewer(a.Revision, b.Address)
+	d.fetchNewer(resource.Position{Era: a.Era, Revision: a.Revision}, b.Address)
 }
 
-// fetchNewer fetches the changes from a peer that has a newer configuration.
-func (d *Daemon) fetchNewer(revision int, address string) {
-	for {
-		known := d.highestRevision.Load()
-		if int64(revision) <= known || d.highestRevision.CompareAndSwap(known, int64(revision)) {
-			break
-		}
+// recordReported records the configuration that a peer has reported.
+func (d *Daemon) recordReported(at resource.Position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.reported) {
+		d.reported = at
 	}
-	if revision <= d.resources.View().Revision {
+}
+
+// fetchNewer fetches the changes from a peer that has a newer configuration: all of it if it is
+// of another era, as the changes after a revision may then be others than those that are missing.
+func (d *Daemon) fetchNewer(at resource.Position, address string) {
+	d.recordReported(at)
+	if !d.resources.IsNews(at) {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		var set wire.ChangeSet
-		err := d.peers.Call(ctx, address, peer.Changes, wire.ChangesAsk{Since: d.resources.View().Revision}, &set)
-		if err == nil {
-			d.resources.Apply(set)
+		ask := wire.ChangesAsk{}
+		now := d.resources.View().Position()
+		if now.Era == at.Era {
+			ask.Since = now.Revision
+		}
+		err := d.peers.Call(ctx, address, peer.Changes, ask, &set)
+		if err == nil && !d.apply(set) {
+			d.readTable(ctx)
 		}
 	}()
 }
@@ -159,10 +173,22 @@
 // Changes returns the changes since a revision.
 func (d *Daemon) Changes(since int) wire.ChangeSet { return d.resources.Since(since) }
 
+// apply applies changes from a peer. If it returns false, the table has to be read: an earlier
+// change is missing, or the table was restored and lacks what is in force here.
+func (d *Daemon) apply(set wire.ChangeSet) bool {
+	before := d.resources.View().Position()
+	applied := d.resources.Apply(set)
+	if before.Revision > 0 && set.Era > before.Era {
+		d.log.WithFields(logrus.Fields{
+			"era": set.Era, "revision": set.Revision, "before": before.Era, "before_revision": before.Revision, "complete": applied,
+		}).Warn("configuration_of_later_era")
+	}
+	return applied
+}
+
 // Tell applies changes that another box accepted and relays them where asked to.
 func (d *Daemon) Tell(set wire.ChangeSet) {
-	if !d.resources.Apply(set) {
-		// An earlier change is missing; read it from the table.
+	if !d.apply(set) {
 		go d.readTable(context.Background())
 	}
 	if set.Relay {
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -16,6 +16,7 @@
 	"petrelstep/heartbeat"
 	"petrelstep/lease"
 	"petrelstep/peer/endpoint"
+	"petrelstep/platform/store"
 	"petrelstep/poll"
 	"petrelstep/protect/capacity"
 	"petrelstep/protect/intake"
@@ -238,7 +239,12 @@
 }
 
 func (d *Daemon) readTable(ctx context.Context) {
-	if err := d.catchUp.Run(ctx); err != nil {
+	err := d.catchUp.Run(ctx)
+	var era *store.EraError
+	if errors.As(err, &era) {
+		err = d.catchUp.Run(ctx) // the second answer of another era shows that the store was restored
+	}
+	if err != nil {
 		d.log.WithError(err).Debug("table_not_read")
 		return
 	}
@@ -277,7 +283,7 @@
 	for {
 		changed := d.resources.Changed()
 		view := d.resources.View()
-		d.members.SetRevision(view.Revision)
+		d.members.SetRevision(view.Era, view.Revision)
 		d.started() // the time to learn the engines begins with the first placement
 		d.grants.Configure(d.params())
 		for name, u := range view.Upstreams {
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"petrelstep/members"
+	"petrelstep/resource"
 	"petrelstep/rollout"
 	"petrelstep/wire"
 )
@@ -17,7 +18,7 @@
 	s := wire.Status{Revision: view.Revision, Halls: []wire.HallStatus{}, Boxes: []wire.BoxStatus{}}
 	s.Boxes = d.boxStatuses(now, view.Revision)
 	for hall := range view.Halls {
-		s.Halls = append(s.Halls, d.hallStatus(now, hall, s.Boxes))
+		s.Halls = append(s.Halls, d.hallStatus(now, hall))
 	}
 	sort.Slice(s.Halls, func(i, j int) bool { return s.Halls[i].Hall < s.Halls[j].Hall })
 	return s
@@ -39,15 +40,15 @@
 	return all
 }
 
-func (d *Daemon) hallStatus(now time.Time, hall string, boxes []wire.BoxStatus) wire.HallStatus {
+func (d *Daemon) hallStatus(now time.Time, hall string) wire.HallStatus {
 	view := d.resources.View()
 	h := wire.HallStatus{Hall: hall, Placements: []wire.PlacementStatus{}}
-	for _, b := range boxes {
-		if b.Hall != hall || b.State == wire.BoxStatusState(members.Gone) {
+	for _, b := range d.members.All(now) {
+		if b.Hall != hall || b.State == members.Gone {
 			continue
 		}
 		h.Boxes++
-		if b.Revision >= view.Revision {
+		if b.Name == d.config.Box || isCurrent(b, view) {
 			h.BoxesCurrent++
 		}
 	}
@@ -64,6 +65,16 @@
 	return h
 }
 
+// isCurrent reports whether a box has a configuration, or a newer one. A box that reports no era
+// is taken for one of the same era.
+func isCurrent(b members.Box, view *resource.View) bool {
+	at := resource.Position{Era: b.Era, Revision: b.Revision}
+	if at.Era == 0 {
+		at.Era = view.Era
+	}
+	return !view.Position().After(at)
+}
+
 // maxStatusAge is the age up to which a load report is used for the status.
 const maxStatusAge = reportedSilence
 
--- a/daemon/unserved/unserved.go
+++ b/daemon/unserved/unserved.go
@@ -17,10 +17,10 @@
 	resources *resource.Resources
 	served    func(now time.Time) map[string]bool
 
-	mu       sync.Mutex
-	at       time.Time
-	revision int
-	list     []string
+	mu   sync.Mutex
+	at   time.Time
+	view *resource.View
+	list []string
 }
 
 // New returns the models of a configuration; served returns those with an engine.
@@ -34,10 +34,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	view := m.resources.View()
-	if view.Revision == m.revision && now.Sub(m.at) < period {
+	if view == m.view && now.Sub(m.at) < period {
 		return m.list
 	}
-	m.at, m.revision, m.list = now, view.Revision, unserved(view, m.served(now))
+	m.at, m.view, m.list = now, view, unserved(view, m.served(now))
 	return m.list
 }
 
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -20,8 +20,8 @@
 type Table interface {
 	Get(ctx context.Context, key string) (wire.Row, error)
 	Scan(ctx context.Context, prefix, after string) ([]wire.Row, error)
-	// ScanEra also returns the store's era, which rises when the store is restored from a copy.
-	ScanEra(ctx context.Context, prefix string) (rows []wire.Row, era int, err error)
+	// ScanInEra also returns the store's era, which rises when the store is restored from a copy.
+	ScanInEra(ctx context.Context, prefix, after string) (rows []wire.Row, era int, err error)
 	Transact(ctx context.Context, tx wire.Transaction) (wire.TransactionAnswer, error)
 }
 
--- a/ledger/era.go
+++ b/ledger/era.go
@@ -136,7 +136,7 @@
 	if w.known.Load() && !closed {
 		wanted = settledKey // the other rows matter only while calls wait
 	}
-	rows, era, err := w.table.ScanEra(ctx, wanted)
+	rows, era, err := w.table.ScanInEra(ctx, wanted, "")
 	if err != nil {
 		return false, err
 	}
--- a/members/members.go
+++ b/members/members.go
@@ -48,6 +48,7 @@
 	Hall        string
 	Address     string
 	Incarnation int
+	Era         int // of the table that the revision is of; 0 if not known
 	Revision    int
 	State       State
 	HubEligible bool // may be a hub; others are used only where there is none
@@ -106,11 +107,11 @@
 	m.changed()
 }
 
-// SetRevision sets the revision of the configuration in force on this box.
-func (m *Members) SetRevision(revision int) {
+// SetRevision sets the era and revision of the configuration in force on this box.
+func (m *Members) SetRevision(era, revision int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self.Revision = revision
+	m.self.Era, m.self.Revision = era, revision
 }
 
 // Leave marks this box as leaving.
@@ -182,7 +183,7 @@
 // sameCandidate reports whether two boxes are the same but for their revision, so that
 // the choice of hubs does not change.
 func (b Box) sameCandidate(o Box) bool {
-	b.Revision = o.Revision
+	b.Era, b.Revision = o.Era, o.Revision
 	return b == o
 }
 
--- a/resource/view.go
+++ b/resource/view.go
@@ -11,6 +11,7 @@
 // View is the configuration in force, decoded. Values are immutable.
 type View struct {
 	Revision      int
+	Era           int                      // of the table that the revision is of; 0 if not known
 	Resources     map[string]wire.Resource // by kind/name
 	Organisations map[string]wire.Organisation
 	Keys          map[string]string // organisation by key hash
@@ -22,6 +23,9 @@
 	Policy        wire.Policy
 }
 
+// Position returns the position of the configuration.
+func (v *View) Position() Position { return Position{Era: v.Era, Revision: v.Revision} }
+
 // Key returns the key of a resource within a view.
 func Key(kind wire.ResourceKind, name string) string { return string(kind) + "/" + name }
 
@@ -66,11 +70,8 @@
 func (v *View) drop(r wire.Resource) {
 	switch r.Kind {
 	case wire.ResourceKindOrganisation:
-		v.Keys = maps.Clone(v.Keys)
-		for _, hash := range v.Organisations[r.Name].KeyHashes {
-			delete(v.Keys, hash)
-		}
 		v.Organisations = without(v.Organisations, r.Name)
+		v.Keys = keysOf(v.Organisations) // two may have one key after a restore of the table
 	case wire.ResourceKindModel:
 		v.Models = without(v.Models, r.Name)
 	case wire.ResourceKindAdapter:
@@ -87,6 +88,17 @@
 	}
 }
 
+// keysOf returns the organisation of each key; the last by name of those that have it.
+func keysOf(organisations map[string]wire.Organisation) map[string]string {
+	keys := map[string]string{}
+	for name, o := range organisations {
+		for _, hash := range o.KeyHashes {
+			keys[hash] = max(keys[hash], name)
+		}
+	}
+	return keys
+}
+
 func without[T any](m map[string]T, name string) map[string]T {
 	next := maps.Clone(m)
 	delete(next, name)
@@ -98,7 +110,7 @@
 	case wire.ResourceKindOrganisation:
 		decodeInto(v.Organisations, r)
 		for _, hash := range v.Organisations[r.Name].KeyHashes {
-			v.Keys[hash] = r.Name
+			v.Keys[hash] = max(v.Keys[hash], r.Name)
 		}
 	case wire.ResourceKindModel:
 		decodeInto(v.Models, r)
--- a/standin/platform/direct.go
+++ b/standin/platform/direct.go
@@ -29,6 +29,18 @@
 	return d.platform.Get(key), nil
 }
 
+// GetInEra returns one row and the store's era.
+func (d *Direct) GetInEra(ctx context.Context, key string) (wire.Row, int, error) {
+	row, err := d.Get(ctx, key)
+	return row, d.platform.currentEra(), err
+}
+
+// ScanInEra returns rows as Scan does, and the store's era.
+func (d *Direct) ScanInEra(ctx context.Context, prefix, after string) ([]wire.Row, int, error) {
+	rows, err := d.Scan(ctx, prefix, after)
+	return rows, d.platform.currentEra(), err
+}
+
 // Scan returns the rows whose keys begin with prefix and lie after a key.
 func (d *Direct) Scan(ctx context.Context, prefix, after string) ([]wire.Row, error) {
 	if err := d.applyFault(ctx, func() {}); err != nil {
@@ -37,14 +49,6 @@
 	return d.platform.Scan(prefix, after), nil
 }
 
-// ScanEra returns the rows whose keys begin with prefix, and the store's era.
-func (d *Direct) ScanEra(ctx context.Context, prefix string) (rows []wire.Row, era int, err error) {
-	rows, err = d.Scan(ctx, prefix, "")
-	d.platform.mu.Lock()
-	defer d.platform.mu.Unlock()
-	return rows, d.platform.era, err
-}
-
 // Transact applies the writes if all checks hold.
 func (d *Direct) Transact(ctx context.Context, tx wire.Transaction) (wire.TransactionAnswer, error) {
 	effect := func() { d.platform.Transact(tx) }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -158,7 +158,7 @@
 			tx.Remove = append(tx.Remove, row)
 			continue
 		}
-		row.Value = table.Encode(p.rows.own(w.Key).Version+1, w.Value)
+		row.Value = table.Encode(max(p.rows.own(w.Key).Version+1, w.Version), w.Value)
 		tx.Put = append(tx.Put, row)
 	}
 	p.rows.apply(tx)
--- a/standin/platform/restore.go
+++ b/standin/platform/restore.go
@@ -121,6 +121,12 @@
 	p.setEra(h)
 }
 
+func (p *Platform) currentEra() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
+}
+
 func (p *Platform) setEra(h http.Header) { h.Set(eraHeader, strconv.Itoa(p.era)) }
 
 // serveUnlessSuspended names the era in all answers, and resets the connections of calls while
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -920,6 +920,9 @@
 
 // Resources that changed.
 type ChangeSet struct {
+	// Era of the table that the revision is of; 0 if not known.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Items corresponds to the JSON schema field "items".
 	Items []Resource `json:"items"`
 
@@ -953,6 +956,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["era"]; !ok || v == nil {
+		plain.Era = 0
+	}
 	if v, ok := raw["relay"]; !ok || v == nil {
 		plain.Relay = false
 	}
@@ -2606,6 +2612,9 @@
 	// Demand corresponds to the JSON schema field "demand".
 	Demand []Demand `json:"demand,omitempty,omitzero"`
 
+	// Era of the table that the revision is of; 0 if not known.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Upstreams seen leaving, name@incarnation.
 	GoneUpstreams []string `json:"gone_upstreams,omitempty,omitzero"`
 
@@ -2630,6 +2639,9 @@
 
 // Answer to a heartbeat.
 type HeartbeatAnswer struct {
+	// Era of the table that the revision is of; 0 if not known.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Incarnation corresponds to the JSON schema field "incarnation".
 	Incarnation int `json:"incarnation"`
 
@@ -2660,6 +2672,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["era"]; !ok || v == nil {
+		plain.Era = 0
+	}
 	if v, ok := raw["leaving"]; !ok || v == nil {
 		plain.Leaving = false
 	}
@@ -2699,6 +2714,9 @@
 	if v, ok := raw["demand"]; !ok || v == nil {
 		plain.Demand = []Demand{}
 	}
+	if v, ok := raw["era"]; !ok || v == nil {
+		plain.Era = 0
+	}
 	if v, ok := raw["gone_upstreams"]; !ok || v == nil {
 		plain.GoneUpstreams = []string{}
 	}
@@ -4277,6 +4295,9 @@
 
 // Desired and actual state of one thing.
 type Resource struct {
+	// Era of the table in which it was written; 0 if not known.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Kind corresponds to the JSON schema field "kind".
 	Kind ResourceKind `json:"kind"`
 
@@ -4386,6 +4407,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if v, ok := raw["era"]; !ok || v == nil {
+		plain.Era = 0
+	}
 	if matched, _ := regexp.MatchString(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`, string(plain.Name)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Name", `^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 	}
@@ -4791,6 +4815,9 @@
 
 	// Value corresponds to the JSON schema field "value".
 	Value string `json:"value,omitempty,omitzero"`
+
+	// Lowest version of the row after the write.
+	Version int `json:"version,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -4813,6 +4840,9 @@
 	if v, ok := raw["value"]; !ok || v == nil {
 		plain.Value = ""
 	}
+	if v, ok := raw["version"]; !ok || v == nil {
+		plain.Version = 0
+	}
 	*j = RowWrite(plain)
 	return nil
 }
