catchup: read a restored table again if a peer's change came in between

Seen by reading: between the comparison of the read state with what is in force and its application, a peer's late change of the earlier era may come into force. The state then lacks it and is not applied, and the daemon read again only at its next turn, 2 s later.

Cause: the result of Apply was dropped. Now the table is read again at once, within the tries that there were. The number that configuration_rewritten names is that of one transaction, not of all that is left.

No test failed before: the moment is not played alone.

--- a/catchup/catchup.go
+++ b/catchup/catchup.go
@@ -16,6 +16,9 @@
 // concurrent write.
 const maxSnapshotTries = 8
 
+// maxAgain bounds the resources that one transaction writes again.
+const maxAgain = 100
+
 // UnsteadyError reports that each read of the complete state overlapped a write.
 type UnsteadyError struct{}
 
@@ -92,10 +95,12 @@
 		set := state.Set()
 		again, renumber := c.resources.Lost(set)
 		if !renumber {
-			c.resources.Apply(set)
-			return nil
+			if c.resources.Apply(set) {
+				return nil
+			}
+			continue // a change from another box came in between, and is not in the state
 		}
-		if err := c.writeAgain(ctx, state, again); err != nil {
+		if err := c.writeAgain(ctx, state, again[:min(len(again), maxAgain)]); err != nil {
 			return err
 		}
 	}
--- a/configwriter/restored.go
+++ b/configwriter/restored.go
@@ -8,9 +8,6 @@
 	"petrelstep/wire"
 )
 
-// maxAgain bounds the resources that one transaction writes again.
-const maxAgain = 100
-
 // State is a complete state of the configuration in the table.
 type State struct {
 	Era      int      // of the store
@@ -45,7 +42,7 @@
 	for _, row := range s.Rows {
 		versions[row.Key] = row.Version
 	}
-	for _, r := range again[:min(len(again), maxAgain)] {
+	for _, r := range again {
 		key := resourceKey(r)
 		r.Version = max(r.Version, versions[key]+1)
 		if r.Revision == 0 {
--- a/configwriter/restored_random_test.go
+++ b/configwriter/restored_random_test.go
@@ -1,10 +1,13 @@
 package configwriter_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"petrelstep/resource"
@@ -150,3 +153,33 @@
 	}
 	b.put(item)
 }
+
+// TestRestoredTogether lets many boxes read a restored table at once, each of which has all that is
+// lost: it is written again once, and all boxes have the same.
+func TestRestoredTogether(t *testing.T) {
+	is := is.New(t)
+	r := newRestorable()
+	defer r.server.Close()
+	for i := range 30 {
+		r.boxes[0].put(hall(fmt.Sprint("lost-", i), 0, "r"))
+	}
+	for range 40 {
+		r.startReading()
+	}
+	r.restore()
+	reads, commits := r.platform.Counts()
+	for range 2 { // the first answer does not count
+		var all sync.WaitGroup
+		for _, b := range r.boxes {
+			all.Go(func() { _ = b.catchUp.Run(context.Background()) })
+		}
+		all.Wait()
+	}
+	readsAfter, commitsAfter := r.platform.Counts()
+	t.Log(readsAfter-reads, "reads,", commitsAfter-commits, "commits")
+	is.Equal(commitsAfter-commits, 1)
+	for _, b := range r.boxes {
+		is.Equal(len(b.resources.View().Halls), 33)
+		is.Equal(b.resources.View().Position(), r.boxes[0].resources.View().Position())
+	}
+}
