orders: serve a completed release when the next order begins

Callers got no upstream of a service while an order ran, if an earlier order for the release in service had been rolled back or withdrawn before it was completed: all boxes excluded it.

Cause: a replaced order that was not completed excludes its target (record.replaced). One that was completed was not kept, so that the earlier roll-back of the same target counted once another order was the newest. A completion that became known after the order had been replaced was dropped too.

Now completed orders are kept among the replaced ones, of which 8 are kept as before, and the last outcome for a target counts. Neither they nor what they outdate is told to other boxes: a box that has just started could take an earlier completion of the target for that of an order that is given again after a restore.

Ruled out: clearing the replaced orders upon a completion, as boxes that missed it tell the earlier ones again.

--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -43,7 +43,7 @@
 // record is what is known of a service.
 type record struct {
 	newest   Order
-	replaced []Order   // earlier orders that were not completed, oldest first
+	replaced []Order   // earlier orders, oldest first
 	active   bool      // this box knew the newest order before its outcome
 	lifted   bool      // no release is excluded any more
 	endedAt  time.Time // when this box learned of the newest order's outcome
@@ -151,9 +151,16 @@
 }
 
 // remember keeps an order that a newer one replaced; its target takes no requests unless
-// it was completed.
+// it was completed, which may become known later.
 func (r *record) remember(o Order) {
-	if o.State == Completed || o.Target == "" || slices.ContainsFunc(r.replaced, func(k Order) bool { return k.Version == o.Version }) {
+	if o.Target == "" {
+		return
+	}
+	i := slices.IndexFunc(r.replaced, func(k Order) bool { return k.Version == o.Version || k.isSameAs(o) })
+	if i >= 0 {
+		if o.State == Completed {
+			r.replaced[i] = o
+		}
 		return
 	}
 	if o.Active() {
@@ -225,14 +232,14 @@
 	return list
 }
 
-// All returns the newest order of each service and the replaced ones before it, for other
-// boxes.
+// All returns the newest order of each service and the replaced ones before it that exclude releases, for
+// other boxes.
 func (l *Orders) All() []Order {
 	list := l.Newest()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.services {
-		list = append(list, r.replaced...)
+		list = append(list, r.uncompleted()...)
 	}
 	slices.SortStableFunc(list, func(a, b Order) int {
 		if c := strings.Compare(a.Service, b.Service); c != 0 {
@@ -280,11 +287,24 @@
 	return Releases{Except: r.excluded(o.Target)}
 }
 
-// excluded returns the targets of replaced orders and further releases, without the
-// target of an order that is active or completed.
+// uncompleted returns the replaced orders without those whose target was completed then or later.
+func (r *record) uncompleted() []Order {
+	var list []Order
+	for _, o := range r.replaced {
+		if o.State != Completed {
+			list = append(list, o)
+			continue
+		}
+		list = slices.DeleteFunc(list, func(earlier Order) bool { return earlier.Target == o.Target })
+	}
+	return list
+}
+
+// excluded returns the targets of replaced orders that were not completed and further releases, without
+// the target of an order that is active or completed.
 func (r *record) excluded(further ...string) []string {
 	var list []string
-	for _, o := range r.replaced {
+	for _, o := range r.uncompleted() {
 		list = append(list, o.Target)
 	}
 	list = append(list, further...)
--- a/canary/orders/orders_test.go
+++ b/canary/orders/orders_test.go
@@ -228,3 +228,55 @@
 	o.Duration, got.Limit, got.ShareAt = 0, o.Limit, o.ShareAt
 	is.Equal(got, o)
 }
+
+// TestCompletedAgain guards against a release in service that is excluded once the next order begins, as
+// an earlier order for it was rolled back or withdrawn.
+func TestCompletedAgain(t *testing.T) {
+	rolledBack, completed := order(5, "v3", orders.RolledBack, 6), order(9, "v3", orders.Completed, 10)
+	running, next := order(9, "v3", orders.Running, 9), order(15, "v4", orders.Ordered, 0)
+	tests := map[string]struct {
+		updates []orders.Order
+		want    []string // excluded
+	}{
+		"rolled back, then completed":      {[]orders.Order{rolledBack, running, completed, next}, nil},
+		"withdrawn, then completed":        {[]orders.Order{order(5, "v3", orders.Running, 6), running, completed, next}, nil},
+		"the roll-back is told late":       {[]orders.Order{completed, next, rolledBack}, nil},
+		"the completion is told late":      {[]orders.Order{rolledBack, next, completed}, nil},
+		"the completion is told last":      {[]orders.Order{rolledBack, running, next, completed}, nil},
+		"told late, of a removed order":    {[]orders.Order{running, removal(11), next, completed}, nil},
+		"told again as running":            {[]orders.Order{rolledBack, completed, next, running}, nil},
+		"completed, then rolled back":      {[]orders.Order{order(5, "v3", orders.Completed, 6), order(9, "v3", orders.RolledBack, 10), next}, []string{"v3"}},
+		"another is completed in between":  {[]orders.Order{rolledBack, order(9, "v2", orders.Completed, 10), next}, []string{"v3"}},
+		"completed, and the next one also": {[]orders.Order{rolledBack, completed, next.WithStatus(orders.RolledBack, 16), order(20, "v5", orders.Ordered, 0)}, []string{"v4"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, other := orders.New(func(_, _ orders.Order, _ string) {}), orders.New(func(_, _ orders.Order, _ string) {})
+			for _, u := range tt.updates {
+				l.Update(start, u, "test")
+			}
+			for _, o := range l.All() {
+				other.Update(start, o, "test") // as a box that has just started
+			}
+			is.Equal(fmt.Sprint(l.Releases(start, service).Except), fmt.Sprint(tt.want))
+			is.Equal(fmt.Sprint(other.Releases(start, service).Except), fmt.Sprint(tt.want))
+		})
+	}
+}
+
+// TestReplacedTold checks that no order is told that does not exclude a release any more.
+func TestReplacedTold(t *testing.T) {
+	is := is.New(t)
+	l := orders.New(func(_, _ orders.Order, _ string) {})
+	for _, u := range []orders.Order{
+		order(5, "v3", orders.RolledBack, 6), order(7, "v2", orders.RolledBack, 8), order(9, "v3", orders.Completed, 10), order(15, "v4", orders.Ordered, 0),
+	} {
+		l.Update(start, u, "test")
+	}
+	var told []string
+	for _, o := range l.All() {
+		told = append(told, o.Target)
+	}
+	is.Equal(told, []string{"v2", "v4"})
+}
