rollouts: write an outcome again whose order the store does not have

The operator found no outcome, or `running`, of an order that had ended in the seconds that the store lost, if the order's row was gone as well: withdrawn before its roll-back, removed after its end, or not written again.

Cause: an outcome counted as lost only if the order's own row was read in a later era than it (StatusMayBeLost). A row that is gone has no version in the new era (docs/OPEN.md, "has no status").

Now an outcome that was read in an earlier era, with a number above the version of the box's first listing in this one, is lost unless another status was written by RestoreTime after that listing. The first reader writes it again, on the condition that no order stands and the status is as read. Readers read the rows anew for it: what was read in the earlier era does not count. Boxes that know the order from others only do as well.

--- a/edge/rolloutdecide.go
+++ b/edge/rolloutdecide.go
@@ -253,7 +253,7 @@
 		return
 	}
 	for _, o := range r.orders.Newest() {
-		if o.HasOutcome() && !o.StatusMayBeLost() {
+		if o.HasOutcome() && !r.rows.OutcomeMayBeLost(o) {
 			continue
 		}
 		if o.InCutover() { // which may last a second only
@@ -338,7 +338,7 @@
 	interval = otherReadInterval
 	for _, o := range r.orders.Newest() {
 		rows := r.rows.Of(o)
-		if o.HasOutcome() && !o.StatusMayBeLost() || !o.Active() && rows.Read && !rows.OutcomeDue() {
+		if o.HasOutcome() && !r.rows.OutcomeMayBeLost(o) || !o.Active() && rows.Read && !rows.OutcomeDue() {
 			continue
 		}
 		holder := rows.Holder == r.self()
--- a/edge/rollouts_restoredwithdrawn_test.go
+++ b/edge/rollouts_restoredwithdrawn_test.go
@@ -17,16 +17,19 @@
 type withdrawnRestored struct {
 	earlier bool          // an order of the target was rolled back before the copy
 	after   time.Duration // the order is withdrawn
+	ended   bool          // its outcome is written before the store is away
 }
 
 // TestRolloutRestoredWithdrawn guards against a withdrawn order that has no outcome, or several, when the
 // store comes back from a copy without it.
 func TestRolloutRestoredWithdrawn(t *testing.T) {
 	tests := map[string]withdrawnRestored{
-		"at once":                         {after: pauseBetweenOrders},
-		"at once, after an earlier order": {after: pauseBetweenOrders, earlier: true},
-		"running":                         {after: 3 * time.Second},
-		"running, after an earlier order": {after: 3 * time.Second, earlier: true},
+		"at once":                             {after: pauseBetweenOrders},
+		"at once, after an earlier order":     {after: pauseBetweenOrders, earlier: true},
+		"running":                             {after: 3 * time.Second},
+		"running, after an earlier order":     {after: 3 * time.Second, earlier: true},
+		"rolled back":                         {after: 3 * time.Second, ended: true},
+		"rolled back, after an earlier order": {after: 3 * time.Second, ended: true, earlier: true},
 	}
 	for name, tt := range tests {
 		for _, boxes := range []int{6, 76} {
@@ -53,6 +56,9 @@
 	s.order("v2")
 	time.Sleep(p.after)
 	s.withdraw()
+	if p.ended {
+		s.waitState(orders.RolledBack, withdrawnTime)
+	}
 	time.Sleep(pauseBetweenOrders)
 	s.table.interrupt(true)
 	time.Sleep(300 * time.Millisecond)
