orders: let boxes that do not read the store learn when it was restored

Boxes that do not read the store took an order for an earlier one of the same target, with its outcome, though the store had been restored long before. By reading, they send nothing to a release that counts as rolled back, also when all others have cut over to it.

Cause: an order of a later era counts as the known one of its target within RestoreTime after the box has learned of the era. Boxes that do not read the store learned of it by the first order of that era only, at whatever time.

Now the era in each answer of a hub (GossipAnswer.Era, there already for the rows of boxes) is recorded for the orders too. What of it may be of the copy is still told by the first version that the box learns in the era.

Evidence: edge.TestRestoredOrderedAgain orders a target a minute after a restore before which it was rolled back.

--- a/canary/orders/restored.go
+++ b/canary/orders/restored.go
@@ -32,12 +32,29 @@
 	}
 }
 
+// RecordEra records the era that another box knows of: orders may be read in it long after the store was
+// restored.
+func (l *Orders) RecordEra(now time.Time, era int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.restore = l.restore.withEra(now, era)
+}
+
+// withEra returns the era that is known once another box has told it.
+func (s restore) withEra(now time.Time, era int) restore {
+	if era <= s.era {
+		return s
+	}
+	return restore{era: era, until: now.Add(revision.RestoreTime)}
+}
+
 // withRead returns the era that is known once a version was read.
 func (s restore) withRead(now time.Time, version revision.Revision) restore {
-	if version.Era() <= s.era {
-		return s
+	s = s.withEra(now, version.Era())
+	if version.Era() == s.era && s.copied.Era() < s.era {
+		s.copied = version
 	}
-	return restore{era: version.Era(), until: now.Add(revision.RestoreTime), copied: version}
+	return s
 }
 
 // isSame reports whether the rows of two orders in different eras are those of one order: it stands
--- a/canary/orders/restored_test.go
+++ b/canary/orders/restored_test.go
@@ -130,3 +130,28 @@
 	is.True(o.StatusMayBeLost())
 	is.Equal(l.Releases(restoredAt, service), orders.Releases{Except: []string{"v1"}})
 }
+
+// TestRestoredEraTold guards against an order that a box which does not read the store takes for an earlier one of
+// the same target, as it learns of the restore by the order only.
+func TestRestoredEraTold(t *testing.T) {
+	tests := map[string]struct {
+		known, told orders.Order
+		after       time.Duration // since the box was told of the era
+		want        orders.State
+	}{
+		"written again":             {order(in(15), "v2", orders.RolledBack, in(16)), order(after(40), "v2", orders.Ordered, 0), time.Second, orders.RolledBack},
+		"ordered again":             {order(in(15), "v2", orders.RolledBack, in(16)), order(after(40), "v2", orders.Ordered, 0), revision.RestoreTime, orders.Ordered},
+		"completed, ordered again":  {order(in(15), "v2", orders.Completed, in(16)), order(after(40), "v2", orders.Running, after(41)), time.Minute, orders.Running},
+		"the copy holds an earlier": {order(in(15), "v3", orders.Running, in(16)), order(after(10), "v2", orders.RolledBack, after(11)), time.Second, orders.Running},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := orders.New(func(_, _ orders.Order, _ string) {})
+			l.Update(start, tt.known, "test")
+			l.RecordEra(restoredAt, after(0).Era())
+			l.Update(restoredAt.Add(tt.after), tt.told, "test")
+			o, _ := l.Of(service)
+			is.New(t).Equal(o.State, tt.want)
+		})
+	}
+}
--- a/edge/rolloutgossip.go
+++ b/edge/rolloutgossip.go
@@ -58,7 +58,11 @@
 // receiveOrders applies the orders that a hub knows, in its answer to a call sent at a
 // time.
 func (r *rolloutControl) receiveOrders(now time.Time, a wire.GossipAnswer, sent time.Time) {
-	if r == nil || len(a.Rollouts) == 0 {
+	if r == nil {
+		return
+	}
+	r.orders.RecordEra(now, a.Era)
+	if len(a.Rollouts) == 0 {
 		return
 	}
 	for _, w := range a.Rollouts {
--- /dev/null
+++ b/edge/rollouts_restoredagain_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"petrelstep/canary/orders"
+)
+
+// TestRestoredOrderedAgain guards against an order that boxes take for an earlier one of the same target, which
+// was rolled back before the store came back from a copy some time ago.
+func TestRestoredOrderedAgain(t *testing.T) {
+	for _, boxes := range []int{6, 76} {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testRestoredOrderedAgain(t, boxes, nil) })
+		})
+	}
+}
+
+func testRestoredOrderedAgain(t *testing.T, boxes int, during func(s *rolloutSite)) {
+	ctx, end := (&cluster{}).context(t)
+	defer end()
+	s := newRolloutSite(ctx, t, boxes, max(testRate, 2*boxes))
+	s.table.restore(s.table.copyRows()) // a store that names its era
+	time.Sleep(5 * time.Second)
+	s.orderAndWithdraw("v2")
+	s.waitState(orders.RolledBack, withdrawnTime)
+	time.Sleep(5 * time.Second)
+	s.table.interrupt(true)
+	time.Sleep(300 * time.Millisecond)
+	s.table.restore(s.table.copyRows())
+	s.table.interrupt(false)
+	time.Sleep(time.Minute)
+	s.order("v2")
+	s.waitAll(t, "knows the order", 2*time.Second, func(e *Edge) bool { return e.rollouts.counts.Active("plain") })
+	time.Sleep(2 * time.Second)
+	if during != nil {
+		during(s)
+	}
+	s.waitState(orders.Completed, rolloutDuration)
+	s.only("v2")
+}
