orders: take what a box tells as replaced for earlier orders

A box that started, or had learned of a restore, within 3 s took a running order for ended if an order of the same target had been rolled back in an earlier era of the store, however long ago, and did not learn that the order was completed.

Cause: the orders in a hub's answer were applied one by one, oldest first. The earlier order became the newest one of the box, and the next one, of a later era and the same target within RestoreTime, counted as the same order, written again. The other way round the earlier one's outcome went to the newest.

Now the newest order of each service in an answer is applied first, and the others are kept as replaced, without that comparison, unless they are the newest or later here. If the newest here is among them, it is replaced.

Evidence: with the orders applied one by one 4 of the 5 rows of TestRestoredStart fail, and edge.TestRestoredOrderedAgainStart at 6 and 76 boxes (the box that starts doesn't know the completion after 12 s).

--- a/canary/orders/orders.go
+++ b/canary/orders/orders.go
@@ -102,6 +102,54 @@
 	}
 }
 
+// Told applies the orders that another box knows: of each service the newest, and those that it replaced.
+// These are earlier ones, also if they are of an earlier era of the store and have the same target.
+func (l *Orders) Told(now time.Time, list []Order, source string) {
+	newest := map[string]Order{}
+	for _, o := range list {
+		if n, known := newest[o.Service]; !known || o.isNewerThan(n) {
+			newest[o.Service] = o
+		}
+	}
+	for _, o := range newest {
+		if !l.replaceTold(now, o, list, source) {
+			l.Update(now, o, source)
+		}
+	}
+	for _, o := range list {
+		if !o.isSameAs(newest[o.Service]) && !l.rememberTold(o) {
+			l.Update(now, o, source)
+		}
+	}
+}
+
+// replaceTold applies the newest order of a service that another box knows, if that box knows the newest one
+// here as replaced by it: the two are not one order that was written again.
+func (l *Orders) replaceTold(now time.Time, u Order, list []Order, source string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, known := l.services[u.Service]
+	isReplaced := func(o Order) bool { return o.Service == u.Service && !o.isSameAs(u) && o.isSameAs(r.newest) }
+	if !known || !u.isNewerThan(r.newest) || !slices.ContainsFunc(list, isReplaced) {
+		return false
+	}
+	l.restore = l.restore.withRead(now, u.Version)
+	l.replace(now, r, u.withKnownRemoval(r.newest), source)
+	return true
+}
+
+// rememberTold keeps an order that another box knows as replaced, unless it is the newest here.
+func (l *Orders) rememberTold(o Order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, known := l.services[o.Service]
+	if !known || o.isSameAs(r.newest) || o.isNewerThan(r.newest) {
+		return false
+	}
+	r.remember(o)
+	return true
+}
+
 // replace applies a newer order, or the removal of the newest, which may have an outcome since.
 func (l *Orders) replace(now time.Time, r *record, u Order, source string) {
 	before := r.newest
--- a/canary/orders/restored_test.go
+++ b/canary/orders/restored_test.go
@@ -155,3 +155,41 @@
 		})
 	}
 }
+
+// TestRestoredStart guards against an order that a box that has just started takes for ended, as it is told of it
+// and of an order of the same target that was rolled back in an earlier era of the store.
+func TestRestoredStart(t *testing.T) {
+	earlier, other := order(in(15), "v2", orders.RolledBack, in(16)), order(in(18), "v3", orders.RolledBack, in(19))
+	running := order(after(40), "v2", orders.Running, after(41))
+	tests := map[string]struct {
+		known   []orders.Order // to the box that tells; the last one is the newest
+		started []orders.Order // read by the box itself
+	}{
+		"one order":                    {known: []orders.Order{running}},
+		"rolled back before":           {known: []orders.Order{earlier, running}},
+		"with another in between":      {known: []orders.Order{earlier, other, running}},
+		"the newest was read before":   {known: []orders.Order{earlier, running}, started: []orders.Order{order(after(40), "v2", orders.Ordered, 0)}},
+		"the earlier is known already": {known: []orders.Order{earlier, running}, started: []orders.Order{earlier}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			hub, started := orders.New(func(_, _ orders.Order, _ string) {}), orders.New(func(_, _ orders.Order, _ string) {})
+			hub.RecordEra(start, after(0).Era())
+			for _, o := range tt.known {
+				hub.Update(restoredAt, o, "test")
+			}
+			o, _ := hub.Of(service)
+			is.Equal(o, running)
+			for _, o := range tt.started {
+				started.Update(restoredAt, o, "test")
+			}
+			for range 3 { // answers
+				started.Told(restoredAt, hub.All(), "hub")
+			}
+			o, _ = started.Of(service)
+			is.Equal(o, running)
+			is.Equal(started.Releases(restoredAt, service), hub.Releases(restoredAt, service))
+		})
+	}
+}
--- a/edge/rolloutgossip.go
+++ b/edge/rolloutgossip.go
@@ -65,8 +65,10 @@
 	if len(a.Rollouts) == 0 {
 		return
 	}
+	list := make([]orders.Order, 0, len(a.Rollouts))
 	for _, w := range a.Rollouts {
-		r.orders.Update(now, orders.FromWord(sent, w), a.Sender.Box)
+		list = append(list, orders.FromWord(sent, w))
 	}
+	r.orders.Told(now, list, a.Sender.Box)
 	r.applyChanges(now)
 }
--- a/edge/rollouts_restoredagain_test.go
+++ b/edge/rollouts_restoredagain_test.go
@@ -42,3 +42,13 @@
 	s.waitState(orders.Completed, rolloutDuration)
 	s.only("v2")
 }
+
+// TestRestoredOrderedAgainStart guards against the same at a box that starts while the order runs, and is told of
+// both orders at once.
+func TestRestoredOrderedAgainStart(t *testing.T) {
+	for _, boxes := range []int{6, 76} {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testRestoredOrderedAgain(t, boxes, (*rolloutSite).startLate) })
+		})
+	}
+}
