--- a/edge/rolloutdeciders.go
+++ b/edge/rolloutdeciders.go
@@ -15,8 +15,17 @@
 	return r.members.IsReaderBox(now, box) || r.readersTurnedAway(now) && r.members.IsStandbyBox(now, box)
 }
 
-// decidesNow reports whether this box may decide.
-func (r *rolloutControl) decidesNow(now time.Time) bool { return r.mayDecide(now, r.config.Box) }
+// decidesNow reports whether this box may decide. A standby that the store does not answer either makes
+// no further calls.
+func (r *rolloutControl) decidesNow(now time.Time) bool {
+	return r.IsReader() || r.mayDecide(now, r.config.Box) && r.isServed(now)
+}
+
+// isServed reports whether the store answers this box about the orders.
+func (r *rolloutControl) isServed(now time.Time) bool {
+	at, ok := r.contact.Own(storecontact.Configuration)
+	return ok && now.Sub(at) <= deciderMaxAge
+}
 
 // logStandby logs when this box may decide in place of the readers, and when it no longer may.
 func (r *rolloutControl) logStandby(now time.Time) {
