protect/intake: wait for the memory of connections that give way

Cause: a connection that has to give way was taken out of the account when it was closed, not when its memory was free. Its goroutine still parses the head, which on busy processors takes as long as reading the next client's; so the sum of both grew without a bound. Traced in a trial: 94 MiB resident with 112 MiB in the account of 32, of which 84 MiB were of 124 connections closed and not ended; 66 MiB live after a collection, so not garbage. The account of a head itself is right: 2.17 MB for 60 KiB of short fields, of which reading it allocates 1.72 MB and keeps 0.98.

Heads and bodies that need more memory now wait while what is in use, with what closed connections still use, passes a limit. The wait takes only steps of this process: a closed connection reads no more, one that waits itself is woken, and a refusal of a body is written within 2 s (SetWriteDeadline). Requests whose handler goes on are not counted as about to be released.

--- a/protect/intake/body.go
+++ b/protect/intake/body.go
@@ -120,7 +120,7 @@
 
 // grow returns a buffer of a size with the bytes of another one, which must no longer be used.
 func (c *Conn) grow(buf []byte, size int, b Body) ([]byte, error) {
-	if !c.reserveBody(size) {
+	if !c.reserveBody(size) || !c.awaitRoom() {
 		return nil, b.full()
 	}
 	larger := make([]byte, len(buf), size)
--- a/protect/intake/conn.go
+++ b/protect/intake/conn.go
@@ -35,6 +35,7 @@
 	since      time.Time // when the stage began
 	prev, next *Conn     // in the list of the stage
 	used       usage     // of the account
+	releases   usage     // what of that will be released soon, as it has to give way
 	received   int64     // bytes of this request
 	head       int64     // bytes of memory of the head
 	sendsAhead bool      // bytes have arrived while a request is being served
@@ -73,8 +74,11 @@
 		return 0, errEnded
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.arrived(p[:n]) {
-		return 0, errEnded
+	if n > 0 {
+		grown, ok := c.arrived(p[:n])
+		if !ok || grown && !c.awaitRoom() {
+			return 0, errEnded
+		}
 	}
 	return n, err
 }
@@ -83,8 +87,9 @@
 // errors.
 var errEnded = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 
-// arrived accounts for received bytes. It returns false if the connection has to end.
-func (c *Conn) arrived(p []byte) bool {
+// arrived accounts for received bytes, and reports whether they need more memory, as those of a
+// head do. ok is false if the connection has to end.
+func (c *Conn) arrived(p []byte) (grown, ok bool) {
 	i, now := c.listener.intake, time.Now()
 	i.mu.Lock()
 	switch c.stage {
@@ -100,7 +105,7 @@
 	c.received += int64(len(p))
 	if c.stage != stageHead {
 		i.mu.Unlock()
-		return true
+		return false, true
 	}
 	c.head += int64(headCopies*len(p) + headLineBytes*bytes.Count(p, []byte{'\n'}))
 	c.account()
@@ -112,7 +117,7 @@
 	if tooLarge && !gone {
 		c.rejectHead(now)
 	}
-	return !tooLarge && !gone
+	return true, !tooLarge && !gone
 }
 
 // readAheadBytes is the size of the read buffer of net/http: as many bytes of a body may
@@ -152,12 +157,15 @@
 		now = usage{large: now.large, serving: now.connections + now.arriving}
 	}
 	i := c.listener.intake
-	change := now.minus(c.used)
-	i.used = i.used.plus(change)
-	if c.ending {
-		i.ending = i.ending.plus(change)
-	}
+	i.used = i.used.plus(now.minus(c.used))
 	c.used = now
+	releases := usage{}
+	if c.ending && !c.request { // a request that is being served keeps its memory until its end
+		releases = now
+	}
+	i.ending = i.ending.plus(releases.minus(c.releases))
+	c.releases = releases
+	i.wake()
 	if c.owner != nil {
 		owned := int64(0)
 		if c.request {
@@ -172,8 +180,8 @@
 func (c *Conn) giveWay(reason string, refused bool) end {
 	c.ending = true
 	c.reason = reason
-	i := c.listener.intake
-	i.ending = i.ending.plus(c.used)
+	c.account()
+	c.stopWaiting()
 	return end{Conn: c, reason: reason, refused: refused}
 }
 
@@ -186,6 +194,10 @@
 	}
 	i, now := c.listener.intake, time.Now()
 	i.mu.Lock()
+	if c.ending {
+		i.mu.Unlock()
+		return false
+	}
 	c.request = true
 	i.requests++
 	c.owner = i.owners[organisation]
@@ -201,7 +213,7 @@
 		c.account()
 	}
 	ends := i.makeRoom(now)
-	passes := c.ending || i.passesShare(c.owner)
+	passes := i.passesShare(c.owner)
 	i.mu.Unlock()
 	i.finish(now, ends)
 	return !passes
@@ -329,10 +341,7 @@
 // startLinger begins the stage in which the rest of a refused request is discarded. The
 // connection may have to give way again.
 func (c *Conn) startLinger() {
-	if c.ending {
-		c.ending = false
-		c.listener.intake.ending = c.listener.intake.ending.minus(c.used)
-	}
+	c.ending = false
 	c.head, c.body = 0, 0
 	c.enter(stageLinger, time.Now())
 }
--- a/protect/intake/intake.go
+++ b/protect/intake/intake.go
@@ -26,6 +26,9 @@
 	// shareOfFree is how many times the free part of the account, and of the requests that can
 	// be served at once, one organisation may use.
 	shareOfFree = 8
+	// refusalTime bounds the writing of a refusal that frees memory: the system buffers it at
+	// once, unless the client does not read earlier answers.
+	refusalTime = 2 * time.Second
 	// maxSweepGap is the time between sweeps from which the process counts as paused.
 	maxSweepGap = time.Second
 	// logRate and logBurst bound the lines about closed connections, per second.
@@ -84,8 +87,9 @@
 	mu        sync.Mutex
 	listeners []*Listener
 	used      usage
-	ending    usage // of connections that have to give way and have not ended yet
-	requests  int   // requests that are being served
+	ending    usage                   // of those that have to give way and will release it soon
+	waiting   map[*Conn]chan struct{} // connections that wait for memory of those, and what ends it
+	requests  int                     // requests that are being served
 	owners    map[string]*owner
 	swept     time.Time // when Sweep was last called
 	omitted   int       // lines that were not logged
@@ -100,7 +104,10 @@
 // New returns an intake without connections. held returns the bytes of the account that are in
 // use otherwise.
 func New(c capacity.Capacity, held func() int, counter Counter, log *logrus.Entry) *Intake {
-	return &Intake{capacity: c, held: held, counter: counter, log: log, lines: rate.NewLimiter(logRate, logBurst), owners: map[string]*owner{}}
+	return &Intake{
+		capacity: c, held: held, counter: counter, log: log, lines: rate.NewLimiter(logRate, logBurst),
+		waiting: map[*Conn]chan struct{}{}, owners: map[string]*owner{},
+	}
 }
 
 // Full reports whether the requests that are being served, and what is held otherwise, pass the
@@ -184,7 +191,9 @@
 	for _, e := range ends {
 		i.report(now, e.Conn, e.reason)
 		if e.refused {
-			_ = e.Conn.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended
+			// Both fail only if the connection has ended.
+			_ = e.Conn.Conn.SetReadDeadline(time.Unix(1, 0))
+			_ = e.Conn.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
 		} else {
 			e.abort()
 		}
--- a/protect/intake/intake_test.go
+++ b/protect/intake/intake_test.go
@@ -34,11 +34,12 @@
 	closed, interrupted bool
 }
 
-func (c *fakeConn) Read(p []byte) (int, error)      { return 0, io.EOF }
-func (c *fakeConn) Write(p []byte) (int, error)     { return len(p), nil }
-func (c *fakeConn) Close() error                    { c.closed = true; return nil }
-func (c *fakeConn) SetReadDeadline(time.Time) error { c.interrupted = true; return nil }
-func (c *fakeConn) RemoteAddr() net.Addr            { return &net.TCPAddr{} }
+func (c *fakeConn) Read(p []byte) (int, error)       { return 0, io.EOF }
+func (c *fakeConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (c *fakeConn) Close() error                     { c.closed = true; return nil }
+func (c *fakeConn) SetReadDeadline(time.Time) error  { c.interrupted = true; return nil }
+func (c *fakeConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *fakeConn) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
 
 // stand is an intake with one listener, without a network.
 type stand struct {
--- a/protect/intake/room.go
+++ b/protect/intake/room.go
@@ -49,6 +49,51 @@
 	return ends, !c.ending
 }
 
+// releasing reports whether more is in use than may be, and connections that have to give way
+// will release some of it. That takes processor time, but nothing that their clients do.
+func (i *Intake) releasing() bool {
+	return i.ending.arriving > 0 && i.used.arriving > i.capacity.Arriving() ||
+		i.ending.large > 0 && i.used.large > i.capacity.Large() ||
+		i.ending.sum() > 0 && i.used.sum()+int64(i.held()) > i.capacity.Memory()
+}
+
+// awaitRoom waits for the memory of connections that have to give way, so that those and the ones
+// in their place are within the limits together. It returns false if c has to give way itself.
+func (c *Conn) awaitRoom() bool {
+	if c == nil {
+		return true
+	}
+	i := c.listener.intake
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for i.releasing() && !c.ending {
+		woken := make(chan struct{})
+		i.waiting[c] = woken
+		i.mu.Unlock()
+		<-woken
+		i.mu.Lock()
+	}
+	return !c.ending
+}
+
+// wake lets the connections that wait go on if there is room.
+func (i *Intake) wake() {
+	if len(i.waiting) == 0 || i.releasing() {
+		return
+	}
+	for c := range i.waiting {
+		c.stopWaiting()
+	}
+}
+
+// stopWaiting ends the wait of c, if it waits.
+func (c *Conn) stopWaiting() {
+	if woken, ok := c.listener.intake.waiting[c]; ok {
+		close(woken)
+		delete(c.listener.intake.waiting, c)
+	}
+}
+
 // costliest returns the connection whose request is arriving with the largest product of
 // bytes and time.
 func (i *Intake) costliest(now time.Time, size func(*Conn) int64) (found *Conn) {
--- a/protect/intake/server_test.go
+++ b/protect/intake/server_test.go
@@ -366,3 +366,25 @@
 		})
 	}
 }
+
+// TestRefusalNotRead checks that the writing of a refusal ends soon although the client does not
+// read it: others may wait for the memory of the request. The rest of the request is read then.
+func TestRefusalNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newServer()
+		l := &memoryListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		s.serve(t, l)
+		conn := l.dial()
+		defer conn.Close()
+		_, err := io.WriteString(conn, bodyRequest+someBody[:60000])
+		is.NoErr(err)
+		time.Sleep(12 * time.Second) // it is refused after 10 s
+		s.closings.mu.Lock()
+		is.Equal(s.counts[intake.ReasonBodyTimeout], 1)
+		s.closings.mu.Unlock()
+		is.NoErr(conn.SetWriteDeadline(time.Now().Add(time.Second)))
+		_, err = io.WriteString(conn, someBody[60000:])
+		is.NoErr(err)
+	})
+}
