protect/intake: count a head until its answer is written

Cause: the account dropped a head when its handler returned, but net/http keeps the request until the answer is written and the connection is idle or closed. On a busy processor that takes a while, and the place was given to the next request.

The head now stays in the account until the connection is idle, lingers or has ended.

--- a/integration/own_test.go
+++ b/integration/own_test.go
@@ -35,8 +35,9 @@
 	callers, admin string
 }
 
-// startOwn starts a box with one plain service and two organisations.
-func startOwn(t *testing.T) ownBox {
+// startOwn starts a box with one plain service and two organisations. environment is added to
+// that of the test.
+func startOwn(t *testing.T, environment ...string) ownBox {
 	t.Helper()
 	store := httptest.NewServer(platform.New(platform.Options{}).Handler())
 	t.Cleanup(store.Close)
@@ -48,7 +49,7 @@
 		"platform": map[string]any{"address": store.Listener.Addr().String()}, "request_key": strings.Repeat("k", 32),
 		"operator_key_hash": front.HashKey(operatorKey),
 		"limits":            map[string]any{"body_bytes": mib, "memory_mb": ownMemoryMB, "descriptors": ownDescriptors},
-	})
+	}, environment...)
 	b.memoryMB, b.descriptors = ownMemoryMB, ownDescriptors
 	b.apply(t, "Hall", "leith", map[string]any{"region": "edinburgh"})
 	b.apply(t, "Upstream", "portal-1", map[string]any{"role": "service", "hall": "leith", "address": plain.Listener.Addr().String(), "service": "portal"})
@@ -69,7 +70,7 @@
 }
 
 // startDaemon starts a process with settings and waits until its addresses are open.
-func startDaemon(t *testing.T, settings map[string]any) process {
+func startDaemon(t *testing.T, settings map[string]any, environment ...string) process {
 	t.Helper()
 	raw, err := json.Marshal(settings)
 	if err != nil {
@@ -82,6 +83,7 @@
 	up := readylog.New(io.Discard)
 	command := exec.Command(daemon, "-settings", file)
 	command.Stdout, command.Stderr = up, os.Stderr
+	command.Env = append(os.Environ(), environment...)
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -167,6 +169,19 @@
 	}
 }
 
+// TestOwnFewProcessors checks that a box on few processors lives within its memory while clients
+// come back at once with whole heads. It guards against new heads being read in place of those of
+// closed connections that are still parsed: the sum of both had no bound.
+func TestOwnFewProcessors(t *testing.T) {
+	sends := then(postOwn("key-of-council"), "Connection: close\r\n"+manyFields(60*kib)+"Content-Length: 0\r\n\r\n")
+	for name, processors := range map[string]int{"one": 1, "two": 2} {
+		t.Run(name, func(t *testing.T) {
+			b := startOwn(t, fmt.Sprint("GOMAXPROCS=", processors))
+			survives(t, b.process, crowd{clients: 300, returns: true, sends: sends}, b.callers, b.call)
+		})
+	}
+}
+
 // TestOwnOperators checks the same for a crowd at the address of operators.
 func TestOwnOperators(t *testing.T) {
 	status := func(key string) func(int) string {
--- a/protect/intake/conn.go
+++ b/protect/intake/conn.go
@@ -255,7 +255,7 @@
 	if c.request {
 		c.endRequest()
 	}
-	c.head, c.body = 0, 0
+	c.body = 0 // net/http keeps the head until the answer is written
 	c.account()
 }
 
@@ -263,7 +263,7 @@
 func (c *Conn) becameIdle() {
 	i, now := c.listener.intake, time.Now()
 	i.mu.Lock()
-	c.received = 0
+	c.received, c.head = 0, 0
 	c.enter(stageIdle, now)
 	ends := i.makeRoom(now)
 	i.mu.Unlock()
--- a/protect/intake/intake_test.go
+++ b/protect/intake/intake_test.go
@@ -188,6 +188,39 @@
 	}
 }
 
+// TestHeadCountsUntilAnswered checks that the head of a request stays in the account until its
+// answer is written or its connection has ended. It guards against handled requests whose heads
+// were in memory but not in the account.
+func TestHeadCountsUntilAnswered(t *testing.T) {
+	const head = 1 << 20
+	for name, tt := range map[string]struct {
+		hasBody bool
+		ends    func(c *Conn)
+	}{
+		"served, used again":  {ends: (*Conn).becameIdle},
+		"served, closed":      {ends: (*Conn).release},
+		"refused, used again": {hasBody: true, ends: (*Conn).becameIdle},
+		"refused, closed": {hasBody: true, ends: func(c *Conn) {
+			c.stopReading(true)
+			_ = c.Close()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStand(capacity.New(64, 4096), 100)
+			c := s.connect()
+			c.head = head
+			if c.begin(tt.hasBody); !tt.hasBody {
+				is.True(c.BeginRequest(""))
+			}
+			c.end()
+			is.True(s.Used()[PartArriving]+s.Used()[PartServing] >= head)
+			tt.ends(c)
+			is.Equal(s.Used()[PartArriving]+s.Used()[PartServing], int64(0))
+		})
+	}
+}
+
 // TestSweepAfterPause checks that connections that became late while the process was paused are
 // closed only at the sweep after the next.
 func TestSweepAfterPause(t *testing.T) {
