integration: say why a daemon has not started, and use an own address

TestOwnCallers, row "whole drafts", failed once in a run of the whole package beside six busy processes (load 28 on 8 processors): "the daemon has not started", within 0.6 s; the reason was lost, as its log was discarded.

Suspected: the daemon listens on ports that were free some 0.1 s earlier, on 127.0.0.1, where any connection of another process may have taken one as its own port.

The addresses are now on a loopback host of the test's own process, where no other connection has its port, and the failure prints the daemon's log. No check changes.

--- a/integration/own_test.go
+++ b/integration/own_test.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -59,9 +58,12 @@
 	return b
 }
 
+// freeAddress returns an address that nobody listens on. Its host is this process's own, as a port
+// of 127.0.0.1 may be taken by any connection before the daemon listens on it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	id := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+id>>16&0x7f, id>>8&0xff, id&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +82,8 @@
 	if err := os.WriteFile(file, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	up := readylog.New(io.Discard)
+	var log bytes.Buffer
+	up := readylog.New(&log)
 	command := exec.Command(daemon, "-settings", file)
 	command.Stdout, command.Stderr = up, os.Stderr
 	command.Env = append(os.Environ(), environment...)
@@ -93,7 +96,7 @@
 	select {
 	case <-up.Done():
 	case <-ended:
-		t.Fatal("the daemon has not started")
+		t.Fatal("the daemon has not started: " + log.String())
 	}
 	return process{id: command.Process.Pid, ended: ended}
 }
