protect/intake: close refused connections before slow bodies

Cause: for a new connection, the first of what most connections are doing was closed. That count held connections that have to give way already and are not released. With a few hundred refused bodies among those, "a body" was what most did, and the only ones left in it were the slow requests: their log shows them dropped in one moment, 2 s after their begin, with 360 connections.

Now connections whose request was refused are closed first, the oldest of them first; those that have to give way already do not count; and of bodies the one without bytes for longest gives way, not the oldest. One with bytes in the last 2 s is refused and not closed. At most 64 connections are open for that beyond the listener's number, of the descriptors that are not used for callers.

Tried and dropped: of bodies in progress the youngest gives way.

--- a/protect/intake/conn.go
+++ b/protect/intake/conn.go
@@ -45,6 +45,7 @@
 	until       time.Time // until when the body has to be complete; zero if nothing limits it
 	progress    time.Time // when progressBytes of the body had last arrived
 	unmarked    int       // bytes of the body since then
+	lastBytes   time.Time // when bytes of the body had last arrived
 	bodyRead    bool      // the body is complete
 	bodyRefused bool      // the request is refused for its body
 
@@ -54,6 +55,7 @@
 	owned        int64  // bytes of the account that are counted for the owner
 
 	ending   bool   // it has to give way
+	refusing bool   // by a refusal, which is not written yet
 	reason   string // why
 	lingers  bool   // the rest of its request is being discarded
 	closed   bool   // its descriptor is closed
@@ -98,6 +100,9 @@
 	case stageServing:
 		c.sendsAhead = true
 	case stageBody:
+		c.lastBytes = now
+		c.listener.lists[stageBody].remove(c) // the list is in the order of the last bytes
+		c.listener.lists[stageBody].add(c)
 		if c.unmarked += len(p); c.unmarked >= progressBytes {
 			c.progress, c.unmarked = now, 0
 		}
@@ -178,13 +183,24 @@
 
 // giveWay makes the connection end.
 func (c *Conn) giveWay(reason string, refused bool) end {
-	c.ending = true
+	c.setEnding(true)
 	c.reason = reason
 	c.account()
 	c.stopWaiting()
 	return end{Conn: c, reason: reason, refused: refused}
 }
 
+func (c *Conn) setEnding(ending bool) {
+	l := &c.listener.lists[c.stage]
+	if c.ending {
+		l.ending--
+	}
+	c.ending = ending
+	if c.ending {
+		l.ending++
+	}
+}
+
 // BeginRequest counts a complete request of an organisation as one that is being served.
 // Connections whose request is not complete give way to it. It returns false if the organisation
 // passes its share, or if this connection had to give way itself.
@@ -239,7 +255,7 @@
 	defer i.mu.Unlock()
 	c.sendsAhead = false
 	c.bodyRead, c.bodyRefused, c.bodyLimit = !hasBody, false, 0
-	c.until, c.progress, c.unmarked = time.Time{}, now, 0
+	c.until, c.progress, c.lastBytes, c.unmarked = time.Time{}, now, now, 0
 	if hasBody {
 		c.enter(stageBody, now)
 	} else {
@@ -309,6 +325,15 @@
 	if !c.closed {
 		c.closed = true
 		c.listener.open--
+		c.stopRefusing()
+	}
+}
+
+// stopRefusing records that the refusal for which the connection is kept open has been written.
+func (c *Conn) stopRefusing() {
+	if c.refusing {
+		c.refusing = false
+		c.listener.refusing--
 	}
 }
 
@@ -341,7 +366,8 @@
 // startLinger begins the stage in which the rest of a refused request is discarded. The
 // connection may have to give way again.
 func (c *Conn) startLinger() {
-	c.ending = false
+	c.setEnding(false)
+	c.stopRefusing()
 	c.head, c.body = 0, 0
 	c.enter(stageLinger, time.Now())
 }
@@ -360,10 +386,12 @@
 	c.drop()
 }
 
-// list holds the connections of a stage, in the order in which they entered it.
+// list holds the connections of a stage, in the order in which they entered it, or in which bytes of
+// their bodies last arrived.
 type list struct {
 	first, last *Conn
 	count       int
+	ending      int // how many of them have to give way
 }
 
 func (l *list) add(c *Conn) {
@@ -375,6 +403,9 @@
 	}
 	l.last = c
 	l.count++
+	if c.ending {
+		l.ending++
+	}
 }
 
 func (l *list) remove(c *Conn) {
@@ -390,4 +421,7 @@
 	}
 	c.prev, c.next = nil, nil
 	l.count--
+	if c.ending {
+		l.ending--
+	}
 }
--- a/protect/intake/intake_test.go
+++ b/protect/intake/intake_test.go
@@ -98,6 +98,71 @@
 	}
 }
 
+// TestProgressKept checks that a body that makes progress does not give way to a new connection
+// before those whose requests were refused or that paused, and then by a refusal. It guards against
+// its being closed in place of those, or because others had to give way already.
+func TestProgressKept(t *testing.T) {
+	type client struct {
+		stage  stage
+		paused time.Duration // since its last bytes
+		ending bool
+	}
+	slow := client{stage: stageBody, paused: 100 * time.Millisecond}
+	for name, tt := range map[string]struct {
+		clients []client // oldest first
+		ends    int      // index of the one that gives way
+		refused bool     // by a refusal, not closed
+	}{
+		"refused, still sending":           {clients: []client{slow, slow, {stage: stageLinger}}, ends: 2},
+		"many that have to give way":       {clients: []client{slow, {stage: stageBody, ending: true}, {stage: stageBody, ending: true}, {stage: stageNew}}, ends: 3},
+		"the body that paused for longest": {clients: []client{{stage: stageBody, paused: 5 * time.Second}, {stage: stageBody, paused: 3 * time.Second}, slow}, ends: 0},
+		"one that pauses shortly":          {clients: []client{{stage: stageBody, paused: time.Second}, slow, {stage: stageBody}}, ends: 0, refused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStand(capacity.New(64, 4096), len(tt.clients))
+			var all []*fakeConn
+			for _, c := range tt.clients {
+				conn := s.connect()
+				conn.enter(c.stage, s.now)
+				conn.lastBytes = s.now.Add(-c.paused)
+				if c.ending {
+					conn.giveWay(ReasonMemory, true)
+				}
+				all = append(all, conn.Conn.(*fakeConn))
+			}
+			s.listener.track(&fakeConn{}, s.now)
+			for i, c := range all {
+				is.Equal(c.closed, i == tt.ends && !tt.refused)
+				is.Equal(c.interrupted, i == tt.ends && tt.refused)
+			}
+			is.Equal(s.closings[ReasonConnections], 1)
+		})
+	}
+}
+
+// TestRefusalsInPlaceBounded checks that connections that are open until their refusal is written
+// are bounded, and counted no more afterwards.
+func TestRefusalsInPlaceBounded(t *testing.T) {
+	is := is.New(t)
+	const connections = 100
+	s := newStand(capacity.New(64, 4096), connections)
+	var all []*Conn
+	for range 3 * connections {
+		c := s.connect()
+		c.begin(true)
+		c.lastBytes = s.now.Add(time.Hour)
+		all = append(all, c)
+		is.True(s.Connections() <= connections+maxRefusing)
+	}
+	is.Equal(s.listener.refusing, maxRefusing)
+	for _, c := range all {
+		s.finishConn(c)
+	}
+	is.Equal(s.listener.refusing, 0)
+	is.Equal(s.Connections(), 0)
+}
+
 // TestMemoryGivesWay checks whose request gives way when heads and bodies use up their parts of
 // the account.
 func TestMemoryGivesWay(t *testing.T) {
--- a/protect/intake/listener.go
+++ b/protect/intake/listener.go
@@ -27,6 +27,8 @@
 	current Bounds // as of the last sweep
 	lists   [stages]list
 	open    int // connections whose descriptor is not closed
+	// refusing is how many of them have to give way and are open until a refusal is written.
+	refusing int
 }
 
 // Listener returns a listener that tracks the connections accepted by another one. Its name is
@@ -111,14 +113,12 @@
 	l.lists[stageNew].add(c)
 	c.account()
 	var ends []end
-	for l.open > l.connections {
+	for l.open-l.refusing > l.connections {
 		old := l.leastUsed(c)
 		if old == nil {
 			old = c
 		}
-		ends = append(ends, old.giveWay(ReasonConnections, false))
-		l.open--
-		old.closed = true
+		ends = append(ends, old.giveWayForConnection(now))
 		if old == c {
 			break
 		}
@@ -134,29 +134,64 @@
 	return c
 }
 
-// leastUsed returns the connection that gives way to a new one: of the stage that has the most,
-// the one that entered it first. nil: all serve requests.
+const (
+	// pausedAfter is the time without bytes after which a body is closed and not refused, if a
+	// connection has to give way. A slow link sends some well within it.
+	pausedAfter = 2 * time.Second
+	// maxRefusing bounds the connections that are open for a refusal beyond the listener's
+	// number. They are of those that are not used for callers.
+	maxRefusing = 64
+)
+
+// leastUsed returns the connection that gives way to a new one: one whose request was refused,
+// else of the stage that has the most, the one that entered it first; of bodies, the one without
+// bytes for longest. nil: all serve requests.
 func (l *Listener) leastUsed(except *Conn) (found *Conn) {
+	if c := l.lists[stageLinger].open(nil); c != nil {
+		return c
+	}
 	most := 0
-	for s := range stageServing {
-		count := l.lists[s].count
+	for s := range stageLinger {
+		count := l.lists[s].count - l.lists[s].ending
 		if except != nil && except.stage == s {
 			count--
 		}
 		if count <= most {
 			continue
 		}
-		c := l.lists[s].first
-		for c != nil && (c.ending || c == except) {
-			c = c.next
-		}
-		if c != nil {
+		if c := l.lists[s].open(except); c != nil {
 			found, most = c, count
 		}
 	}
 	return found
 }
 
+// open returns the first connection that does not have to give way yet.
+func (l *list) open(except *Conn) *Conn {
+	c := l.first
+	for c != nil && (c.ending || c == except) {
+		c = c.next
+	}
+	return c
+}
+
+// paused reports whether no bytes of a body have arrived for some time.
+func (c *Conn) paused(now time.Time) bool { return now.Sub(c.lastBytes) > pausedAfter }
+
+// giveWayForConnection makes a connection end in whose place another one is used. The request of a
+// body that makes progress is refused, as its client would not know otherwise that it has not run.
+func (c *Conn) giveWayForConnection(now time.Time) end {
+	l := c.listener
+	if c.stage == stageBody && !c.paused(now) && l.refusing < maxRefusing {
+		c.refusing = true
+		l.refusing++
+		return c.giveWay(ReasonConnections, true)
+	}
+	e := c.giveWay(ReasonConnections, false)
+	c.markClosed()
+	return e
+}
+
 // late returns the connections that have taken too long.
 func (l *Listener) late(now time.Time) (ends []end) {
 	l.current = l.bounds()
--- a/protect/intake/room.go
+++ b/protect/intake/room.go
@@ -14,7 +14,7 @@
 		if c == nil {
 			break
 		}
-		ends = append(ends, c.giveWay(ReasonConnections, false))
+		ends = append(ends, c.giveWayForConnection(now))
 	}
 	for i.remaining().arriving > i.capacity.Arriving() {
 		c := i.costliest(now, func(c *Conn) int64 { return c.used.arriving })
