configwriter: share the hook of the tests of a restore between goroutines

Seen: the race detector reports the hook of the restorable table in TestRestoredRandom, which the test sets while the server reads it; seen in two runs of three plays each.

Now it is atomic, as is what the hooks count. The checks are the same.

Six plays of all tests of a restore pass with the race detector.

--- a/configwriter/restored_random_test.go
+++ b/configwriter/restored_random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -118,7 +119,7 @@
 			p.step(rt, step)
 			p.checkForward(rt)
 		}
-		p.received = func(*http.Request) {} // no restore while the boxes settle
+		p.onReceived(func(*http.Request) {}) // no restore while the boxes settle
 		p.settle(rt.Context())
 		p.checkForward(rt)
 		p.checkSame(rt)
@@ -131,11 +132,13 @@
 		r.restore()
 		return
 	}
-	r.received = func(*http.Request) {
-		if calls--; calls == 0 {
+	var left atomic.Int64
+	left.Store(int64(calls))
+	r.onReceived(func(*http.Request) {
+		if left.Add(-1) == 0 {
 			r.restore()
 		}
-	}
+	})
 }
 
 // putRandom writes, changes or removes a hall, or the organisation.
--- a/configwriter/restored_rows_test.go
+++ b/configwriter/restored_rows_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 type restorable struct {
 	platform *platform.Platform
 	server   *httptest.Server
-	received func(call *http.Request) // called when a call has arrived, before it is handled
+	received atomic.Pointer[func(call *http.Request)] // called when a call has arrived, before it is handled
 	boxes    []*box
 	copied   *platform.Copy
 }
@@ -42,14 +43,15 @@
 // newRestorable returns a table with three halls and an organisation of two keys, its copy, and
 // a box that wrote them.
 func newRestorable() *restorable {
-	r := &restorable{platform: platform.New(platform.Options{}), received: func(*http.Request) {}}
+	r := &restorable{platform: platform.New(platform.Options{})}
+	r.onReceived(func(*http.Request) {})
 	serve := r.platform.Handler()
 	r.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Method == http.MethodPost {
 			body, _ := io.ReadAll(req.Body) // a short body is refused
 			req.Body = io.NopCloser(bytes.NewReader(body))
 		}
-		r.received(req)
+		(*r.received.Load())(req)
 		serve.ServeHTTP(w, req)
 	}))
 	first := r.start()
@@ -71,6 +73,8 @@
 	return b
 }
 
+func (r *restorable) onReceived(f func(call *http.Request)) { r.received.Store(&f) }
+
 func (r *restorable) restore() {
 	r.platform.Suspend()
 	r.platform.Restore(r.copied)
@@ -317,18 +321,18 @@
 	if lost {
 		r.platform.Fault(wire.Fault{Part: platform.TableWrites, Mode: wire.FaultModeLoseReply, Count: 1})
 	}
-	sent := false
-	r.received = func(call *http.Request) {
-		if was := sent; !was {
-			sent = call.Method == http.MethodPost
-			if lost || !sent {
+	var sent atomic.Bool
+	r.onReceived(func(call *http.Request) {
+		if !sent.Load() {
+			sent.Store(call.Method == http.MethodPost)
+			if lost || !sent.Load() {
 				return
 			}
 		}
-		r.received = func(*http.Request) {}
+		r.onReceived(func(*http.Request) {})
 		before()
 		r.restore()
-	}
+	})
 }
 
 // TestWriteUnderWay guards against a write that is refused as not accepted, or confirmed, while
