relay: read the engines of a test of moved runs under their lock

With the race detector TestMovedAnswerLost failed: the test read what the timers of its simulated engines had written without their lock. Without it nothing failed. The check holds the lock now; go test -race ./relay -run TestMovedAnswerLost passes.

--- a/relay/handoff_test.go
+++ b/relay/handoff_test.go
@@ -214,6 +214,8 @@
 	}
 	c := w.serve(t.Context(), tt.path)
 	time.Sleep(2 * time.Second)
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	is.True(!e.twice || tt.path == "/check/") // a check may be repeated
 	sends := ""
 	for _, at := range e.sends {
