--- a/canary/orders/orders_test.go
+++ b/canary/orders/orders_test.go
@@ -265,7 +265,7 @@
 	}
 }
 
-// TestReplacedTold checks that no order is told that does not exclude a release any more.
+// TestReplacedTold checks that orders which no longer exclude a release are not sent to other boxes.
 func TestReplacedTold(t *testing.T) {
 	is := is.New(t)
 	l := orders.New(func(_, _ orders.Order, _ string) {})
--- a/canary/orders/restored.go
+++ b/canary/orders/restored.go
@@ -40,7 +40,7 @@
 	l.restore = l.restore.withEra(now, era)
 }
 
-// withEra returns the era that is known once another box has told it.
+// withEra returns the era that is known after a report of another box.
 func (s restore) withEra(now time.Time, era int) restore {
 	if era <= s.era {
 		return s
--- a/canary/orders/restored_test.go
+++ b/canary/orders/restored_test.go
@@ -136,7 +136,7 @@
 func TestRestoredEraTold(t *testing.T) {
 	tests := map[string]struct {
 		known, told orders.Order
-		after       time.Duration // since the box was told of the era
+		after       time.Duration // since the box learned of the era
 		want        orders.State
 	}{
 		"written again":             {order(in(15), "v2", orders.RolledBack, in(16)), order(after(40), "v2", orders.Ordered, 0), time.Second, orders.RolledBack},
@@ -156,7 +156,7 @@
 	}
 }
 
-// TestRestoredStart guards against an order that a box that has just started takes for ended, as it is told of it
+// TestRestoredStart guards against an order that a box that has just started takes for ended, as it learns of it
 // and of an order of the same target that was rolled back in an earlier era of the store.
 func TestRestoredStart(t *testing.T) {
 	earlier, other := order(in(15), "v2", orders.RolledBack, in(16)), order(in(18), "v3", orders.RolledBack, in(19))
--- a/configwriter/restored.go
+++ b/configwriter/restored.go
@@ -30,8 +30,9 @@
 
 // WriteAgain writes resources that the table lost when it was restored from an older copy, if it
 // is still in a state. Each stays the write that it was, with its era and revision, so that it
-// replaces no later one, whichever box writes it; one without a revision is a new write. The table's revision rises above one that was
-// given out before, without a row of a change: boxes that follow the changes read all.
+// replaces no later one, whichever box writes it; one without a revision is a new write. The table's
+// revision rises above one that was given out before, without a row of a change: boxes that follow
+// the changes read all.
 func WriteAgain(ctx context.Context, t Table, s State, again []wire.Resource, above int) (revision int, done bool, err error) {
 	revision = max(s.Set().Revision, above) + 1
 	tx := wire.Transaction{
--- a/configwriter/restored_rows_test.go
+++ b/configwriter/restored_rows_test.go
@@ -221,7 +221,7 @@
 			r.restore()
 			r.startReading().put(organisation(1, "k1", "k2", "k3"))
 		},
-		want: "map[h0:r1 h1:r1 h2:r1] [k2]", // k1 may be revoked, and k3 is not told apart from it
+		want: "map[h0:r1 h1:r1 h2:r1] [k2]", // k1 may be revoked, and k3 cannot be distinguished from it
 	},
 	"organisation removed, and written since": {
 		play: func(r *restorable, first *box) {
--- a/daemon/restored_test.go
+++ b/daemon/restored_test.go
@@ -92,7 +92,7 @@
 }
 
 // TestCallRestoredCutOff guards against a call that runs twice as its dispatcher, which other boxes
-// hear, did not reach the store after the restore.
+// are in touch with, did not reach the store after the restore.
 func TestCallRestoredCutOff(t *testing.T) {
 	is := is.New(t)
 	var link *cutter
